Lay out the decision core, the manifest and the HTTP adapters

Cause: the project is new; the thin whole path needs its interfaces first. Change: errors with stable numbers, findings with places, the manifest and its checks, the pure router with admission, cascade, roll-out, cold-start and quarantine parts in their simplest form, session tokens, the kernel, the control loop, CivetWeb server, HTTP client and platform client. Ruled out: CivetWeb's client for upstream streams, since it fills its whole buffer before it returns and takes no deadline for the body.

--- /dev/null
+++ b/include/figslip/cascade/stage_planner.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <figslip/evidence/evidence_store.hpp>
+#include <figslip/manifest/manifest_index.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace figslip::cascade {
+
+/// @brief Describes one stage that a request may run on now.
+struct StageOption
+{
+  std::size_t mStage = 0;                  ///< index in the cascade
+  std::string mVersion;                    ///< version that would run
+  std::int64_t mCostPerThousandTokens = 0; ///< micro currency units
+  Duration mExpectedLatency{};             ///< of one whole answer
+};
+
+/// @brief Holds what the planner needs to know of a request.
+struct PlanRequest
+{
+  const manifest::Cascade& mCascade;
+  std::string mTaskKind;
+  bool mCommitted = false; ///< no escalation is possible, as in a stream
+  Duration mTimeLeft{};    ///< until the deadline
+};
+
+/// @brief Chooses the stage of a cascade that a request starts on.
+///
+/// Among the stages whose expected quality, escalations included, reaches the
+/// target, takes the one of least expected cost. Where none reaches it, takes
+/// the one of highest expected quality.
+class StagePlanner
+{
+public:
+  explicit StagePlanner(const evidence::EvidenceStore& aEvidence);
+
+  /// @brief Picks the start stage.
+  /// @param[in] aRequest the request
+  /// @param[in] aOptions the stages open to it, cheapest first; not empty
+  /// @return index into aOptions
+  [[nodiscard]] std::size_t Start(const PlanRequest& aRequest,
+                                  std::span<const StageOption> aOptions) const;
+
+private:
+  const evidence::EvidenceStore& mEvidence;
+};
+
+} // namespace figslip::cascade
--- /dev/null
+++ b/include/figslip/coldstart/cold_start_gate.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <figslip/manifest/manifest.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace figslip::coldstart {
+
+/// @brief States how much work an upstream can bear.
+enum class Warmth
+{
+  Cold, ///< unknown, restarted, or failing; bears the cold concurrency only
+  Warm
+};
+
+/// @brief Holds permission to use cold capacity of one upstream for a while.
+struct Grant
+{
+  std::string mUpstream;
+  int mSlots = 0;    ///< requests at a time, >= 0
+  TimePoint mExpiry; ///< no new request at or after this time
+};
+
+/// @brief Limits the work of upstreams in cold start.
+///
+/// An upstream is cold until enough successes over enough time have been seen,
+/// and again after any surprise. Cold capacity may be used only under a grant
+/// of the upstream's home entry, so that the sum over all entries keeps the
+/// bound.
+class ColdStartGate
+{
+public:
+  struct Options
+  {
+    int mWarmSuccesses = 5;                       ///< successes needed, >= 1
+    Duration mWarmTime = std::chrono::seconds(5); ///< least time in cold start
+  };
+
+  explicit ColdStartGate(Options aOptions);
+
+  /// @brief Notes a success and the boot id that came with it.
+  void OnSuccess(std::string_view aUpstream,
+                 std::string_view aBootId,
+                 TimePoint aNow);
+
+  /// @brief Notes a refusal, a reset, a timeout or a changed boot id.
+  void OnSurprise(std::string_view aUpstream, TimePoint aNow);
+
+  /// @brief Takes a grant of the home entry; a later grant replaces it.
+  void OnGrant(const Grant& aGrant);
+
+  [[nodiscard]] Warmth WarmthOf(std::string_view aUpstream) const;
+
+  /// @brief Returns how many requests this entry may have there at a time.
+  [[nodiscard]] int Limit(const manifest::Upstream& aUpstream,
+                          TimePoint aNow) const;
+
+private:
+  struct State
+  {
+    Warmth mWarmth = Warmth::Cold;
+    std::string mBootId;
+    int mSuccesses = 0;
+    TimePoint mColdSince;
+    Grant mGrant;
+  };
+
+  void Restart(State& aState, TimePoint aNow);
+
+  Options mOptions;
+  std::map<std::string, State, std::less<>> mStates;
+};
+
+} // namespace figslip::coldstart
--- /dev/null
+++ b/include/figslip/membership/instance.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace figslip::membership {
+
+/// @brief States what the platform's instance list says of an instance.
+enum class InstanceState
+{
+  Live,
+  Leaving
+};
+
+/// @brief Names one run of one instance.
+struct Incarnation
+{
+  std::string mInstance;       ///< name of the instance
+  std::int64_t mStartedAt = 0; ///< start of the process, Unix milliseconds
+
+  auto operator<=>(const Incarnation&) const = default;
+};
+
+/// @brief Describes an entry instance of the system.
+struct EntryInstance
+{
+  std::string mName;
+  std::string mFailureDomain;
+  std::string mAddress; ///< IP number
+  int mCallerPort = 0;  ///< TCP port for callers and forwarded requests
+  int mPeerPort = 0;    ///< TCP port of the peer protocol
+  InstanceState mState = InstanceState::Live;
+
+  bool operator==(const EntryInstance&) const = default;
+};
+
+/// @brief Holds the instance list as last seen.
+struct InstanceList
+{
+  std::vector<EntryInstance> mEntries;
+  std::vector<std::string> mLeavingUpstreams; ///< names of upstreams
+
+  bool operator==(const InstanceList&) const = default;
+};
+
+} // namespace figslip::membership
--- /dev/null
+++ b/include/figslip/rollout/version_monitor.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <figslip/evidence/evidence_store.hpp>
+#include <figslip/manifest/manifest_index.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figslip::rollout {
+
+/// @brief Decides how much traffic each version of a model gets.
+///
+/// A version in roll-out starts at its initial share and grows only with
+/// evidence. A version found bad is stopped by this instance by itself; the
+/// verdict stays until the manifest gives the version another state.
+class VersionMonitor
+{
+public:
+  explicit VersionMonitor(const evidence::EvidenceStore& aEvidence);
+
+  /// @brief Takes a new manifest into account.
+  void OnManifest(const manifest::ManifestIndex& aManifest, TimePoint aNow);
+
+  /// @brief Runs the tests on the evidence seen so far.
+  /// @return versions stopped by this call
+  std::vector<std::string> Evaluate(TimePoint aNow);
+
+  /// @brief Stops a version on the word of a peer.
+  void StopVersion(std::string_view aVersion, TimePoint aNow);
+
+  /// @brief Tells whether this instance has stopped a version.
+  [[nodiscard]] bool IsStopped(std::string_view aVersion) const;
+
+  /// @brief Returns all versions stopped by this instance.
+  [[nodiscard]] std::vector<std::string> Stopped() const;
+
+  /// @brief Chooses one of the versions of a model by their shares.
+  /// @param[in] aVersions versions that the request may run on
+  /// @param[in] aRandom seeded generator
+  /// @return the version chosen; null if all are stopped or none is given
+  [[nodiscard]] const manifest::ModelVersion* Choose(
+    std::span<const manifest::ModelVersion* const> aVersions,
+    std::mt19937_64& aRandom) const;
+
+private:
+  struct Watched
+  {
+    std::string mName;
+    manifest::VersionState mState;
+    double mShare = 1.0;
+    bool mStopped = false;
+  };
+
+  [[nodiscard]] const Watched* Find(std::string_view aVersion) const;
+  [[nodiscard]] double ShareOf(const manifest::ModelVersion& aVersion) const;
+
+  const evidence::EvidenceStore& mEvidence;
+  std::vector<Watched> mWatched;
+};
+
+} // namespace figslip::rollout
--- /dev/null
+++ b/include/figslip/routing/attempt_outcome.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <figslip/time/time_point.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace figslip::routing {
+
+/// @brief Classifies how an attempt ended.
+enum class AttemptEnd
+{
+  Whole,        ///< the whole answer arrived
+  NotConnected, ///< no connection was made, so no byte left
+  Rejected,     ///< the upstream said that it did not run the request
+  Broken,       ///< the connection broke after bytes may have left
+  TimedOut,     ///< a step took too long after bytes may have left
+  Failed,       ///< the upstream answered with an error after running it
+  Cancelled     ///< the caller went away or the dispatch check said no
+};
+
+/// @brief Describes how an attempt ended.
+struct AttemptOutcome
+{
+  AttemptEnd mEnd = AttemptEnd::Broken;
+  std::string mBootId;         ///< boot id of the upstream, if it answered
+  std::int64_t mTokens = 0;    ///< tokens generated
+  double mScore = 1.0;         ///< the engine's own score of its answer, [0, 1]
+  bool mBytesToCaller = false; ///< part of the answer already left
+  Duration mLatency{};         ///< from dispatch to the end
+};
+
+/// @brief Tells whether the upstream may have run the request.
+[[nodiscard]] constexpr bool
+MayHaveRun(AttemptEnd aEnd)
+{
+  return aEnd == AttemptEnd::Whole || aEnd == AttemptEnd::Broken ||
+         aEnd == AttemptEnd::TimedOut || aEnd == AttemptEnd::Failed;
+}
+
+} // namespace figslip::routing
--- /dev/null
+++ b/include/figslip/routing/control_snapshot.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <figslip/manifest/manifest_index.hpp>
+#include <figslip/membership/instance.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <memory>
+
+namespace figslip::routing {
+
+/// @brief Holds the control state that one decision is checked against.
+///
+/// The control thread publishes a new snapshot for each change; a check reads
+/// one snapshot from start to end and never mixes two.
+struct ControlSnapshot
+{
+  manifest::ManifestPtr mManifest; ///< null until a manifest is in force
+  TimePoint mConfirmedAt; ///< when the manifest was last known to be current
+  TimePoint mHeartbeat;   ///< last turn of the control thread
+  membership::InstanceList mInstances;
+};
+
+/// @brief Shares an immutable snapshot.
+using ControlSnapshotPtr = std::shared_ptr<const ControlSnapshot>;
+
+} // namespace figslip::routing
--- /dev/null
+++ b/include/figslip/routing/upstream_table.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <figslip/coldstart/cold_start_gate.hpp>
+#include <figslip/manifest/manifest.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace figslip::routing {
+
+/// @brief Holds the load that an upstream last reported; it lags.
+struct LoadReport
+{
+  std::string mUpstream;
+  std::string mBootId;
+  int mRunning = 0; ///< requests running or queued there, of all entries
+  TimePoint mAt;    ///< when the report was taken
+};
+
+/// @brief Counts own work per upstream and chooses where to send more.
+class UpstreamTable
+{
+public:
+  explicit UpstreamTable(coldstart::ColdStartGate::Options aColdStart);
+
+  [[nodiscard]] coldstart::ColdStartGate& ColdStart() { return mColdStart; }
+  [[nodiscard]] const coldstart::ColdStartGate& ColdStart() const
+  {
+    return mColdStart;
+  }
+
+  /// @brief Takes a load report; older reports are ignored.
+  void OnLoadReport(const LoadReport& aReport);
+
+  /// @brief Chooses an upstream with room for one more request.
+  /// @param[in] aCandidates upstreams that pass the dispatch check
+  /// @param[in] aPrefixHash hash of the prompt prefix; 0 if none
+  /// @return null where no candidate has room
+  [[nodiscard]] const manifest::Upstream* Choose(
+    std::span<const manifest::Upstream* const> aCandidates,
+    std::uint64_t aPrefixHash,
+    std::mt19937_64& aRandom,
+    TimePoint aNow) const;
+
+  /// @brief Counts one more request on an upstream.
+  void Reserve(std::string_view aUpstream);
+
+  /// @brief Counts one request less on an upstream.
+  void Release(std::string_view aUpstream);
+
+  /// @brief Returns the requests of this entry on an upstream.
+  [[nodiscard]] int InFlight(std::string_view aUpstream) const;
+
+private:
+  struct State
+  {
+    int mInFlight = 0;
+    LoadReport mReport;
+  };
+
+  [[nodiscard]] int LoadOf(std::string_view aUpstream) const;
+
+  coldstart::ColdStartGate mColdStart;
+  std::map<std::string, State, std::less<>> mStates;
+};
+
+} // namespace figslip::routing
--- /dev/null
+++ b/programs/figslip-manifest.cpp
@@ -0,0 +1,1 @@
+int main(){}
--- /dev/null
+++ b/src/core/coldstart/cold_start_gate.cpp
@@ -0,0 +1,73 @@
+#include <figslip/coldstart/cold_start_gate.hpp>
+
+#include <algorithm>
+
+namespace figslip::coldstart {
+
+ColdStartGate::ColdStartGate(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+ColdStartGate::Restart(State& aState, TimePoint aNow)
+{
+  aState.mWarmth = Warmth::Cold;
+  aState.mSuccesses = 0;
+  aState.mColdSince = aNow;
+}
+
+void
+ColdStartGate::OnSuccess(std::string_view aUpstream,
+                         std::string_view aBootId,
+                         TimePoint aNow)
+{
+  auto& state = mStates[std::string(aUpstream)];
+  if (state.mBootId != aBootId) {
+    state.mBootId = aBootId;
+    Restart(state, aNow);
+  }
+  ++state.mSuccesses;
+  if (state.mSuccesses >= mOptions.mWarmSuccesses &&
+      aNow - state.mColdSince >= mOptions.mWarmTime) {
+    state.mWarmth = Warmth::Warm;
+  }
+}
+
+void
+ColdStartGate::OnSurprise(std::string_view aUpstream, TimePoint aNow)
+{
+  Restart(mStates[std::string(aUpstream)], aNow);
+}
+
+void
+ColdStartGate::OnGrant(const Grant& aGrant)
+{
+  mStates[aGrant.mUpstream].mGrant = aGrant;
+}
+
+Warmth
+ColdStartGate::WarmthOf(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end() ? Warmth::Cold : found->second.mWarmth;
+}
+
+int
+ColdStartGate::Limit(const manifest::Upstream& aUpstream, TimePoint aNow) const
+{
+  const auto found = mStates.find(aUpstream.mName);
+  if (found == mStates.end()) {
+    return 0;
+  }
+  const auto& state = found->second;
+  if (state.mWarmth == Warmth::Warm) {
+    return aUpstream.mConcurrency;
+  }
+  if (aNow >= state.mGrant.mExpiry) {
+    return 0;
+  }
+  return std::min(state.mGrant.mSlots, aUpstream.mColdConcurrency);
+}
+
+} // namespace figslip::coldstart
--- /dev/null
+++ b/src/core/routing/router.cpp
@@ -0,0 +1,259 @@
+#include <figslip/routing/router.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace figslip::routing {
+
+using error::ErrorKind;
+
+Router::Router(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
+  , mSnapshot(std::make_shared<const ControlSnapshot>())
+  , mEvidence({ .mSelf = mOptions.mSelf })
+  , mPlanner(mEvidence)
+  , mVersions(mEvidence)
+  , mUpstreams(mOptions.mColdStart)
+  , mQuarantine(mOptions.mQuarantine)
+  , mRetryTokens(mOptions.mRetryBurst)
+{
+}
+
+void
+Router::OnSnapshot(ControlSnapshotPtr aSnapshot, TimePoint aNow)
+{
+  assert(aSnapshot != nullptr);
+  const bool isNewManifest = aSnapshot->mManifest != mSnapshot->mManifest;
+  mSnapshot = std::move(aSnapshot);
+  if (isNewManifest) {
+    mVersions.OnManifest(*mSnapshot->mManifest, aNow);
+  }
+  WakeWaiting(aNow);
+}
+
+void
+Router::OnLoadReport(const LoadReport& aReport, TimePoint aNow)
+{
+  mUpstreams.OnLoadReport(aReport);
+  WakeWaiting(aNow);
+}
+
+void
+Router::OnGrant(const coldstart::Grant& aGrant, TimePoint aNow)
+{
+  mUpstreams.ColdStart().OnGrant(aGrant);
+  WakeWaiting(aNow);
+}
+
+void
+Router::OnCrashReport(const quarantine::CrashReport& aReport)
+{
+  mQuarantine.OnCrash(aReport);
+}
+
+void
+Router::OnEvidence(const std::vector<evidence::EvidenceEntry>& aEntries,
+                   TimePoint aNow)
+{
+  mEvidence.Merge(aEntries, aNow);
+}
+
+void
+Router::OnRating(const evidence::EvidenceKey& aKey, bool aGood, TimePoint aNow)
+{
+  evidence::EvidenceCounts counts;
+  (aGood ? counts.mGood : counts.mBad) = 1;
+  mEvidence.Add(aKey, counts, aNow);
+}
+
+std::vector<std::string>
+Router::OnTick(TimePoint aNow)
+{
+  mEvidence.Expire(aNow);
+  mQuarantine.Expire(aNow);
+  auto stopped = mVersions.Evaluate(aNow);
+  WakeWaiting(aNow);
+  return stopped;
+}
+
+Decision
+Router::Start(TicketId aTicket, Request aRequest, TimePoint aNow)
+{
+  const auto [position, added] = mTickets.try_emplace(aTicket);
+  assert(added);
+  auto& ticket = position->second;
+  ticket.mId = aTicket;
+  ticket.mRequest = std::move(aRequest);
+  mRetryTokens =
+    std::min(mOptions.mRetryBurst, mRetryTokens + mOptions.mRetryShare);
+  return Plan(ticket, aNow);
+}
+
+Decision
+Router::Resume(TicketId aTicket, TimePoint aNow)
+{
+  auto& ticket = mTickets.at(aTicket);
+  if (ticket.mReserved) {
+    const DispatchFacts facts{ .mRequest = ticket.mRequest,
+                               .mUpstream = ticket.mReserved->mUpstream,
+                               .mVersion = ticket.mReserved->mVersion,
+                               .mOwnDomain = mOptions.mFailureDomain };
+    if (!CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow)) {
+      return Commit(ticket, *std::exchange(ticket.mReserved, std::nullopt));
+    }
+    ReleaseReservation(ticket);
+    WakeWaiting(aNow);
+  }
+  mQueue.Remove(aTicket);
+  return Plan(ticket, aNow);
+}
+
+Decision
+Router::OnClaim(TicketId aTicket, claim::ClaimEnd aEnd, TimePoint aNow)
+{
+  using claim::ClaimEnd;
+  auto& ticket = mTickets.at(aTicket);
+  const auto refuse = [&](ErrorKind aKind, RunState aRun, std::string aText) {
+    return Refuse{ .mKind = aKind, .mRun = aRun, .mText = std::move(aText) };
+  };
+  switch (aEnd) {
+    case ClaimEnd::Won:
+      ticket.mClaimed = true;
+      return Resume(aTicket, aNow);
+    case ClaimEnd::Answered:
+      return Deliver{};
+    case ClaimEnd::Unavailable:
+      return refuse(ErrorKind::ClaimUnavailable,
+                    RunState::NotRun,
+                    "the platform cannot record the idempotency key now");
+    case ClaimEnd::Expired:
+      return refuse(ErrorKind::KeyExpired,
+                    RunState::Unknown,
+                    "the idempotency key is older than the retention");
+    case ClaimEnd::OtherRequest:
+      return refuse(ErrorKind::KeyInUse,
+                    RunState::NotRun,
+                    "the idempotency key belongs to a different request");
+    case ClaimEnd::Unknown:
+      break;
+  }
+  return refuse(ErrorKind::KeyInUse,
+                RunState::Unknown,
+                "an earlier request holds the idempotency key");
+}
+
+std::optional<DispatchObstacle>
+Router::BeforeSend(TicketId aTicket, TimePoint aNow) const
+{
+  const auto& ticket = mTickets.at(aTicket);
+  assert(!ticket.mAttempts.empty());
+  const auto& attempt = ticket.mAttempts.back();
+  const DispatchFacts facts{ .mRequest = ticket.mRequest,
+                             .mUpstream = attempt.mUpstream,
+                             .mVersion = attempt.mVersion,
+                             .mOwnDomain = mOptions.mFailureDomain };
+  return CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow);
+}
+
+Decision
+Router::OnOutcome(TicketId aTicket,
+                  const AttemptOutcome& aOutcome,
+                  TimePoint aNow)
+{
+  auto& ticket = mTickets.at(aTicket);
+  assert(!ticket.mAttempts.empty());
+  auto& attempt = ticket.mAttempts.back();
+  assert(!attempt.mOutcome);
+  attempt.mOutcome = aOutcome;
+  attempt.mCost = CostOf(attempt.mVersion, aOutcome.mTokens);
+  mUpstreams.Release(attempt.mUpstream);
+  ticket.mMayHaveRun = ticket.mMayHaveRun || MayHaveRun(aOutcome.mEnd);
+  LearnFromOutcome(ticket, attempt, aOutcome, aNow);
+  auto decision = aOutcome.mEnd == AttemptEnd::Whole
+                    ? AfterWhole(ticket, aOutcome, aNow)
+                    : AfterFailure(ticket, aOutcome, aNow);
+  WakeWaiting(aNow);
+  return decision;
+}
+
+std::int64_t
+Router::CostOf(std::string_view aVersion, std::int64_t aTokens) const
+{
+  constexpr std::int64_t kTokensPerPrice = 1000;
+  const auto* const version = mSnapshot->mManifest->FindVersion(aVersion);
+  if (version == nullptr) {
+    return 0;
+  }
+  return aTokens * version->mVersion->mCostPerThousandTokens / kTokensPerPrice;
+}
+
+Decision
+Router::OnForwardFailed(TicketId aTicket, bool aBytesLeft, TimePoint aNow)
+{
+  auto& ticket = mTickets.at(aTicket);
+  ticket.mForwardTaken = ticket.mForwardTaken || aBytesLeft;
+  if (aBytesLeft && !IsIdempotent(ticket.mRequest)) {
+    return MakeRefusal(
+      ticket, ErrorKind::UpstreamFailed, "the forwarded request was lost");
+  }
+  return Plan(ticket, aNow);
+}
+
+RequestSummary
+Router::Close(TicketId aTicket, TimePoint aNow)
+{
+  auto& ticket = mTickets.at(aTicket);
+  mQueue.Remove(aTicket);
+  ReleaseReservation(ticket);
+  if (!ticket.mAttempts.empty() && !ticket.mAttempts.back().mOutcome) {
+    mUpstreams.Release(ticket.mAttempts.back().mUpstream);
+  }
+  RequestSummary summary{ .mRequest = std::move(ticket.mRequest),
+                          .mAttempts = std::move(ticket.mAttempts),
+                          .mVersion = {},
+                          .mDelivered = ticket.mWholeAttempt.has_value() };
+  if (ticket.mWholeAttempt) {
+    const auto found = std::ranges::find(
+      summary.mAttempts, *ticket.mWholeAttempt, &AttemptRecord::mAttempt);
+    summary.mVersion = found->mVersion;
+  }
+  mTickets.erase(aTicket);
+  WakeWaiting(aNow);
+  return summary;
+}
+
+std::vector<TicketId>
+Router::TakeWakeUps()
+{
+  return std::exchange(mWakeUps, {});
+}
+
+void
+Router::ReleaseReservation(Ticket& aTicket)
+{
+  if (aTicket.mReserved) {
+    mUpstreams.Release(aTicket.mReserved->mUpstream);
+    aTicket.mReserved.reset();
+  }
+}
+
+void
+Router::WakeWaiting(TimePoint aNow)
+{
+  if (mQueue.Empty()) {
+    return;
+  }
+  const auto reserve = [&](const admission::QueuedRequest& aWaiting) {
+    auto& ticket = mTickets.at(aWaiting.mTicket);
+    ticket.mReserved = TryReserve(ticket, aNow);
+    return ticket.mReserved.has_value();
+  };
+  // a reservation made by the predicate belongs to the request that is popped
+  while (const auto ticket = mQueue.Pop(reserve)) {
+    mWakeUps.push_back(*ticket);
+  }
+}
+
+} // namespace figslip::routing
--- /dev/null
+++ b/src/core/routing/router_plan.cpp
@@ -0,0 +1,511 @@
+#include <figslip/routing/router.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+namespace figslip::routing {
+
+using error::ErrorKind;
+
+namespace {
+
+/// Part of the time left that a waiting request keeps for its answer.
+constexpr int kWaitShareDivisor = 2;
+
+const ChatTarget*
+ChatOf(const Request& aRequest)
+{
+  return std::get_if<ChatTarget>(&aRequest.mTarget);
+}
+
+const ServiceTarget*
+ServiceOf(const Request& aRequest)
+{
+  return std::get_if<ServiceTarget>(&aRequest.mTarget);
+}
+
+bool
+Contains(const std::vector<std::string>& aNames, std::string_view aName)
+{
+  return std::ranges::find(aNames, aName) != aNames.end();
+}
+
+/// Tells whether an upstream of any domain could run the work of a ticket.
+bool
+Serves(const manifest::Upstream& aUpstream,
+       const Request& aRequest,
+       std::string_view aVersion)
+{
+  if (const auto* const service = ServiceOf(aRequest)) {
+    return aUpstream.mService == service->mService;
+  }
+  return Contains(aUpstream.mVersions, aVersion);
+}
+
+} // namespace
+
+bool
+Router::IsIdempotent(const Request& aRequest) const
+{
+  const auto* const service = ServiceOf(aRequest);
+  if (service == nullptr) {
+    return true;
+  }
+  const auto* const operation =
+    mSnapshot->mManifest->FindOperation(service->mService, service->mOperation);
+  return operation != nullptr && operation->mIdempotent;
+}
+
+const manifest::Cascade*
+Router::CascadeOf(const Request& aRequest) const
+{
+  const auto* const chat = ChatOf(aRequest);
+  return chat == nullptr ? nullptr
+                         : mSnapshot->mManifest->FindCascade(chat->mName);
+}
+
+Refuse
+Router::MakeRefusal(const Ticket& aTicket,
+                    ErrorKind aKind,
+                    std::string aText) const
+{
+  auto run = RunState::NotRun;
+  if (aTicket.mMayHaveRun || aTicket.mForwardTaken) {
+    run = RunState::Unknown;
+  }
+  return { .mKind = aKind, .mRun = run, .mText = std::move(aText) };
+}
+
+Decision
+Router::RefuseOrDeliver(const Ticket& aTicket, Refuse aRefusal) const
+{
+  if (aTicket.mWholeAttempt) {
+    // an answer of an earlier stage is better than none
+    return Deliver{ *aTicket.mWholeAttempt };
+  }
+  return aRefusal;
+}
+
+std::optional<Refuse>
+Router::CheckRequest(const Ticket& aTicket, TimePoint aNow) const
+{
+  const auto& request = aTicket.mRequest;
+  if (mSnapshot->mManifest == nullptr) {
+    return MakeRefusal(
+      aTicket, ErrorKind::NotReady, "no manifest is in force yet");
+  }
+  if (aNow >= request.mDeadline) {
+    return MakeRefusal(
+      aTicket, ErrorKind::DeadlineExpired, "the deadline has passed");
+  }
+  const auto* const account =
+    mSnapshot->mManifest->FindAccount(request.mAccount);
+  if (account == nullptr) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::UnknownAccount,
+                       "client account \"" + request.mAccount +
+                         "\" is not defined");
+  }
+  if (mQuarantine.IsQuarantined(request.mFingerprint, aNow)) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::Quarantined,
+                       "the request crashed the upstreams that ran it");
+  }
+  const auto* const chat = ChatOf(request);
+  if (chat != nullptr && CascadeOf(request) != nullptr &&
+      !Contains(account->mCascades, chat->mName)) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::NotAllowed,
+                       "cascade \"" + chat->mName +
+                         "\" is not allowed to the client account");
+  }
+  return std::nullopt;
+}
+
+Decision
+Router::Plan(Ticket& aTicket, TimePoint aNow)
+{
+  if (auto refusal = CheckRequest(aTicket, aNow)) {
+    return RefuseOrDeliver(aTicket, std::move(*refusal));
+  }
+  return ChatOf(aTicket.mRequest) != nullptr ? PlanChat(aTicket, aNow)
+                                             : PlanService(aTicket, aNow);
+}
+
+Decision
+Router::PlanService(Ticket& aTicket, TimePoint aNow)
+{
+  const auto& target = *ServiceOf(aTicket.mRequest);
+  if (mSnapshot->mManifest->FindOperation(target.mService, target.mOperation) ==
+      nullptr) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::UnknownTarget,
+                       "operation \"" + target.mOperation + "\" of service \"" +
+                         target.mService + "\" is not defined");
+  }
+  const auto& account =
+    *mSnapshot->mManifest->FindAccount(aTicket.mRequest.mAccount);
+  if (!Contains(account.mAllow, target.mService)) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::NotAllowed,
+                       "service \"" + target.mService +
+                         "\" is not allowed to the client account");
+  }
+  if (!IsIdempotent(aTicket.mRequest) &&
+      aTicket.mRequest.mIdempotencyKey.empty()) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::MissingHeader,
+                       "the operation needs an idempotency key");
+  }
+  return DispatchOrWait(aTicket, aNow);
+}
+
+Decision
+Router::PlanChat(Ticket& aTicket, TimePoint aNow)
+{
+  const bool stillAllowed = !aTicket.mVersion.empty() &&
+                            !mVersions.IsStopped(aTicket.mVersion) &&
+                            !CheckVersion(*mSnapshot,
+                                          aTicket.mRequest.mAccount,
+                                          aTicket.mVersion,
+                                          mOptions.mFreshness,
+                                          aNow);
+  if (!stillAllowed) {
+    if (auto refusal = ChooseVersion(aTicket, aNow)) {
+      return RefuseOrDeliver(aTicket, std::move(*refusal));
+    }
+  }
+  return DispatchOrWait(aTicket, aNow);
+}
+
+std::optional<Refuse>
+Router::ChooseVersion(Ticket& aTicket, TimePoint aNow)
+{
+  const auto& request = aTicket.mRequest;
+  const auto& index = *mSnapshot->mManifest;
+  const auto& name = ChatOf(request)->mName;
+  if (request.mSession && request.mSession->mTarget == name &&
+      !CheckVersion(*mSnapshot,
+                    request.mAccount,
+                    request.mSession->mVersion,
+                    mOptions.mFreshness,
+                    aNow)) {
+    aTicket.mVersion = request.mSession->mVersion;
+    return std::nullopt;
+  }
+  if (const auto* const cascade = index.FindCascade(name)) {
+    return ChooseStage(aTicket, *cascade, aNow);
+  }
+  if (const auto* const model = index.FindModel(name)) {
+    const auto* const version = ChooseVersionOf(aTicket, *model, aNow);
+    if (version == nullptr) {
+      return MakeRefusal(aTicket,
+                         ErrorKind::NotAllowed,
+                         "no version of model \"" + name +
+                           "\" is open to the client account");
+    }
+    aTicket.mVersion = version->mName;
+    return std::nullopt;
+  }
+  if (index.FindVersion(name) == nullptr) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::UnknownTarget,
+                       "no cascade, model or version is named \"" + name +
+                         "\"");
+  }
+  if (const auto obstacle = CheckVersion(
+        *mSnapshot, request.mAccount, name, mOptions.mFreshness, aNow)) {
+    return MakeRefusal(aTicket, obstacle->mKind, obstacle->mText);
+  }
+  if (mVersions.IsStopped(name)) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::VersionWithdrawn,
+                       "version \"" + name + "\" is stopped as bad");
+  }
+  aTicket.mVersion = name;
+  return std::nullopt;
+}
+
+const manifest::ModelVersion*
+Router::ChooseVersionOf(const Ticket& aTicket,
+                        const manifest::Model& aModel,
+                        TimePoint aNow)
+{
+  std::vector<const manifest::ModelVersion*> open;
+  for (const auto& version : aModel.mVersions) {
+    if (!CheckVersion(*mSnapshot,
+                      aTicket.mRequest.mAccount,
+                      version.mName,
+                      mOptions.mFreshness,
+                      aNow)) {
+      open.push_back(&version);
+    }
+  }
+  return mVersions.Choose(open, mRandom);
+}
+
+std::optional<Refuse>
+Router::ChooseStage(Ticket& aTicket,
+                    const manifest::Cascade& aCascade,
+                    TimePoint aNow)
+{
+  std::vector<cascade::StageOption> options;
+  const std::size_t first = aTicket.mStageChosen ? aTicket.mStage : 0;
+  for (std::size_t stage = first; stage < aCascade.mStages.size(); ++stage) {
+    const auto* const model =
+      mSnapshot->mManifest->FindModel(aCascade.mStages[stage].mModel);
+    const auto* const version = ChooseVersionOf(aTicket, *model, aNow);
+    if (version != nullptr) {
+      options.push_back(
+        { .mStage = stage,
+          .mVersion = version->mName,
+          .mCostPerThousandTokens = version->mCostPerThousandTokens });
+    }
+  }
+  if (options.empty()) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::NotAllowed,
+                       "no stage of cascade \"" + aCascade.mName +
+                         "\" is open to the client account");
+  }
+  std::size_t chosen = 0;
+  if (!aTicket.mStageChosen) {
+    const auto& chat = *ChatOf(aTicket.mRequest);
+    chosen = mPlanner.Start({ .mCascade = aCascade,
+                              .mTaskKind = chat.mTaskKind,
+                              .mCommitted = chat.mStream,
+                              .mTimeLeft = aTicket.mRequest.mDeadline - aNow },
+                            options);
+  }
+  aTicket.mStage = options[chosen].mStage;
+  aTicket.mStageChosen = true;
+  aTicket.mVersion = options[chosen].mVersion;
+  return std::nullopt;
+}
+
+std::vector<const manifest::Upstream*>
+Router::Candidates(const Ticket& aTicket, TimePoint aNow) const
+{
+  std::vector<const manifest::Upstream*> candidates;
+  for (const auto& upstream : mSnapshot->mManifest->Content().mUpstreams) {
+    if (upstream.mFailureDomain != mOptions.mFailureDomain ||
+        !Serves(upstream, aTicket.mRequest, aTicket.mVersion) ||
+        aTicket.mAvoid.contains(upstream.mName)) {
+      continue;
+    }
+    const DispatchFacts facts{ .mRequest = aTicket.mRequest,
+                               .mUpstream = upstream.mName,
+                               .mVersion = aTicket.mVersion,
+                               .mOwnDomain = mOptions.mFailureDomain };
+    if (!CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow)) {
+      candidates.push_back(&upstream);
+    }
+  }
+  return candidates;
+}
+
+std::optional<Dispatch>
+Router::TryReserve(Ticket& aTicket, TimePoint aNow)
+{
+  const auto candidates = Candidates(aTicket, aNow);
+  const auto* const upstream =
+    mUpstreams.Choose(candidates, aTicket.mRequest.mPrefixHash, mRandom, aNow);
+  if (upstream == nullptr) {
+    return std::nullopt;
+  }
+  mUpstreams.Reserve(upstream->mName);
+  const auto* const chat = ChatOf(aTicket.mRequest);
+  return Dispatch{
+    .mAttempt = ++mLastAttempt,
+    .mUpstream = upstream->mName,
+    .mAddress = upstream->mAddress,
+    .mPort = upstream->mPort,
+    .mVersion = aTicket.mVersion,
+    .mFreshConnection = !IsIdempotent(aTicket.mRequest),
+    .mDeliverDirectly = chat != nullptr && chat->mStream,
+    .mDeadline = aTicket.mRequest.mDeadline,
+  };
+}
+
+Decision
+Router::Commit(Ticket& aTicket, Dispatch aDispatch)
+{
+  aTicket.mAttempts.push_back({ .mAttempt = aDispatch.mAttempt,
+                                .mUpstream = aDispatch.mUpstream,
+                                .mVersion = aDispatch.mVersion });
+  return aDispatch;
+}
+
+Decision
+Router::DispatchOrWait(Ticket& aTicket, TimePoint aNow)
+{
+  if (static_cast<int>(aTicket.mAttempts.size()) >= mOptions.mMaxAttempts) {
+    return RefuseOrDeliver(aTicket,
+                           MakeRefusal(aTicket,
+                                       ErrorKind::UpstreamFailed,
+                                       "no attempt gave a whole answer"));
+  }
+  if (auto dispatch = TryReserve(aTicket, aNow)) {
+    if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
+      // the slot is held while the key is claimed
+      aTicket.mReserved = std::move(dispatch);
+      return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
+    }
+    return Commit(aTicket, std::move(*dispatch));
+  }
+  if (Candidates(aTicket, aNow).empty()) {
+    return ForwardOrRefuse(aTicket, aNow);
+  }
+  if (mQueue.Size() >= mOptions.mMaxQueue) {
+    return RefuseOrDeliver(
+      aTicket,
+      MakeRefusal(aTicket, ErrorKind::NoCapacity, "too many requests wait"));
+  }
+  const auto& request = aTicket.mRequest;
+  mQueue.Push(
+    { .mTicket = aTicket.mId,
+      .mAccount = request.mAccount,
+      .mShare = mSnapshot->mManifest->FindAccount(request.mAccount)->mShare,
+      .mCost =
+        static_cast<double>(std::max<std::int64_t>(1, request.mExpectedTokens)),
+      .mPriority = request.mPriority,
+      .mDeadline = request.mDeadline });
+  const auto timeLeft = request.mDeadline - aNow;
+  return Wait{ aTicket.mWholeAttempt ? aNow + timeLeft / kWaitShareDivisor
+                                     : request.mDeadline };
+}
+
+Decision
+Router::ForwardOrRefuse(Ticket& aTicket, TimePoint aNow)
+{
+  const auto& index = *mSnapshot->mManifest;
+  const auto serves = [&](std::string_view aDomain) {
+    return index.DomainTakesWork(aDomain) &&
+           std::ranges::any_of(
+             index.Content().mUpstreams, [&](const auto& aUpstream) {
+               return aUpstream.mFailureDomain == aDomain &&
+                      Serves(aUpstream, aTicket.mRequest, aTicket.mVersion);
+             });
+  };
+  std::vector<const membership::EntryInstance*> peers;
+  for (const auto& entry : mSnapshot->mInstances.mEntries) {
+    if (entry.mFailureDomain != mOptions.mFailureDomain &&
+        entry.mState == membership::InstanceState::Live &&
+        !aTicket.mAvoid.contains(entry.mName) && serves(entry.mFailureDomain)) {
+      peers.push_back(&entry);
+    }
+  }
+  if (aTicket.mRequest.mForwarded || peers.empty() ||
+      aNow >= aTicket.mRequest.mDeadline) {
+    return RefuseOrDeliver(aTicket,
+                           MakeRefusal(aTicket,
+                                       ErrorKind::NoUpstream,
+                                       "no upstream can take the request"));
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, peers.size() - 1);
+  const auto& peer = *peers[pick(mRandom)];
+  aTicket.mAvoid.insert(peer.mName);
+  return Forward{ .mInstance = peer.mName,
+                  .mAddress = peer.mAddress,
+                  .mPort = peer.mCallerPort };
+}
+
+bool
+Router::EscalationPossible(const Ticket& aTicket) const
+{
+  const auto* const cascade = CascadeOf(aTicket.mRequest);
+  return cascade != nullptr && aTicket.mStageChosen &&
+         !ChatOf(aTicket.mRequest)->mStream &&
+         aTicket.mStage + 1 < cascade->mStages.size();
+}
+
+Decision
+Router::AfterWhole(Ticket& aTicket,
+                   const AttemptOutcome& aOutcome,
+                   TimePoint aNow)
+{
+  aTicket.mWholeAttempt = aTicket.mAttempts.back().mAttempt;
+  if (!EscalationPossible(aTicket)) {
+    return Deliver{ *aTicket.mWholeAttempt };
+  }
+  const auto& cascade = *CascadeOf(aTicket.mRequest);
+  if (aOutcome.mScore >= cascade.mStages[aTicket.mStage].mAcceptScore) {
+    return Deliver{ *aTicket.mWholeAttempt };
+  }
+  ++aTicket.mStage;
+  aTicket.mVersion.clear();
+  return Plan(aTicket, aNow);
+}
+
+Decision
+Router::AfterFailure(Ticket& aTicket,
+                     const AttemptOutcome& aOutcome,
+                     TimePoint aNow)
+{
+  const auto& attempt = aTicket.mAttempts.back();
+  const bool reached = aOutcome.mEnd != AttemptEnd::NotConnected &&
+                       aOutcome.mEnd != AttemptEnd::Cancelled;
+  if (reached && !IsIdempotent(aTicket.mRequest)) {
+    aTicket.mMayHaveRun = true;
+    return MakeRefusal(
+      aTicket, ErrorKind::UpstreamFailed, "the upstream gave no whole answer");
+  }
+  if (aOutcome.mBytesToCaller) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::UpstreamFailed,
+                       "the answer broke off after part of it was sent");
+  }
+  if (aOutcome.mEnd != AttemptEnd::Cancelled) {
+    aTicket.mAvoid.insert(attempt.mUpstream);
+  }
+  if (reached) {
+    if (mRetryTokens < 1.0) {
+      return RefuseOrDeliver(aTicket,
+                             MakeRefusal(aTicket,
+                                         ErrorKind::UpstreamFailed,
+                                         "the retry budget is used up"));
+    }
+    mRetryTokens -= 1.0;
+  }
+  return Plan(aTicket, aNow);
+}
+
+void
+Router::LearnFromOutcome(const Ticket& aTicket,
+                         const AttemptRecord& aAttempt,
+                         const AttemptOutcome& aOutcome,
+                         TimePoint aNow)
+{
+  auto& coldStart = mUpstreams.ColdStart();
+  if (aOutcome.mEnd == AttemptEnd::Whole) {
+    coldStart.OnSuccess(aAttempt.mUpstream, aOutcome.mBootId, aNow);
+  } else if (aOutcome.mEnd != AttemptEnd::Cancelled) {
+    coldStart.OnSurprise(aAttempt.mUpstream, aNow);
+  }
+  if (aOutcome.mEnd == AttemptEnd::Broken) {
+    mQuarantine.OnCrash({ .mFingerprint = aTicket.mRequest.mFingerprint,
+                          .mUpstream = aAttempt.mUpstream,
+                          .mSeenAt = aNow });
+  }
+  const auto* const chat = ChatOf(aTicket.mRequest);
+  if (chat == nullptr || aOutcome.mEnd == AttemptEnd::Cancelled) {
+    return;
+  }
+  evidence::EvidenceCounts counts;
+  if (aOutcome.mEnd == AttemptEnd::Whole) {
+    counts.mAnswered = 1;
+    if (EscalationPossible(aTicket)) {
+      const auto& stage = CascadeOf(aTicket.mRequest)->mStages[aTicket.mStage];
+      const bool accepted = aOutcome.mScore >= stage.mAcceptScore;
+      (accepted ? counts.mAccepted : counts.mEscalated) = 1;
+    }
+  } else if (aOutcome.mEnd == AttemptEnd::Failed) {
+    counts.mErrors = 1;
+  }
+  mEvidence.Add({ aAttempt.mVersion, chat->mTaskKind }, counts, aNow);
+}
+
+} // namespace figslip::routing
--- /dev/null
+++ b/tests/src/test_main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
