Serve a request end to end by separate processes

Cause: the thin whole path has to stand before any part of it is refined. Change: the entry daemon on the kernel, adapters to callers, upstreams and platform, claims, billing batches, ratings, the read-only administration API; stand-ins of platform and upstreams, and a demo that runs two failure domains with a mixed load.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# The usual commands; CMake does the work.
+.PHONY: all packages build test demo format lint soak
+
+all: build
+
+packages:
+	tools/install-packages.sh
+
+build:
+	cmake --preset default
+	cmake --build --preset default
+
+test: build
+	ctest --preset default -j 4
+
+demo: build
+	build/bin/figslip-demo
+
+format:
+	git ls-files -co --exclude-standard -- '*.hpp' '*.cpp' ':!generated' | xargs clang-format-19 -i
+
+lint: build
+	tools/lint.sh
--- a/include/figslip/http/http_client.hpp
+++ b/include/figslip/http/http_client.hpp
@@ -28,9 +28,11 @@
   Duration mNextByteTimeout = std::chrono::seconds(5);   ///< between chunks
   bool mFreshConnection = false; ///< uses no pooled connection
   /// receives the body of a response of status 200; returns false to abandon
-  std::function<bool(std::string_view)> mReceiver = {};
+  std::function<bool(std::string_view)> mReceiver;
+  /// is called with status and headers, before the body
+  std::function<void(const ClientResponse&)> mOnHead;
   /// is called right before bytes leave; returns false to cancel
-  std::function<bool()> mBeforeSend = {};
+  std::function<bool()> mBeforeSend;
 };
 
 /// @brief Calls HTTP servers over pooled keep-alive connections.
--- /dev/null
+++ b/include/figslip/upstream/upstream_adapter.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <figslip/error/result.hpp>
+#include <figslip/http/http_client.hpp>
+#include <figslip/routing/attempt_outcome.hpp>
+#include <figslip/routing/decision.hpp>
+#include <figslip/routing/request.hpp>
+#include <figslip/routing/upstream_table.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace figslip::upstream {
+
+/// @brief Holds what an upstream is sent.
+struct UpstreamCall
+{
+  std::string mRequestId;
+  std::string mAttemptId; ///< unique over all instances; echoed by upstreams
+  routing::Target mTarget;
+  std::string mIdempotencyKey;
+  std::string mBody; ///< JSON text of the caller's request
+};
+
+/// @brief Reports how an attempt ended and what it brought.
+struct AttemptResult
+{
+  routing::AttemptOutcome mOutcome;
+  std::string mAnswer; ///< text of a chat, JSON of a plain service
+};
+
+/// @brief Speaks with model engines and plain services.
+///
+/// Thread-safe. Only an answer that names the attempt and is complete counts
+/// as whole.
+class UpstreamAdapter
+{
+public:
+  struct Options
+  {
+    Duration mFirstTokenTimeout = std::chrono::seconds(10);
+    Duration mNextTokenTimeout = std::chrono::seconds(2);
+  };
+
+  /// @brief Receives parts of a streamed answer; returns false to abandon it.
+  using TokenSink = std::function<bool(std::string_view)>;
+
+  UpstreamAdapter(Options aOptions, std::shared_ptr<http::HttpClient> aClient);
+
+  /// @brief Makes one attempt and waits for its end.
+  /// @param[in] aBeforeSend last check, right before bytes leave
+  /// @param[in] aSink receives tokens if the dispatch delivers directly
+  [[nodiscard]] AttemptResult Run(const routing::Dispatch& aDispatch,
+                                  const UpstreamCall& aCall,
+                                  const std::function<bool()>& aBeforeSend,
+                                  const TokenSink& aSink) const;
+
+  /// @brief Reads the load of an upstream.
+  [[nodiscard]] Result<routing::LoadReport> ReadLoad(
+    const std::string& aUpstream,
+    const http::Endpoint& aEndpoint) const;
+
+private:
+  Options mOptions;
+  std::shared_ptr<http::HttpClient> mClient;
+};
+
+} // namespace figslip::upstream
--- a/programs/figslip-manifest.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-int main(){}
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -13,7 +13,7 @@
   assert(aRequest.mShare > 0.0 && aRequest.mCost > 0.0);
   auto& line = mLines[aRequest.mAccount];
   line.mWaiting.push_back({ std::move(aRequest), mArrivals++ });
-  std::ranges::stable_sort(line.mWaiting, {}, [](const Waiting& aWaiting) {
+  std::ranges::sort(line.mWaiting, {}, [](const Waiting& aWaiting) {
     return std::tuple(aWaiting.mRequest.mPriority, aWaiting.mArrival);
   });
   ++mSize;
--- a/src/core/manifest/parse_manifest.cpp
+++ b/src/core/manifest/parse_manifest.cpp
@@ -23,7 +23,7 @@
 constexpr std::int64_t kMaxPort = 65'535;
 constexpr std::int64_t kMaxConcurrency = 100'000;
 constexpr std::int64_t kMaxLatencyMs = 3'600'000;
-constexpr std::int64_t kMaxWindowHours = 24 * 366;
+constexpr std::int64_t kMaxWindowHours = 8784; // a leap year
 constexpr double kMinShare = 1e-6;
 constexpr double kMaxShare = 1e6;
 constexpr json::Range<double> kUnitInterval{ 0.0, 1.0 };
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -95,15 +95,15 @@
 Router::Resume(TicketId aTicket, TimePoint aNow)
 {
   auto& ticket = mTickets.at(aTicket);
-  if (ticket.mReserved) {
+  if (auto reserved = std::exchange(ticket.mReserved, std::nullopt)) {
     const DispatchFacts facts{ .mRequest = ticket.mRequest,
-                               .mUpstream = ticket.mReserved->mUpstream,
-                               .mVersion = ticket.mReserved->mVersion,
+                               .mUpstream = reserved->mUpstream,
+                               .mVersion = reserved->mVersion,
                                .mOwnDomain = mOptions.mFailureDomain };
     if (!CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow)) {
-      return Commit(ticket, *std::exchange(ticket.mReserved, std::nullopt));
+      return Commit(ticket, *std::move(reserved));
     }
-    ReleaseReservation(ticket);
+    mUpstreams.Release(reserved->mUpstream);
     WakeWaiting(aNow);
   }
   mQueue.Remove(aTicket);
--- /dev/null
+++ b/src/shell/entry/request_runner.cpp
@@ -0,0 +1,225 @@
+#include <figslip/entry/request_runner.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace figslip::entry {
+
+using routing::Decision;
+
+namespace {
+
+constexpr Duration kRelayMargin = std::chrono::milliseconds(500);
+
+template<class... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+} // namespace
+
+/// Follows one request from its first decision to its last.
+class RequestRunner::Execution
+{
+public:
+  Execution(const RequestRunner& aRunner,
+            const routing::Request& aRequest,
+            const std::string& aBody,
+            const RelayRequest& aRelay,
+            const CallerSink& aSink)
+    : mRunner(aRunner)
+    , mRouter(*aRunner.mServices.mRouter)
+    , mRequest(aRequest)
+    , mBody(aBody)
+    , mRelay(aRelay)
+    , mSink(aSink)
+    , mTicket(mRouter.NextTicket())
+  {
+  }
+
+  RunResult Run(routing::RequestSummary& aSummary)
+  {
+    auto decision = mRouter.With([&](routing::Router& aRouter) {
+      return aRouter.Start(mTicket, mRequest, ReadClock());
+    });
+    while (!mResult) {
+      decision = std::visit(
+        Overloaded{
+          [&](const routing::Dispatch& aStep) { return OnDispatch(aStep); },
+          [&](const routing::Forward& aStep) { return OnForward(aStep); },
+          [&](const routing::Wait& aStep) { return OnWait(aStep); },
+          [&](const routing::ClaimKey&) { return OnClaimKey(); },
+          [&](const routing::Deliver& aStep) { return OnDeliver(aStep); },
+          [&](const routing::Refuse& aStep) { return OnRefuse(aStep); },
+        },
+        decision);
+    }
+    aSummary = mRouter.Close(mTicket, ReadClock());
+    auto result = *std::move(mResult);
+    SettleClaim(result);
+    return result;
+  }
+
+private:
+  Decision OnDispatch(const routing::Dispatch& aStep)
+  {
+    const upstream::UpstreamCall call{
+      .mRequestId = mRequest.mId,
+      .mAttemptId = mRunner.mSelf.mInstance + "-" +
+                    std::to_string(mRunner.mSelf.mStartedAt) + "-" +
+                    std::to_string(aStep.mAttempt),
+      .mTarget = mRequest.mTarget,
+      .mIdempotencyKey = mRequest.mIdempotencyKey,
+      .mBody = mBody,
+    };
+    const auto beforeSend = [&] {
+      return mRouter.With([&](const routing::Router& aRouter) {
+        return !aRouter.BeforeSend(mTicket, ReadClock()).has_value();
+      });
+    };
+    const auto sink = [&](std::string_view aToken) {
+      return mSink.mOnToken(aStep.mVersion, aToken);
+    };
+    auto result =
+      mRunner.mServices.mUpstreams->Run(aStep, call, beforeSend, sink);
+    if (result.mOutcome.mEnd == routing::AttemptEnd::Whole) {
+      mAnswers[aStep.mAttempt] = { .mVersion = aStep.mVersion,
+                                   .mText = std::move(result.mAnswer),
+                                   .mTokens = result.mOutcome.mTokens,
+                                   .mStreamed = aStep.mDeliverDirectly };
+    }
+    return mRouter.With([&](routing::Router& aRouter) {
+      return aRouter.OnOutcome(mTicket, result.mOutcome, ReadClock());
+    });
+  }
+
+  Decision OnForward(const routing::Forward& aStep)
+  {
+    const auto timeLeft =
+      std::max(Duration::zero(), mRequest.mDeadline - ReadClock());
+    bool refusedNotRun = false;
+    bool begun = false;
+    http::CallOptions options{ .mFirstByteTimeout = timeLeft + kRelayMargin,
+                               .mNextByteTimeout = timeLeft + kRelayMargin };
+    options.mOnHead = [&](const http::ClientResponse& aHead) {
+      refusedNotRun = http::FindHeader(aHead.mHeaders, "Figslip-Run") ==
+                      routing::NameOf(routing::RunState::NotRun);
+      if (!refusedNotRun) {
+        begun = true;
+        mSink.mOnRelayHead(aHead);
+      }
+    };
+    options.mReceiver = mSink.mOnRelayBody;
+    auto headers = mRelay.mHeaders;
+    headers.push_back({ "Figslip-Deadline-Ms",
+                        std::to_string(std::max<std::int64_t>(
+                          1, timeLeft / std::chrono::milliseconds(1))) });
+    const auto called =
+      mRunner.mServices.mClient->Call({ aStep.mAddress, aStep.mPort },
+                                      { .mMethod = http::Method::Post,
+                                        .mTarget = mRelay.mPath,
+                                        .mHeaders = std::move(headers),
+                                        .mBody = mBody },
+                                      options);
+    const auto* const response = std::get_if<http::ClientResponse>(&called);
+    if (begun) {
+      if (response != nullptr) {
+        mSink.mOnRelayBody(response->mBody);
+      }
+      mResult = Relayed{ .mWhole = response != nullptr };
+      return aStep;
+    }
+    const auto* const failure = std::get_if<http::CallFailure>(&called);
+    const bool bytesLeft = failure != nullptr && failure->mBytesMayHaveLeft;
+    return mRouter.With([&](routing::Router& aRouter) {
+      return aRouter.OnForwardFailed(mTicket, bytesLeft, ReadClock());
+    });
+  }
+
+  Decision OnWait(const routing::Wait& aStep)
+  {
+    mRouter.WaitFor(mTicket, aStep.mUntil);
+    return mRouter.With([&](routing::Router& aRouter) {
+      return aRouter.Resume(mTicket, ReadClock());
+    });
+  }
+
+  Decision OnClaimKey()
+  {
+    const auto outcome = mRunner.mServices.mClaims->Claim(ClaimOf());
+    mClaimed = outcome.mEnd == claim::ClaimEnd::Won;
+    if (outcome.mEnd == claim::ClaimEnd::Answered) {
+      mAnswers[0] = { .mText = outcome.mAnswer, .mReplayed = true };
+    }
+    return mRouter.With([&](routing::Router& aRouter) {
+      return aRouter.OnClaim(mTicket, outcome.mEnd, ReadClock());
+    });
+  }
+
+  Decision OnDeliver(const routing::Deliver& aStep)
+  {
+    mResult = mAnswers.at(aStep.mAttempt);
+    return aStep;
+  }
+
+  Decision OnRefuse(const routing::Refuse& aStep)
+  {
+    mResult = aStep;
+    return aStep;
+  }
+
+  [[nodiscard]] claim::ClaimRequest ClaimOf() const
+  {
+    return { .mAccount = mRequest.mAccount,
+             .mKey = mRequest.mIdempotencyKey,
+             .mFingerprint = mRequest.mFingerprint,
+             .mDeadline = mRequest.mDeadline };
+  }
+
+  /// Stores the answer under the key, or gives the key back if nothing ran.
+  void SettleClaim(const RunResult& aResult) const
+  {
+    if (!mClaimed) {
+      return;
+    }
+    if (const auto* const answer = std::get_if<Answer>(&aResult)) {
+      mRunner.mServices.mClaims->Complete(ClaimOf(), answer->mText);
+    } else if (const auto* const refusal =
+                 std::get_if<routing::Refuse>(&aResult)) {
+      if (refusal->mRun == routing::RunState::NotRun) {
+        mRunner.mServices.mClaims->Release(ClaimOf());
+      }
+    }
+  }
+
+  const RequestRunner& mRunner;
+  RouterService& mRouter;
+  const routing::Request& mRequest;
+  const std::string& mBody;
+  const RelayRequest& mRelay;
+  const CallerSink& mSink;
+  routing::TicketId mTicket;
+  std::map<routing::AttemptId, Answer> mAnswers;
+  std::optional<RunResult> mResult;
+  bool mClaimed = false;
+};
+
+RequestRunner::RequestRunner(membership::Incarnation aSelf, Services aServices)
+  : mSelf(std::move(aSelf))
+  , mServices(std::move(aServices))
+{
+}
+
+RunResult
+RequestRunner::Run(const routing::Request& aRequest,
+                   const std::string& aBody,
+                   const RelayRequest& aRelay,
+                   const CallerSink& aSink,
+                   routing::RequestSummary& aSummary)
+{
+  return Execution(*this, aRequest, aBody, aRelay, aSink).Run(aSummary);
+}
+
+} // namespace figslip::entry
--- a/src/shell/http/http_client.cpp
+++ b/src/shell/http/http_client.cpp
@@ -133,7 +133,7 @@
 }
 
 ClientResponse
-MakeResponse(httplib::Response& aResponse, std::string aBody)
+MakeResponse(const httplib::Response& aResponse, std::string aBody)
 {
   ClientResponse response{ .mStatus = aResponse.status,
                            .mHeaders = {},
@@ -178,6 +178,9 @@
     int status = 0;
     request.response_handler = [&](const httplib::Response& aResponse) {
       status = aResponse.status;
+      if (aOptions.mOnHead) {
+        aOptions.mOnHead(MakeResponse(aResponse, {}));
+      }
       mTimer.Arm(client, aOptions.mNextByteTimeout);
       return true;
     };
--- /dev/null
+++ b/tests/harness/process.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace figslip::test {
+
+/// Runs one program of the build as a child process of a test.
+class Process
+{
+public:
+  /// Starts a program that stands beside the tests.
+  /// @param[in] aProgram name of the program
+  /// @param[in] aArguments its arguments
+  /// @param[in] aInput text for its standard input
+  Process(const std::string& aProgram,
+          const std::vector<std::string>& aArguments);
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process();
+
+  /// Waits for the line that tells a port, and returns the number in a field.
+  [[nodiscard]] int WaitForPort(const std::string& aField);
+
+  void Signal(int aSignal) const;
+  void Kill();
+  void Freeze() const;
+  void Resume() const;
+
+  /// Asks for a graceful stop and waits for the end.
+  /// @return the exit code, or nothing if it had to be killed
+  std::optional<int> Stop(std::chrono::milliseconds aPatience);
+
+  [[nodiscard]] pid_t Id() const { return mId; }
+  [[nodiscard]] bool IsRunning() const { return mId > 0; }
+
+private:
+  [[nodiscard]] std::string ReadLine();
+  void DrainOutput();
+
+  pid_t mId = -1;
+  int mOutput = -1;
+  std::string mPending;
+};
+
+/// Returns the folder of the built programs.
+[[nodiscard]] std::string
+ProgramFolder();
+
+/// Writes a text to a new file in the folder for temporary files.
+[[nodiscard]] std::string
+WriteTemporaryFile(const std::string& aName, const std::string& aText);
+
+} // namespace figslip::test
