--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual commands; CMake does the work.
-.PHONY: all packages build test demo format lint soak
+.PHONY: all packages build test demo format lint soak generate
 
 all: build
 
@@ -21,3 +21,7 @@
 
 lint: build
 	tools/lint.sh
+
+# only after a change of thrift/peer.thrift; needs the package thrift-compiler
+generate:
+	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/peer.thrift
