Claim idempotency keys with a pure state machine

Cause: the first claim service took its own claim, whose write had lost its answer, for somebody else's, so such a booking ended as unknown; it polled the platform while it waited, and held the upstream's slot meanwhile. Change: ClaimFlow decides each step (write, watch, won, answered, refused); the service carries it out, watches instead of polling, gives claims back in the background, and stores the billing record beside the answer, so that a repeat after a crash of the holder is billed too. Ruled out: deleting a claim to release it, since the object API's version check would start again at 0 and let a late write win.

--- a/include/figslip/entry/request_runner.hpp
+++ b/include/figslip/entry/request_runner.hpp
@@ -25,7 +25,10 @@
   std::string mText;    ///< text of a chat, JSON of a plain service
   std::int64_t mTokens = 0;
   bool mStreamed = false; ///< the text went to the caller already
-  bool mReplayed = false; ///< stored answer of an earlier request
+  /// billing record of the earlier request whose stored answer this is
+  std::optional<std::string> mReplayedRecord;
+  routing::TicketId mTicket = 0;
+  std::optional<claim::ClaimWon> mClaim; ///< claim to complete, if one is held
 };
 
 /// @brief Reports that a peer's response went to the caller.
@@ -82,6 +85,12 @@
                               const CallerSink& aSink,
                               routing::RequestSummary& aSummary);
 
+  /// @brief Stores the answer of a claimed request under its key.
+  /// @param[in] aBillingRecord JSON text of the record that bills it
+  void CompleteClaim(const routing::Request& aRequest,
+                     const Answer& aAnswer,
+                     std::string aBillingRecord);
+
 private:
   class Execution;
 
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -2,7 +2,7 @@
 
 #include <figslip/admission/fair_queue.hpp>
 #include <figslip/cascade/stage_planner.hpp>
-#include <figslip/claim/claim_outcome.hpp>
+#include <figslip/claim/claim_end.hpp>
 #include <figslip/evidence/evidence_store.hpp>
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/rollout/version_monitor.hpp>
@@ -91,6 +91,8 @@
                                Request aRequest,
                                TimePoint aNow);
   [[nodiscard]] Decision Resume(TicketId aTicket, TimePoint aNow);
+  /// @brief Notes that another request holds the key, so that this one waits.
+  void OnClaimHeld(TicketId aTicket, TimePoint aNow);
   [[nodiscard]] Decision OnClaim(TicketId aTicket,
                                  claim::ClaimEnd aEnd,
                                  TimePoint aNow);
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -110,6 +110,13 @@
   return Plan(ticket, aNow);
 }
 
+void
+Router::OnClaimHeld(TicketId aTicket, TimePoint aNow)
+{
+  ReleaseReservation(mTickets.at(aTicket));
+  WakeWaiting(aNow);
+}
+
 Decision
 Router::OnClaim(TicketId aTicket, claim::ClaimEnd aEnd, TimePoint aNow)
 {
@@ -132,6 +139,10 @@
       return refuse(ErrorKind::KeyExpired,
                     RunState::Unknown,
                     "the idempotency key is older than the retention");
+    case ClaimEnd::FromFuture:
+      return refuse(ErrorKind::BadHeader,
+                    RunState::NotRun,
+                    "the time of the idempotency key is in the future");
     case ClaimEnd::OtherRequest:
       return refuse(ErrorKind::KeyInUse,
                     RunState::NotRun,
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -220,9 +220,7 @@
   {
     const auto end = ReadClock();
     // billed before the answer leaves, so that no answer goes unbilled
-    if (!aAnswer.mReplayed) {
-      mApi.mServices.mBilling->Add(MakeRecord(mSummary, mStart, end));
-    }
+    Bill(aAnswer, end);
     SendAnswer(aAnswer);
     Rate(aAnswer);
     Count("answered", "none");
@@ -233,6 +231,27 @@
       .Observe(micros / kMicrosPerMilli);
   }
 
+  void Bill(const entry::Answer& aAnswer, TimePoint aEnd)
+  {
+    if (aAnswer.mReplayedRecord) {
+      // the earlier holder may have crashed before it billed; the ledger
+      // drops the second record of a request
+      const auto stored = billing::ParseBatch(*aAnswer.mReplayedRecord);
+      if (stored) {
+        for (const auto& record : stored.assume_value()) {
+          mApi.mServices.mBilling->Add(record);
+        }
+      }
+      return;
+    }
+    const auto record = MakeRecord(mSummary, mStart, aEnd);
+    if (aAnswer.mClaim) {
+      mApi.mServices.mRunner->CompleteClaim(
+        mRequest, aAnswer, billing::PrintBatch({ record }));
+    }
+    mApi.mServices.mBilling->Add(record);
+  }
+
   void SendAnswer(const entry::Answer& aAnswer)
   {
     const auto* const chat =
--- a/src/shell/claim/claim_service.cpp
+++ b/src/shell/claim/claim_service.cpp
@@ -1,21 +1,20 @@
 #include <figslip/claim/claim_service.hpp>
-#include <figslip/json/field_or.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/time/wall_clock.hpp>
 
-#include <nlohmann/json.hpp>
-
-#include <thread>
+#include <algorithm>
 #include <utility>
 
 namespace figslip::claim {
 
 namespace {
 
-constexpr Duration kPollInterval = std::chrono::milliseconds(100);
-constexpr std::string_view kClaimed = "claimed";
-constexpr std::string_view kAnswered = "answered";
-constexpr std::string_view kReleased = "released";
+constexpr Duration kLongestWatch = std::chrono::seconds(5);
+constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
+constexpr Duration kReleaseRetry = std::chrono::milliseconds(500);
+constexpr int kCompletionTries = 3;
+/// Releases kept while the platform is away; the oldest are dropped beyond.
+constexpr std::size_t kMaxReleases = 10'000;
 
 platform::ObjectName
 ObjectOf(const ClaimRequest& aRequest)
@@ -23,19 +22,10 @@
   return { .mKind = "claim", .mName = aRequest.mAccount + "." + aRequest.mKey };
 }
 
-std::string
-Print(const membership::Incarnation& aHolder,
-      const ClaimRequest& aRequest,
-      std::string_view aState,
-      const std::string& aAnswer)
+bool
+MayHaveEffect(const error::Findings& aFindings)
 {
-  return nlohmann::json{
-    { "holder", aHolder.mInstance },
-    { "started_at_ms", aHolder.mStartedAt },
-    { "fingerprint", aRequest.mFingerprint },
-    { "state", aState },
-    { "answer", aAnswer }
-  }.dump();
+  return aFindings.front().mKind == error::ErrorKind::PlatformOutcomeUnknown;
 }
 
 } // namespace
@@ -47,75 +37,175 @@
 {
 }
 
-ClaimOutcome
-ClaimService::Claim(const ClaimRequest& aRequest) const
+void
+ClaimService::Start()
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+ClaimService::Stop()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mChanged.notify_one();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+ClaimRecord
+ClaimService::RecordOf(const ClaimRequest& aRequest, ClaimState aState) const
+{
+  return { .mHolder = mSelf,
+           .mTicket = aRequest.mTicket,
+           .mFingerprint = aRequest.mFingerprint,
+           .mState = aState };
+}
+
+ClaimStep
+ClaimService::Execute(const ClaimRequest& aRequest,
+                      ClaimFlow& aFlow,
+                      const WriteClaim& aStep) const
+{
+  const auto written =
+    mPlatform->Write(ObjectOf(aRequest), aStep.mExpectedVersion, aStep.mValue);
+  if (!written) {
+    std::this_thread::sleep_for(kPauseAfterFailure);
+    return aFlow.OnNoAnswer(MayHaveEffect(written.assume_error()), ReadClock());
+  }
+  if (const auto* const done =
+        std::get_if<platform::Written>(&written.assume_value())) {
+    return aFlow.OnWritten(done->mVersion);
+  }
+  const auto& current =
+    std::get<platform::Conflict>(written.assume_value()).mCurrent;
+  return aFlow.OnObject(current.mVersion, current.mValue, ReadClock());
+}
+
+ClaimStep
+ClaimService::Execute(const ClaimRequest& aRequest,
+                      ClaimFlow& aFlow,
+                      const WatchClaim& aStep) const
+{
+  const auto timeLeft = std::clamp(
+    aRequest.mDeadline - ReadClock(), Duration::zero(), kLongestWatch);
+  const auto object =
+    mPlatform->Watch(ObjectOf(aRequest), aStep.mKnownVersion, timeLeft);
+  if (!object) {
+    std::this_thread::sleep_for(kPauseAfterFailure);
+    return aFlow.OnNoAnswer(false, ReadClock());
+  }
+  const auto& current = object.assume_value();
+  return aFlow.OnObject(current.mVersion, current.mValue, ReadClock());
+}
+
+ClaimResult
+ClaimService::Claim(const ClaimRequest& aRequest,
+                    const std::function<void()>& aOnHeld)
 {
-  const auto object = ObjectOf(aRequest);
-  const auto value = Print(mSelf, aRequest, kClaimed, {});
-  std::int64_t expected = 0;
-  bool unsure = false;
-  while (ReadClock() < aRequest.mDeadline) {
-    const auto written = mPlatform->Write(object, expected, value);
-    if (!written) {
-      const auto kind = written.assume_error().front().mKind;
-      unsure = unsure || kind == error::ErrorKind::PlatformOutcomeUnknown;
-      if (!unsure) {
-        return { ClaimEnd::Unavailable, {} };
+  const auto keyTime = TimeOfKey(aRequest.mKey);
+  if (!keyTime) {
+    return ClaimRefused{ ClaimEnd::Expired };
+  }
+  ClaimFlow flow(
+    {}, RecordOf(aRequest, ClaimState::Claimed), aRequest.mDeadline);
+  auto step = flow.Start(*keyTime, ReadClock());
+  bool held = false;
+  while (true) {
+    if (const auto* const write = std::get_if<WriteClaim>(&step)) {
+      step = Execute(aRequest, flow, *write);
+    } else if (const auto* const watch = std::get_if<WatchClaim>(&step)) {
+      if (!std::exchange(held, true)) {
+        aOnHeld();
       }
-      std::this_thread::sleep_for(kPollInterval);
-      continue;
-    }
-    if (std::holds_alternative<platform::Written>(written.assume_value())) {
-      return { ClaimEnd::Won, {} };
-    }
-    const auto& current =
-      std::get<platform::Conflict>(written.assume_value()).mCurrent;
-    const auto claim = nlohmann::json::parse(current.mValue, nullptr, false);
-    if (!claim.is_object()) {
-      return { ClaimEnd::Unknown, {} };
-    }
-    if (json::NumberOr(claim, "fingerprint", std::uint64_t{ 0 }) !=
-        aRequest.mFingerprint) {
-      return { ClaimEnd::OtherRequest, {} };
-    }
-    const auto state = json::TextOr(claim, "state", "");
-    if (state == kAnswered) {
-      return { ClaimEnd::Answered, json::TextOr(claim, "answer", "") };
-    }
-    if (state == kReleased) {
-      expected = current.mVersion;
-      continue;
+      step = Execute(aRequest, flow, *watch);
+    } else {
+      break;
     }
-    std::this_thread::sleep_for(kPollInterval);
   }
-  return { ClaimEnd::Unknown, {} };
+  if (const auto* const won = std::get_if<ClaimWon>(&step)) {
+    return *won;
+  }
+  if (auto* const answered = std::get_if<ClaimAnswered>(&step)) {
+    return std::move(*answered);
+  }
+  if (flow.MayStand()) {
+    Release(aRequest);
+  }
+  return std::get<ClaimRefused>(step);
 }
 
 void
 ClaimService::Complete(const ClaimRequest& aRequest,
-                       const std::string& aAnswer) const
+                       const ClaimWon& aWon,
+                       std::string aAnswer,
+                       std::string aBillingRecord)
 {
-  const auto object = ObjectOf(aRequest);
-  const auto current = mPlatform->Read(object);
-  if (!current) {
-    log::Write(
-      log::Level::Warning, "claim_not_completed", { { "key", aRequest.mKey } });
+  auto record = RecordOf(aRequest, ClaimState::Answered);
+  record.mAnswer = std::move(aAnswer);
+  record.mBillingRecord = std::move(aBillingRecord);
+  const auto value = PrintClaim(record);
+  for (int tries = 0; tries < kCompletionTries; ++tries) {
+    // a conflict is this same write, whose answer was lost
+    if (mPlatform->Write(ObjectOf(aRequest), aWon.mVersion, value)) {
+      return;
+    }
+  }
+  log::Write(log::Level::Warning,
+             "claim_not_completed",
+             { { "account", aRequest.mAccount }, { "key", aRequest.mKey } });
+}
+
+void
+ClaimService::Release(const ClaimRequest& aRequest)
+{
+  if (TryRelease(aRequest)) {
     return;
   }
-  (void)mPlatform->Write(object,
-                         current.assume_value().mVersion,
-                         Print(mSelf, aRequest, kAnswered, aAnswer));
+  const std::lock_guard lock(mMutex);
+  mReleases.push_back(aRequest);
+  if (mReleases.size() > kMaxReleases) {
+    mReleases.pop_front();
+  }
+}
+
+bool
+ClaimService::TryRelease(const ClaimRequest& aRequest) const
+{
+  const auto current = mPlatform->Read(ObjectOf(aRequest));
+  if (!current) {
+    return false;
+  }
+  const auto& object = current.assume_value();
+  const auto claim = ParseClaim(object.mValue);
+  const auto released = RecordOf(aRequest, ClaimState::Released);
+  if (object.mVersion == 0 || !claim ||
+      !claim.assume_value().IsSameUse(released) ||
+      claim.assume_value().mState != ClaimState::Claimed) {
+    return true;
+  }
+  return static_cast<bool>(mPlatform->Write(
+    ObjectOf(aRequest), object.mVersion, PrintClaim(released)));
 }
 
 void
-ClaimService::Release(const ClaimRequest& aRequest) const
+ClaimService::Run()
 {
-  const auto object = ObjectOf(aRequest);
-  const auto current = mPlatform->Read(object);
-  if (current) {
-    (void)mPlatform->Write(object,
-                           current.assume_value().mVersion,
-                           Print(mSelf, aRequest, kReleased, {}));
+  std::unique_lock lock(mMutex);
+  while (
+    !mChanged.wait_for(lock, kReleaseRetry, [this] { return mStopping; })) {
+    const auto releases = std::exchange(mReleases, {});
+    lock.unlock();
+    std::deque<ClaimRequest> failed;
+    std::ranges::copy_if(
+      releases, std::back_inserter(failed), [this](const auto& aRequest) {
+        return !TryRelease(aRequest);
+      });
+    lock.lock();
+    mReleases.insert(mReleases.begin(), failed.begin(), failed.end());
   }
 }
 
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -132,13 +132,14 @@
     ratings::RatingService::Options{ .mSource = mSelf.mInstance },
     platform,
     router);
+  const auto claims = std::make_shared<claim::ClaimService>(mSelf, platform);
   const auto runner = std::make_shared<RequestRunner>(
     mSelf,
     RequestRunner::Services{
       .mRouter = router,
       .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams"),
       .mClient = mKernel.Find<http::HttpClient>("http_client"),
-      .mClaims = std::make_shared<claim::ClaimService>(mSelf, platform) });
+      .mClaims = claims });
   const auto callers = std::make_shared<caller::CallerApi>(
     aSettings,
     mSelf,
@@ -156,6 +157,15 @@
                                                    .mBilling = billing,
                                                    .mMetrics = metrics });
   const auto holder = std::make_shared<ServerHolder>();
+  mKernel.Register({ .mName = "claims",
+                     .mDependsOn = { "platform" },
+                     .mStart =
+                       [claims] {
+                         claims->Start();
+                         return Result<void>(outcome::success());
+                       },
+                     .mStop = [claims] { claims->Stop(); } },
+                   claims);
   mKernel.Register({ .mName = "billing",
                      .mDependsOn = { "platform" },
                      .mStart =
@@ -184,7 +194,11 @@
                    ratings);
   mKernel.Register(
     { .mName = "caller_server",
-      .mDependsOn = { "control", "billing", "ratings", "platform_watcher" },
+      .mDependsOn = { "control",
+                      "billing",
+                      "claims",
+                      "ratings",
+                      "platform_watcher" },
       .mStart = [holder, callers, admin, options = ServerOptions(aSettings)]()
         -> Result<void> {
         auto routes = callers->Routes();
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -10,6 +10,16 @@
 
 namespace {
 
+claim::ClaimRequest
+ClaimOf(const routing::Request& aRequest, routing::TicketId aTicket)
+{
+  return { .mAccount = aRequest.mAccount,
+           .mKey = aRequest.mIdempotencyKey,
+           .mTicket = aTicket,
+           .mFingerprint = aRequest.mFingerprint,
+           .mDeadline = aRequest.mDeadline };
+}
+
 constexpr Duration kRelayMargin = std::chrono::milliseconds(500);
 
 template<class... Handlers>
@@ -148,13 +158,23 @@
 
   Decision OnClaimKey()
   {
-    const auto outcome = mRunner.mServices.mClaims->Claim(ClaimOf());
-    mClaimed = outcome.mEnd == claim::ClaimEnd::Won;
-    if (outcome.mEnd == claim::ClaimEnd::Answered) {
-      mAnswers[0] = { .mText = outcome.mAnswer, .mReplayed = true };
+    const auto onHeld = [&] {
+      mRouter.With([&](routing::Router& aRouter) {
+        aRouter.OnClaimHeld(mTicket, ReadClock());
+      });
+    };
+    const auto result =
+      mRunner.mServices.mClaims->Claim(ClaimOf(mRequest, mTicket), onHeld);
+    if (const auto* const won = std::get_if<claim::ClaimWon>(&result)) {
+      mClaim = *won;
+    }
+    if (const auto* const answered =
+          std::get_if<claim::ClaimAnswered>(&result)) {
+      mAnswers[0] = { .mText = answered->mAnswer,
+                      .mReplayedRecord = answered->mBillingRecord };
     }
     return mRouter.With([&](routing::Router& aRouter) {
-      return aRouter.OnClaim(mTicket, outcome.mEnd, ReadClock());
+      return aRouter.OnClaim(mTicket, claim::EndOf(result), ReadClock());
     });
   }
 
@@ -170,27 +190,20 @@
     return aStep;
   }
 
-  [[nodiscard]] claim::ClaimRequest ClaimOf() const
+  /// Gives the claimed key back if nothing ran.
+  void SettleClaim(RunResult& aResult) const
   {
-    return { .mAccount = mRequest.mAccount,
-             .mKey = mRequest.mIdempotencyKey,
-             .mFingerprint = mRequest.mFingerprint,
-             .mDeadline = mRequest.mDeadline };
-  }
-
-  /// Stores the answer under the key, or gives the key back if nothing ran.
-  void SettleClaim(const RunResult& aResult) const
-  {
-    if (!mClaimed) {
+    if (!mClaim) {
       return;
     }
-    if (const auto* const answer = std::get_if<Answer>(&aResult)) {
-      mRunner.mServices.mClaims->Complete(ClaimOf(), answer->mText);
-    } else if (const auto* const refusal =
-                 std::get_if<routing::Refuse>(&aResult)) {
-      if (refusal->mRun == routing::RunState::NotRun) {
-        mRunner.mServices.mClaims->Release(ClaimOf());
-      }
+    if (auto* const answer = std::get_if<Answer>(&aResult)) {
+      answer->mClaim = mClaim;
+      answer->mTicket = mTicket;
+      return;
+    }
+    const auto* const refusal = std::get_if<routing::Refuse>(&aResult);
+    if (refusal != nullptr && refusal->mRun == routing::RunState::NotRun) {
+      mRunner.mServices.mClaims->Release(ClaimOf(mRequest, mTicket));
     }
   }
 
@@ -203,7 +216,7 @@
   routing::TicketId mTicket;
   std::map<routing::AttemptId, Answer> mAnswers;
   std::optional<RunResult> mResult;
-  bool mClaimed = false;
+  std::optional<claim::ClaimWon> mClaim;
 };
 
 RequestRunner::RequestRunner(membership::Incarnation aSelf, Services aServices)
@@ -222,4 +235,15 @@
   return Execution(*this, aRequest, aBody, aRelay, aSink).Run(aSummary);
 }
 
+void
+RequestRunner::CompleteClaim(const routing::Request& aRequest,
+                             const Answer& aAnswer,
+                             std::string aBillingRecord)
+{
+  mServices.mClaims->Complete(ClaimOf(aRequest, aAnswer.mTicket),
+                              aAnswer.mClaim.value(),
+                              aAnswer.mText,
+                              std::move(aBillingRecord));
+}
+
 } // namespace figslip::entry
