Repeat on a new connection before an upstream is blamed

Cause: a pooled connection that had gone silent made its upstream cold and cost the request the rest of its deadline, since a whole answer was awaited without any deadline between its steps. Change: engines always stream to the entry, so that the first-token and next-token deadlines hold for every chat; a failure on a reused connection is repeated on a fresh one at the same upstream and blames nobody; calls that may be repeated have a deadline of their own; forwards use fresh connections. Ruled out: closing idle connections sooner, which shortens the window but does not close it.

--- a/include/figslip/http/http_client.hpp
+++ b/include/figslip/http/http_client.hpp
@@ -13,8 +13,9 @@
 /// @brief Describes why no whole response came.
 struct CallFailure
 {
-  bool mBytesMayHaveLeft = true; ///< false only if no connection was made
-  bool mTimedOut = false;        ///< a step took too long
+  bool mBytesMayHaveLeft = true;  ///< false only if no connection was made
+  bool mTimedOut = false;         ///< a step took too long
+  bool mReusedConnection = false; ///< the connection had served calls before
 };
 
 /// @brief Holds a whole response or the reason for none.
--- a/include/figslip/routing/attempt_outcome.hpp
+++ b/include/figslip/routing/attempt_outcome.hpp
@@ -27,7 +27,8 @@
   std::int64_t mTokens = 0;    ///< tokens generated
   double mScore = 1.0;         ///< the engine's own score of its answer, [0, 1]
   bool mBytesToCaller = false; ///< part of the answer already left
-  Duration mLatency{};         ///< from dispatch to the end
+  bool mReusedConnection = false; ///< a failure may be the connection's alone
+  Duration mLatency{};            ///< from dispatch to the end
 };
 
 /// @brief Tells whether the upstream may have run the request.
@@ -38,4 +39,15 @@
          aEnd == AttemptEnd::TimedOut || aEnd == AttemptEnd::Failed;
 }
 
+/// @brief Tells whether a failure may be that of an old connection alone.
+///
+/// Something between the two ends may have lost track of the connection while
+/// new ones work, so the failure says nothing about the upstream.
+[[nodiscard]] constexpr bool
+IsConnectionFault(const AttemptOutcome& aOutcome)
+{
+  return aOutcome.mReusedConnection && (aOutcome.mEnd == AttemptEnd::Broken ||
+                                        aOutcome.mEnd == AttemptEnd::TimedOut);
+}
+
 } // namespace figslip::routing
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -145,6 +145,7 @@
     std::size_t mStage = 0; ///< stage of the cascade, if a cascade
     std::string mVersion;   ///< version chosen for the next attempt
     bool mStageChosen = false;
+    bool mFreshNext = false;      ///< use no pooled connection from now on
     bool mClaimed = false;        ///< the idempotency key is held
     bool mMayHaveRun = false;     ///< a byte of it may have reached an upstream
     bool mForwardTaken = false;   ///< a peer may have taken it
--- a/include/figslip/upstream/upstream_adapter.hpp
+++ b/include/figslip/upstream/upstream_adapter.hpp
@@ -42,6 +42,7 @@
   {
     Duration mFirstTokenTimeout = std::chrono::seconds(10);
     Duration mNextTokenTimeout = std::chrono::seconds(2);
+    Duration mServiceTimeout = std::chrono::seconds(2); ///< of idempotent calls
   };
 
   /// @brief Receives parts of a streamed answer; returns false to abandon it.
@@ -63,6 +64,10 @@
     const http::Endpoint& aEndpoint) const;
 
 private:
+  [[nodiscard]] http::CallOptions OptionsOf(const routing::Dispatch& aDispatch,
+                                            const UpstreamCall& aCall,
+                                            TimePoint aNow) const;
+
   Options mOptions;
   std::shared_ptr<http::HttpClient> mClient;
 };
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -324,7 +324,8 @@
     .mAddress = upstream->mAddress,
     .mPort = upstream->mPort,
     .mVersion = aTicket.mVersion,
-    .mFreshConnection = !IsIdempotent(aTicket.mRequest),
+    .mFreshConnection = aTicket.mFreshNext || !IsIdempotent(aTicket.mRequest),
+    .mMayRepeat = IsIdempotent(aTicket.mRequest),
     .mDeliverDirectly = chat != nullptr && chat->mStream,
     .mDeadline = aTicket.mRequest.mDeadline,
   };
@@ -458,7 +459,10 @@
                        ErrorKind::UpstreamFailed,
                        "the answer broke off after part of it was sent");
   }
-  if (aOutcome.mEnd != AttemptEnd::Cancelled) {
+  if (IsConnectionFault(aOutcome)) {
+    // the same upstream may answer on a new connection
+    aTicket.mFreshNext = true;
+  } else if (aOutcome.mEnd != AttemptEnd::Cancelled) {
     aTicket.mAvoid.insert(attempt.mUpstream);
   }
   if (reached) {
@@ -482,10 +486,11 @@
   auto& coldStart = mUpstreams.ColdStart();
   if (aOutcome.mEnd == AttemptEnd::Whole) {
     coldStart.OnSuccess(aAttempt.mUpstream, aOutcome.mBootId, aNow);
-  } else if (aOutcome.mEnd != AttemptEnd::Cancelled) {
+  } else if (aOutcome.mEnd != AttemptEnd::Cancelled &&
+             !IsConnectionFault(aOutcome)) {
     coldStart.OnSurprise(aAttempt.mUpstream, aNow);
   }
-  if (aOutcome.mEnd == AttemptEnd::Broken) {
+  if (aOutcome.mEnd == AttemptEnd::Broken && !IsConnectionFault(aOutcome)) {
     mQuarantine.OnCrash({ .mFingerprint = aTicket.mRequest.mFingerprint,
                           .mUpstream = aAttempt.mUpstream,
                           .mSeenAt = aNow });
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -112,7 +112,9 @@
     bool refusedNotRun = false;
     bool begun = false;
     http::CallOptions options{ .mFirstByteTimeout = timeLeft + kRelayMargin,
-                               .mNextByteTimeout = timeLeft + kRelayMargin };
+                               .mNextByteTimeout = timeLeft + kRelayMargin,
+                               // a pooled connection may have gone silent
+                               .mFreshConnection = true };
     options.mOnHead = [&](const http::ClientResponse& aHead) {
       refusedNotRun = http::FindHeader(aHead.mHeaders, "Figslip-Run") ==
                       routing::NameOf(routing::RunState::NotRun);
--- a/src/shell/http/http_client.cpp
+++ b/src/shell/http/http_client.cpp
@@ -29,6 +29,7 @@
   httplib::Client mClient;
   TimePoint mOpenedAt;
   TimePoint mIdleSince;
+  bool mUsed = false; ///< has served a call
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -209,10 +210,10 @@
     const bool notConnected = error == httplib::Error::Connection ||
                               error == httplib::Error::ConnectionTimeout ||
                               error == httplib::Error::BindIPAddress;
-    return CallFailure{
-      .mBytesMayHaveLeft = !notConnected,
-      .mTimedOut = timedOut || error == httplib::Error::ConnectionTimeout
-    };
+    return CallFailure{ .mBytesMayHaveLeft = !notConnected,
+                        .mTimedOut = timedOut ||
+                                     error == httplib::Error::ConnectionTimeout,
+                        .mReusedConnection = connection->mUsed };
   }
 
   void RetireConnections(const Endpoint& aEndpoint)
@@ -247,6 +248,7 @@
   void Give(const Endpoint& aEndpoint, ConnectionPtr aConnection)
   {
     aConnection->mIdleSince = ReadClock();
+    aConnection->mUsed = true;
     const std::lock_guard lock(mMutex);
     mIdle[aEndpoint].push_back(std::move(aConnection));
   }
--- a/src/shell/upstream/upstream_adapter.cpp
+++ b/src/shell/upstream/upstream_adapter.cpp
@@ -137,7 +137,8 @@
     body["messages"] = caller.value("messages", nlohmann::json::array());
     body["max_tokens"] = json::NumberOr(caller, "max_tokens", 256);
     body["task_kind"] = json::TextOr(caller, "task_kind", "");
-    body["stream"] = aDispatch.mDeliverDirectly;
+    // streamed always, so that silence shows before the deadline
+    body["stream"] = true;
   }
   return { .mMethod = http::Method::Post,
            .mTarget = std::move(target),
@@ -174,6 +175,24 @@
 {
 }
 
+http::CallOptions
+UpstreamAdapter::OptionsOf(const routing::Dispatch& aDispatch,
+                           const UpstreamCall& aCall,
+                           TimePoint aNow) const
+{
+  const auto timeLeft = std::max(Duration(1), aDispatch.mDeadline - aNow);
+  const bool isChat =
+    std::holds_alternative<routing::ChatTarget>(aCall.mTarget);
+  // a call that may not be repeated gets all the time that there is
+  const auto firstByte =
+    aDispatch.mMayRepeat
+      ? (isChat ? mOptions.mFirstTokenTimeout : mOptions.mServiceTimeout)
+      : timeLeft;
+  return { .mFirstByteTimeout = std::min(timeLeft, firstByte),
+           .mNextByteTimeout = std::min(timeLeft, mOptions.mNextTokenTimeout),
+           .mFreshConnection = aDispatch.mFreshConnection };
+}
+
 AttemptResult
 UpstreamAdapter::Run(const routing::Dispatch& aDispatch,
                      const UpstreamCall& aCall,
@@ -181,23 +200,17 @@
                      const TokenSink& aSink) const
 {
   const auto start = ReadClock();
-  const auto timeLeft = std::max(Duration(1), aDispatch.mDeadline - start);
-  // an answer that is not streamed comes in one piece at its end
-  const auto firstByte = aDispatch.mDeliverDirectly
-                           ? std::min(timeLeft, mOptions.mFirstTokenTimeout)
-                           : timeLeft;
-  StreamReader stream(aCall.mAttemptId, aSink);
+  const bool isChat =
+    std::holds_alternative<routing::ChatTarget>(aCall.mTarget);
+  StreamReader stream(aCall.mAttemptId,
+                      aDispatch.mDeliverDirectly ? aSink : TokenSink());
   bool cancelled = false;
-  http::CallOptions options{
-    .mFirstByteTimeout = firstByte,
-    .mNextByteTimeout = std::min(timeLeft, mOptions.mNextTokenTimeout),
-    .mFreshConnection = aDispatch.mFreshConnection,
-  };
+  auto options = OptionsOf(aDispatch, aCall, start);
   options.mBeforeSend = [&] {
     cancelled = !aBeforeSend();
     return !cancelled;
   };
-  if (aDispatch.mDeliverDirectly) {
+  if (isChat) {
     options.mReceiver = [&](std::string_view aData) {
       return stream.Take(aData);
     };
@@ -210,14 +223,16 @@
     const auto end = stream.CallerGone() ? AttemptEnd::Cancelled
                                          : EndOfFailure(*failure, cancelled);
     result = std::move(stream).Finish(end);
+    result.mOutcome.mReusedConnection = failure->mReusedConnection;
     if (failure->mTimedOut) {
+      // whatever silenced this connection may have silenced the older ones
       mClient->RetireConnections(endpoint);
     }
   } else {
     const auto& response = std::get<http::ClientResponse>(called);
     if (response.mStatus != kStatusOk) {
       result.mOutcome.mEnd = EndOfStatus(response.mStatus);
-    } else if (aDispatch.mDeliverDirectly) {
+    } else if (isChat) {
       result = std::move(stream).Finish(AttemptEnd::Broken);
     } else {
       result = TakeBody(response.mBody, aCall.mAttemptId);
