Serve the balancer's lag during a graceful shutdown

Cause: a draining entry refused what the balancer still sent to it, though a planned stop must cut no request. Change: a draining entry is not ready but serves, and asks callers to close their connections; it refuses only once the balancer's lag is over. Tested: the demo, both entries stopped with exit code 0.

--- a/include/figslip/entry/entry_state.hpp
+++ b/include/figslip/entry/entry_state.hpp
@@ -11,7 +11,8 @@
 {
   Starting, ///< no manifest is in force yet
   Serving,
-  Draining ///< finishes its requests and takes no new ones
+  Draining, ///< not ready, but serves what the balancer still sends
+  Stopping  ///< finishes its requests and takes no new ones
 };
 
 /// @brief Holds the phase of the daemon and counts its open requests.
--- a/include/figslip/http/http_server.hpp
+++ b/include/figslip/http/http_server.hpp
@@ -60,15 +60,22 @@
   /// A chunked response without its last chunk is not whole to any reader.
   void Abort() { mAborted = true; }
 
+  /// @brief Tells the client to send no further request on this connection.
+  void CloseAfterResponse() { mCloseAfter = true; }
+
+  [[nodiscard]] bool EndsConnection() const { return mAborted || mCloseAfter; }
   [[nodiscard]] bool Aborted() const { return mAborted; }
   [[nodiscard]] bool Begun() const { return mBegun; }
 
 private:
+  [[nodiscard]] std::string HeadOf(int aStatus,
+                                   const std::vector<Header>& aHeaders) const;
   bool Write(const std::string& aText);
 
   mg_connection* mConnection;
   bool mBegun = false;
   bool mAborted = false;
+  bool mCloseAfter = false;
 };
 
 /// @brief Serves HTTP on one port with a pool of threads.
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -92,7 +92,10 @@
       return;
     }
     mRequest = std::move(request).assume_value();
-    if (mApi.mServices.mState->Now() == entry::Phase::Draining) {
+    if (mApi.mServices.mState->Now() != entry::Phase::Serving) {
+      mWriter.CloseAfterResponse();
+    }
+    if (mApi.mServices.mState->Now() == entry::Phase::Stopping) {
       Refuse({ { error::ErrorKind::Draining,
                  "instance",
                  "the instance finishes its work and stops" } },
--- a/src/shell/entry/admin_api.cpp
+++ b/src/shell/entry/admin_api.cpp
@@ -21,9 +21,11 @@
     case Phase::Serving:
       return "serving";
     case Phase::Draining:
+      return "draining";
+    case Phase::Stopping:
       break;
   }
-  return "draining";
+  return "stopping";
 }
 
 std::string_view
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -239,6 +239,7 @@
   mKernel.Find<EntryState>("state")->Enter(Phase::Draining);
   std::this_thread::sleep_for(
     std::chrono::milliseconds(mSettings.mDrainDelayMs));
+  mKernel.Find<EntryState>("state")->Enter(Phase::Stopping);
   WaitForOpenRequests();
   mKernel.Stop();
   log::Write(log::Level::Info, "stopped");
--- a/src/shell/http/http_server.cpp
+++ b/src/shell/http/http_server.cpp
@@ -19,18 +19,6 @@
   return mg_get_response_code_text(nullptr, aStatus);
 }
 
-std::string
-HeadOf(int aStatus, const std::vector<Header>& aHeaders)
-{
-  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
-  text += ReasonOf(aStatus);
-  text += "\r\n";
-  for (const auto& header : aHeaders) {
-    text += header.mName + ": " + header.mValue + "\r\n";
-  }
-  return text;
-}
-
 std::string
 ReadBody(mg_connection* aConnection)
 {
@@ -78,7 +66,7 @@
   const auto request = ReadRequest(aConnection, route.mMaxBodyBytes);
   ResponseWriter writer(aConnection);
   route.mRoute.mHandler(request, writer);
-  if (writer.Aborted() || request.mBodyTooLarge) {
+  if (writer.EndsConnection() || request.mBodyTooLarge) {
     mg_disable_connection_keep_alive(aConnection);
   }
   return kHandled;
@@ -86,6 +74,21 @@
 
 } // namespace
 
+std::string
+ResponseWriter::HeadOf(int aStatus, const std::vector<Header>& aHeaders) const
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  text += ReasonOf(aStatus);
+  text += "\r\n";
+  for (const auto& header : aHeaders) {
+    text += header.mName + ": " + header.mValue + "\r\n";
+  }
+  if (mCloseAfter) {
+    text += "Connection: close\r\n";
+  }
+  return text;
+}
+
 bool
 ResponseWriter::Write(const std::string& aText)
 {
