Let waiting requests plan anew when their ground changes

Cause: a request that waited for an upstream kept waiting until its deadline after a manifest had taken the failure domain out or withdrawn the version, though another domain could serve it; forwards could visit every peer. Change: a new manifest, instance list or stopped version wakes all waiting requests; at most three peers are tried; refusals other than for capacity are relayed instead of being tried at the next peer. Tested: unit-retry, with a section for the drained domain.

--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -63,6 +63,7 @@
     FreshnessLimits mFreshness;
     coldstart::ColdStartGate::Options mColdStart;
     quarantine::Quarantine::Options mQuarantine;
+    int mMaxForwards = 3;         ///< peers tried for a request, >= 0
     int mMaxAttempts = 4;         ///< attempts a request, >= 1
     double mRetryShare = 0.1;     ///< retries earned per request, [0, 1]
     double mRetryBurst = 10.0;    ///< retries that may be saved up, >= 0
@@ -148,6 +149,7 @@
     bool mFreshNext = false;      ///< use no pooled connection from now on
     bool mClaimed = false;        ///< the idempotency key is held
     bool mMayHaveRun = false;     ///< a byte of it may have reached an upstream
+    int mForwards = 0;            ///< forwards that failed
     bool mForwardTaken = false;   ///< a peer may have taken it
     std::set<std::string> mAvoid; ///< upstreams and peers that failed it
     std::optional<AttemptId> mWholeAttempt; ///< best whole answer so far
@@ -200,6 +202,8 @@
                                          Refuse aRefusal) const;
   void ReleaseReservation(Ticket& aTicket);
   void WakeWaiting(TimePoint aNow);
+  /// Lets every waiting request plan anew, as what it waits for may be gone.
+  void WakeAllWaiting();
 
   Options mOptions;
   std::mt19937_64 mRandom;
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -26,10 +26,14 @@
 {
   assert(aSnapshot != nullptr);
   const bool isNewManifest = aSnapshot->mManifest != mSnapshot->mManifest;
+  const bool isNewList = aSnapshot->mInstances != mSnapshot->mInstances;
   mSnapshot = std::move(aSnapshot);
   if (isNewManifest) {
     mVersions.OnManifest(*mSnapshot->mManifest, aNow);
   }
+  if (isNewManifest || isNewList) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
 }
 
@@ -74,6 +78,9 @@
   mEvidence.Expire(aNow);
   mQuarantine.Expire(aNow);
   auto stopped = mVersions.Evaluate(aNow);
+  if (!stopped.empty()) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
   return stopped;
 }
@@ -205,6 +212,7 @@
 {
   auto& ticket = mTickets.at(aTicket);
   ticket.mForwardTaken = ticket.mForwardTaken || aBytesLeft;
+  ++ticket.mForwards;
   if (aBytesLeft && !IsIdempotent(ticket.mRequest)) {
     return MakeRefusal(
       ticket, ErrorKind::UpstreamFailed, "the forwarded request was lost");
@@ -250,6 +258,16 @@
   }
 }
 
+void
+Router::WakeAllWaiting()
+{
+  for (const auto& [id, ticket] : mTickets) {
+    if (mQueue.Remove(id)) {
+      mWakeUps.push_back(id);
+    }
+  }
+}
+
 void
 Router::WakeWaiting(TimePoint aNow)
 {
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -400,6 +400,7 @@
     }
   }
   if (aTicket.mRequest.mForwarded || peers.empty() ||
+      aTicket.mForwards >= mOptions.mMaxForwards ||
       aNow >= aTicket.mRequest.mDeadline) {
     return RefuseOrDeliver(aTicket,
                            MakeRefusal(aTicket,
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -22,6 +22,14 @@
 
 constexpr Duration kRelayMargin = std::chrono::milliseconds(500);
 
+bool
+IsOutOfCapacity(int aStatus)
+{
+  constexpr int kTooManyRequests = 429;
+  constexpr int kUnavailable = 503;
+  return aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
 template<class... Handlers>
 struct Overloaded : Handlers...
 {
@@ -116,8 +124,10 @@
                                // a pooled connection may have gone silent
                                .mFreshConnection = true };
     options.mOnHead = [&](const http::ClientResponse& aHead) {
-      refusedNotRun = http::FindHeader(aHead.mHeaders, "Figslip-Run") ==
-                      routing::NameOf(routing::RunState::NotRun);
+      // other refusals would be the same at every entry
+      refusedNotRun = IsOutOfCapacity(aHead.mStatus) &&
+                      http::FindHeader(aHead.mHeaders, "Figslip-Run") ==
+                        routing::NameOf(routing::RunState::NotRun);
       if (!refusedNotRun) {
         begun = true;
         mSink.mOnRelayHead(aHead);
--- a/tests/src/unit-retry.cpp
+++ b/tests/src/unit-retry.cpp
@@ -154,6 +154,15 @@
     (void)As<Dispatch>(router.Resume(kWaiting, fixture.mNow));
   }
 
+  SUBCASE("plans anew when a new manifest leaves nothing to wait for")
+  {
+    fixture.mManifest.mFailureDomains[0].mState = manifest::DomainState::Out;
+    fixture.Publish();
+    CHECK(router.TakeWakeUps() == std::vector<TicketId>{ kWaiting });
+    const auto forward = As<Forward>(router.Resume(kWaiting, fixture.mNow));
+    CHECK(forward.mInstance == "entry-b");
+  }
+
   SUBCASE("that was woken does not run on a version withdrawn meanwhile")
   {
     (void)router.OnOutcome(
