Order engines under a lease of each failure domain

Cause: engines load and unload versions only when told, and nothing told them; leases lapse while their holder is paused, and some engines ignore fencing tokens. Change: LeaseFlow acquires and renews an object of the platform without comparing clocks; OrderPlanner plans one order an engine at a time; the order service carries both out.

--- a/include/figslip/routing/upstream_table.hpp
+++ b/include/figslip/routing/upstream_table.hpp
@@ -6,10 +6,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace figslip::routing {
 
@@ -20,6 +22,8 @@
   std::string mBootId;
   int mRunning = 0; ///< requests running or queued there, of all entries
   TimePoint mAt;    ///< when the report was taken
+  /// versions that the engine serves; none if it does not tell
+  std::optional<std::vector<std::string>> mLoadedVersions;
 };
 
 /// @brief Counts own work per upstream and chooses where to send more.
--- a/include/figslip/upstream/upstream_adapter.hpp
+++ b/include/figslip/upstream/upstream_adapter.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/error/result.hpp>
 #include <figslip/http/http_client.hpp>
+#include <figslip/orders/order_planner.hpp>
 #include <figslip/routing/attempt_outcome.hpp>
 #include <figslip/routing/decision.hpp>
 #include <figslip/routing/request.hpp>
@@ -63,6 +64,11 @@
     const std::string& aUpstream,
     const http::Endpoint& aEndpoint) const;
 
+  /// @brief Sends an order to an engine and waits for its word.
+  /// @return whether the engine has taken it
+  [[nodiscard]] bool SendOrder(const orders::Order& aOrder,
+                               const http::Endpoint& aEndpoint) const;
+
 private:
   [[nodiscard]] http::CallOptions OptionsOf(const routing::Dispatch& aDispatch,
                                             const UpstreamCall& aCall,
--- /dev/null
+++ b/src/core/orders/order_planner.cpp
@@ -0,0 +1,132 @@
+#include <figslip/orders/order_planner.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace figslip::orders {
+
+namespace {
+
+bool
+Contains(const std::vector<std::string>& aNames, std::string_view aName)
+{
+  return std::ranges::find(aNames, aName) != aNames.end();
+}
+
+bool
+IsWithdrawn(const manifest::ManifestIndex& aManifest, std::string_view aVersion)
+{
+  const auto* const version = aManifest.FindVersion(aVersion);
+  return version == nullptr ||
+         version->mVersion->mState == manifest::VersionState::Withdrawn;
+}
+
+bool
+IsInRollOut(const manifest::ManifestIndex& aManifest, std::string_view aVersion)
+{
+  const auto* const version = aManifest.FindVersion(aVersion);
+  return version != nullptr &&
+         version->mVersion->mState == manifest::VersionState::RollOut;
+}
+
+} // namespace
+
+OrderPlanner::OrderPlanner(Options aOptions, std::string aFailureDomain)
+  : mOptions(aOptions)
+  , mFailureDomain(std::move(aFailureDomain))
+{
+}
+
+void
+OrderPlanner::OnEngineReport(std::string_view aUpstream,
+                             std::vector<std::string> aLoaded)
+{
+  mEngines[std::string(aUpstream)].mLoaded = std::move(aLoaded);
+}
+
+std::size_t
+OrderPlanner::LoadsUnderWay() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mEngines, [](const auto& aEntry) {
+      return aEntry.second.mBusy && aEntry.second.mIsLoading;
+    }));
+}
+
+std::vector<Order>
+OrderPlanner::Wanted(const manifest::ManifestIndex& aManifest,
+                     const manifest::Upstream& aUpstream,
+                     const Engine& aEngine) const
+{
+  std::vector<Order> wanted;
+  // memory is made free before it is asked for
+  for (const auto& version : aEngine.mLoaded) {
+    if (!Contains(aUpstream.mVersions, version) ||
+        IsWithdrawn(aManifest, version)) {
+      wanted.push_back({ OrderKind::Unload, aUpstream.mName, version });
+    }
+  }
+  for (const auto& version : aUpstream.mVersions) {
+    if (!Contains(aEngine.mLoaded, version) &&
+        !IsWithdrawn(aManifest, version)) {
+      wanted.push_back({ OrderKind::Load, aUpstream.mName, version });
+    }
+  }
+  return wanted;
+}
+
+std::vector<Order>
+OrderPlanner::Plan(const manifest::ManifestIndex& aManifest,
+                   const lease::HeldLease& aLease,
+                   TimePoint aNow)
+{
+  std::vector<Order> candidates;
+  for (const auto& upstream : aManifest.Content().mUpstreams) {
+    const auto engine = mEngines.find(upstream.mName);
+    if (upstream.mFailureDomain != mFailureDomain || engine == mEngines.end() ||
+        engine->second.mBusy || aNow < engine->second.mRestUntil) {
+      continue;
+    }
+    const bool mayOrder =
+      upstream.mChecksFencing ||
+      lease::MayOrderUnfenced(aLease, mOptions.mLongestTransit, aNow);
+    const auto wanted = Wanted(aManifest, upstream, engine->second);
+    if (mayOrder && !wanted.empty()) {
+      candidates.push_back(wanted.front());
+    }
+  }
+  std::ranges::stable_partition(candidates, [&](const Order& aOrder) {
+    return !IsInRollOut(aManifest, aOrder.mVersion);
+  });
+  std::vector<Order> orders;
+  for (auto& order : candidates) {
+    const bool isLoad = order.mKind == OrderKind::Load;
+    if (isLoad && LoadsUnderWay() >= mOptions.mMaxLoads) {
+      continue;
+    }
+    auto& engine = mEngines[order.mUpstream];
+    engine.mBusy = true;
+    engine.mIsLoading = isLoad;
+    order.mFencingToken = aLease.mFencingToken;
+    orders.push_back(std::move(order));
+  }
+  return orders;
+}
+
+void
+OrderPlanner::OnOrderEnded(const Order& aOrder, bool aDone, TimePoint aNow)
+{
+  auto& engine = mEngines[aOrder.mUpstream];
+  engine.mBusy = false;
+  if (!aDone) {
+    engine.mRestUntil = aNow + mOptions.mRetryAfter;
+    return;
+  }
+  if (aOrder.mKind == OrderKind::Unload) {
+    std::erase(engine.mLoaded, aOrder.mVersion);
+  } else if (!Contains(engine.mLoaded, aOrder.mVersion)) {
+    engine.mLoaded.push_back(aOrder.mVersion);
+  }
+}
+
+} // namespace figslip::orders
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include <figslip/entry/entry_daemon.hpp>
 #include <figslip/entry/request_runner.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/orders/order_service.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <random>
@@ -107,6 +108,22 @@
                      .mStop = [loop] { loop->Stop(); } },
                    control);
   mKernel.Register({ .mName = "control_loop" }, loop);
+  const auto orders = std::make_shared<orders::OrderService>(
+    orders::OrderService::Options{ .mSelf = mSelf,
+                                   .mFailureDomain = aSettings.mFailureDomain },
+    orders::OrderService::Services{
+      .mControl = control,
+      .mPlatform = platform,
+      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams") });
+  mKernel.Register({ .mName = "orders",
+                     .mDependsOn = { "control", "platform", "upstreams" },
+                     .mStart =
+                       [orders] {
+                         orders->Start();
+                         return Result<void>(outcome::success());
+                       },
+                     .mStop = [orders] { orders->Stop(); } },
+                   orders);
   mKernel.Register({ .mName = "platform_watcher",
                      .mDependsOn = { "control", "platform", "upstreams" },
                      .mStart =
--- a/src/shell/upstream/upstream_adapter.cpp
+++ b/src/shell/upstream/upstream_adapter.cpp
@@ -19,6 +19,7 @@
 constexpr int kStatusUnavailable = 503;
 constexpr std::string_view kEventPrefix = "data: ";
 constexpr Duration kLoadTimeout = std::chrono::seconds(1);
+constexpr Duration kOrderTimeout = std::chrono::seconds(2);
 
 nlohmann::json
 ParseLoose(std::string_view aText)
@@ -259,10 +260,39 @@
     return Failure(
       error::ErrorKind::ReadFailed, aUpstream, "malformed load report");
   }
-  return routing::LoadReport{ .mUpstream = aUpstream,
+  routing::LoadReport report{ .mUpstream = aUpstream,
                               .mBootId = json::TextOr(body, "boot_id", ""),
                               .mRunning = json::NumberOr(body, "running", 0),
                               .mAt = ReadClock() };
+  if (const auto versions = body.find("versions");
+      versions != body.end() && versions->is_array()) {
+    report.mLoadedVersions.emplace();
+    for (const auto& version : *versions) {
+      if (version.is_string()) {
+        report.mLoadedVersions->push_back(version.get<std::string>());
+      }
+    }
+  }
+  return report;
+}
+
+bool
+UpstreamAdapter::SendOrder(const orders::Order& aOrder,
+                           const http::Endpoint& aEndpoint) const
+{
+  const nlohmann::json body = { { "order", orders::NameOf(aOrder.mKind) },
+                                { "version", aOrder.mVersion },
+                                { "fencing_token", aOrder.mFencingToken } };
+  // a pooled connection could hold the order back for longer than its transit
+  const auto called = mClient->Call(
+    aEndpoint,
+    { .mMethod = http::Method::Post,
+      .mTarget = "/v1/orders",
+      .mHeaders = {},
+      .mBody = body.dump() },
+    { .mFirstByteTimeout = kOrderTimeout, .mFreshConnection = true });
+  const auto* const response = std::get_if<http::ClientResponse>(&called);
+  return response != nullptr && response->mStatus == kStatusOk;
 }
 
 } // namespace figslip::upstream
--- a/tests/harness/upstream_stand_in.cpp
+++ b/tests/harness/upstream_stand_in.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr int kMaxTokens = 40;
 constexpr double kGoodScore = 0.9;
@@ -80,6 +81,7 @@
   };
   return { { "/v1/generate", bind(&UpstreamStandIn::ServeGenerate) },
            { "/v1/call", bind(&UpstreamStandIn::ServeCall) },
+           { "/v1/orders", bind(&UpstreamStandIn::ServeOrder) },
            { "/load", bind(&UpstreamStandIn::ServeLoad) },
            { "/control", bind(&UpstreamStandIn::ServeControl) } };
 }
@@ -140,8 +142,12 @@
   if (ApplyFault(aRequest, aWriter)) {
     return;
   }
-  Record(aRequest, aRequest.mPath);
   const auto body = nlohmann::json::parse(aRequest.mBody, nullptr, false);
+  if (!Serves(json::TextOr(body, "version", ""))) {
+    (void)aWriter.Send(kConflict, {}, "the version is not loaded");
+    return;
+  }
+  Record(aRequest, aRequest.mPath);
   const auto attempt = json::TextOr(body, "attempt_id", "");
   const auto text = AnswerText(json::TextOr(body, "version", ""),
                                json::TextOr(body, "request_id", ""));
@@ -196,11 +202,44 @@
                  { "request_id", json::TextOr(body, "request_id", "") } } } });
 }
 
+bool
+UpstreamStandIn::Serves(const std::string& aVersion)
+{
+  const std::lock_guard lock(mMutex);
+  return !mOptions.mTakesOrders || mLoaded.contains(aVersion);
+}
+
+void
+UpstreamStandIn::ServeOrder(const Request& aRequest, Writer& aWriter)
+{
+  const auto body = nlohmann::json::parse(aRequest.mBody, nullptr, false);
+  const auto token = json::NumberOr(body, "fencing_token", std::int64_t{ 0 });
+  const auto version = json::TextOr(body, "version", "");
+  Record(aRequest, aRequest.mPath);
+  const std::lock_guard lock(mMutex);
+  if (mOptions.mChecksFencing && token < mHighestToken) {
+    (void)aWriter.Send(kConflict, {}, "old token");
+    return;
+  }
+  mHighestToken = std::max(mHighestToken, token);
+  if (json::TextOr(body, "order", "") == "load") {
+    mLoaded.insert(version);
+  } else {
+    mLoaded.erase(version);
+  }
+  (void)aWriter.Send(kOk, {}, "");
+}
+
 void
 UpstreamStandIn::ServeLoad(const Request& /*aRequest*/, Writer& aWriter)
 {
-  SendJson(aWriter,
-           { { "boot_id", mOptions.mBootId }, { "running", mRunning.load() } });
+  nlohmann::json load = { { "boot_id", mOptions.mBootId },
+                          { "running", mRunning.load() } };
+  if (mOptions.mTakesOrders) {
+    const std::lock_guard lock(mMutex);
+    load["versions"] = mLoaded;
+  }
+  SendJson(aWriter, load);
 }
 
 void
--- a/tests/harness/upstream_stand_in.hpp
+++ b/tests/harness/upstream_stand_in.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,9 @@
     int mColdRequests = 5;    ///< requests served before it is warm
     int mTokenMs = 1;         ///< time a token, milliseconds
     std::map<std::string, double>
-      mBadShare; ///< share of bad answers, by version
+      mBadShare;                 ///< share of bad answers, by version
+    bool mTakesOrders = false;   ///< serves only versions it is ordered to load
+    bool mChecksFencing = false; ///< refuses orders with old tokens
   };
 
   explicit UpstreamStandIn(Options aOptions);
@@ -56,6 +59,8 @@
 
   void ServeGenerate(const Request& aRequest, Writer& aWriter);
   void ServeCall(const Request& aRequest, Writer& aWriter);
+  void ServeOrder(const Request& aRequest, Writer& aWriter);
+  [[nodiscard]] bool Serves(const std::string& aVersion);
   void ServeLoad(const Request& aRequest, Writer& aWriter);
   void ServeControl(const Request& aRequest, Writer& aWriter);
   [[nodiscard]] bool ApplyFault(const Request& aRequest, Writer& aWriter);
@@ -67,6 +72,8 @@
   std::mutex mMutex;
   Fault mFault;
   std::vector<std::string> mHistory;
+  std::set<std::string> mLoaded;
+  std::int64_t mHighestToken = 0;
   std::atomic<int> mRunning{ 0 };
   std::atomic<int> mServed{ 0 };
   std::atomic<int> mOverloads{ 0 };
--- a/tests/standins/standin-upstream.cpp
+++ b/tests/standins/standin-upstream.cpp
@@ -19,6 +19,8 @@
   app.add_option("--cold-concurrency", options.mColdConcurrency);
   app.add_option("--cold-requests", options.mColdRequests);
   app.add_option("--token-ms", options.mTokenMs);
+  app.add_flag("--takes-orders", options.mTakesOrders);
+  app.add_flag("--checks-fencing", options.mChecksFencing);
   app.add_option("--bad-share", badShares, "VERSION=SHARE of bad answers");
   CLI11_PARSE(app, argc, argv);
   options.mBootId = std::to_string(getpid()) + "-" +
