--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -70,6 +70,18 @@
                 .mBody = aBody.dump() });
 }
 
+CallerResponse
+Cluster::PostToUpstream(const std::string& aUpstream,
+                        const std::string& aPath,
+                        const nlohmann::json& aBody)
+{
+  return Call(mUpstreamPorts.at(aUpstream),
+              { .mMethod = http::Method::Post,
+                .mTarget = aPath,
+                .mHeaders = {},
+                .mBody = aBody.dump() });
+}
+
 CallerResponse
 Cluster::Get(const std::string& aEntry, const std::string& aPath)
 {
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -70,6 +70,11 @@
                                     const nlohmann::json& aBody,
                                     std::vector<http::Header> aHeaders);
 
+  /// Sends a POST to an upstream itself, as an entry does.
+  [[nodiscard]] CallerResponse PostToUpstream(const std::string& aUpstream,
+                                              const std::string& aPath,
+                                              const nlohmann::json& aBody);
+
   /// Sends a GET to an entry.
   [[nodiscard]] CallerResponse Get(const std::string& aEntry,
                                    const std::string& aPath);
