Refuse bad input with typed errors instead of ending the daemon

Cause: a body, path or header with bytes that are no UTF-8 ended the entry daemon, as printing the refusal threw; so did a number like 1e999. Unknown accounts made metric labels without bound, a chunked body was read without bound, and each duplicate field or unknown field added to the refusal. Change: refusals replace bytes that are no UTF-8; documents nest at most 64 levels, hold no zero byte, and give at most 100 findings, refusals at most 20 short ones; bodies are read up to the limit; unknown accounts share a label; other methods get 405 with Allow; a header given twice is refused; one UUID is one idempotency key whatever its case; faults of a body are all of the kind malformed_body. Names hold no control characters, addresses are IP numbers, and a key id fits into a token. Ruled out: to catch everything around the handlers, which would hide faults and leak tickets.

--- a/include/figslip/error/error_kind.hpp
+++ b/include/figslip/error/error_kind.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string_view>
 
 namespace figslip::error {
@@ -45,6 +46,7 @@
   Draining,
   VersionWithdrawn,
   NoUpstream,
+  WrongMethod,
   // platform
   PlatformUnavailable,
   PlatformConflict,
@@ -67,6 +69,10 @@
   std::string_view mName;  ///< the name, as in `duplicate_name`
 };
 
+/// @brief Returns the descriptions of all error kinds, by rising number.
+[[nodiscard]] std::span<const ErrorDescription>
+AllErrors();
+
 /// @brief Returns the description of an error kind.
 /// @param[in] aKind the kind to describe
 /// @return the entry of the table of kinds
--- a/include/figslip/json/object_reader.hpp
+++ b/include/figslip/json/object_reader.hpp
@@ -59,7 +59,8 @@
     std::string_view aField,
     const std::optional<std::string>& aFallback = std::nullopt);
 
-  /// @brief Reads a text field that must not be empty.
+  /// @brief Reads a text field that must not be empty, without control
+  /// characters.
   [[nodiscard]] std::string Name(std::string_view aField);
 
   /// @brief Reads a whole number.
--- a/include/figslip/manifest/manifest_keeper.hpp
+++ b/include/figslip/manifest/manifest_keeper.hpp
@@ -35,7 +35,10 @@
                             TimePoint aNow);
 
   /// @brief Notes that a peer knew a generation to be current.
-  void ConfirmFromPeer(std::int64_t aGeneration, TimePoint aConfirmedAt);
+  /// @param[in] aConfirmedAt when the peer last knew it; its clock may be ahead
+  void ConfirmFromPeer(std::int64_t aGeneration,
+                       TimePoint aConfirmedAt,
+                       TimePoint aNow);
 
   [[nodiscard]] const ManifestPtr& InForce() const { return mInForce; }
   [[nodiscard]] const std::string& Text() const { return mText; }
--- a/programs/figslip-entry.cpp
+++ b/programs/figslip-entry.cpp
@@ -1,4 +1,5 @@
 #include <figslip/entry/entry_daemon.hpp>
+#include <figslip/json/document.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/settings/entry_settings.hpp>
 
@@ -45,8 +46,9 @@
   apply("caller_port", aOverrides.mCallerPort);
   apply("peer_port", aOverrides.mPeerPort);
   apply("log_level", aOverrides.mLogLevel);
-  // without overrides the text is checked as it is, duplicate fields included
-  return changed ? document.dump() : aText;
+  // a text with findings is checked as it is, as printing would hide some
+  return changed && figslip::json::ParseDocument(aText) ? document.dump()
+                                                        : aText;
 }
 
 figslip::Result<figslip::settings::EntrySettings>
@@ -109,6 +111,10 @@
   std::string path;
   Overrides overrides;
   app.add_option("settings", path, "JSON file with the settings")->required();
+  bool checkOnly = false;
+  app.add_flag("--check",
+               checkOnly,
+               "check the settings and exit: 0 if good, 2 with findings");
   app.add_option("--address", overrides.mAddress, "IP number to listen on");
   app.add_option(
     "--caller-port", overrides.mCallerPort, "TCP port for callers");
@@ -121,5 +127,10 @@
     std::cerr << figslip::error::JoinMessages(settings.assume_error()) << '\n';
     return kExitBadSettings;
   }
+  if (checkOnly) {
+    std::cout << "the settings of instance "
+              << settings.assume_value().mInstance << " are good\n";
+    return kExitOk;
+  }
   return RunDaemon(settings.assume_value());
 }
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -41,6 +41,7 @@
   { ErrorKind::Draining, 317, "request", "draining" },
   { ErrorKind::VersionWithdrawn, 318, "request", "version_withdrawn" },
   { ErrorKind::NoUpstream, 319, "request", "no_upstream" },
+  { ErrorKind::WrongMethod, 330, "request", "wrong_method" },
   { ErrorKind::PlatformUnavailable, 401, "platform", "unavailable" },
   { ErrorKind::PlatformConflict, 402, "platform", "conflict" },
   { ErrorKind::PlatformOutcomeUnknown, 403, "platform", "outcome_unknown" },
@@ -53,6 +54,12 @@
 
 } // namespace
 
+std::span<const ErrorDescription>
+AllErrors()
+{
+  return kDescriptions;
+}
+
 const ErrorDescription&
 Describe(ErrorKind aKind)
 {
--- a/src/core/json/document.cpp
+++ b/src/core/json/document.cpp
@@ -10,6 +10,28 @@
 
 namespace {
 
+/// Deepest nesting of objects and arrays; no document of ours needs more.
+constexpr std::size_t kMaxDepth = 64;
+/// Most findings of one document; a flood of them helps nobody.
+constexpr std::size_t kMaxFindings = 100;
+
+/// Ends the parsing of a document that is nested too deeply.
+struct NestedTooDeeply
+{
+  std::string mPlace;
+};
+
+/// Removes the library's own tag from the start of its message.
+std::string
+PlainMessage(std::string_view aMessage)
+{
+  constexpr std::string_view kTagEnd = "] ";
+  const auto end = aMessage.find(kTagEnd);
+  return std::string(end == std::string_view::npos
+                       ? aMessage
+                       : aMessage.substr(end + kTagEnd.size()));
+}
+
 /// Follows the parser through nested values and notes duplicate fields.
 class DuplicateFieldDetector
 {
@@ -22,6 +44,9 @@
       case Event::object_start:
       case Event::array_start:
         EnterElement();
+        if (mFrames.size() == kMaxDepth) {
+          throw NestedTooDeeply{ Place() };
+        }
         mFrames.push_back({ .mIsArray = aEvent == Event::array_start });
         break;
       case Event::object_end:
@@ -59,7 +84,8 @@
   {
     auto& frame = mFrames.back();
     frame.mField = aField;
-    if (!frame.mFields.insert(std::move(aField)).second) {
+    const bool isNew = frame.mFields.insert(std::move(aField)).second;
+    if (!isNew && mFindings.size() < kMaxFindings) {
       mFindings.push_back({ error::ErrorKind::DuplicateField,
                             Place(),
                             "the field is given more than once" });
@@ -85,6 +111,12 @@
 Result<nlohmann::json>
 ParseDocument(std::string_view aText)
 {
+  // the library would take a zero byte for the end of the text
+  if (const auto zero = aText.find('\0'); zero != std::string_view::npos) {
+    return Failure(error::ErrorKind::MalformedJson,
+                   "byte " + std::to_string(zero + 1),
+                   "the text holds a zero byte");
+  }
   DuplicateFieldDetector detector;
   try {
     auto document =
@@ -103,7 +135,16 @@
   } catch (const nlohmann::json::parse_error& error) {
     return Failure(error::ErrorKind::MalformedJson,
                    "byte " + std::to_string(error.byte),
-                   error.what());
+                   PlainMessage(error.what()));
+  } catch (const nlohmann::json::out_of_range& error) {
+    // a number that no double can hold
+    return Failure(
+      error::ErrorKind::MalformedJson, "number", PlainMessage(error.what()));
+  } catch (const NestedTooDeeply& error) {
+    return Failure(error::ErrorKind::MalformedJson,
+                   error.mPlace,
+                   "the document is nested deeper than " +
+                     std::to_string(kMaxDepth) + " levels");
   }
 }
 
--- a/src/core/json/object_reader.cpp
+++ b/src/core/json/object_reader.cpp
@@ -1,6 +1,7 @@
 #include <figslip/json/document.hpp>
 #include <figslip/json/object_reader.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <sstream>
 #include <utility>
@@ -11,6 +12,14 @@
 
 namespace {
 
+constexpr bool
+IsControl(unsigned char aLetter)
+{
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7F;
+  return aLetter < kFirstPrintable || aLetter == kDelete;
+}
+
 template<typename Number>
 std::string
 RangeText(const Range<Number>& aRange, const nlohmann::json& aSeen)
@@ -95,6 +104,12 @@
       mValue.is_object()) {
     Report(ErrorKind::OutOfRange, aField, "the text must not be empty");
   }
+  // names go into headers, logs and tokens
+  if (std::ranges::any_of(text, IsControl)) {
+    Report(ErrorKind::OutOfRange,
+           aField,
+           "the text must not hold control characters");
+  }
   return text;
 }
 
--- a/src/core/manifest/manifest_keeper.cpp
+++ b/src/core/manifest/manifest_keeper.cpp
@@ -28,10 +28,12 @@
 
 void
 ManifestKeeper::ConfirmFromPeer(std::int64_t aGeneration,
-                                TimePoint aConfirmedAt)
+                                TimePoint aConfirmedAt,
+                                TimePoint aNow)
 {
   if (aGeneration == Generation()) {
-    mConfirmedAt = std::max(mConfirmedAt, aConfirmedAt);
+    // a confirmation from the future would hold off the freshness limit
+    mConfirmedAt = std::max(mConfirmedAt, std::min(aConfirmedAt, aNow));
   }
 }
 
--- a/src/core/manifest/parse_manifest.cpp
+++ b/src/core/manifest/parse_manifest.cpp
@@ -1,5 +1,6 @@
 #include "manifest_names.hpp"
 
+#include <figslip/http/ip_number.hpp>
 #include <figslip/json/document.hpp>
 #include <figslip/json/object_reader.hpp>
 #include <figslip/manifest/manifest.hpp>
@@ -254,6 +255,11 @@
               "version");
     }
     Require(mServices, aUpstream.mService, aPointer + "/service", "service");
+    if (!aUpstream.mAddress.empty() && !http::IsIpNumber(aUpstream.mAddress)) {
+      mFindings.push_back({ ErrorKind::OutOfRange,
+                            aPointer + "/address",
+                            "\"" + aUpstream.mAddress + "\" is no IP number" });
+    }
     const bool isPlain = aUpstream.mKind == UpstreamKind::Plain;
     if (isPlain != aUpstream.mVersions.empty()) {
       mFindings.push_back({ ErrorKind::OutOfRange,
--- a/src/core/settings/parse_entry_settings.cpp
+++ b/src/core/settings/parse_entry_settings.cpp
@@ -1,3 +1,4 @@
+#include <figslip/http/ip_number.hpp>
 #include <figslip/json/document.hpp>
 #include <figslip/json/object_reader.hpp>
 #include <figslip/settings/entry_settings.hpp>
@@ -6,6 +7,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <set>
 #include <utility>
 
 namespace figslip::settings {
@@ -26,10 +29,45 @@
                                                          "warning",
                                                          "error" };
 
+bool
+IsSafeName(std::string_view aName, std::string_view aFurtherLetters)
+{
+  return std::ranges::all_of(aName, [&](unsigned char aLetter) {
+    return std::isalnum(aLetter) != 0 ||
+           aFurtherLetters.find(static_cast<char>(aLetter)) !=
+             std::string_view::npos;
+  });
+}
+
+/// Reads the name of the instance, which becomes part of object names.
+std::string
+ReadInstance(ObjectReader& aReader)
+{
+  auto name = aReader.Name("instance");
+  if (!IsSafeName(name, "-_.")) {
+    aReader.Report(error::ErrorKind::BadSetting,
+                   "instance",
+                   "a name has letters, digits, '-', '_' and '.' only");
+  }
+  return name;
+}
+
+std::string
+ReadAddress(ObjectReader& aReader, std::string_view aField)
+{
+  auto address = aReader.Name(aField);
+  if (!address.empty() && !http::IsIpNumber(address)) {
+    aReader.Report(error::ErrorKind::BadSetting,
+                   aField,
+                   "\"" + address + "\" is no IP number");
+  }
+  return address;
+}
+
 void
 ReadPlatform(ObjectReader& aReader, EntrySettings& aSettings)
 {
-  aSettings.mPlatform = { .mAddress = aReader.Name("platform_address"),
+  aSettings.mPlatform = { .mAddress = ReadAddress(aReader, "platform_address"),
                           .mPort = static_cast<int>(aReader.Whole(
                             "platform_port", { 1, kPort.mHigh })) };
 }
@@ -41,6 +79,19 @@
     aSettings.mSessionKeys.push_back(
       { .mId = aKey.Name("id"), .mSecret = aKey.Name("secret") });
   });
+  std::set<std::string> ids;
+  for (const auto& key : aSettings.mSessionKeys) {
+    if (!IsSafeName(key.mId, "")) {
+      aReader.Report(error::ErrorKind::BadSetting,
+                     "session_keys",
+                     "the id of a key has letters and digits only");
+    }
+    if (!ids.insert(key.mId).second) {
+      aReader.Report(error::ErrorKind::DuplicateName,
+                     "session_keys",
+                     "key \"" + key.mId + "\" is given more than once");
+    }
+  }
   if (aSettings.mSessionKeys.empty()) {
     aReader.Report(error::ErrorKind::MissingField,
                    "session_keys",
@@ -64,9 +115,9 @@
 ReadSettings(ObjectReader& aReader)
 {
   EntrySettings settings;
-  settings.mInstance = aReader.Name("instance");
+  settings.mInstance = ReadInstance(aReader);
   settings.mFailureDomain = aReader.Name("failure_domain");
-  settings.mAddress = aReader.Name("address");
+  settings.mAddress = ReadAddress(aReader, "address");
   settings.mCallerPort =
     static_cast<int>(aReader.Whole("caller_port", kPort, 0));
   settings.mPeerPort = static_cast<int>(aReader.Whole("peer_port", kPort, 0));
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -77,7 +77,7 @@
   void Run()
   {
     if (mHttp.mMethod != "POST") {
-      Refuse({ { error::ErrorKind::MalformedBody, "method", "expected POST" } },
+      Refuse({ { error::ErrorKind::WrongMethod, "method", "expected POST" } },
              routing::RunState::NotRun);
       return;
     }
@@ -229,7 +229,7 @@
     const auto micros = static_cast<double>(Duration(end - mStart).count());
     mApi.mServices.mMetrics
       ->HistogramOf("figslip_request_latency_ms",
-                    { { "account", mRequest.mAccount } })
+                    { { "account", AccountLabel() } })
       .Observe(micros / kMicrosPerMilli);
   }
 
@@ -278,6 +278,9 @@
       if (StatusOf(kind) == StatusOf(error::ErrorKind::NotReady)) {
         headers.push_back({ "Retry-After", "1" });
       }
+      if (kind == error::ErrorKind::WrongMethod) {
+        headers.push_back({ "Allow", "POST" });
+      }
       (void)mWriter.Send(StatusOf(kind), headers, PrintError(aFindings, aRun));
     }
     log::Write(log::Level::Info,
@@ -289,11 +292,22 @@
     Count("refused", error::Describe(kind).mName);
   }
 
+  /// Names the client account in metrics. Accounts that are not defined share
+  /// one label, since callers could make up any number of them.
+  [[nodiscard]] std::string AccountLabel() const
+  {
+    const auto snapshot = mApi.mServices.mControl->Snapshot();
+    const bool known =
+      snapshot->mManifest != nullptr &&
+      snapshot->mManifest->FindAccount(mRequest.mAccount) != nullptr;
+    return known ? mRequest.mAccount : "unknown";
+  }
+
   void Count(std::string_view aResult, std::string_view aError) const
   {
     mApi.mServices.mMetrics
       ->CounterOf("figslip_requests_total",
-                  { { "account", mRequest.mAccount },
+                  { { "account", AccountLabel() },
                     { "result", std::string(aResult) },
                     { "error", std::string(aError) } })
       .Add();
--- a/src/shell/caller/caller_request.cpp
+++ b/src/shell/caller/caller_request.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <limits>
 #include <optional>
@@ -21,6 +22,9 @@
 constexpr std::int64_t kMaxTokens = 1'000'000;
 constexpr std::int64_t kDefaultTokens = 256;
 constexpr std::size_t kMaxIdLength = 128;
+/// Bounds on what a refusal repeats of a bad request.
+constexpr std::size_t kMaxFindings = 20;
+constexpr std::size_t kMaxFindingBytes = 200;
 /// Letters of the first message that name the prompt prefix.
 constexpr std::size_t kPrefixLength = 256;
 constexpr json::EnumName<routing::Priority> kPriorityNames[] = {
@@ -65,6 +69,25 @@
   return std::ranges::equal(aText, kShape, fits);
 }
 
+/// Keeps a refusal short, however much is wrong with the request.
+void
+LimitFindings(error::Findings& aFindings)
+{
+  const auto cut = [](std::string& aText) {
+    if (aText.size() > kMaxFindingBytes) {
+      aText.resize(kMaxFindingBytes);
+      aText += "...";
+    }
+  };
+  if (aFindings.size() > kMaxFindings) {
+    aFindings.resize(kMaxFindings);
+  }
+  for (auto& finding : aFindings) {
+    cut(finding.mPlace);
+    cut(finding.mText);
+  }
+}
+
 /// Reads header fields and collects findings.
 class HeaderReader
 {
@@ -75,8 +98,15 @@
   {
   }
 
-  [[nodiscard]] std::string Text(std::string_view aName) const
+  /// Reads a header; two of a name would leave open which one counts.
+  std::string Text(std::string_view aName)
   {
+    const auto isNamed = [&](const http::Header& aHeader) {
+      return !http::FindHeader({ aHeader }, aName).empty();
+    };
+    if (std::ranges::count_if(mRequest.mHeaders, isNamed) > 1) {
+      Report(ErrorKind::BadHeader, aName, "the header is given more than once");
+    }
     return std::string(http::FindHeader(mRequest.mHeaders, aName));
   }
 
@@ -147,6 +177,10 @@
              kIdempotencyHeader,
              "expected a UUID of version 7");
     }
+    // one UUID has one key, whatever the case of its letters
+    std::ranges::transform(text, text.begin(), [](unsigned char aLetter) {
+      return static_cast<char>(std::tolower(aLetter));
+    });
     return text;
   }
 
@@ -223,16 +257,19 @@
            routing::Request& aRequest,
            error::Findings& aFindings)
 {
+  error::Findings inBody;
   auto body = json::ParseDocument(aHttp.mBody);
   if (!body) {
-    for (auto finding : body.assume_error()) {
-      finding.mKind = ErrorKind::MalformedBody;
-      aFindings.push_back(std::move(finding));
-    }
-    return;
+    inBody = std::move(body).assume_error();
+  } else if (aHttp.mPath == kChatPath) {
+    ReadChat(body.assume_value(), aRequest, inBody);
+  }
+  // to a caller each of them is a fault of the body, at its pointer
+  for (auto& finding : inBody) {
+    finding.mKind = ErrorKind::MalformedBody;
+    aFindings.push_back(std::move(finding));
   }
   if (aHttp.mPath == kChatPath) {
-    ReadChat(body.assume_value(), aRequest, aFindings);
     return;
   }
   auto target = ReadServicePath(aHttp.mPath);
@@ -283,6 +320,7 @@
   request.mFingerprint =
     Hash(aRequest.mBody, Hash(request.mAccount + aRequest.mPath));
   if (!findings.empty()) {
+    LimitFindings(findings);
     return outcome::failure(std::move(findings));
   }
   return request;
--- a/src/shell/caller/caller_response.cpp
+++ b/src/shell/caller/caller_response.cpp
@@ -13,6 +13,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
 constexpr int kTooLarge = 413;
@@ -54,6 +55,8 @@
       return kForbidden;
     case ErrorKind::UnknownTarget:
       return kNotFound;
+    case ErrorKind::WrongMethod:
+      return kMethodNotAllowed;
     case ErrorKind::KeyInUse:
       return kConflict;
     case ErrorKind::KeyExpired:
@@ -82,7 +85,9 @@
 std::string
 PrintError(const error::Findings& aFindings, routing::RunState aRun)
 {
-  return ErrorObject(aFindings, aRun).dump();
+  // findings quote what the caller sent, which need not be valid UTF-8
+  return ErrorObject(aFindings, aRun)
+    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::string
--- a/src/shell/http/http_server.cpp
+++ b/src/shell/http/http_server.cpp
@@ -31,13 +31,15 @@
   return text;
 }
 
+/// Reads a body; stops once it is over the limit, as a chunked one tells no
+/// length beforehand.
 std::string
-ReadBody(mg_connection* aConnection)
+ReadBody(mg_connection* aConnection, std::size_t aMaxBytes)
 {
   std::string body;
   std::array<char, 16384> buffer{};
   int count = mg_read(aConnection, buffer.data(), buffer.size());
-  while (count > 0) {
+  while (count > 0 && body.size() <= aMaxBytes) {
     body.append(buffer.data(), static_cast<std::size_t>(count));
     count = mg_read(aConnection, buffer.data(), buffer.size());
   }
@@ -59,7 +61,7 @@
   if (info->content_length > static_cast<long long>(aMaxBodyBytes)) {
     request.mBodyTooLarge = true;
   } else {
-    request.mBody = ReadBody(aConnection);
+    request.mBody = ReadBody(aConnection, aMaxBodyBytes);
     request.mBodyTooLarge = request.mBody.size() > aMaxBodyBytes;
   }
   return request;
