Share capacity by need and account, and refuse early what will be late

Cause: each wake-up tried every waiting request; idle accounts kept their lines; one account could fill the queue; a request waited for a version that was withdrawn; a new one could overtake those that wait; a booking that had waited was sent without claiming its idempotency key. Change: start-time fair queueing for each need (version or service), which tries one request of a need without room; lines are erased with their need; the longest line gives way in a full queue; the wait is estimated from the recent rate and a request that would be late is refused; hopeless requests are planned again; a woken booking claims its key first; a request with an answer of an earlier stage delivers it once its wait for a better one ends. Ruled out: one virtual time for all needs, since a blocked need distorts it; see docs/design/admission.md.

--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -167,6 +167,11 @@
     const manifest::Model& aModel,
     TimePoint aNow);
   [[nodiscard]] Decision DispatchOrWait(Ticket& aTicket, TimePoint aNow);
+  [[nodiscard]] Decision ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch);
+  [[nodiscard]] std::string NeedOf(const Ticket& aTicket) const;
+  [[nodiscard]] Decision WaitForTurn(Ticket& aTicket,
+                                     std::string aNeed,
+                                     TimePoint aNow);
   [[nodiscard]] std::vector<const manifest::Upstream*> Candidates(
     const Ticket& aTicket,
     TimePoint aNow) const;
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace figslip::routing {
@@ -75,6 +76,7 @@
   mQuarantine.Expire(aNow);
   auto stopped = mVersions.Evaluate(aNow);
   WakeWaiting(aNow);
+  std::ranges::copy(mQueue.TakeOverdue(aNow), std::back_inserter(mWakeUps));
   return stopped;
 }
 
@@ -101,12 +103,16 @@
                                .mVersion = reserved->mVersion,
                                .mOwnDomain = mOptions.mFailureDomain };
     if (!CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow)) {
-      return Commit(ticket, *std::move(reserved));
+      return ClaimOrCommit(ticket, *std::move(reserved));
     }
     mUpstreams.Release(reserved->mUpstream);
     WakeWaiting(aNow);
   }
-  mQueue.Remove(aTicket);
+  const bool waitEnded = mQueue.Remove(aTicket);
+  if (waitEnded && ticket.mWholeAttempt) {
+    // no better stage became free in the time set aside for it
+    return Deliver{ *ticket.mWholeAttempt };
+  }
   return Plan(ticket, aNow);
 }
 
@@ -239,21 +245,4 @@
   }
 }
 
-void
-Router::WakeWaiting(TimePoint aNow)
-{
-  if (mQueue.Empty()) {
-    return;
-  }
-  const auto reserve = [&](const admission::QueuedRequest& aWaiting) {
-    auto& ticket = mTickets.at(aWaiting.mTicket);
-    ticket.mReserved = TryReserve(ticket, aNow);
-    return ticket.mReserved.has_value();
-  };
-  // a reservation made by the predicate belongs to the request that is popped
-  while (const auto ticket = mQueue.Pop(reserve)) {
-    mWakeUps.push_back(*ticket);
-  }
-}
-
 } // namespace figslip::routing
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Part of the time left that a waiting request keeps for its answer.
-constexpr int kWaitShareDivisor = 2;
-
 const ChatTarget*
 ChatOf(const Request& aRequest)
 {
@@ -348,34 +345,20 @@
                                        ErrorKind::UpstreamFailed,
                                        "no attempt gave a whole answer"));
   }
-  if (auto dispatch = TryReserve(aTicket, aNow)) {
-    if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
-      // the slot is held while the key is claimed
-      aTicket.mReserved = std::move(dispatch);
-      return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
+  const auto need = NeedOf(aTicket);
+  if (mQueue.IsAwaited(need)) {
+    // who came first goes first
+    WakeWaiting(aNow);
+  }
+  if (!mQueue.IsAwaited(need)) {
+    if (auto dispatch = TryReserve(aTicket, aNow)) {
+      return ClaimOrCommit(aTicket, std::move(*dispatch));
     }
-    return Commit(aTicket, std::move(*dispatch));
   }
   if (Candidates(aTicket, aNow).empty()) {
     return ForwardOrRefuse(aTicket, aNow);
   }
-  if (mQueue.Size() >= mOptions.mMaxQueue) {
-    return RefuseOrDeliver(
-      aTicket,
-      MakeRefusal(aTicket, ErrorKind::NoCapacity, "too many requests wait"));
-  }
-  const auto& request = aTicket.mRequest;
-  mQueue.Push(
-    { .mTicket = aTicket.mId,
-      .mAccount = request.mAccount,
-      .mShare = mSnapshot->mManifest->FindAccount(request.mAccount)->mShare,
-      .mCost =
-        static_cast<double>(std::max<std::int64_t>(1, request.mExpectedTokens)),
-      .mPriority = request.mPriority,
-      .mDeadline = request.mDeadline });
-  const auto timeLeft = request.mDeadline - aNow;
-  return Wait{ aTicket.mWholeAttempt ? aNow + timeLeft / kWaitShareDivisor
-                                     : request.mDeadline };
+  return WaitForTurn(aTicket, need, aNow);
 }
 
 Decision
--- /dev/null
+++ b/src/core/routing/router_queue.cpp
@@ -0,0 +1,101 @@
+#include <figslip/routing/router.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace figslip::routing {
+
+using error::ErrorKind;
+
+namespace {
+
+/// Part of the time left that a waiting request keeps for its answer.
+constexpr int kWaitShareDivisor = 2;
+
+} // namespace
+
+Decision
+Router::ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch)
+{
+  if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
+    // the slot is held while the key is claimed
+    aTicket.mReserved = std::move(aDispatch);
+    return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
+  }
+  return Commit(aTicket, std::move(aDispatch));
+}
+
+std::string
+Router::NeedOf(const Ticket& aTicket) const
+{
+  const auto* const service =
+    std::get_if<ServiceTarget>(&aTicket.mRequest.mTarget);
+  auto need = service == nullptr ? "version " + aTicket.mVersion
+                                 : "service " + service->mService;
+  // a retry avoids upstreams that others may use
+  for (const auto& name : aTicket.mAvoid) {
+    need += " not " + name;
+  }
+  return need;
+}
+
+Decision
+Router::WaitForTurn(Ticket& aTicket, std::string aNeed, TimePoint aNow)
+{
+  const auto& request = aTicket.mRequest;
+  const auto refuse = [&](std::string aText) {
+    return RefuseOrDeliver(
+      aTicket, MakeRefusal(aTicket, ErrorKind::NoCapacity, std::move(aText)));
+  };
+  admission::QueuedRequest waiting{
+    .mTicket = aTicket.mId,
+    .mNeed = std::move(aNeed),
+    .mAccount = request.mAccount,
+    .mShare = mSnapshot->mManifest->FindAccount(request.mAccount)->mShare,
+    .mCost =
+      static_cast<double>(std::max<std::int64_t>(1, request.mExpectedTokens)),
+    .mPriority = request.mPriority,
+    .mDeadline = request.mDeadline
+  };
+  const auto wait = mQueue.ExpectedWait(waiting, aNow);
+  if (wait && aNow + *wait > request.mDeadline) {
+    return refuse("the deadline would pass before its turn");
+  }
+  if (mQueue.Size() >= mOptions.mMaxQueue) {
+    const auto displaced = mQueue.MakeRoomFor(waiting);
+    if (!displaced) {
+      return refuse("too many requests wait");
+    }
+    mWakeUps.push_back(*displaced);
+  }
+  mQueue.Push(std::move(waiting), aNow);
+  const auto timeLeft = request.mDeadline - aNow;
+  return Wait{ aTicket.mWholeAttempt ? aNow + timeLeft / kWaitShareDivisor
+                                     : request.mDeadline };
+}
+
+void
+Router::WakeWaiting(TimePoint aNow)
+{
+  if (mQueue.Empty()) {
+    return;
+  }
+  using admission::Admittance;
+  const auto tryAdmit = [&](const admission::QueuedRequest& aWaiting) {
+    auto& ticket = mTickets.at(aWaiting.mTicket);
+    if (mVersions.IsStopped(ticket.mVersion)) {
+      return Admittance::Hopeless;
+    }
+    ticket.mReserved = TryReserve(ticket, aNow);
+    if (ticket.mReserved) {
+      return Admittance::Admitted;
+    }
+    // without any candidate it has to be planned again, not to wait on
+    return Candidates(ticket, aNow).empty() ? Admittance::Hopeless
+                                            : Admittance::NoRoom;
+  };
+  std::ranges::copy(mQueue.Admit(tryAdmit, aNow), std::back_inserter(mWakeUps));
+}
+
+} // namespace figslip::routing
--- /dev/null
+++ b/tests/src/fuzz-admission.cpp
@@ -0,0 +1,170 @@
+#include <figslip/admission/fair_queue.hpp>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <set>
+
+using namespace figslip;
+using admission::Admittance;
+using admission::FairQueue;
+using admission::QueuedRequest;
+using routing::TicketId;
+
+namespace {
+
+const TimePoint kStart{ std::chrono::seconds(1000) };
+
+/// Knows which requests wait, and nothing of how the queue orders them.
+struct Oracle
+{
+  std::map<TicketId, QueuedRequest> mWaiting;
+
+  /// Tells whether another request should have left before this one.
+  [[nodiscard]] bool IsFirstOfLine(const QueuedRequest& aRequest) const
+  {
+    return std::ranges::none_of(mWaiting, [&](const auto& aEntry) {
+      const auto& other = aEntry.second;
+      return other.mNeed == aRequest.mNeed &&
+             other.mAccount == aRequest.mAccount &&
+             std::pair(other.mPriority, other.mTicket) <
+               std::pair(aRequest.mPriority, aRequest.mTicket);
+    });
+  }
+};
+
+QueuedRequest
+RandomRequest(TicketId aTicket, TimePoint aNow)
+{
+  const auto account = *rc::gen::inRange(0, 4);
+  return { .mTicket = aTicket,
+           .mNeed = "need-" + std::to_string(*rc::gen::inRange(0, 3)),
+           .mAccount = "account-" + std::to_string(account),
+           .mShare = 1.0 + account,
+           .mCost = *rc::gen::inRange(1, 100) * 1.0,
+           .mPriority = static_cast<routing::Priority>(*rc::gen::inRange(0, 3)),
+           .mDeadline =
+             aNow + std::chrono::milliseconds(*rc::gen::inRange(0, 5000)) };
+}
+
+/// Admits with random room and checks each ticket against the oracle.
+void
+AdmitAndCheck(FairQueue& aQueue, Oracle& aOracle, TimePoint aNow)
+{
+  std::map<std::string, int> room;
+  std::set<std::string> full;
+  std::set<TicketId> admitted;
+  for (int need = 0; need < 3; ++need) {
+    room["need-" + std::to_string(need)] = *rc::gen::inRange(0, 4);
+  }
+  const auto left = aQueue.Admit(
+    [&](const QueuedRequest& aRequest) {
+      RC_ASSERT(aOracle.mWaiting.contains(aRequest.mTicket));
+      RC_ASSERT(aOracle.IsFirstOfLine(aRequest));
+      // a need that said it has no room is not asked again
+      RC_ASSERT(!full.contains(aRequest.mNeed));
+      if (room[aRequest.mNeed]-- > 0) {
+        aOracle.mWaiting.erase(aRequest.mTicket);
+        admitted.insert(aRequest.mTicket);
+        return Admittance::Admitted;
+      }
+      full.insert(aRequest.mNeed);
+      return Admittance::NoRoom;
+    },
+    aNow);
+  RC_ASSERT(std::set<TicketId>(left.begin(), left.end()) == admitted);
+  RC_ASSERT(left.size() == admitted.size());
+  for (const auto& [ticket, request] : aOracle.mWaiting) {
+    // capacity is never left over while somebody waits for it
+    RC_ASSERT(room[request.mNeed] < 0);
+  }
+}
+
+} // namespace
+
+TEST_CASE("no request is lost, doubled or overtaken in its line")
+{
+  CHECK(rc::check("queue and oracle agree", [] {
+    FairQueue queue;
+    Oracle oracle;
+    auto now = kStart;
+    TicketId last = 0;
+    const auto steps = *rc::gen::inRange(1, 80);
+    for (int step = 0; step < steps; ++step) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 200));
+      const auto action = *rc::gen::inRange(0, 8);
+      if (action < 4) {
+        const auto request = RandomRequest(++last, now);
+        oracle.mWaiting[last] = request;
+        queue.Push(request, now);
+      } else if (action < 6) {
+        AdmitAndCheck(queue, oracle, now);
+      } else if (action == 6) {
+        const TicketId ticket = *rc::gen::inRange(1, 80);
+        RC_ASSERT(queue.Remove(ticket) == (oracle.mWaiting.erase(ticket) > 0));
+      } else {
+        for (const auto ticket : queue.TakeOverdue(now)) {
+          RC_ASSERT(oracle.mWaiting.erase(ticket) == 1);
+        }
+      }
+      RC_ASSERT(queue.Size() == oracle.mWaiting.size());
+    }
+    const auto rest = queue.Admit(
+      [](const QueuedRequest& /*aRequest*/) { return Admittance::Admitted; },
+      now);
+    RC_ASSERT(rest.size() == oracle.mWaiting.size());
+    RC_ASSERT(queue.Empty());
+    RC_ASSERT(queue.Lines() == 0);
+  }));
+}
+
+TEST_CASE("accounts that keep waiting get their shares within the bound")
+{
+  constexpr double kMaxCost = 100.0;
+  CHECK(rc::check("shares of backlogged accounts", [] {
+    FairQueue queue;
+    std::map<std::string, double> shares;
+    std::map<std::string, double> work;
+    TicketId last = 0;
+    const auto accounts = *rc::gen::inRange(2, 5);
+    const auto push = [&](const std::string& aAccount) {
+      queue.Push({ .mTicket = ++last,
+                   .mNeed = "small",
+                   .mAccount = aAccount,
+                   .mShare = shares[aAccount],
+                   .mCost = *rc::gen::inRange(1, 101) * 1.0 },
+                 kStart);
+    };
+    for (int account = 0; account < accounts; ++account) {
+      const auto name = std::to_string(account);
+      shares[name] = *rc::gen::inRange(1, 11) / 2.0;
+      push(name);
+      push(name);
+    }
+    for (int round = 0; round < 100; ++round) {
+      int room = 1;
+      std::string admitted;
+      (void)queue.Admit(
+        [&](const QueuedRequest& aRequest) {
+          if (room-- == 0) {
+            return Admittance::NoRoom;
+          }
+          admitted = aRequest.mAccount;
+          work[admitted] += aRequest.mCost;
+          return Admittance::Admitted;
+        },
+        kStart);
+      push(admitted);
+      for (const auto& [one, oneShare] : shares) {
+        for (const auto& [other, otherShare] : shares) {
+          RC_ASSERT(std::abs(work[one] / oneShare - work[other] / otherShare) <=
+                    kMaxCost / oneShare + kMaxCost / otherShare);
+        }
+      }
+    }
+  }));
+}
--- /dev/null
+++ b/tests/src/unit-admission.cpp
@@ -0,0 +1,357 @@
+#include <figslip/admission/fair_queue.hpp>
+#include <figslip/routing/router.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using admission::Admittance;
+using admission::FairQueue;
+using admission::QueuedRequest;
+using routing::Priority;
+using routing::TicketId;
+
+namespace {
+
+const TimePoint kStart{ 1000s };
+const TimePoint kFar = kStart + 1h;
+
+/// Admits up to a number of requests.
+std::vector<TicketId>
+AdmitSome(FairQueue& aQueue, int aCount, TimePoint aNow = kStart)
+{
+  return aQueue.Admit(
+    [&](const QueuedRequest& /*aRequest*/) {
+      return aCount-- > 0 ? Admittance::Admitted : Admittance::NoRoom;
+    },
+    aNow);
+}
+
+void
+PushMany(FairQueue& aQueue,
+         const std::string& aAccount,
+         double aShare,
+         TicketId aFirst,
+         int aCount)
+{
+  for (int index = 0; index < aCount; ++index) {
+    aQueue.Push({ .mTicket = aFirst + index,
+                  .mNeed = "small",
+                  .mAccount = aAccount,
+                  .mShare = aShare,
+                  .mDeadline = kFar },
+                kStart);
+  }
+}
+
+/// Holds what one account saw in a simulation.
+struct Waits
+{
+  std::vector<Duration> mAll;
+
+  [[nodiscard]] Duration Percentile(int aPercent)
+  {
+    std::ranges::sort(mAll);
+    return mAll[(mAll.size() - 1) * aPercent / 100];
+  }
+};
+
+/// Runs a server that admits one request each 10 ms against one account that
+/// sends ten times its share and one that stays within it.
+std::map<std::string, Waits>
+SimulateOverload(bool aFair)
+{
+  FairQueue queue;
+  std::map<TicketId, std::pair<std::string, TimePoint>> arrivals;
+  std::map<std::string, Waits> waits;
+  TicketId last = 0;
+  const auto arrive = [&](const std::string& aAccount, TimePoint aNow) {
+    arrivals[++last] = { aAccount, aNow };
+    queue.Push({ .mTicket = last,
+                 .mNeed = "small",
+                 // one line for all is first come, first served
+                 .mAccount = aFair ? aAccount : "all",
+                 .mDeadline = kFar },
+               aNow);
+  };
+  for (int step = 0; step < 1000; ++step) {
+    const auto now = kStart + step * 10ms;
+    for (int burst = 0; burst < 5; ++burst) {
+      arrive("heavy", now);
+    }
+    if (step % 3 == 0) {
+      arrive("light", now);
+    }
+    for (const auto ticket : AdmitSome(queue, 1, now)) {
+      const auto& [account, at] = arrivals.at(ticket);
+      waits[account].mAll.push_back(now - at);
+    }
+  }
+  return waits;
+}
+
+} // namespace
+
+TEST_CASE("a fair queue")
+{
+  FairQueue queue;
+
+  SUBCASE("of accounts that all keep waiting")
+  {
+    PushMany(queue, "heavy", 1.0, 1, 1000);
+    PushMany(queue, "light", 1.0, 2001, 100);
+    PushMany(queue, "large", 2.0, 4001, 100);
+
+    SUBCASE("admits by weight, however much one of them sends")
+    {
+      std::map<TicketId, int> counts;
+      for (const auto ticket : AdmitSome(queue, 40)) {
+        ++counts[ticket / 2000];
+      }
+      CHECK(counts[0] == 10);
+      CHECK(counts[1] == 10);
+      CHECK(counts[2] == 20);
+    }
+
+    SUBCASE("tries one request of a need without room, not all")
+    {
+      int tries = 0;
+      const auto admitted = queue.Admit(
+        [&](const QueuedRequest& /*aRequest*/) {
+          ++tries;
+          return Admittance::NoRoom;
+        },
+        kStart);
+      CHECK(admitted.empty());
+      CHECK(tries == 1);
+    }
+
+    SUBCASE("that is full lets the longest line give way")
+    {
+      const QueuedRequest fromLight{ .mNeed = "small", .mAccount = "light" };
+      CHECK(queue.MakeRoomFor(fromLight) == TicketId{ 1000 });
+      const QueuedRequest fromHeavy{ .mNeed = "small", .mAccount = "heavy" };
+      CHECK(queue.MakeRoomFor(fromHeavy) == std::nullopt);
+    }
+
+    SUBCASE("keeps no line of an account that is through")
+    {
+      CHECK(AdmitSome(queue, 10'000).size() == 1200);
+      CHECK(queue.Lines() == 0);
+    }
+  }
+
+  SUBCASE("gives an account that was idle no credit")
+  {
+    PushMany(queue, "heavy", 1.0, 1, 100);
+    (void)AdmitSome(queue, 50);
+    PushMany(queue, "late", 1.0, 2001, 20);
+    const auto admitted = AdmitSome(queue, 20);
+    CHECK(std::ranges::count_if(
+            admitted, [](auto aTicket) { return aTicket > 2000; }) == 10);
+  }
+
+  SUBCASE("lets a need without room hold up no other")
+  {
+    PushMany(queue, "salon", 1.0, 1, 3);
+    queue.Push({ .mTicket = 9, .mNeed = "large", .mAccount = "salon" }, kStart);
+    const auto admitted = queue.Admit(
+      [](const QueuedRequest& aRequest) {
+        return aRequest.mNeed == "large" ? Admittance::Admitted
+                                         : Admittance::NoRoom;
+      },
+      kStart);
+    CHECK(admitted == std::vector<TicketId>{ 9 });
+  }
+
+  SUBCASE("within an account goes by priority, then by arrival")
+  {
+    const Priority priorities[] = { Priority::Batch,
+                                    Priority::Normal,
+                                    Priority::Interactive,
+                                    Priority::Normal,
+                                    Priority::Interactive };
+    for (TicketId ticket = 0; ticket < std::size(priorities); ++ticket) {
+      queue.Push({ .mTicket = ticket,
+                   .mNeed = "small",
+                   .mAccount = "salon",
+                   .mPriority = priorities[ticket] },
+                 kStart);
+    }
+    CHECK(AdmitSome(queue, 5) == std::vector<TicketId>{ 2, 4, 1, 3, 0 });
+  }
+
+  SUBCASE("that knows how fast it is served")
+  {
+    PushMany(queue, "salon", 1.0, 1, 100);
+    const QueuedRequest next{ .mNeed = "small", .mAccount = "salon" };
+    CHECK(queue.ExpectedWait(next, kStart) == std::nullopt);
+    auto now = kStart;
+    for (int count = 0; count < 20; ++count) {
+      now += 100ms;
+      (void)AdmitSome(queue, 1, now);
+    }
+
+    SUBCASE("expects the wait of a new request from its place")
+    {
+      const auto wait = queue.ExpectedWait(next, now);
+      REQUIRE(wait);
+      CHECK(*wait > 8000ms);
+      CHECK(*wait < 8200ms);
+    }
+
+    SUBCASE("expects a short one for an account that waits for little")
+    {
+      const QueuedRequest other{ .mNeed = "small", .mAccount = "school" };
+      const auto wait = queue.ExpectedWait(other, now);
+      REQUIRE(wait);
+      CHECK(*wait < 300ms);
+    }
+
+    SUBCASE("gives up requests whose deadline comes before their turn")
+    {
+      queue.Push({ .mTicket = 500,
+                   .mNeed = "small",
+                   .mAccount = "salon",
+                   .mDeadline = now + 5s },
+                 now);
+      CHECK(queue.TakeOverdue(now) == std::vector<TicketId>{ 500 });
+      CHECK(queue.Size() == 80);
+    }
+
+    SUBCASE("sees that service stalls")
+    {
+      CHECK(*queue.ExpectedWait(next, now + 20s) > 60s);
+    }
+  }
+}
+
+TEST_CASE("an account within its share hardly waits for one far beyond its own")
+{
+  auto fair = SimulateOverload(true);
+  auto firstCome = SimulateOverload(false);
+  const auto p99 = fair["light"].Percentile(99);
+  MESSAGE("light account, p99 wait: fair ",
+          p99.count() / 1000,
+          " ms, first come first served ",
+          firstCome["light"].Percentile(99).count() / 1000,
+          " ms");
+  // at most one request of the other account is ahead
+  CHECK(p99 <= 20ms);
+  CHECK(firstCome["light"].Percentile(99) > 1s);
+}
+
+namespace {
+
+/// Routes to one upstream of each kind with one slot each.
+class OneSlot
+{
+public:
+  OneSlot()
+  {
+    manifest::Manifest manifest{ .mGeneration = 1 };
+    manifest.mFailureDomains = { { .mName = "a", .mRegion = "r" } };
+    manifest.mModels = { { "small", { { .mName = "small-1" } } } };
+    manifest.mServices = { { "bookings", { { "book", false } } } };
+    manifest.mUpstreams = {
+      { .mName = "engine", .mFailureDomain = "a", .mVersions = { "small-1" } },
+      { .mName = "desk",
+        .mKind = manifest::UpstreamKind::Plain,
+        .mFailureDomain = "a",
+        .mService = "bookings" }
+    };
+    manifest.mClientAccounts = {
+      { "salon", 1.0, { "small", "bookings" }, {} }
+    };
+    Publish(manifest);
+    for (const auto* const upstream : { "engine", "desk" }) {
+      mRouter.OnGrant({ upstream, 1, kFar }, kStart);
+    }
+    mManifest = manifest;
+  }
+
+  void Publish(const manifest::Manifest& aManifest)
+  {
+    mRouter.OnSnapshot(
+      std::make_shared<const routing::ControlSnapshot>(routing::ControlSnapshot{
+        .mManifest = std::make_shared<const manifest::ManifestIndex>(aManifest),
+        .mConfirmedAt = kStart,
+        .mHeartbeat = kStart,
+        .mInstances = {} }),
+      kStart);
+  }
+
+  routing::Decision Start(TicketId aTicket, routing::Target aTarget)
+  {
+    return mRouter.Start(
+      aTicket,
+      { .mId = std::to_string(aTicket),
+        .mAccount = "salon",
+        .mTarget = std::move(aTarget),
+        .mDeadline = kFar,
+        .mIdempotencyKey = "key-" + std::to_string(aTicket) },
+      kStart);
+  }
+
+  manifest::Manifest mManifest;
+  routing::Router mRouter{ { .mFailureDomain = "a", .mMaxQueue = 2 } };
+};
+
+const routing::ChatTarget kChat{ .mName = "small" };
+const routing::ServiceTarget kBook{ .mService = "bookings",
+                                    .mOperation = "book" };
+
+} // namespace
+
+TEST_CASE("a request that waits for the only slot")
+{
+  OneSlot fixture;
+  auto& router = fixture.mRouter;
+
+  SUBCASE("of a non-idempotent operation claims its key before it is sent")
+  {
+    REQUIRE(std::holds_alternative<routing::ClaimKey>(fixture.Start(1, kBook)));
+    REQUIRE(std::holds_alternative<routing::Wait>(fixture.Start(2, kBook)));
+    (void)router.Close(1, kStart);
+    REQUIRE(router.TakeWakeUps() == std::vector<TicketId>{ 2 });
+    CHECK(std::holds_alternative<routing::ClaimKey>(router.Resume(2, kStart)));
+    CHECK(std::holds_alternative<routing::Dispatch>(
+      router.OnClaim(2, claim::ClaimEnd::Won, kStart)));
+  }
+
+  SUBCASE("is not overtaken by one that comes later")
+  {
+    REQUIRE(std::holds_alternative<routing::Dispatch>(fixture.Start(1, kChat)));
+    REQUIRE(std::holds_alternative<routing::Wait>(fixture.Start(2, kChat)));
+    (void)router.Close(1, kStart);
+    CHECK(std::holds_alternative<routing::Wait>(fixture.Start(3, kChat)));
+    CHECK(std::holds_alternative<routing::Dispatch>(router.Resume(2, kStart)));
+  }
+
+  SUBCASE("is refused when too many wait")
+  {
+    for (TicketId ticket = 1; ticket <= 3; ++ticket) {
+      (void)fixture.Start(ticket, kChat);
+    }
+    const auto decision = fixture.Start(4, kChat);
+    const auto* const refusal = std::get_if<routing::Refuse>(&decision);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->mKind == error::ErrorKind::NoCapacity);
+    CHECK(refusal->mRun == routing::RunState::NotRun);
+  }
+
+  SUBCASE("is woken to be refused when its version is withdrawn")
+  {
+    REQUIRE(std::holds_alternative<routing::Dispatch>(fixture.Start(1, kChat)));
+    REQUIRE(std::holds_alternative<routing::Wait>(fixture.Start(2, kChat)));
+    auto manifest = fixture.mManifest;
+    manifest.mModels[0].mVersions[0].mState = manifest::VersionState::Withdrawn;
+    fixture.Publish(manifest);
+    REQUIRE(router.TakeWakeUps() == std::vector<TicketId>{ 2 });
+    CHECK(std::holds_alternative<routing::Refuse>(router.Resume(2, kStart)));
+  }
+}
