--- a/include/figslip/billing/billing_record.hpp
+++ b/include/figslip/billing/billing_record.hpp
@@ -3,6 +3,7 @@
 #include <figslip/error/result.hpp>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,15 @@
   bool operator==(const BillingRecord&) const = default;
 };
 
+/// @brief Prints one record as JSON text.
+[[nodiscard]] std::string
+PrintRecord(const BillingRecord& aRecord);
+
+/// @brief Joins printed records to the JSON text of a batch.
+/// @param[in] aRecords texts that `PrintRecord` made
+[[nodiscard]] std::string
+JoinBatch(std::span<const std::string> aRecords);
+
 /// @brief Prints a batch of records as one JSON text.
 [[nodiscard]] std::string
 PrintBatch(const std::vector<BillingRecord>& aRecords);
--- a/src/core/billing/billing_record.cpp
+++ b/src/core/billing/billing_record.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <limits>
 #include <numeric>
 #include <utility>
@@ -82,13 +84,31 @@
 }
 
 std::string
-PrintBatch(const std::vector<BillingRecord>& aRecords)
+PrintRecord(const BillingRecord& aRecord)
+{
+  return ToJson(aRecord).dump();
+}
+
+std::string
+JoinBatch(std::span<const std::string> aRecords)
 {
-  auto records = nlohmann::json::array();
+  std::string text = R"({"records":[)";
+  std::string_view separator;
   for (const auto& record : aRecords) {
-    records.push_back(ToJson(record));
+    text += separator;
+    text += record;
+    separator = ",";
   }
-  return nlohmann::json{ { "records", std::move(records) } }.dump();
+  return text + "]}";
+}
+
+std::string
+PrintBatch(const std::vector<BillingRecord>& aRecords)
+{
+  std::vector<std::string> texts;
+  texts.reserve(aRecords.size());
+  std::ranges::transform(aRecords, std::back_inserter(texts), PrintRecord);
+  return JoinBatch(texts);
 }
 
 Result<std::vector<BillingRecord>>
