--- a/include/figslip/billing/hand_over.hpp
+++ b/include/figslip/billing/hand_over.hpp
@@ -58,6 +58,12 @@
   void OnHeld(const BillingPeer& aPeer, Position aUpTo);
   void OnFailed(const BillingPeer& aPeer, TimePoint aNow);
 
+  /// @brief Demands the word of the peers anew.
+  ///
+  /// What they hold is not forgotten, but may have been lost since they said
+  /// so; before a stop each record is confirmed once more.
+  void AskAgain();
+
   /// @brief Returns a release that a peer has not confirmed yet.
   [[nodiscard]] std::optional<ReleaseOrder> NextRelease(Position aWrittenUpTo,
                                                         TimePoint aNow) const;
@@ -67,7 +73,8 @@
   struct Holder
   {
     BillingPeer mPeer;
-    Position mHeldUpTo = 0;
+    Position mHeldUpTo = 0;     ///< as its last word tells
+    Position mEverHeldUpTo = 0; ///< to be released once written
     Position mReleasedUpTo = 0;
   };
 
--- a/src/core/billing/billing_core.cpp
+++ b/src/core/billing/billing_core.cpp
@@ -190,6 +190,8 @@
 BillingCore::BeginStop()
 {
   mStopping = true;
+  // a holder may have crashed since, before the instance list tells so
+  mHandOver.AskAgain();
   while (mBatcher.HasRoom()) {
     const auto copy = mNeighbour.TakeAny();
     if (!copy) {
--- a/src/core/billing/hand_over.cpp
+++ b/src/core/billing/hand_over.cpp
@@ -93,6 +93,7 @@
   auto& holder = mHolders[NameOf(aPeer)];
   holder.mPeer = aPeer;
   holder.mHeldUpTo = std::max(holder.mHeldUpTo, aUpTo);
+  holder.mEverHeldUpTo = std::max(holder.mEverHeldUpTo, aUpTo);
 }
 
 void
@@ -101,12 +102,21 @@
   mAvoidUntil[NameOf(aPeer)] = aNow + mOptions.mRetryAfter;
 }
 
+void
+HandOver::AskAgain()
+{
+  for (auto& [name, holder] : mHolders) {
+    holder.mHeldUpTo = 0;
+  }
+}
+
 std::optional<ReleaseOrder>
 HandOver::NextRelease(Position aWrittenUpTo, TimePoint aNow) const
 {
   const auto found = std::ranges::find_if(mHolders, [&](const auto& aHolder) {
     const auto& holder = aHolder.second;
-    return std::min(aWrittenUpTo, holder.mHeldUpTo) > holder.mReleasedUpTo &&
+    return std::min(aWrittenUpTo, holder.mEverHeldUpTo) >
+             holder.mReleasedUpTo &&
            !IsAvoided(holder.mPeer, aNow);
   });
   if (found == mHolders.end()) {
