--- a/src/shell/billing/billing_service.cpp
+++ b/src/shell/billing/billing_service.cpp
@@ -35,10 +35,13 @@
 void
 BillingService::Start()
 {
-  mWriter = std::thread([this] { WriteBatches(); });
   if (mCalls.mPeers) {
+    // the first record finds its neighbour already
+    std::unique_lock lock(mMutex);
+    RefreshPeers(lock);
     mPeerThread = std::thread([this] { TalkToPeers(); });
   }
+  mWriter = std::thread([this] { WriteBatches(); });
 }
 
 void
