--- a/src/core/billing/hand_over.cpp
+++ b/src/core/billing/hand_over.cpp
@@ -33,14 +33,17 @@
       names.push_back(NameOf(peer));
     }
   }
+  const auto ranked =
+    membership::RankByRendezvous(mOptions.mSelf.mInstance, names);
   mRanked.clear();
-  for (const auto name :
-       membership::RankByRendezvous(mOptions.mSelf.mInstance, names)) {
-    mRanked.push_back(*byName.at(name));
+  for (const bool isNear : { false, true }) {
+    for (const auto name : ranked) {
+      const auto& peer = *byName.at(name);
+      if ((peer.mFailureDomain == mOptions.mFailureDomain) == isNear) {
+        mRanked.push_back(peer);
+      }
+    }
   }
-  std::ranges::stable_partition(mRanked, [this](const BillingPeer& aPeer) {
-    return aPeer.mFailureDomain != mOptions.mFailureDomain;
-  });
   std::erase_if(mHolders, [&](const auto& aHolder) {
     const auto found = byName.find(aHolder.first);
     return found == byName.end() || *found->second != aHolder.second.mPeer;
--- a/src/core/billing/ledger.cpp
+++ b/src/core/billing/ledger.cpp
@@ -52,7 +52,7 @@
 void
 Ledger::Close()
 {
-  std::ranges::stable_sort(mEntries, {}, [](const Entry& aEntry) {
+  std::ranges::sort(mEntries, {}, [](const Entry& aEntry) {
     return std::tie(
       aEntry.mRecord.mRequestId, aEntry.mRecord.mAnsweredAtMs, aEntry.mBatch);
   });
