--- a/include/figslip/billing/billing_batcher.hpp
+++ b/include/figslip/billing/billing_batcher.hpp
@@ -41,10 +41,10 @@
   struct Options
   {
     membership::Incarnation mSelf;
-    std::size_t mMaxBatchRecords = 1000;       ///< records in a batch, >= 1
-    std::size_t mMaxBatchBytes = 800'000;      ///< below the platform's limit
-    std::size_t mMaxPendingBytes = 12'000'000; ///< of all records kept
-    std::size_t mReservedBytes = 2'000'000;    ///< for requests that run
+    std::size_t mMaxBatchRecords = 1000;      ///< records in a batch, >= 1
+    std::size_t mMaxBatchBytes = 800'000;     ///< below the platform's limit
+    std::size_t mMaxPendingBytes = 8'000'000; ///< of all records kept
+    std::size_t mReservedBytes = 1'000'000;   ///< for requests that run
   };
 
   explicit BillingBatcher(Options aOptions);
--- a/include/figslip/billing/billing_core.hpp
+++ b/include/figslip/billing/billing_core.hpp
@@ -39,8 +39,8 @@
     Duration mMaxRetryDelay = std::chrono::seconds(5); ///< in an outage
     std::size_t mMaxBatchRecords = 1000;               ///< >= 1
     std::size_t mMaxCopyBytes = 250'000; ///< of one hand-over message
-    std::size_t mMaxPendingBytes = 12'000'000;
-    std::size_t mReservedBytes = 2'000'000;
+    std::size_t mMaxPendingBytes = 8'000'000;
+    std::size_t mReservedBytes = 1'000'000;
     BillingNeighbour::Options mNeighbour;
   };
 
