--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -26,10 +26,14 @@
 {
   assert(aSnapshot != nullptr);
   const bool isNewManifest = aSnapshot->mManifest != mSnapshot->mManifest;
+  const bool isNewList = aSnapshot->mInstances != mSnapshot->mInstances;
   mSnapshot = std::move(aSnapshot);
   if (isNewManifest) {
     mVersions.OnManifest(*mSnapshot->mManifest, aNow);
   }
+  if (isNewManifest || isNewList) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
 }
 
@@ -74,6 +78,9 @@
   mEvidence.Expire(aNow);
   mQuarantine.Expire(aNow);
   auto stopped = mVersions.Evaluate(aNow);
+  if (!stopped.empty()) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
   return stopped;
 }
@@ -110,6 +117,13 @@
   return Plan(ticket, aNow);
 }
 
+void
+Router::OnClaimHeld(TicketId aTicket, TimePoint aNow)
+{
+  ReleaseReservation(mTickets.at(aTicket));
+  WakeWaiting(aNow);
+}
+
 Decision
 Router::OnClaim(TicketId aTicket, claim::ClaimEnd aEnd, TimePoint aNow)
 {
@@ -132,6 +146,10 @@
       return refuse(ErrorKind::KeyExpired,
                     RunState::Unknown,
                     "the idempotency key is older than the retention");
+    case ClaimEnd::FromFuture:
+      return refuse(ErrorKind::BadHeader,
+                    RunState::NotRun,
+                    "the time of the idempotency key is in the future");
     case ClaimEnd::OtherRequest:
       return refuse(ErrorKind::KeyInUse,
                     RunState::NotRun,
@@ -194,6 +212,7 @@
 {
   auto& ticket = mTickets.at(aTicket);
   ticket.mForwardTaken = ticket.mForwardTaken || aBytesLeft;
+  ++ticket.mForwards;
   if (aBytesLeft && !IsIdempotent(ticket.mRequest)) {
     return MakeRefusal(
       ticket, ErrorKind::UpstreamFailed, "the forwarded request was lost");
@@ -239,6 +258,16 @@
   }
 }
 
+void
+Router::WakeAllWaiting()
+{
+  for (const auto& [id, ticket] : mTickets) {
+    if (mQueue.Remove(id)) {
+      mWakeUps.push_back(id);
+    }
+  }
+}
+
 void
 Router::WakeWaiting(TimePoint aNow)
 {
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -92,7 +92,10 @@
       return;
     }
     mRequest = std::move(request).assume_value();
-    if (mApi.mServices.mState->Now() == entry::Phase::Draining) {
+    if (mApi.mServices.mState->Now() != entry::Phase::Serving) {
+      mWriter.CloseAfterResponse();
+    }
+    if (mApi.mServices.mState->Now() == entry::Phase::Stopping) {
       Refuse({ { error::ErrorKind::Draining,
                  "instance",
                  "the instance finishes its work and stops" } },
@@ -220,9 +223,7 @@
   {
     const auto end = ReadClock();
     // billed before the answer leaves, so that no answer goes unbilled
-    if (!aAnswer.mReplayed) {
-      mApi.mServices.mBilling->Add(MakeRecord(mSummary, mStart, end));
-    }
+    Bill(aAnswer, end);
     SendAnswer(aAnswer);
     Rate(aAnswer);
     Count("answered", "none");
@@ -233,6 +234,27 @@
       .Observe(micros / kMicrosPerMilli);
   }
 
+  void Bill(const entry::Answer& aAnswer, TimePoint aEnd)
+  {
+    if (aAnswer.mReplayedRecord) {
+      // the earlier holder may have crashed before it billed; the ledger
+      // drops the second record of a request
+      const auto stored = billing::ParseBatch(*aAnswer.mReplayedRecord);
+      if (stored) {
+        for (const auto& record : stored.assume_value()) {
+          mApi.mServices.mBilling->Add(record);
+        }
+      }
+      return;
+    }
+    const auto record = MakeRecord(mSummary, mStart, aEnd);
+    if (aAnswer.mClaim) {
+      mApi.mServices.mRunner->CompleteClaim(
+        mRequest, aAnswer, billing::PrintBatch({ record }));
+    }
+    mApi.mServices.mBilling->Add(record);
+  }
+
   void SendAnswer(const entry::Answer& aAnswer)
   {
     const auto* const chat =
