Count service levels exactly, and refuse while billing has no room

Cause: the burn report needs counters against each SLO's own latency bound, and nothing stopped new requests when billing records could no longer leave. Change: answers, refusals and bad ratings are counted for the SLOs of their client account; new requests are refused as not run while the memory for billing records is nearly used up.

--- a/include/figslip/platform/platform_client.hpp
+++ b/include/figslip/platform/platform_client.hpp
@@ -62,7 +62,8 @@
 /// @brief Holds an answer to be rated.
 struct RatableAnswer
 {
-  std::string mSource; ///< instance that wants the rating
+  std::string mSource;  ///< instance that wants the rating
+  std::string mAccount; ///< client account that was answered; stays here
   std::string mRequestId;
   evidence::EvidenceKey mKey;
   std::string mAnswer;
--- a/include/figslip/ratings/rating_service.hpp
+++ b/include/figslip/ratings/rating_service.hpp
@@ -6,10 +6,12 @@
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <unordered_map>
 
 namespace figslip::ratings {
 
@@ -21,7 +23,10 @@
   {
     std::string mSource; ///< name under which answers are submitted
     Duration mPollEvery = std::chrono::milliseconds(500);
-    std::size_t mMaxQueue = 1000; ///< answers waiting; more are dropped
+    std::size_t mMaxQueue = 1000;     ///< answers waiting; more are dropped
+    std::size_t mMaxUnrated = 10'000; ///< answers whose account is remembered
+    /// is told the client account of each answer that is rated bad
+    std::function<void(const std::string&)> mOnBadRating;
   };
 
   RatingService(Options aOptions,
@@ -41,6 +46,8 @@
   void Run();
   void SendQueued();
   void ReadRatings();
+  void RememberAccount(const platform::RatableAnswer& aAnswer);
+  void ReportBadRating(const std::string& aRequestId);
 
   Options mOptions;
   std::shared_ptr<platform::PlatformClient> mPlatform;
@@ -48,6 +55,10 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::deque<platform::RatableAnswer> mQueue;
+  /// client accounts of submitted answers by request id, and their order;
+  /// used by the service's own thread alone
+  std::unordered_map<std::string, std::string> mAccounts;
+  std::deque<std::string> mAccountOrder;
   std::int64_t mNextRating = 0;
   bool mStopping = false;
   std::thread mThread;
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -2,6 +2,7 @@
 #include <figslip/caller/caller_request.hpp>
 #include <figslip/caller/caller_response.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/report/slo_counters.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -102,6 +103,14 @@
              routing::RunState::NotRun);
       return;
     }
+    if (!mApi.mServices.mBilling->HasRoom()) {
+      Refuse(
+        { { error::ErrorKind::NoCapacity,
+            "billing",
+            "the platform takes no billing records and memory is short" } },
+        routing::RunState::NotRun);
+      return;
+    }
     const auto result = mApi.mServices.mRunner->Run(
       mRequest, mHttp.mBody, MakeRelay(), MakeSink(), mSummary);
     if (const auto* const answer = std::get_if<entry::Answer>(&result)) {
@@ -227,6 +236,7 @@
     SendAnswer(aAnswer);
     Rate(aAnswer);
     Count("answered", "none");
+    CountForSlos(report::AnsweredRequest{ .mLatency = end - mStart });
     const auto micros = static_cast<double>(Duration(end - mStart).count());
     mApi.mServices.mMetrics
       ->HistogramOf("figslip_request_latency_ms",
@@ -284,6 +294,7 @@
     }
     mApi.mServices.mRatings->Submit(
       { .mSource = {},
+        .mAccount = mRequest.mAccount,
         .mRequestId = mRequest.mId,
         .mKey = { .mVersion = aAnswer.mVersion, .mTaskKind = chat->mTaskKind },
         .mAnswer = aAnswer.mText });
@@ -312,6 +323,18 @@
                  { "run", std::string(routing::NameOf(aRun)) },
                  { "error", error::JoinMessages(aFindings, "; ") } });
     Count("refused", error::Describe(kind).mName);
+    CountForSlos(report::RefusedRequest{ .mKind = kind });
+  }
+
+  void CountForSlos(const report::SloEvent& aEvent) const
+  {
+    const auto snapshot = mApi.mServices.mControl->Snapshot();
+    if (snapshot->mManifest != nullptr) {
+      report::CountForSlos(*mApi.mServices.mMetrics,
+                           snapshot->mManifest->Content(),
+                           mRequest.mAccount,
+                           aEvent);
+    }
   }
 
   /// Names the client account in metrics. Accounts that are not defined share
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include <figslip/entry/request_runner.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/orders/order_service.hpp>
+#include <figslip/report/slo_counters.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <random>
@@ -146,7 +147,18 @@
   const auto billing = std::make_shared<billing::BillingService>(
     billing::BillingService::Options{ .mSelf = mSelf }, platform);
   const auto ratings = std::make_shared<ratings::RatingService>(
-    ratings::RatingService::Options{ .mSource = mSelf.mInstance },
+    ratings::RatingService::Options{
+      .mSource = mSelf.mInstance,
+      .mOnBadRating =
+        [control, metrics](const std::string& aAccount) {
+          const auto snapshot = control->Snapshot();
+          if (snapshot->mManifest != nullptr) {
+            report::CountForSlos(*metrics,
+                                 snapshot->mManifest->Content(),
+                                 aAccount,
+                                 report::BadRating{});
+          }
+        } },
     platform,
     router);
   const auto claims = std::make_shared<claim::ClaimService>(mSelf, platform);
--- a/src/shell/ratings/rating_service.cpp
+++ b/src/shell/ratings/rating_service.cpp
@@ -58,6 +58,28 @@
     if (!sent) {
       return;
     }
+    RememberAccount(answer);
+  }
+}
+
+void
+RatingService::RememberAccount(const platform::RatableAnswer& aAnswer)
+{
+  mAccounts[aAnswer.mRequestId] = aAnswer.mAccount;
+  mAccountOrder.push_back(aAnswer.mRequestId);
+  // ratings come partly, so the oldest answers are forgotten unrated
+  if (mAccountOrder.size() > mOptions.mMaxUnrated) {
+    mAccounts.erase(mAccountOrder.front());
+    mAccountOrder.pop_front();
+  }
+}
+
+void
+RatingService::ReportBadRating(const std::string& aRequestId)
+{
+  const auto account = mAccounts.find(aRequestId);
+  if (account != mAccounts.end() && mOptions.mOnBadRating) {
+    mOptions.mOnBadRating(account->second);
   }
 }
 
@@ -69,6 +91,11 @@
     return;
   }
   mNextRating = page.assume_value().mNext;
+  for (const auto& rating : page.assume_value().mRatings) {
+    if (!rating.mGood) {
+      ReportBadRating(rating.mRequestId);
+    }
+  }
   mRouter->With([&](routing::Router& aRouter) {
     for (const auto& rating : page.assume_value().mRatings) {
       aRouter.OnRating(rating.mKey, rating.mGood, ReadClock());
