--- a/include/figslip/coldstart/cold_start_gate.hpp
+++ b/include/figslip/coldstart/cold_start_gate.hpp
@@ -4,6 +4,7 @@
 #include <figslip/time/time_point.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,8 @@
   {
     int mWarmSuccesses = 5;                       ///< successes needed, >= 1
     Duration mWarmTime = std::chrono::seconds(5); ///< least time in cold start
+    /// surprises told by peers within this time are one
+    Duration mSameSurprise = std::chrono::seconds(2);
   };
 
   explicit ColdStartGate(Options aOptions);
@@ -46,12 +49,37 @@
                  std::string_view aBootId,
                  TimePoint aNow);
 
-  /// @brief Notes a refusal, a reset, a timeout or a changed boot id.
+  /// @brief Notes the boot id of a load report; a changed one makes it cold.
+  void OnBootId(std::string_view aUpstream,
+                std::string_view aBootId,
+                TimePoint aNow);
+
+  /// @brief Notes a refusal, a reset or a timeout.
   void OnSurprise(std::string_view aUpstream, TimePoint aNow);
 
+  /// @brief Notes a surprise that a peer told of.
+  void OnPeerSurprise(std::string_view aUpstream,
+                      TimePoint aAt,
+                      TimePoint aNow);
+
+  /// @brief Notes that a peer found a run of the upstream warm.
+  /// @param[in] aBootId the run; ignored where another one is known here
+  /// @param[in] aSurpriseAt last surprise that the peer knows of; the word of
+  /// a peer that has not heard of a later surprise is ignored
+  void OnPeerWarm(std::string_view aUpstream,
+                  std::string_view aBootId,
+                  std::optional<TimePoint> aSurpriseAt);
+
   /// @brief Takes a grant of the home entry; a later grant replaces it.
   void OnGrant(const Grant& aGrant);
 
+  /// @brief Returns when the upstream last surprised, as far as known.
+  [[nodiscard]] std::optional<TimePoint> SurpriseAt(
+    std::string_view aUpstream) const;
+
+  /// @brief Returns the boot id last seen, empty where none is known.
+  [[nodiscard]] std::string BootIdOf(std::string_view aUpstream) const;
+
   [[nodiscard]] Warmth WarmthOf(std::string_view aUpstream) const;
 
   /// @brief Returns how many requests this entry may have there at a time.
@@ -64,7 +92,8 @@
     Warmth mWarmth = Warmth::Cold;
     std::string mBootId;
     int mSuccesses = 0;
-    TimePoint mColdSince;
+    std::optional<TimePoint> mColdSince; ///< none: nothing was seen yet
+    std::optional<TimePoint> mSurpriseAt;
     Grant mGrant;
   };
 
--- /dev/null
+++ b/include/figslip/coldstart/grant_book.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <figslip/coldstart/cold_use.hpp>
+#include <figslip/membership/instance.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace figslip::coldstart {
+
+/// @brief Grants the cold capacity of the upstreams that this entry is home of.
+///
+/// The sum of the work of all entries on an upstream in cold start stays within
+/// its bound: a slot is granted only while every other entry of the failure
+/// domain that the instance list shows has asked this home lately, so that none
+/// of them acts as the home, and only as far as the slots and the running work
+/// that the entries reported leave room. Each answer carries a token, the time
+/// at the home; an ask counts from the token that it sends back, so that an ask
+/// delayed on its way proves nothing. A reservation lasts until the entry
+/// reports less, or for the length of its grant and the longest work after it.
+class GrantBook
+{
+public:
+  struct Options
+  {
+    membership::Incarnation mSelf;
+    Duration mGrantLength = std::chrono::seconds(1);
+    Duration mAskMemory = std::chrono::milliseconds(1500); ///< age of an ask
+    Duration mLongestWork = std::chrono::seconds(30);      ///< of one request
+  };
+
+  /// @brief Holds the facts about an upstream that a home decides with.
+  struct Home
+  {
+    bool mIsHome = false; ///< by this entry's instance list
+    int mBound = 0;       ///< cold concurrency of the upstream
+  };
+
+  explicit GrantBook(Options aOptions);
+
+  /// @brief Takes the entries of the own failure domain, this one included.
+  ///
+  /// Where one vanishes, grants wait until those it may have given are over.
+  void OnEntries(std::set<std::string, std::less<>> aEntries);
+
+  /// @brief Takes a load report; it limits the work that nobody reported.
+  void OnLoadReport(std::string_view aUpstream,
+                    int aRunning,
+                    TimePoint aAt,
+                    TimePoint aNow);
+
+  /// @brief Answers an entry, which may be this one.
+  /// @param[in] aSequence grows with every request of the sender
+  [[nodiscard]] ColdGrant OnUse(const membership::Incarnation& aSender,
+                                std::int64_t aSequence,
+                                const ColdUse& aUse,
+                                const Home& aHome,
+                                TimePoint aNow);
+
+private:
+  struct Holder
+  {
+    std::int64_t mSequence = 0;
+    int mUsed = 0; ///< most work that it can have there
+    int mWanted = 0;
+    TimePoint mAt;          ///< last answer
+    TimePoint mToken;       ///< token of the last ask
+    TimePoint mServedSince; ///< first grant without a pause
+  };
+
+  struct State
+  {
+    std::optional<TimePoint> mHomeSince; ///< none: not the home
+    TimePoint mQuietUntil; ///< grants of an earlier home may be in use
+    int mUnknown = 0;      ///< work that no entry reported, at most
+    std::map<membership::Incarnation, Holder> mHolders;
+  };
+
+  void BeginTerm(State& aState, int aBound, TimePoint aNow);
+  void Expire(State& aState, TimePoint aNow) const;
+  [[nodiscard]] bool AllAsked(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] int Slots(const State& aState,
+                          const membership::Incarnation& aSender,
+                          int aBound,
+                          TimePoint aNow) const;
+
+  Options mOptions;
+  std::set<std::string, std::less<>> mEntries;
+  std::map<std::string, State, std::less<>> mStates;
+};
+
+} // namespace figslip::coldstart
--- a/include/figslip/control/control_service.hpp
+++ b/include/figslip/control/control_service.hpp
@@ -1,15 +1,19 @@
 #pragma once
 
+#include <figslip/control/pause_guard.hpp>
 #include <figslip/entry/entry_state.hpp>
 #include <figslip/entry/router_service.hpp>
 #include <figslip/kernel/control_loop.hpp>
 #include <figslip/manifest/manifest_keeper.hpp>
 #include <figslip/membership/instance.hpp>
+#include <figslip/peer/gossip.hpp>
 #include <figslip/routing/control_snapshot.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace figslip::control {
 
@@ -24,7 +28,8 @@
     membership::Incarnation mSelf;
     std::string mFailureDomain;
     Duration mTick = std::chrono::milliseconds(200);
-    Duration mGrantLength = std::chrono::seconds(2);
+    PauseGuard::Options mPause;
+    std::size_t mStableStopVotes = 2; ///< entries that stop a stable version
   };
 
   ControlService(Options aOptions,
@@ -32,9 +37,28 @@
                  std::shared_ptr<entry::RouterService> aRouter,
                  std::shared_ptr<entry::EntryState> aState);
 
-  void OnPlatformManifest(const std::string& aText, TimePoint aNow);
+  /// @brief Takes what the platform answered.
+  /// @param[in] aAskedAt when the call was begun; the platform had this
+  /// manifest then or later
+  void OnPlatformManifest(const std::string& aText,
+                          TimePoint aAskedAt,
+                          TimePoint aNow);
   void OnInstances(membership::InstanceList aInstances, TimePoint aNow);
 
+  /// @name What peers tell
+  /// @{
+  void OnPeerManifest(const std::string& aText,
+                      TimePoint aConfirmedAt,
+                      TimePoint aNow);
+  void OnPeerConfirmation(std::int64_t aGeneration,
+                          TimePoint aConfirmedAt,
+                          TimePoint aNow);
+  void OnPeerNews(const peer::Learned& aLearned, TimePoint aNow);
+  /// @}
+
+  /// @brief Collects what peers should know of this instance.
+  [[nodiscard]] peer::LocalNews CollectNews(TimePoint aNow);
+
   [[nodiscard]] manifest::ManifestKeeper& Keeper() { return mKeeper; }
 
   /// @brief Publishes the control state to the traffic threads.
@@ -48,12 +72,15 @@
 
 private:
   void Tick(TimePoint aNow);
-  void GrantColdCapacity(TimePoint aNow);
+  void Report(manifest::OfferResult aResult, TimePoint aNow);
+  void StopByVotes(const std::vector<peer::StopVotes>& aVotes, TimePoint aNow);
 
   Options mOptions;
   std::shared_ptr<entry::RouterService> mRouter;
   std::shared_ptr<entry::EntryState> mState;
   manifest::ManifestKeeper mKeeper;
+  std::shared_ptr<const std::string> mText; ///< of the manifest in force
+  PauseGuard mPauseGuard;
   membership::InstanceList mInstances;
   std::atomic<routing::ControlSnapshotPtr> mPublished;
 };
--- a/include/figslip/entry/entry_daemon.hpp
+++ b/include/figslip/entry/entry_daemon.hpp
@@ -21,6 +21,9 @@
   /// @brief Returns the port that callers use; only after `Start`.
   [[nodiscard]] int CallerPort() const;
 
+  /// @brief Returns the port that peers use; only after `Start`.
+  [[nodiscard]] int PeerPort() const;
+
   /// @brief Stops gracefully: not ready first, then the balancer's lag, then
   /// the open requests, then the billing records, then all services.
   void Stop();
@@ -28,6 +31,8 @@
 private:
   void RegisterFoundations(const settings::EntrySettings& aSettings);
   void RegisterControl(const settings::EntrySettings& aSettings);
+  void RegisterPeers(const settings::EntrySettings& aSettings);
+  void RegisterWatcher(const settings::EntrySettings& aSettings);
   void RegisterTraffic(const settings::EntrySettings& aSettings);
   void WaitForOpenRequests();
 
--- a/include/figslip/quarantine/quarantine.hpp
+++ b/include/figslip/quarantine/quarantine.hpp
@@ -17,26 +17,40 @@
   std::uint64_t mFingerprint = 0; ///< hash of client account and body
   std::string mUpstream;          ///< upstream that crashed
   TimePoint mSeenAt;
+  int mInFlight = 1; ///< requests that ran there at the crash, >= 1
 
   bool operator==(const CrashReport&) const = default;
 };
 
 /// @brief Refuses requests that crash the upstreams that run them.
 ///
-/// A request is quarantined after it was seen on two different crashed
-/// upstreams; one slow or broken upstream alone never condemns a request.
+/// A crash blames each request that ran there by one part of as many, so that
+/// a crash under many requests accuses none of them strongly. A request is
+/// quarantined when it was seen on two different crashed upstreams and its
+/// blame reaches a bound; one slow or broken upstream alone never condemns it.
 class Quarantine
 {
 public:
   struct Options
   {
-    std::size_t mUpstreams = 2;                  ///< crashes needed, >= 1
+    std::size_t mUpstreams = 2; ///< different upstreams needed, >= 1
+    double mBlame = 0.5;        ///< sum of the parts needed, > 0
+    /// crashes of an upstream within this time are one
+    Duration mSameCrash = std::chrono::seconds(2);
     Duration mMemory = std::chrono::minutes(10); ///< time a crash counts
     std::size_t mMaxFingerprints = 4096;         ///< bound on memory
   };
 
   explicit Quarantine(Options aOptions);
 
+  /// @brief Notes that a connection broke while a request ran there.
+  /// @param[in] aInFlight requests of this entry there, this one included;
+  /// those that broke just before count as well
+  void OnBroken(std::uint64_t aFingerprint,
+                std::string_view aUpstream,
+                int aInFlight,
+                TimePoint aNow);
+
   /// @brief Notes a crash seen here or reported by a peer; may be repeated.
   void OnCrash(const CrashReport& aReport);
 
@@ -50,12 +64,28 @@
   void Expire(TimePoint aNow);
 
 private:
-  using Crashes = std::map<std::string, TimePoint, std::less<>>;
+  /// Crashes of one upstream while one request ran there.
+  struct Crashes
+  {
+    TimePoint mSeenAt; ///< the last one
+    int mInFlight = 1; ///< of the last one
+    double mBlame = 0.0;
+  };
+
+  /// The crash of an upstream that this entry saw last.
+  struct Burst
+  {
+    TimePoint mBegan;
+    int mInFlight = 1;
+  };
+
+  using ByUpstream = std::map<std::string, Crashes, std::less<>>;
 
   void DropOldest();
 
   Options mOptions;
-  std::map<std::uint64_t, Crashes> mCrashes;
+  std::map<std::uint64_t, ByUpstream> mCrashes;
+  std::map<std::string, Burst, std::less<>> mBursts;
 };
 
 } // namespace figslip::quarantine
--- a/include/figslip/routing/control_snapshot.hpp
+++ b/include/figslip/routing/control_snapshot.hpp
@@ -5,6 +5,7 @@
 #include <figslip/time/time_point.hpp>
 
 #include <memory>
+#include <string>
 
 namespace figslip::routing {
 
@@ -15,6 +16,8 @@
 struct ControlSnapshot
 {
   manifest::ManifestPtr mManifest; ///< null until a manifest is in force
+  /// text of the manifest, for peers; null until one is in force
+  std::shared_ptr<const std::string> mManifestText;
   TimePoint mConfirmedAt; ///< when the manifest was last known to be current
   TimePoint mHeartbeat;   ///< last turn of the control thread
   membership::InstanceList mInstances;
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -76,6 +76,15 @@
   void OnSnapshot(ControlSnapshotPtr aSnapshot, TimePoint aNow);
   void OnLoadReport(const LoadReport& aReport, TimePoint aNow);
   void OnGrant(const coldstart::Grant& aGrant, TimePoint aNow);
+  void OnPeerSurprise(std::string_view aUpstream,
+                      TimePoint aAt,
+                      TimePoint aNow);
+  void OnPeerWarm(std::string_view aUpstream,
+                  std::string_view aBootId,
+                  std::optional<TimePoint> aSurpriseAt,
+                  TimePoint aNow);
+  /// @brief Stops a version on the word of peers.
+  void StopVersion(std::string_view aVersion, TimePoint aNow);
   void OnCrashReport(const quarantine::CrashReport& aReport);
   void OnEvidence(const std::vector<evidence::EvidenceEntry>& aEntries,
                   TimePoint aNow);
--- a/programs/figslip-entry.cpp
+++ b/programs/figslip-entry.cpp
@@ -93,7 +93,8 @@
     return kExitFailed;
   }
   const nlohmann::json listening = { { "instance", aSettings.mInstance },
-                                     { "caller_port", daemon.CallerPort() } };
+                                     { "caller_port", daemon.CallerPort() },
+                                     { "peer_port", daemon.PeerPort() } };
   std::cout << listening.dump() << '\n' << std::flush;
   WaitForStop(signals);
   daemon.Stop();
--- a/src/core/coldstart/cold_start_gate.cpp
+++ b/src/core/coldstart/cold_start_gate.cpp
@@ -17,19 +17,37 @@
   aState.mColdSince = aNow;
 }
 
+void
+ColdStartGate::OnBootId(std::string_view aUpstream,
+                        std::string_view aBootId,
+                        TimePoint aNow)
+{
+  auto& state = mStates[std::string(aUpstream)];
+  if (state.mBootId == aBootId) {
+    return;
+  }
+  const bool isFirst = state.mBootId.empty();
+  state.mBootId = aBootId;
+  if (!isFirst) {
+    // another run: what was seen of the one before says nothing
+    Restart(state, aNow);
+    state.mSurpriseAt = aNow;
+  }
+}
+
 void
 ColdStartGate::OnSuccess(std::string_view aUpstream,
                          std::string_view aBootId,
                          TimePoint aNow)
 {
-  auto& state = mStates[std::string(aUpstream)];
-  if (state.mBootId != aBootId) {
-    state.mBootId = aBootId;
-    Restart(state, aNow);
+  OnBootId(aUpstream, aBootId, aNow);
+  auto& state = mStates.find(aUpstream)->second;
+  if (!state.mColdSince) {
+    state.mColdSince = aNow;
   }
   ++state.mSuccesses;
   if (state.mSuccesses >= mOptions.mWarmSuccesses &&
-      aNow - state.mColdSince >= mOptions.mWarmTime) {
+      aNow - *state.mColdSince >= mOptions.mWarmTime) {
     state.mWarmth = Warmth::Warm;
   }
 }
@@ -37,7 +55,53 @@
 void
 ColdStartGate::OnSurprise(std::string_view aUpstream, TimePoint aNow)
 {
-  Restart(mStates[std::string(aUpstream)], aNow);
+  auto& state = mStates[std::string(aUpstream)];
+  Restart(state, aNow);
+  state.mSurpriseAt = aNow;
+}
+
+void
+ColdStartGate::OnPeerSurprise(std::string_view aUpstream,
+                              TimePoint aAt,
+                              TimePoint aNow)
+{
+  auto& state = mStates[std::string(aUpstream)];
+  if (state.mSurpriseAt && aAt <= *state.mSurpriseAt + mOptions.mSameSurprise) {
+    return;
+  }
+  Restart(state, aNow);
+  state.mSurpriseAt = aAt;
+}
+
+void
+ColdStartGate::OnPeerWarm(std::string_view aUpstream,
+                          std::string_view aBootId,
+                          std::optional<TimePoint> aSurpriseAt)
+{
+  auto& state = mStates[std::string(aUpstream)];
+  const bool isSameRun = state.mBootId.empty() || state.mBootId == aBootId;
+  const bool knowsSurprise =
+    !state.mSurpriseAt ||
+    (aSurpriseAt &&
+     *aSurpriseAt + mOptions.mSameSurprise >= *state.mSurpriseAt);
+  if (isSameRun && knowsSurprise) {
+    state.mBootId = aBootId;
+    state.mWarmth = Warmth::Warm;
+  }
+}
+
+std::optional<TimePoint>
+ColdStartGate::SurpriseAt(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end() ? std::nullopt : found->second.mSurpriseAt;
+}
+
+std::string
+ColdStartGate::BootIdOf(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end() ? std::string() : found->second.mBootId;
 }
 
 void
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -1,34 +1,43 @@
 #include <figslip/quarantine/quarantine.hpp>
 
 #include <algorithm>
-#include <iterator>
 
 namespace figslip::quarantine {
 
-namespace {
-
-TimePoint
-LatestOf(const std::map<std::string, TimePoint, std::less<>>& aCrashes)
+Quarantine::Quarantine(Options aOptions)
+  : mOptions(aOptions)
 {
-  TimePoint latest{};
-  for (const auto& [upstream, seenAt] : aCrashes) {
-    latest = std::max(latest, seenAt);
-  }
-  return latest;
 }
 
-} // namespace
-
-Quarantine::Quarantine(Options aOptions)
-  : mOptions(aOptions)
+void
+Quarantine::OnBroken(std::uint64_t aFingerprint,
+                     std::string_view aUpstream,
+                     int aInFlight,
+                     TimePoint aNow)
 {
+  auto& burst = mBursts[std::string(aUpstream)];
+  if (aNow - burst.mBegan >= mOptions.mSameCrash) {
+    burst = { .mBegan = aNow, .mInFlight = 1 };
+  }
+  // the requests of one crash break one after the other, so the last of them
+  // seems to have been alone
+  burst.mInFlight = std::max(burst.mInFlight, aInFlight);
+  OnCrash({ .mFingerprint = aFingerprint,
+            .mUpstream = std::string(aUpstream),
+            .mSeenAt = aNow,
+            .mInFlight = burst.mInFlight });
 }
 
 void
 Quarantine::OnCrash(const CrashReport& aReport)
 {
-  auto& seenAt = mCrashes[aReport.mFingerprint][aReport.mUpstream];
-  seenAt = std::max(seenAt, aReport.mSeenAt);
+  auto& crashes = mCrashes[aReport.mFingerprint][aReport.mUpstream];
+  if (crashes.mBlame == 0.0 ||
+      aReport.mSeenAt >= crashes.mSeenAt + mOptions.mSameCrash) {
+    crashes.mInFlight = std::max(1, aReport.mInFlight);
+    crashes.mBlame = std::min(1.0, crashes.mBlame + 1.0 / crashes.mInFlight);
+  }
+  crashes.mSeenAt = std::max(crashes.mSeenAt, aReport.mSeenAt);
   if (mCrashes.size() > mOptions.mMaxFingerprints) {
     DropOldest();
   }
@@ -37,8 +46,14 @@
 void
 Quarantine::DropOldest()
 {
-  mCrashes.erase(std::ranges::min_element(
-    mCrashes, {}, [](const auto& aEntry) { return LatestOf(aEntry.second); }));
+  const auto latest = [](const auto& aItem) {
+    TimePoint seenAt{};
+    for (const auto& [upstream, crashes] : aItem.second) {
+      seenAt = std::max(seenAt, crashes.mSeenAt);
+    }
+    return seenAt;
+  };
+  mCrashes.erase(std::ranges::min_element(mCrashes, {}, latest));
 }
 
 bool
@@ -48,21 +63,26 @@
   if (found == mCrashes.end()) {
     return false;
   }
-  const auto fresh =
-    std::ranges::count_if(found->second, [&](const auto& aEntry) {
-      return aNow - aEntry.second < mOptions.mMemory;
-    });
-  return static_cast<std::size_t>(fresh) >= mOptions.mUpstreams;
+  std::size_t upstreams = 0;
+  double blame = 0.0;
+  for (const auto& [upstream, crashes] : found->second) {
+    if (aNow - crashes.mSeenAt < mOptions.mMemory) {
+      ++upstreams;
+      blame += crashes.mBlame;
+    }
+  }
+  return upstreams >= mOptions.mUpstreams && blame >= mOptions.mBlame;
 }
 
 std::vector<CrashReport>
 Quarantine::Reports(TimePoint aNow) const
 {
   std::vector<CrashReport> reports;
-  for (const auto& [fingerprint, crashes] : mCrashes) {
-    for (const auto& [upstream, seenAt] : crashes) {
-      if (aNow - seenAt < mOptions.mMemory) {
-        reports.push_back({ fingerprint, upstream, seenAt });
+  for (const auto& [fingerprint, byUpstream] : mCrashes) {
+    for (const auto& [upstream, crashes] : byUpstream) {
+      if (aNow - crashes.mSeenAt < mOptions.mMemory) {
+        reports.push_back(
+          { fingerprint, upstream, crashes.mSeenAt, crashes.mInFlight });
       }
     }
   }
@@ -72,13 +92,16 @@
 void
 Quarantine::Expire(TimePoint aNow)
 {
-  for (auto& [fingerprint, crashes] : mCrashes) {
-    std::erase_if(crashes, [&](const auto& aEntry) {
-      return aNow - aEntry.second >= mOptions.mMemory;
+  for (auto& [fingerprint, byUpstream] : mCrashes) {
+    std::erase_if(byUpstream, [&](const auto& aItem) {
+      return aNow - aItem.second.mSeenAt >= mOptions.mMemory;
     });
   }
   std::erase_if(mCrashes,
-                [](const auto& aEntry) { return aEntry.second.empty(); });
+                [](const auto& aItem) { return aItem.second.empty(); });
+  std::erase_if(mBursts, [&](const auto& aItem) {
+    return aNow - aItem.second.mBegan >= mOptions.mMemory;
+  });
 }
 
 } // namespace figslip::quarantine
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -47,6 +47,30 @@
   WakeWaiting(aNow);
 }
 
+void
+Router::OnPeerSurprise(std::string_view aUpstream,
+                       TimePoint aAt,
+                       TimePoint aNow)
+{
+  mUpstreams.ColdStart().OnPeerSurprise(aUpstream, aAt, aNow);
+}
+
+void
+Router::OnPeerWarm(std::string_view aUpstream,
+                   std::string_view aBootId,
+                   std::optional<TimePoint> aSurpriseAt,
+                   TimePoint aNow)
+{
+  mUpstreams.ColdStart().OnPeerWarm(aUpstream, aBootId, aSurpriseAt);
+  WakeWaiting(aNow);
+}
+
+void
+Router::StopVersion(std::string_view aVersion, TimePoint aNow)
+{
+  mVersions.StopVersion(aVersion, aNow);
+}
+
 void
 Router::OnCrashReport(const quarantine::CrashReport& aReport)
 {
@@ -154,7 +178,20 @@
                              .mUpstream = attempt.mUpstream,
                              .mVersion = attempt.mVersion,
                              .mOwnDomain = mOptions.mFailureDomain };
-  return CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow);
+  if (auto obstacle =
+        CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow)) {
+    return obstacle;
+  }
+  // a grant of cold capacity may have run out since the slot was reserved
+  const auto* const upstream =
+    mSnapshot->mManifest->FindUpstream(attempt.mUpstream);
+  if (mUpstreams.InFlight(attempt.mUpstream) >
+      mUpstreams.ColdStart().Limit(*upstream, aNow)) {
+    return DispatchObstacle{ ErrorKind::NoCapacity,
+                             "the upstream is in cold start",
+                             true };
+  }
+  return std::nullopt;
 }
 
 Decision
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -486,9 +486,11 @@
     coldStart.OnSurprise(aAttempt.mUpstream, aNow);
   }
   if (aOutcome.mEnd == AttemptEnd::Broken) {
-    mQuarantine.OnCrash({ .mFingerprint = aTicket.mRequest.mFingerprint,
-                          .mUpstream = aAttempt.mUpstream,
-                          .mSeenAt = aNow });
+    // the slot of this attempt is free again already
+    mQuarantine.OnBroken(aTicket.mRequest.mFingerprint,
+                         aAttempt.mUpstream,
+                         mUpstreams.InFlight(aAttempt.mUpstream) + 1,
+                         aNow);
   }
   const auto* const chat = ChatOf(aTicket.mRequest);
   if (chat == nullptr || aOutcome.mEnd == AttemptEnd::Cancelled) {
--- a/src/core/routing/upstream_table.cpp
+++ b/src/core/routing/upstream_table.cpp
@@ -18,6 +18,9 @@
   auto& state = mStates[aReport.mUpstream];
   if (aReport.mAt >= state.mReport.mAt) {
     state.mReport = aReport;
+    if (!aReport.mBootId.empty()) {
+      mColdStart.OnBootId(aReport.mUpstream, aReport.mBootId, aReport.mAt);
+    }
   }
 }
 
--- a/src/shell/control/control_service.cpp
+++ b/src/shell/control/control_service.cpp
@@ -1,7 +1,7 @@
 #include <figslip/control/control_service.hpp>
 #include <figslip/log/log.hpp>
-#include <figslip/membership/rendezvous.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace figslip::control {
@@ -13,19 +13,45 @@
   : mOptions(std::move(aOptions))
   , mRouter(std::move(aRouter))
   , mState(std::move(aState))
+  , mPauseGuard(mOptions.mPause)
   , mPublished(std::make_shared<const routing::ControlSnapshot>())
 {
   aLoop.Every(mOptions.mTick, [this](TimePoint aNow) { Tick(aNow); });
 }
 
 void
-ControlService::OnPlatformManifest(const std::string& aText, TimePoint aNow)
+ControlService::OnPlatformManifest(const std::string& aText,
+                                   TimePoint aAskedAt,
+                                   TimePoint aNow)
 {
-  switch (mKeeper.OfferFromPlatform(aText, aNow)) {
+  Report(mKeeper.OfferFromPlatform(aText, aAskedAt), aNow);
+}
+
+void
+ControlService::OnPeerManifest(const std::string& aText,
+                               TimePoint aConfirmedAt,
+                               TimePoint aNow)
+{
+  Report(mKeeper.OfferFromPeer(aText, aConfirmedAt, aNow), aNow);
+}
+
+void
+ControlService::OnPeerConfirmation(std::int64_t aGeneration,
+                                   TimePoint aConfirmedAt,
+                                   TimePoint aNow)
+{
+  mKeeper.ConfirmFromPeer(aGeneration, std::min(aConfirmedAt, aNow));
+}
+
+void
+ControlService::Report(manifest::OfferResult aResult, TimePoint aNow)
+{
+  switch (aResult) {
     case manifest::OfferResult::Adopted:
       log::Write(log::Level::Info,
                  "manifest_adopted",
                  { { "generation", std::to_string(mKeeper.Generation()) } });
+      mText = std::make_shared<const std::string>(mKeeper.Text());
       Publish(aNow);
       break;
     case manifest::OfferResult::Invalid:
@@ -42,6 +68,94 @@
   }
 }
 
+void
+ControlService::OnPeerNews(const peer::Learned& aLearned, TimePoint aNow)
+{
+  mRouter->With([&](routing::Router& aRouter) {
+    aRouter.OnEvidence(aLearned.mEvidence, aNow);
+    for (const auto& report : aLearned.mCrashes) {
+      aRouter.OnCrashReport(report);
+    }
+    for (const auto& news : aLearned.mUpstreams) {
+      if (news.mRunning >= 0) {
+        aRouter.OnLoadReport({ .mUpstream = news.mUpstream,
+                               .mBootId = news.mBootId,
+                               .mRunning = news.mRunning,
+                               .mAt = news.mRunningAt },
+                             aNow);
+      }
+      if (news.mSurpriseAt) {
+        aRouter.OnPeerSurprise(news.mUpstream, *news.mSurpriseAt, aNow);
+      }
+      if (news.mWarm) {
+        aRouter.OnPeerWarm(
+          news.mUpstream, news.mBootId, news.mSurpriseAt, aNow);
+      }
+    }
+  });
+  StopByVotes(aLearned.mStopVotes, aNow);
+}
+
+void
+ControlService::StopByVotes(const std::vector<peer::StopVotes>& aVotes,
+                            TimePoint aNow)
+{
+  const auto& index = mKeeper.InForce();
+  for (const auto& votes : aVotes) {
+    const auto* const version =
+      index == nullptr ? nullptr : index->FindVersion(votes.mVersion);
+    if (version == nullptr) {
+      continue;
+    }
+    // one entry with a fault of its own must not stop what everyone uses
+    const bool inRollOut =
+      version->mVersion->mState == manifest::VersionState::RollOut;
+    if (!inRollOut && votes.mEntries < mOptions.mStableStopVotes) {
+      continue;
+    }
+    mRouter->With([&](routing::Router& aRouter) {
+      aRouter.StopVersion(votes.mVersion, aNow);
+    });
+  }
+}
+
+peer::LocalNews
+ControlService::CollectNews(TimePoint aNow)
+{
+  peer::LocalNews news{ .mGeneration = mKeeper.Generation(),
+                        .mConfirmedAt = mKeeper.ConfirmedAt(),
+                        .mLoad = { .mFailureDomain = mOptions.mFailureDomain,
+                                   .mAt = aNow } };
+  const auto& index = mKeeper.InForce();
+  mRouter->With([&](const routing::Router& aRouter) {
+    news.mEvidence = aRouter.Evidence().OwnEntries();
+    news.mCrashes = aRouter.Quarantined().Reports(aNow);
+    news.mStoppedVersions = aRouter.Versions().Stopped();
+    news.mLoad.mWaiting = static_cast<int>(aRouter.WaitingRequests());
+    if (index == nullptr) {
+      return;
+    }
+    const auto& table = aRouter.Upstreams();
+    const auto& gate = table.ColdStart();
+    for (const auto& upstream : index->Content().mUpstreams) {
+      if (upstream.mFailureDomain != mOptions.mFailureDomain) {
+        continue;
+      }
+      const auto& name = upstream.mName;
+      const int inFlight = table.InFlight(name);
+      news.mLoad.mFreeSlots +=
+        std::max(0, gate.Limit(upstream, aNow) - inFlight);
+      news.mUpstreams.push_back(
+        { .mUpstream = name,
+          .mBootId = gate.BootIdOf(name),
+          .mWarm = gate.WarmthOf(name) == coldstart::Warmth::Warm,
+          .mInFlight = inFlight,
+          .mSurpriseAt = gate.SurpriseAt(name) });
+    }
+  });
+  return news;
+}
+
 void
 ControlService::OnInstances(membership::InstanceList aInstances, TimePoint aNow)
 {
@@ -54,10 +168,14 @@
 void
 ControlService::Publish(TimePoint aNow)
 {
+  if (mPauseGuard.OnTick(aNow)) {
+    log::Write(log::Level::Warning, "pause_of_the_process");
+  }
   routing::ControlSnapshot snapshot;
   snapshot.mManifest = mKeeper.InForce();
   snapshot.mConfirmedAt = mKeeper.ConfirmedAt();
-  snapshot.mHeartbeat = aNow;
+  snapshot.mManifestText = mText;
+  snapshot.mHeartbeat = mPauseGuard.Heartbeat(mKeeper.ConfirmedAt(), aNow);
   snapshot.mInstances = mInstances;
   const auto published =
     std::make_shared<const routing::ControlSnapshot>(std::move(snapshot));
@@ -71,32 +189,9 @@
   }
 }
 
-void
-ControlService::GrantColdCapacity(TimePoint aNow)
-{
-  const auto& manifest = mKeeper.InForce();
-  if (manifest == nullptr) {
-    return;
-  }
-  for (const auto& upstream : manifest->Content().mUpstreams) {
-    if (upstream.mFailureDomain != mOptions.mFailureDomain ||
-        membership::HomeOf(mInstances,
-                           mOptions.mFailureDomain,
-                           upstream.mName) != mOptions.mSelf.mInstance) {
-      continue;
-    }
-    const coldstart::Grant grant{ .mUpstream = upstream.mName,
-                                  .mSlots = upstream.mColdConcurrency,
-                                  .mExpiry = aNow + mOptions.mGrantLength };
-    mRouter->With(
-      [&](routing::Router& aRouter) { aRouter.OnGrant(grant, aNow); });
-  }
-}
-
 void
 ControlService::Tick(TimePoint aNow)
 {
-  GrantColdCapacity(aNow);
   Publish(aNow);
   const auto stopped = mRouter->With(
     [&](routing::Router& aRouter) { return aRouter.OnTick(aNow); });
--- a/src/shell/control/platform_watcher.cpp
+++ b/src/shell/control/platform_watcher.cpp
@@ -1,7 +1,11 @@
 #include <figslip/control/platform_watcher.hpp>
+#include <figslip/membership/rendezvous.hpp>
 #include <figslip/time/wall_clock.hpp>
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace figslip::control {
 
@@ -39,92 +43,124 @@
   mThreads.clear();
 }
 
-void
+bool
 PlatformWatcher::Pause(Duration aTime)
 {
   std::unique_lock lock(mMutex);
-  mChanged.wait_for(lock, aTime, [this] { return mStopping; });
+  return !mChanged.wait_for(lock, aTime, [this] { return mStopping; });
+}
+
+bool
+PlatformWatcher::ShouldWatch() const
+{
+  const auto snapshot = mServices.mControl->Snapshot();
+  if (ReadClock() - snapshot->mConfirmedAt >= mOptions.mWatchAfter) {
+    return true;
+  }
+  std::vector<std::string_view> entries;
+  for (const auto& entry : snapshot->mInstances.mEntries) {
+    if (entry.mFailureDomain == mOptions.mFailureDomain &&
+        entry.mState == membership::InstanceState::Live) {
+      entries.push_back(entry.mName);
+    }
+  }
+  const auto ranked =
+    membership::RankByRendezvous(kManifestObject.mKind, entries);
+  const auto end =
+    ranked.begin() +
+    static_cast<std::ptrdiff_t>(std::min(mOptions.mWatchers, ranked.size()));
+  return std::find(ranked.begin(), end, mOptions.mInstance) != end;
 }
 
 void
 PlatformWatcher::WatchManifest()
 {
   std::int64_t known = 0;
-  while (true) {
-    {
-      const std::lock_guard lock(mMutex);
-      if (mStopping) {
-        return;
-      }
+  Duration pause{};
+  do {
+    pause = mOptions.mRetryAfter;
+    if (!ShouldWatch()) {
+      continue;
     }
+    const auto askedAt = ReadClock();
     auto object =
       mServices.mPlatform->Watch(kManifestObject, known, mOptions.mWatchWait);
-    if (!object) {
-      Pause(mOptions.mRetryAfter);
+    if (!object || object.assume_value().mVersion == 0) {
       continue;
     }
     auto& stored = object.assume_value();
     known = stored.mVersion;
-    if (stored.mVersion == 0) {
-      Pause(mOptions.mRetryAfter);
-      continue;
-    }
-    mServices.mLoop->Post([control = mServices.mControl,
-                           text = std::move(stored.mValue)](TimePoint aNow) {
-      control->OnPlatformManifest(text, aNow);
-    });
-  }
+    mServices.mLoop->Post(
+      [control = mServices.mControl, askedAt, text = std::move(stored.mValue)](
+        TimePoint aNow) { control->OnPlatformManifest(text, askedAt, aNow); });
+    // the next watch follows at once
+    pause = Duration::zero();
+  } while (Pause(pause));
 }
 
 void
 PlatformWatcher::PollInstances()
 {
-  while (true) {
-    {
-      const std::lock_guard lock(mMutex);
-      if (mStopping) {
-        return;
-      }
-    }
+  Duration pause{};
+  do {
     auto instances = mServices.mPlatform->Instances();
-    if (instances) {
-      mServices.mLoop->Post(
-        [control = mServices.mControl,
-         list = std::move(instances).assume_value()](TimePoint aNow) {
-          control->OnInstances(list, aNow);
-        });
+    pause = mOptions.mInstancesEvery;
+    if (!instances) {
+      continue;
     }
-    Pause(mOptions.mInstancesEvery);
+    const auto count = instances.assume_value().mEntries.size();
+    pause = std::max(
+      pause, static_cast<Duration::rep>(count) * mOptions.mInstancesPerEntry);
+    mServices.mLoop->Post(
+      [control = mServices.mControl,
+       list = std::move(instances).assume_value()](TimePoint aNow) {
+        control->OnInstances(list, aNow);
+      });
+  } while (Pause(pause));
+}
+
+bool
+PlatformWatcher::ShouldReadLoad(const manifest::Upstream& aUpstream) const
+{
+  if (aUpstream.mFailureDomain != mOptions.mFailureDomain) {
+    return false;
+  }
+  const auto snapshot = mServices.mControl->Snapshot();
+  const auto home = membership::HomeOf(
+    snapshot->mInstances, mOptions.mFailureDomain, aUpstream.mName);
+  return home == mOptions.mInstance ||
+         ReadClock() - mServices.mPeers->LoadReportedAt(aUpstream.mName) >=
+           mOptions.mLoadAfter;
+}
+
+void
+PlatformWatcher::ReadLoad(const manifest::Upstream& aUpstream)
+{
+  const auto report = mServices.mUpstreams->ReadLoad(
+    aUpstream.mName, { aUpstream.mAddress, aUpstream.mPort });
+  if (!report) {
+    return;
   }
+  mServices.mPeers->OnLoadReport(report.assume_value());
+  mServices.mRouter->With([&](routing::Router& aRouter) {
+    aRouter.OnLoadReport(report.assume_value(), ReadClock());
+  });
 }
 
 void
 PlatformWatcher::PollLoad()
 {
-  while (true) {
-    {
-      const std::lock_guard lock(mMutex);
-      if (mStopping) {
-        return;
-      }
-    }
+  do {
     const auto snapshot = mServices.mControl->Snapshot();
-    if (snapshot->mManifest != nullptr) {
-      for (const auto& upstream : snapshot->mManifest->Content().mUpstreams) {
-        if (upstream.mFailureDomain != mOptions.mFailureDomain) {
-          continue;
-        }
-        const auto report = mServices.mUpstreams->ReadLoad(
-          upstream.mName, { upstream.mAddress, upstream.mPort });
-        if (report) {
-          mServices.mRouter->With([&](routing::Router& aRouter) {
-            aRouter.OnLoadReport(report.assume_value(), ReadClock());
-          });
-        }
+    if (snapshot->mManifest == nullptr) {
+      continue;
+    }
+    for (const auto& upstream : snapshot->mManifest->Content().mUpstreams) {
+      if (ShouldReadLoad(upstream)) {
+        ReadLoad(upstream);
       }
     }
-    Pause(mOptions.mLoadEvery);
-  }
+  } while (Pause(mOptions.mLoadEvery));
 }
 
 } // namespace figslip::control
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include <figslip/entry/entry_daemon.hpp>
 #include <figslip/entry/request_runner.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/peer/peer_service.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <random>
@@ -42,6 +43,8 @@
 {
   RegisterFoundations(mSettings);
   RegisterControl(mSettings);
+  RegisterPeers(mSettings);
+  RegisterWatcher(mSettings);
   RegisterTraffic(mSettings);
 }
 
@@ -81,22 +84,12 @@
 {
   const auto loop = std::make_shared<kernel::ControlLoop>();
   const auto router = mKernel.Find<RouterService>("router");
-  const auto platform = mKernel.Find<platform::PlatformClient>("platform");
   const auto control = std::make_shared<control::ControlService>(
     control::ControlService::Options{
       .mSelf = mSelf, .mFailureDomain = aSettings.mFailureDomain },
     *loop,
     router,
     mKernel.Find<EntryState>("state"));
-  const auto watcher = std::make_shared<control::PlatformWatcher>(
-    control::PlatformWatcher::Options{ .mFailureDomain =
-                                         aSettings.mFailureDomain },
-    control::PlatformWatcher::Services{
-      .mLoop = loop,
-      .mControl = control,
-      .mRouter = router,
-      .mPlatform = platform,
-      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams") });
   mKernel.Register({ .mName = "control",
                      .mDependsOn = { "router", "state" },
                      .mStart =
@@ -107,15 +100,52 @@
                      .mStop = [loop] { loop->Stop(); } },
                    control);
   mKernel.Register({ .mName = "control_loop" }, loop);
-  mKernel.Register({ .mName = "platform_watcher",
-                     .mDependsOn = { "control", "platform", "upstreams" },
-                     .mStart =
-                       [watcher] {
-                         watcher->Start();
-                         return Result<void>(outcome::success());
-                       },
-                     .mStop = [watcher] { watcher->Stop(); } },
-                   watcher);
+}
+
+void
+EntryDaemon::RegisterPeers(const settings::EntrySettings& aSettings)
+{
+  const auto peers = std::make_shared<peer::PeerService>(
+    peer::PeerService::Options{ .mSelf = mSelf,
+                                .mFailureDomain = aSettings.mFailureDomain,
+                                .mServer = { .mAddress = aSettings.mAddress,
+                                             .mPort = aSettings.mPeerPort },
+                                .mSeed = std::random_device{}() },
+    peer::PeerService::Services{
+      .mLoop = mKernel.Find<kernel::ControlLoop>("control_loop"),
+      .mControl = mKernel.Find<control::ControlService>("control"),
+      .mRouter = mKernel.Find<RouterService>("router") });
+  mKernel.Register({ .mName = "peers",
+                     .mDependsOn = { "control", "router" },
+                     .mStart = [peers] { return peers->Start(); },
+                     .mStop = [peers] { peers->Stop(); } },
+                   peers);
+}
+
+void
+EntryDaemon::RegisterWatcher(const settings::EntrySettings& aSettings)
+{
+  const auto watcher = std::make_shared<control::PlatformWatcher>(
+    control::PlatformWatcher::Options{ .mInstance = aSettings.mInstance,
+                                       .mFailureDomain =
+                                         aSettings.mFailureDomain },
+    control::PlatformWatcher::Services{
+      .mLoop = mKernel.Find<kernel::ControlLoop>("control_loop"),
+      .mControl = mKernel.Find<control::ControlService>("control"),
+      .mRouter = mKernel.Find<RouterService>("router"),
+      .mPlatform = mKernel.Find<platform::PlatformClient>("platform"),
+      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams"),
+      .mPeers = mKernel.Find<peer::PeerService>("peers") });
+  mKernel.Register(
+    { .mName = "platform_watcher",
+      .mDependsOn = { "control", "platform", "upstreams", "peers" },
+      .mStart =
+        [watcher] {
+          watcher->Start();
+          return Result<void>(outcome::success());
+        },
+      .mStop = [watcher] { watcher->Stop(); } },
+    watcher);
 }
 
 void
@@ -208,6 +238,12 @@
   return mKernel.Find<ServerHolder>("caller_server")->mServer->Port();
 }
 
+int
+EntryDaemon::PeerPort() const
+{
+  return mKernel.Find<peer::PeerService>("peers")->Port();
+}
+
 void
 EntryDaemon::WaitForOpenRequests()
 {
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -223,6 +223,7 @@
   auto process =
     std::make_unique<Process>("figslip-entry", std::vector{ path });
   mEntryPorts[aEntry] = process->WaitForPort("caller_port");
+  mPeerPorts[aEntry] = process->PortOf("peer_port");
   mEntries[aEntry] = std::move(process);
 }
 
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -94,14 +94,22 @@
 Process::WaitForPort(const std::string& aField)
 {
   while (true) {
-    const auto line = nlohmann::json::parse(ReadLine(), nullptr, false);
+    mListening = ReadLine();
+    const auto line = nlohmann::json::parse(mListening, nullptr, false);
     if (line.is_object() && line.contains(aField)) {
       DrainOutput();
-      return json::NumberOr(line, aField, 0);
+      return PortOf(aField);
     }
   }
 }
 
+int
+Process::PortOf(const std::string& aField) const
+{
+  const auto line = nlohmann::json::parse(mListening, nullptr, false);
+  return line.is_object() ? json::NumberOr(line, aField, 0) : 0;
+}
+
 /// Keeps the pipe from filling up, since nobody reads the log.
 void
 Process::DrainOutput()
--- a/tests/harness/process.hpp
+++ b/tests/harness/process.hpp
@@ -25,6 +25,9 @@
   /// Waits for the line that tells a port, and returns the number in a field.
   [[nodiscard]] int WaitForPort(const std::string& aField);
 
+  /// Returns another number of the line that told the port, 0 if absent.
+  [[nodiscard]] int PortOf(const std::string& aField) const;
+
   void Signal(int aSignal) const;
   void Kill();
   void Freeze() const;
@@ -44,6 +47,7 @@
   pid_t mId = -1;
   int mOutput = -1;
   std::string mPending;
+  std::string mListening; ///< the line that told the port
 };
 
 /// Returns the folder of the built programs.
--- /dev/null
+++ b/tests/src/unit-coldstart.cpp
@@ -0,0 +1,160 @@
+#include <figslip/coldstart/cold_start_gate.hpp>
+#include <figslip/coldstart/grant_book.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using coldstart::ColdStartGate;
+using coldstart::Warmth;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr auto kName = "engine";
+
+TimePoint
+Warm(ColdStartGate& aGate, const std::string& aBootId, TimePoint aFrom)
+{
+  for (int count = 0; count <= 5; ++count) {
+    aGate.OnSuccess(kName, aBootId, aFrom + count * 1s);
+  }
+  return aFrom + 5s;
+}
+
+} // namespace
+
+TEST_CASE("an upstream")
+{
+  ColdStartGate gate({});
+  const manifest::Upstream upstream{ .mName = kName,
+                                     .mConcurrency = 8,
+                                     .mColdConcurrency = 2 };
+
+  SUBCASE("that is unknown gets no work without a grant")
+  {
+    CHECK(gate.Limit(upstream, kStart) == 0);
+    gate.OnGrant({ kName, 5, kStart + 1s });
+    CHECK(gate.Limit(upstream, kStart) == 2);
+    CHECK(gate.Limit(upstream, kStart + 1s) == 0);
+  }
+
+  SUBCASE("that answered many times within a moment stays cold")
+  {
+    for (int count = 0; count < 20; ++count) {
+      gate.OnSuccess(kName, "", kStart);
+    }
+    CHECK(gate.WarmthOf(kName) == Warmth::Cold);
+  }
+
+  SUBCASE("that answered over time is warm")
+  {
+    const auto now = Warm(gate, "b1", kStart);
+    REQUIRE(gate.WarmthOf(kName) == Warmth::Warm);
+    CHECK(gate.Limit(upstream, now) == 8);
+
+    SUBCASE("until a load report shows another run")
+    {
+      gate.OnBootId(kName, "b1", now);
+      CHECK(gate.WarmthOf(kName) == Warmth::Warm);
+      gate.OnBootId(kName, "b2", now);
+      CHECK(gate.WarmthOf(kName) == Warmth::Cold);
+    }
+
+    SUBCASE("until it surprises")
+    {
+      gate.OnSurprise(kName, now);
+      CHECK(gate.WarmthOf(kName) == Warmth::Cold);
+
+      SUBCASE("and the word of a peer that has not heard of it is ignored")
+      {
+        gate.OnPeerWarm(kName, "b1", std::nullopt);
+        CHECK(gate.WarmthOf(kName) == Warmth::Cold);
+        gate.OnPeerWarm(kName, "b1", now);
+        CHECK(gate.WarmthOf(kName) == Warmth::Warm);
+      }
+    }
+
+    SUBCASE("until a peer tells of a surprise, once")
+    {
+      gate.OnPeerSurprise(kName, now, now);
+      CHECK(gate.WarmthOf(kName) == Warmth::Cold);
+      gate.OnPeerWarm(kName, "b1", now);
+      gate.OnPeerSurprise(kName, now + 1s, now + 1s);
+      CHECK(gate.WarmthOf(kName) == Warmth::Warm);
+    }
+  }
+
+  SUBCASE("of which another run is known is not warm by the word of a peer")
+  {
+    gate.OnBootId(kName, "b2", kStart);
+    gate.OnPeerWarm(kName, "b1", std::nullopt);
+    CHECK(gate.WarmthOf(kName) == Warmth::Cold);
+  }
+}
+
+TEST_CASE("a home of cold capacity")
+{
+  const membership::Incarnation self{ "home", 1 };
+  const membership::Incarnation other{ "other", 1 };
+  coldstart::GrantBook book({ .mSelf = self });
+  const coldstart::GrantBook::Home home{ .mIsHome = true, .mBound = 2 };
+  std::int64_t sequence = 0;
+  const auto ask = [&](const membership::Incarnation& aSender,
+                       coldstart::ColdUse aUse,
+                       TimePoint aNow) {
+    aUse.mUpstream = kName;
+    return book.OnUse(aSender, ++sequence, aUse, home, aNow);
+  };
+  book.OnEntries({ "home" });
+
+  SUBCASE("that is new waits until the grants of an earlier one are over")
+  {
+    CHECK(ask(self, { .mWanted = 2 }, kStart).mSlots == 0);
+    CHECK(ask(self, { .mWanted = 2 }, kStart + 2s).mSlots == 0);
+
+    SUBCASE("then for the work that it left")
+    {
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 3s).mSlots == 0);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 33s).mSlots == 2);
+    }
+
+    SUBCASE("or until the upstream reports less work")
+    {
+      book.OnLoadReport(kName, 0, kStart + 1s, kStart + 3s);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 3s).mSlots == 0);
+      book.OnLoadReport(kName, 1, kStart + 3s, kStart + 3s);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 3s).mSlots == 1);
+    }
+  }
+
+  SUBCASE("grants nothing while an entry of the list is silent")
+  {
+    (void)ask(self, { .mWanted = 2 }, kStart);
+    book.OnLoadReport(kName, 0, kStart + 3s, kStart + 3s);
+    book.OnEntries({ "home", "other" });
+    CHECK(ask(self, { .mWanted = 2 }, kStart + 3s).mSlots == 0);
+
+    SUBCASE("and an ask without a late token does not count")
+    {
+      (void)ask(other, {}, kStart + 3s);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 3s).mSlots == 0);
+      const auto token = ask(other, {}, kStart + 3s).mToken;
+      CHECK(ask(other, { .mToken = token }, kStart + 4s).mToken > token);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 4s).mSlots == 2);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 5s).mSlots == 0);
+    }
+
+    SUBCASE("and work that runs under an old grant counts until it ends")
+    {
+      const auto token = ask(other, {}, kStart + 3s).mToken;
+      (void)ask(other, { .mInFlight = 2, .mToken = token }, kStart + 3s);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 4s).mSlots == 0);
+      (void)ask(other, { .mInFlight = 1, .mToken = token }, kStart + 4s);
+      CHECK(ask(self, { .mWanted = 2 }, kStart + 4s).mSlots == 1);
+    }
+  }
+}
--- /dev/null
+++ b/tests/src/unit-quarantine.cpp
@@ -0,0 +1,88 @@
+#include <figslip/quarantine/quarantine.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using quarantine::Quarantine;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr std::uint64_t kPoison = 1;
+
+} // namespace
+
+TEST_CASE("a request that crashed an upstream")
+{
+  Quarantine quarantine({});
+  quarantine.OnBroken(kPoison, "a", 1, kStart);
+  CHECK_FALSE(quarantine.IsQuarantined(kPoison, kStart));
+
+  SUBCASE("is not quarantined however often that one breaks")
+  {
+    for (int count = 1; count < 20; ++count) {
+      quarantine.OnBroken(kPoison, "a", 1, kStart + count * 10s);
+    }
+    CHECK_FALSE(quarantine.IsQuarantined(kPoison, kStart + 200s));
+  }
+
+  SUBCASE("is quarantined after a second one")
+  {
+    quarantine.OnBroken(kPoison, "b", 1, kStart + 1s);
+    CHECK(quarantine.IsQuarantined(kPoison, kStart + 1s));
+    CHECK_FALSE(quarantine.IsQuarantined(kPoison, kStart + 20min));
+  }
+
+  SUBCASE("is quarantined by the report of a peer as well, told twice or not")
+  {
+    quarantine.OnCrash({ kPoison, "b", kStart + 1s, 4 });
+    quarantine.OnCrash({ kPoison, "b", kStart + 2s, 4 });
+    CHECK(quarantine.IsQuarantined(kPoison, kStart + 2s));
+  }
+}
+
+TEST_CASE("requests that were among many at the crash")
+{
+  Quarantine quarantine({});
+  const auto crash = [&](const std::string& aUpstream, TimePoint aAt) {
+    // they break one after the other, so fewer and fewer are in flight
+    for (int left = 8; left >= 1; --left) {
+      quarantine.OnBroken(
+        static_cast<std::uint64_t>(left), aUpstream, left, aAt);
+    }
+  };
+  crash("a", kStart);
+  crash("b", kStart + 5s);
+
+  SUBCASE("are not quarantined after two crashes, the last one included")
+  {
+    for (std::uint64_t request = 1; request <= 8; ++request) {
+      CHECK_FALSE(quarantine.IsQuarantined(request, kStart + 5s));
+    }
+  }
+
+  SUBCASE("are told from the one that crashes a third upstream alone")
+  {
+    quarantine.OnBroken(kPoison, "c", 1, kStart + 10s);
+    CHECK(quarantine.IsQuarantined(kPoison, kStart + 10s));
+    CHECK_FALSE(quarantine.IsQuarantined(2, kStart + 10s));
+  }
+}
+
+TEST_CASE("the memory of crashes is bounded and keeps the latest")
+{
+  Quarantine quarantine({ .mMaxFingerprints = 10 });
+  for (std::uint64_t request = 1; request <= 100; ++request) {
+    quarantine.OnCrash(
+      { request, "a", kStart + std::chrono::seconds(request), 1 });
+  }
+  const auto reports = quarantine.Reports(kStart + 100s);
+  REQUIRE(reports.size() == 10);
+  CHECK(reports.front().mFingerprint == 91);
+  quarantine.Expire(kStart + 20min);
+  CHECK(quarantine.Reports(kStart + 20min).empty());
+}
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -34,6 +34,8 @@
   1: i64 fingerprint
   2: string upstream
   3: i64 ageMs
+  /** Requests of the reporter that were running there. */
+  4: i32 inFlight
 }
 
 /** Tells what a peer knows of an upstream of its failure domain. */
@@ -70,19 +72,38 @@
   8: list<DomainLoad> loads
 }
 
-/** Asks the home of an upstream for cold capacity. */
+/** Tells how an entry uses one upstream in cold start. */
+struct ColdUse {
+  1: string upstream
+  /** Slots that the sender may use until it reads the answer. */
+  2: i32 held
+  /** Requests of the sender running there. */
+  3: i32 inFlight
+  4: i32 wanted
+  /** Token of the last answer of this home; 0: none. */
+  5: i64 token
+}
+
+/** Asks the home of upstreams in cold start for capacity. */
 struct GrantRequest {
   1: Incarnation sender
-  2: string upstream
-  3: i32 wanted
+  /** Grows with every request of the sender. */
+  2: i64 sequence
+  3: list<ColdUse> uses
+}
+
+/** Grants cold capacity for a time counted from the sending of the request. */
+struct ColdGrant {
+  1: string upstream
+  /** To be sent back with the next request; 0: the receiver is not the home. */
+  2: i64 token
+  3: i32 slots
+  4: i64 lengthMs
 }
 
-/** Grants cold capacity for a time counted from its receipt. */
+/** Answers all uses of one request. */
 struct GrantAnswer {
-  1: bool isHome
-  2: i32 slots
-  3: i64 lengthMs
-  4: bool warm
+  1: list<ColdGrant> grants
 }
 
 /** A manifest as text. */
@@ -108,7 +129,7 @@
   /** Returns the manifest in force. */
   ManifestText fetchManifest()
 
-  /** Asks the home of an upstream for cold capacity. */
+  /** Asks the home of upstreams in cold start for capacity. */
   GrantAnswer requestGrant(1: GrantRequest request)
 
   /** Keeps copies of billing records for their origin. */
