--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -2,7 +2,7 @@
 
 #include <figslip/admission/fair_queue.hpp>
 #include <figslip/cascade/stage_planner.hpp>
-#include <figslip/claim/claim_outcome.hpp>
+#include <figslip/claim/claim_end.hpp>
 #include <figslip/evidence/evidence_store.hpp>
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/rollout/version_monitor.hpp>
@@ -100,6 +100,8 @@
                                Request aRequest,
                                TimePoint aNow);
   [[nodiscard]] Decision Resume(TicketId aTicket, TimePoint aNow);
+  /// @brief Notes that another request holds the key, so that this one waits.
+  void OnClaimHeld(TicketId aTicket, TimePoint aNow);
   [[nodiscard]] Decision OnClaim(TicketId aTicket,
                                  claim::ClaimEnd aEnd,
                                  TimePoint aNow);
@@ -152,6 +154,7 @@
     std::size_t mStage = 0; ///< stage of the cascade, if a cascade
     std::string mVersion;   ///< version chosen for the next attempt
     bool mStageChosen = false;
+    bool mFreshNext = false;      ///< use no pooled connection from now on
     bool mClaimed = false;        ///< the idempotency key is held
     bool mMayHaveRun = false;     ///< a byte of it may have reached an upstream
     bool mForwardTaken = false;   ///< a peer may have taken it
