Wait for entries that begin to ask a home; sum evidence by failure domain

Change: a home waits for the grants of others whenever an entry begins to ask; evidence of entries stays in their failure domain and goes to the others as a sum that merges by the larger one, versions in roll-out first; three loads of failure domains a digest.

--- a/include/figslip/coldstart/grant_book.hpp
+++ b/include/figslip/coldstart/grant_book.hpp
@@ -21,7 +21,9 @@
 /// of them acts as the home, and only as far as the slots and the running work
 /// that the entries reported leave room. Each answer carries a token, the time
 /// at the home; an ask counts from the token that it sends back, so that an ask
-/// delayed on its way proves nothing. A reservation lasts until the entry
+/// delayed on its way proves nothing. Whoever begins to ask may have asked
+/// another home just before, so grants wait until those of that home are over.
+/// A reservation lasts until the entry
 /// reports less, or for the length of its grant and the longest work after it.
 class GrantBook
 {
@@ -81,7 +83,10 @@
     std::map<membership::Incarnation, Holder> mHolders;
   };
 
-  void BeginTerm(State& aState, int aBound, TimePoint aNow);
+  [[nodiscard]] bool IsFresh(const State& aState,
+                             TimePoint aToken,
+                             TimePoint aNow) const;
+  void WaitForOthers(State& aState, int aBound, TimePoint aNow) const;
   void Expire(State& aState, TimePoint aNow) const;
   [[nodiscard]] bool AllAsked(const State& aState, TimePoint aNow) const;
   [[nodiscard]] int Slots(const State& aState,
--- a/include/figslip/peer/gossip.hpp
+++ b/include/figslip/peer/gossip.hpp
@@ -21,6 +21,8 @@
   std::int64_t mGeneration = 0;
   TimePoint mConfirmedAt;
   std::vector<evidence::EvidenceEntry> mEvidence; ///< own counts
+  /// versions whose evidence goes first, as those in roll-out
+  std::set<std::string, std::less<>> mUrgentVersions;
   std::vector<quarantine::CrashReport> mCrashes;
   std::vector<UpstreamNews> mUpstreams; ///< of the own failure domain
   std::vector<std::string> mStoppedVersions;
@@ -48,7 +50,10 @@
 ///
 /// A pure state machine: the shell sends the digests. Every list of a digest
 /// is bounded; items that changed are sent a few times each and travel on from
-/// entry to entry.
+/// entry to entry. Evidence of single entries stays in their failure domain;
+/// the others get its sum, under the name of the failure domain and with a
+/// start of 0 as its origin. Sums of different entries merge by the larger one,
+/// since each is a lower bound of the true sum.
 class Gossip
 {
 public:
@@ -58,9 +63,10 @@
     std::string mFailureDomain;
     std::uint64_t mSeed = 1;
     int mSends = 5;                   ///< times that a changed item is sent
-    std::size_t mMaxEvidence = 6;     ///< entries a digest
+    std::size_t mMaxEvidence = 7;     ///< entries a digest
     std::size_t mMaxCrashes = 4;      ///< reports a digest
     std::size_t mMaxUpstreams = 10;   ///< items a digest
+    std::size_t mMaxLoads = 3;        ///< failure domains a digest
     std::size_t mMaxKnown = 20'000;   ///< evidence entries remembered
     std::int64_t mBucketsRelayed = 2; ///< spans of evidence that travel on
     Duration mSameSurprise = std::chrono::seconds(2);
@@ -103,7 +109,25 @@
 
   using CrashPlace = std::pair<std::uint64_t, std::string>;
 
+  /// Evidence that waits to be sent, the urgent first.
+  struct EvidenceQueues
+  {
+    explicit EvidenceQueues(int aSends)
+      : mUrgent(aSends)
+      , mPlain(aSends)
+    {
+    }
+
+    RumorQueue<EvidencePlace> mUrgent;
+    RumorQueue<EvidencePlace> mPlain;
+  };
+
+  [[nodiscard]] bool TakesEvidence(const evidence::EvidenceEntry& aEntry,
+                                   const Digest& aDigest) const;
   bool OfferEvidence(const evidence::EvidenceEntry& aEntry);
+  void UpdateSum(const EvidencePlace& aPlace);
+  void Push(EvidenceQueues& aQueues, const EvidencePlace& aPlace);
+  void AppendEvidence(Digest& aDigest, RumorQueue<EvidencePlace>& aQueue) const;
   bool OfferCrash(const quarantine::CrashReport& aReport);
   bool OfferUpstream(const UpstreamNews& aNews, bool aOwn);
   void OfferLoad(const DomainLoad& aLoad);
@@ -120,7 +144,8 @@
   std::map<std::string, UpstreamNews, std::less<>> mUpstreams;
   std::map<std::string, DomainLoad, std::less<>> mLoads;
   std::map<std::string, std::set<std::string>, std::less<>> mStopVotes;
-  RumorQueue<EvidencePlace> mEvidenceRumors;
+  EvidenceQueues mEntryEvidence; ///< for the own failure domain
+  EvidenceQueues mSumEvidence;   ///< of failure domains, for all
   RumorQueue<CrashPlace> mCrashRumors;
   RumorQueue<std::string> mUpstreamRumors;
 };
--- a/src/core/coldstart/grant_book.cpp
+++ b/src/core/coldstart/grant_book.cpp
@@ -32,10 +32,17 @@
   }
 }
 
+bool
+GrantBook::IsFresh(const State& aState, TimePoint aToken, TimePoint aNow) const
+{
+  return aToken >= *aState.mHomeSince && aToken <= aNow &&
+         aNow - aToken <= mOptions.mAskMemory;
+}
+
+/// Waits until what another home may have granted is over.
 void
-GrantBook::BeginTerm(State& aState, int aBound, TimePoint aNow)
+GrantBook::WaitForOthers(State& aState, int aBound, TimePoint aNow) const
 {
-  aState.mHomeSince = aNow;
   aState.mQuietUntil = aNow + mOptions.mAskMemory + mOptions.mGrantLength;
   aState.mUnknown = aBound;
 }
@@ -74,9 +81,7 @@
            std::ranges::any_of(aState.mHolders, [&](const auto& aItem) {
              const auto& [incarnation, holder] = aItem;
              return incarnation.mInstance == aEntry &&
-                    holder.mToken >= *aState.mHomeSince &&
-                    holder.mToken <= aNow &&
-                    aNow - holder.mToken <= mOptions.mAskMemory;
+                    IsFresh(aState, holder.mToken, aNow);
            });
   });
 }
@@ -124,7 +129,8 @@
     return { .mUpstream = aUse.mUpstream };
   }
   if (!state.mHomeSince) {
-    BeginTerm(state, aHome.mBound, aNow);
+    state.mHomeSince = aNow;
+    WaitForOthers(state, aHome.mBound, aNow);
   }
   auto& holder = state.mHolders[aSender];
   if (aSequence <= holder.mSequence) {
@@ -135,7 +141,13 @@
   holder.mUsed = std::max(aUse.mHeld, aUse.mInFlight);
   holder.mWanted = aUse.mWanted;
   holder.mAt = aNow;
-  holder.mToken = TimePoint{ Duration{ aUse.mToken } };
+  const TimePoint token{ Duration{ aUse.mToken } };
+  const bool beginsToAsk =
+    IsFresh(state, token, aNow) && !IsFresh(state, holder.mToken, aNow);
+  if (beginsToAsk && aSender != mOptions.mSelf) {
+    WaitForOthers(state, aHome.mBound, aNow);
+  }
+  holder.mToken = token;
   const int slots = Slots(state, aSender, aHome.mBound, aNow);
   holder.mUsed = std::max(holder.mUsed, slots);
   if (slots == 0) {
--- a/src/core/peer/gossip.cpp
+++ b/src/core/peer/gossip.cpp
@@ -1,6 +1,7 @@
 #include <figslip/peer/gossip.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -20,12 +21,20 @@
          aNew.mBad > aKnown.mBad;
 }
 
+/// Tells whether evidence is the sum of a failure domain.
+bool
+IsSum(const membership::Incarnation& aOrigin)
+{
+  return aOrigin.mStartedAt == 0;
+}
+
 } // namespace
 
 Gossip::Gossip(Options aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
-  , mEvidenceRumors(mOptions.mSends)
+  , mEntryEvidence(mOptions.mSends)
+  , mSumEvidence(mOptions.mSends)
   , mCrashRumors(mOptions.mSends)
   , mUpstreamRumors(mOptions.mSends)
 {
@@ -54,6 +63,23 @@
   return picked;
 }
 
+void
+Gossip::Push(EvidenceQueues& aQueues, const EvidencePlace& aPlace)
+{
+  const bool isUrgent = mLocal.mUrgentVersions.contains(aPlace.mKey.mVersion);
+  (isUrgent ? aQueues.mUrgent : aQueues.mPlain).Push(aPlace);
+}
+
+bool
+Gossip::TakesEvidence(const evidence::EvidenceEntry& aEntry,
+                      const Digest& aDigest) const
+{
+  // a sum of the own failure domain would count its entries twice
+  return IsSum(aEntry.mOrigin)
+           ? aEntry.mOrigin.mInstance != mOptions.mFailureDomain
+           : aDigest.mFailureDomain == mOptions.mFailureDomain;
+}
+
 bool
 Gossip::OfferEvidence(const evidence::EvidenceEntry& aEntry)
 {
@@ -68,10 +94,34 @@
     return false;
   }
   known = aEntry.mCounts;
-  mEvidenceRumors.Push(place);
+  if (IsSum(aEntry.mOrigin)) {
+    Push(mSumEvidence, place);
+  } else {
+    Push(mEntryEvidence, place);
+    UpdateSum(place);
+  }
   return true;
 }
 
+void
+Gossip::UpdateSum(const EvidencePlace& aPlace)
+{
+  auto sumPlace = aPlace;
+  sumPlace.mOrigin = { mOptions.mFailureDomain, 0 };
+  EvidenceCounts sum;
+  const EvidencePlace first{ aPlace.mBucket, aPlace.mKey, {} };
+  for (auto item = mEvidence.lower_bound(first);
+       item != mEvidence.end() && item->first.mBucket == aPlace.mBucket &&
+       item->first.mKey == aPlace.mKey;
+       ++item) {
+    if (!IsSum(item->first.mOrigin)) {
+      sum += item->second;
+    }
+  }
+  mEvidence[sumPlace] = sum;
+  Push(mSumEvidence, sumPlace);
+}
+
 bool
 Gossip::OfferCrash(const quarantine::CrashReport& aReport)
 {
@@ -183,6 +233,18 @@
   ForgetOld(aNow);
 }
 
+void
+Gossip::AppendEvidence(Digest& aDigest, RumorQueue<EvidencePlace>& aQueue) const
+{
+  const auto room = mOptions.mMaxEvidence - aDigest.mEvidence.size();
+  for (const auto& place : aQueue.Take(room)) {
+    if (const auto found = mEvidence.find(place); found != mEvidence.end()) {
+      aDigest.mEvidence.push_back(
+        { place.mOrigin, place.mBucket, place.mKey, found->second });
+    }
+  }
+}
+
 Digest
 Gossip::Compose(std::string_view aReceiverDomain, TimePoint aNow)
 {
@@ -191,23 +253,28 @@
                  .mGeneration = mLocal.mGeneration,
                  .mConfirmedAt = mLocal.mConfirmedAt,
                  .mStoppedVersions = mLocal.mStoppedVersions };
-  for (const auto& place : mEvidenceRumors.Take(mOptions.mMaxEvidence)) {
-    if (const auto found = mEvidence.find(place); found != mEvidence.end()) {
-      digest.mEvidence.push_back(
-        { place.mOrigin, place.mBucket, place.mKey, found->second });
-    }
+  const bool isOwnDomain = aReceiverDomain == mOptions.mFailureDomain;
+  if (isOwnDomain) {
+    AppendEvidence(digest, mEntryEvidence.mUrgent);
   }
+  AppendEvidence(digest, mSumEvidence.mUrgent);
+  if (isOwnDomain) {
+    AppendEvidence(digest, mEntryEvidence.mPlain);
+  }
+  AppendEvidence(digest, mSumEvidence.mPlain);
   for (const auto& place : mCrashRumors.Take(mOptions.mMaxCrashes)) {
     if (const auto found = mCrashes.find(place); found != mCrashes.end()) {
       digest.mCrashes.push_back(found->second);
     }
   }
-  if (aReceiverDomain == mOptions.mFailureDomain) {
+  if (isOwnDomain) {
     for (const auto& name : mUpstreamRumors.Take(mOptions.mMaxUpstreams)) {
       digest.mUpstreams.push_back(mUpstreams.at(name));
     }
   }
   digest.mLoads = Loads(aNow);
+  std::ranges::sort(digest.mLoads, std::greater<>{}, &DomainLoad::mAt);
+  digest.mLoads.resize(std::min(digest.mLoads.size(), mOptions.mMaxLoads));
   return digest;
 }
 
@@ -235,10 +302,12 @@
     return learned;
   }
   learned.mNewerManifest = aDigest.mGeneration > mLocal.mGeneration;
-  std::ranges::copy_if(
-    aDigest.mEvidence,
-    std::back_inserter(learned.mEvidence),
-    [&](const auto& aEntry) { return OfferEvidence(aEntry); });
+  std::ranges::copy_if(aDigest.mEvidence,
+                       std::back_inserter(learned.mEvidence),
+                       [&](const auto& aEntry) {
+                         return TakesEvidence(aEntry, aDigest) &&
+                                OfferEvidence(aEntry);
+                       });
   std::ranges::copy_if(
     aDigest.mCrashes,
     std::back_inserter(learned.mCrashes),
--- a/src/shell/control/control_service.cpp
+++ b/src/shell/control/control_service.cpp
@@ -2,10 +2,30 @@
 #include <figslip/log/log.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace figslip::control {
 
+namespace {
+
+std::set<std::string, std::less<>>
+VersionsInRollOut(const manifest::ManifestIndex& aIndex)
+{
+  std::set<std::string, std::less<>> versions;
+  for (const auto& model : aIndex.Content().mModels) {
+    for (const auto& version : model.mVersions) {
+      if (version.mState == manifest::VersionState::RollOut) {
+        versions.insert(version.mName);
+      }
+    }
+  }
+  return versions;
+}
+
+} // namespace
+
 ControlService::ControlService(Options aOptions,
                                kernel::ControlLoop& aLoop,
                                std::shared_ptr<entry::RouterService> aRouter,
@@ -135,6 +155,7 @@
     if (index == nullptr) {
       return;
     }
+    news.mUrgentVersions = VersionsInRollOut(*index);
     const auto& table = aRouter.Upstreams();
     const auto& gate = table.ColdStart();
     for (const auto& upstream : index->Content().mUpstreams) {
--- a/src/shell/peer/peer_client.cpp
+++ b/src/shell/peer/peer_client.cpp
@@ -1,9 +1,11 @@
 #include "peer_codec.hpp"
 
+#include <figslip/log/log.hpp>
 #include <figslip/peer/peer_client.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <Peer.h>
+#include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
@@ -142,6 +144,10 @@
 PeerClient::PeerClient(Options aOptions)
   : mPool(std::make_unique<Pool>(aOptions))
 {
+  // the library would write to the standard error stream; failures are returned
+  apache::thrift::GlobalOutput.setOutputFunction(+[](const char* aText) {
+    log::Write(log::Level::Debug, "thrift", { { "text", aText } });
+  });
 }
 
 PeerClient::~PeerClient() = default;
