--- a/include/figslip/entry/entry_daemon.hpp
+++ b/include/figslip/entry/entry_daemon.hpp
@@ -33,6 +33,7 @@
   void RegisterControl(const settings::EntrySettings& aSettings);
   void RegisterPeers(const settings::EntrySettings& aSettings);
   void RegisterWatcher(const settings::EntrySettings& aSettings);
+  void RegisterOrders(const settings::EntrySettings& aSettings);
   void RegisterTraffic(const settings::EntrySettings& aSettings);
   void WaitForOpenRequests();
 
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include <figslip/entry/entry_daemon.hpp>
 #include <figslip/entry/request_runner.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/orders/order_service.hpp>
 #include <figslip/peer/peer_service.hpp>
 #include <figslip/time/wall_clock.hpp>
 
@@ -45,6 +46,7 @@
   RegisterControl(mSettings);
   RegisterPeers(mSettings);
   RegisterWatcher(mSettings);
+  RegisterOrders(mSettings);
   RegisterTraffic(mSettings);
 }
 
@@ -148,6 +150,27 @@
     watcher);
 }
 
+void
+EntryDaemon::RegisterOrders(const settings::EntrySettings& aSettings)
+{
+  const auto orders = std::make_shared<orders::OrderService>(
+    orders::OrderService::Options{ .mSelf = mSelf,
+                                   .mFailureDomain = aSettings.mFailureDomain },
+    orders::OrderService::Services{
+      .mControl = mKernel.Find<control::ControlService>("control"),
+      .mPlatform = mKernel.Find<platform::PlatformClient>("platform"),
+      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams") });
+  mKernel.Register({ .mName = "orders",
+                     .mDependsOn = { "control", "platform", "upstreams" },
+                     .mStart =
+                       [orders] {
+                         orders->Start();
+                         return Result<void>(outcome::success());
+                       },
+                     .mStop = [orders] { orders->Stop(); } },
+                   orders);
+}
+
 void
 EntryDaemon::RegisterTraffic(const settings::EntrySettings& aSettings)
 {
