--- a/include/figslip/peer/gossip.hpp
+++ b/include/figslip/peer/gossip.hpp
@@ -63,7 +63,7 @@
     std::string mFailureDomain;
     std::uint64_t mSeed = 1;
     int mSends = 5;                   ///< times that a changed item is sent
-    std::size_t mMaxEvidence = 7;     ///< entries a digest
+    std::size_t mMaxEvidence = 8;     ///< entries a digest
     std::size_t mMaxCrashes = 4;      ///< reports a digest
     std::size_t mMaxUpstreams = 10;   ///< items a digest
     std::size_t mMaxLoads = 3;        ///< failure domains a digest
@@ -127,7 +127,10 @@
   bool OfferEvidence(const evidence::EvidenceEntry& aEntry);
   void UpdateSum(const EvidencePlace& aPlace);
   void Push(EvidenceQueues& aQueues, const EvidencePlace& aPlace);
-  void AppendEvidence(Digest& aDigest, RumorQueue<EvidencePlace>& aQueue) const;
+  /// Appends until the digest has so many entries.
+  void AppendEvidence(Digest& aDigest,
+                      RumorQueue<EvidencePlace>& aQueue,
+                      std::size_t aUpTo) const;
   bool OfferCrash(const quarantine::CrashReport& aReport);
   bool OfferUpstream(const UpstreamNews& aNews, bool aOwn);
   void OfferLoad(const DomainLoad& aLoad);
--- a/src/core/coldstart/grant_book.cpp
+++ b/src/core/coldstart/grant_book.cpp
@@ -35,7 +35,7 @@
 bool
 GrantBook::IsFresh(const State& aState, TimePoint aToken, TimePoint aNow) const
 {
-  return aToken >= *aState.mHomeSince && aToken <= aNow &&
+  return aState.mHomeSince && aToken >= *aState.mHomeSince && aToken <= aNow &&
          aNow - aToken <= mOptions.mAskMemory;
 }
 
--- a/src/core/peer/gossip.cpp
+++ b/src/core/peer/gossip.cpp
@@ -234,9 +234,12 @@
 }
 
 void
-Gossip::AppendEvidence(Digest& aDigest, RumorQueue<EvidencePlace>& aQueue) const
+Gossip::AppendEvidence(Digest& aDigest,
+                       RumorQueue<EvidencePlace>& aQueue,
+                       std::size_t aUpTo) const
 {
-  const auto room = mOptions.mMaxEvidence - aDigest.mEvidence.size();
+  const auto size = aDigest.mEvidence.size();
+  const auto room = aUpTo > size ? aUpTo - size : 0;
   for (const auto& place : aQueue.Take(room)) {
     if (const auto found = mEvidence.find(place); found != mEvidence.end()) {
       aDigest.mEvidence.push_back(
@@ -254,14 +257,17 @@
                  .mConfirmedAt = mLocal.mConfirmedAt,
                  .mStoppedVersions = mLocal.mStoppedVersions };
   const bool isOwnDomain = aReceiverDomain == mOptions.mFailureDomain;
+  const auto most = mOptions.mMaxEvidence;
   if (isOwnDomain) {
-    AppendEvidence(digest, mEntryEvidence.mUrgent);
+    // room for the sums, which travel on here as well
+    const auto kept = std::min(mSumEvidence.mUrgent.Size(), most / 2);
+    AppendEvidence(digest, mEntryEvidence.mUrgent, most - kept);
   }
-  AppendEvidence(digest, mSumEvidence.mUrgent);
+  AppendEvidence(digest, mSumEvidence.mUrgent, most);
   if (isOwnDomain) {
-    AppendEvidence(digest, mEntryEvidence.mPlain);
+    AppendEvidence(digest, mEntryEvidence.mPlain, most);
   }
-  AppendEvidence(digest, mSumEvidence.mPlain);
+  AppendEvidence(digest, mSumEvidence.mPlain, most);
   for (const auto& place : mCrashRumors.Take(mOptions.mMaxCrashes)) {
     if (const auto found = mCrashes.find(place); found != mCrashes.end()) {
       digest.mCrashes.push_back(found->second);
