Merge the peer protocol, and hand billing records to neighbours

Change: gossip, cold-start grants by a home, quarantine by weighed blame and the guard against pauses; the billing service hands each record to a peer before the answer leaves, and refuses copies while it stops itself.

--- a/include/figslip/billing/billing_service.hpp
+++ b/include/figslip/billing/billing_service.hpp
@@ -81,7 +81,7 @@
   /// @name Calls and news from the other instances
   /// @{
   /// @brief Keeps a copy of records for their origin.
-  /// @return whether the copy is kept
+  /// @return whether the copy is kept; never while this instance stops
   [[nodiscard]] bool Hold(const RecordCopy& aCopy);
   /// @brief Forgets the copies of an origin up to a position.
   void Release(const membership::Incarnation& aOrigin, Position aUpTo);
--- a/src/shell/billing/billing_service.cpp
+++ b/src/shell/billing/billing_service.cpp
@@ -80,7 +80,8 @@
 BillingService::Hold(const RecordCopy& aCopy)
 {
   const std::lock_guard lock(mMutex);
-  return mCore.Hold(aCopy, ReadClock()) == HoldOutcome::Held;
+  // what is taken now would be lost with this instance
+  return !mStopping && mCore.Hold(aCopy, ReadClock()) == HoldOutcome::Held;
 }
 
 void
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -2,10 +2,12 @@
 #include <figslip/control/control_service.hpp>
 #include <figslip/control/platform_watcher.hpp>
 #include <figslip/entry/admin_api.hpp>
+#include <figslip/entry/billing_peers.hpp>
 #include <figslip/entry/entry_daemon.hpp>
 #include <figslip/entry/request_runner.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/orders/order_service.hpp>
+#include <figslip/peer/peer_service.hpp>
 #include <figslip/report/slo_counters.hpp>
 #include <figslip/time/wall_clock.hpp>
 
@@ -44,6 +46,10 @@
 {
   RegisterFoundations(mSettings);
   RegisterControl(mSettings);
+  RegisterBilling(mSettings);
+  RegisterPeers(mSettings);
+  RegisterWatcher(mSettings);
+  RegisterOrders(mSettings);
   RegisterTraffic(mSettings);
 }
 
@@ -83,22 +89,12 @@
 {
   const auto loop = std::make_shared<kernel::ControlLoop>();
   const auto router = mKernel.Find<RouterService>("router");
-  const auto platform = mKernel.Find<platform::PlatformClient>("platform");
   const auto control = std::make_shared<control::ControlService>(
     control::ControlService::Options{
       .mSelf = mSelf, .mFailureDomain = aSettings.mFailureDomain },
     *loop,
     router,
     mKernel.Find<EntryState>("state"));
-  const auto watcher = std::make_shared<control::PlatformWatcher>(
-    control::PlatformWatcher::Options{ .mFailureDomain =
-                                         aSettings.mFailureDomain },
-    control::PlatformWatcher::Services{
-      .mLoop = loop,
-      .mControl = control,
-      .mRouter = router,
-      .mPlatform = platform,
-      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams") });
   mKernel.Register({ .mName = "control",
                      .mDependsOn = { "router", "state" },
                      .mStart =
@@ -109,12 +105,118 @@
                      .mStop = [loop] { loop->Stop(); } },
                    control);
   mKernel.Register({ .mName = "control_loop" }, loop);
+}
+
+void
+EntryDaemon::RegisterBilling(const settings::EntrySettings& aSettings)
+{
+  const auto billing = std::make_shared<billing::BillingService>(
+    billing::BillingService::Options{
+      .mSelf = mSelf, .mFailureDomain = aSettings.mFailureDomain },
+    mKernel.Find<platform::PlatformClient>("platform"));
+  const auto peers = std::make_shared<BillingPeers>(
+    mSelf.mInstance,
+    mKernel.Find<control::ControlService>("control"),
+    std::make_shared<peer::PeerClient>(peer::PeerClient::Options{}));
+  billing->SetPeerCalls(peers->Calls());
+  mKernel.Register({ .mName = "billing_peers" }, peers);
+  mKernel.Register({ .mName = "billing",
+                     .mDependsOn = { "platform", "peers" },
+                     .mStart =
+                       [billing] {
+                         billing->Start();
+                         return Result<void>(outcome::success());
+                       },
+                     .mStop =
+                       [billing] {
+                         const auto lost = billing->Stop(kBillingPatience);
+                         if (lost > 0) {
+                           log::Write(log::Level::Error,
+                                      "billing_records_lost",
+                                      { { "count", std::to_string(lost) } });
+                         }
+                       } },
+                   billing);
+}
+
+void
+EntryDaemon::RegisterPeers(const settings::EntrySettings& aSettings)
+{
+  const auto billing = mKernel.Find<billing::BillingService>("billing");
+  const auto billingPeers = mKernel.Find<BillingPeers>("billing_peers");
+  const auto hold = [billing](const peer::BillingCopies& aCopies) {
+    return billing->Hold({ .mOrigin = aCopies.mOrigin,
+                           .mUpTo = aCopies.mSequence,
+                           .mText = aCopies.mBatch });
+  };
+  const auto release = [billing](const membership::Incarnation& aOrigin,
+                                 std::int64_t aUpTo) {
+    billing->Release(aOrigin, aUpTo);
+    return true;
+  };
+  const auto onIncarnation =
+    [billing, billingPeers](const membership::Incarnation& aRun) {
+      billing->OnIncarnation(aRun);
+      billingPeers->OnIncarnation(aRun);
+    };
+  const auto peers = std::make_shared<peer::PeerService>(
+    peer::PeerService::Options{ .mSelf = mSelf,
+                                .mFailureDomain = aSettings.mFailureDomain,
+                                .mServer = { .mAddress = aSettings.mAddress,
+                                             .mPort = aSettings.mPeerPort },
+                                .mSeed = std::random_device{}(),
+                                .mHoldBilling = hold,
+                                .mReleaseBilling = release,
+                                .mOnIncarnation = onIncarnation },
+    peer::PeerService::Services{
+      .mLoop = mKernel.Find<kernel::ControlLoop>("control_loop"),
+      .mControl = mKernel.Find<control::ControlService>("control"),
+      .mRouter = mKernel.Find<RouterService>("router") });
+  mKernel.Register({ .mName = "peers",
+                     .mDependsOn = { "control", "router" },
+                     .mStart = [peers] { return peers->Start(); },
+                     .mStop = [peers] { peers->Stop(); } },
+                   peers);
+}
+
+void
+EntryDaemon::RegisterWatcher(const settings::EntrySettings& aSettings)
+{
+  const auto watcher = std::make_shared<control::PlatformWatcher>(
+    control::PlatformWatcher::Options{
+      .mInstance = aSettings.mInstance,
+      .mFailureDomain = aSettings.mFailureDomain,
+      .mOnInstances =
+        [billing = mKernel.Find<billing::BillingService>("billing")](
+          const auto& aInstances) { billing->OnInstances(aInstances); } },
+    control::PlatformWatcher::Services{
+      .mLoop = mKernel.Find<kernel::ControlLoop>("control_loop"),
+      .mControl = mKernel.Find<control::ControlService>("control"),
+      .mRouter = mKernel.Find<RouterService>("router"),
+      .mPlatform = mKernel.Find<platform::PlatformClient>("platform"),
+      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams"),
+      .mPeers = mKernel.Find<peer::PeerService>("peers") });
+  mKernel.Register(
+    { .mName = "platform_watcher",
+      .mDependsOn = { "control", "platform", "upstreams", "peers" },
+      .mStart =
+        [watcher] {
+          watcher->Start();
+          return Result<void>(outcome::success());
+        },
+      .mStop = [watcher] { watcher->Stop(); } },
+    watcher);
+}
+
+void
+EntryDaemon::RegisterOrders(const settings::EntrySettings& aSettings)
+{
   const auto orders = std::make_shared<orders::OrderService>(
     orders::OrderService::Options{ .mSelf = mSelf,
                                    .mFailureDomain = aSettings.mFailureDomain },
     orders::OrderService::Services{
-      .mControl = control,
-      .mPlatform = platform,
+      .mControl = mKernel.Find<control::ControlService>("control"),
+      .mPlatform = mKernel.Find<platform::PlatformClient>("platform"),
       .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams") });
   mKernel.Register({ .mName = "orders",
                      .mDependsOn = { "control", "platform", "upstreams" },
@@ -125,15 +227,6 @@
                        },
                      .mStop = [orders] { orders->Stop(); } },
                    orders);
-  mKernel.Register({ .mName = "platform_watcher",
-                     .mDependsOn = { "control", "platform", "upstreams" },
-                     .mStart =
-                       [watcher] {
-                         watcher->Start();
-                         return Result<void>(outcome::success());
-                       },
-                     .mStop = [watcher] { watcher->Stop(); } },
-                   watcher);
 }
 
 void
@@ -144,8 +237,7 @@
   const auto control = mKernel.Find<control::ControlService>("control");
   const auto state = mKernel.Find<EntryState>("state");
   const auto metrics = mKernel.Find<metrics::Registry>("metrics");
-  const auto billing = std::make_shared<billing::BillingService>(
-    billing::BillingService::Options{ .mSelf = mSelf }, platform);
+  const auto billing = mKernel.Find<billing::BillingService>("billing");
   const auto ratings = std::make_shared<ratings::RatingService>(
     ratings::RatingService::Options{
       .mSource = mSelf.mInstance,
@@ -195,23 +287,6 @@
                        },
                      .mStop = [claims] { claims->Stop(); } },
                    claims);
-  mKernel.Register({ .mName = "billing",
-                     .mDependsOn = { "platform" },
-                     .mStart =
-                       [billing] {
-                         billing->Start();
-                         return Result<void>(outcome::success());
-                       },
-                     .mStop =
-                       [billing] {
-                         const auto lost = billing->Stop(kBillingPatience);
-                         if (lost > 0) {
-                           log::Write(log::Level::Error,
-                                      "billing_records_lost",
-                                      { { "count", std::to_string(lost) } });
-                         }
-                       } },
-                   billing);
   mKernel.Register({ .mName = "ratings",
                      .mDependsOn = { "platform", "router" },
                      .mStart =
@@ -251,6 +326,12 @@
   return mKernel.Find<ServerHolder>("caller_server")->mServer->Port();
 }
 
+int
+EntryDaemon::PeerPort() const
+{
+  return mKernel.Find<peer::PeerService>("peers")->Port();
+}
+
 void
 EntryDaemon::WaitForOpenRequests()
 {
