--- a/src/core/routing/dispatch_check.cpp
+++ b/src/core/routing/dispatch_check.cpp
@@ -25,18 +25,22 @@
                              "the upstream is not of this failure domain",
                              true };
   }
+#ifndef FIGSLIP_WITHOUT_DRAINED
   if (!index.DomainTakesWork(upstream->mFailureDomain)) {
     return DispatchObstacle{ ErrorKind::NoUpstream,
                              "failure domain \"" + upstream->mFailureDomain +
                                "\" is out",
                              true };
   }
+#endif
+#ifndef FIGSLIP_WITHOUT_LEAVING
   const auto& leaving = aSnapshot.mInstances.mLeavingUpstreams;
   if (std::ranges::find(leaving, aFacts.mUpstream) != leaving.end()) {
     return DispatchObstacle{ ErrorKind::NoUpstream,
                              "the upstream is leaving",
                              true };
   }
+#endif
   const auto& versions = upstream->mVersions;
   if (!aFacts.mVersion.empty() &&
       std::ranges::find(versions, aFacts.mVersion) == versions.end()) {
@@ -81,17 +85,25 @@
                              "the client account is not defined" };
   }
   const auto* const version = index.FindVersion(aVersion);
-  if (version == nullptr ||
-      version->mVersion->mState == manifest::VersionState::Withdrawn) {
+#ifdef FIGSLIP_WITHOUT_WITHDRAWN
+  const bool isWithdrawn = version == nullptr;
+#else
+  const bool isWithdrawn =
+    version == nullptr ||
+    version->mVersion->mState == manifest::VersionState::Withdrawn;
+#endif
+  if (isWithdrawn) {
     return DispatchObstacle{ ErrorKind::VersionWithdrawn,
                              "version \"" + std::string(aVersion) +
                                "\" is withdrawn" };
   }
+#ifndef FIGSLIP_WITHOUT_PERMISSION
   if (!index.AllowsVersion(*account, *version)) {
     return DispatchObstacle{ ErrorKind::NotAllowed,
                              "version \"" + std::string(aVersion) +
                                "\" is not allowed to the client account" };
   }
+#endif
   const bool inRollOut =
     version->mVersion->mState == manifest::VersionState::RollOut;
   if (inRollOut &&
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -331,6 +331,19 @@
   };
 }
 
+Decision
+Router::ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch)
+{
+#ifndef FIGSLIP_WITHOUT_CLAIM
+  if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
+    // the slot is held while the key is claimed
+    aTicket.mReserved = std::move(aDispatch);
+    return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
+  }
+#endif
+  return Commit(aTicket, std::move(aDispatch));
+}
+
 Decision
 Router::Commit(Ticket& aTicket, Dispatch aDispatch)
 {
@@ -350,12 +363,7 @@
                                        "no attempt gave a whole answer"));
   }
   if (auto dispatch = TryReserve(aTicket, aNow)) {
-    if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
-      // the slot is held while the key is claimed
-      aTicket.mReserved = std::move(dispatch);
-      return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
-    }
-    return Commit(aTicket, std::move(*dispatch));
+    return ClaimOrCommit(aTicket, *std::move(dispatch));
   }
   if (Candidates(aTicket, aNow).empty()) {
     return ForwardOrRefuse(aTicket, aNow);
@@ -400,6 +408,7 @@
     }
   }
   if (aTicket.mRequest.mForwarded || peers.empty() ||
+      aTicket.mForwards >= mOptions.mMaxForwards ||
       aNow >= aTicket.mRequest.mDeadline) {
     return RefuseOrDeliver(aTicket,
                            MakeRefusal(aTicket,
--- a/tests/harness/upstream_stand_in.hpp
+++ b/tests/harness/upstream_stand_in.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,9 @@
     int mTokenMs = 1;         ///< time a token, milliseconds
     std::string mHistoryFile; ///< outlives a crash; none if empty
     std::map<std::string, double>
-      mBadShare; ///< share of bad answers, by version
+      mBadShare;                 ///< share of bad answers, by version
+    bool mTakesOrders = false;   ///< serves only versions it is ordered to load
+    bool mChecksFencing = false; ///< refuses orders with old tokens
   };
 
   explicit UpstreamStandIn(Options aOptions);
@@ -57,6 +60,8 @@
 
   void ServeGenerate(const Request& aRequest, Writer& aWriter);
   void ServeCall(const Request& aRequest, Writer& aWriter);
+  void ServeOrder(const Request& aRequest, Writer& aWriter);
+  [[nodiscard]] bool Serves(const std::string& aVersion);
   void ServeLoad(const Request& aRequest, Writer& aWriter);
   void ServeControl(const Request& aRequest, Writer& aWriter);
   /// Records the request, unless it is rejected.
@@ -73,6 +78,8 @@
   Fault mFault;
   std::vector<std::string> mHistory;
   int mHistoryHandle = -1; ///< file handle of the history file
+  std::set<std::string> mLoaded;
+  std::int64_t mHighestToken = 0;
   std::atomic<int> mRunning{ 0 };
   std::atomic<int> mServed{ 0 };
   std::atomic<int> mOverloads{ 0 };
--- a/tests/standins/standin-upstream.cpp
+++ b/tests/standins/standin-upstream.cpp
@@ -22,6 +22,8 @@
   app.add_option("--history",
                  options.mHistoryFile,
                  "file to which each request started is appended");
+  app.add_flag("--takes-orders", options.mTakesOrders);
+  app.add_flag("--checks-fencing", options.mChecksFencing);
   app.add_option("--bad-share", badShares, "VERSION=SHARE of bad answers");
   CLI11_PARSE(app, argc, argv);
   options.mBootId = std::to_string(getpid()) + "-" +
