--- a/tests/harness/upstream_stand_in.cpp
+++ b/tests/harness/upstream_stand_in.cpp
@@ -120,7 +120,7 @@
     (void)aWriter.Send(kUnavailable, {}, "not run");
     return true;
   }
-  Record(aRequest, aRunning);
+  Record(aRequest, &aRunning);
   if (!fault.mCrashOn.empty() &&
       aRequest.mBody.find(fault.mCrashOn) != std::string::npos) {
     std::_Exit(EXIT_FAILURE);
@@ -134,20 +134,22 @@
 }
 
 void
-UpstreamStandIn::Record(const Request& aRequest, const Running& aRunning)
+UpstreamStandIn::Record(const Request& aRequest, const Running* aRunning)
 {
   auto body = nlohmann::json::parse(aRequest.mBody, nullptr, false);
   body["path"] = aRequest.mPath;
   body["boot_id"] = mOptions.mBootId;
-  body["cold"] = aRunning.IsCold();
-  body["running"] = aRunning.Count();
-  body["cold_bound"] = mOptions.mColdConcurrency;
+  if (aRunning != nullptr) {
+    body["cold"] = aRunning->IsCold();
+    body["running"] = aRunning->Count();
+    body["cold_bound"] = mOptions.mColdConcurrency;
+  }
   body["upstream"] = mOptions.mName;
   body["at_ms"] = ToUnixMillis(ReadClock());
   body.erase("messages");
   const std::lock_guard lock(mMutex);
   mHistory.push_back(body.dump());
-  if (mHistoryHandle >= 0) {
+  if (aRunning != nullptr && mHistoryHandle >= 0) {
     const auto line = mHistory.back() + "\n";
     [[maybe_unused]] const auto written =
       write(mHistoryHandle, line.data(), line.size());
@@ -170,16 +172,15 @@
 void
 UpstreamStandIn::ServeGenerate(const Request& aRequest, Writer& aWriter)
 {
-  Running running(*this);
-  if (ApplyFault(aRequest, running, aWriter)) {
-    return;
-  }
   const auto body = nlohmann::json::parse(aRequest.mBody, nullptr, false);
   if (!Serves(json::TextOr(body, "version", ""))) {
     (void)aWriter.Send(kConflict, {}, "the version is not loaded");
     return;
   }
-  Record(aRequest, aRequest.mPath);
+  Running running(*this);
+  if (ApplyFault(aRequest, running, aWriter)) {
+    return;
+  }
   const auto attempt = json::TextOr(body, "attempt_id", "");
   const auto text = AnswerText(json::TextOr(body, "version", ""),
                                json::TextOr(body, "request_id", ""));
@@ -249,7 +250,7 @@
   const auto body = nlohmann::json::parse(aRequest.mBody, nullptr, false);
   const auto token = json::NumberOr(body, "fencing_token", std::int64_t{ 0 });
   const auto version = json::TextOr(body, "version", "");
-  Record(aRequest, aRequest.mPath);
+  Record(aRequest, nullptr);
   const std::lock_guard lock(mMutex);
   if (mOptions.mChecksFencing && token < mHighestToken) {
     (void)aWriter.Send(kConflict, {}, "old token");
--- a/tests/harness/upstream_stand_in.hpp
+++ b/tests/harness/upstream_stand_in.hpp
@@ -69,7 +69,8 @@
   [[nodiscard]] bool ApplyFault(const Request& aRequest,
                                 const Running& aRunning,
                                 Writer& aWriter);
-  void Record(const Request& aRequest, const Running& aRunning);
+  /// Records a request, or an order if there is no run.
+  void Record(const Request& aRequest, const Running* aRunning);
   [[nodiscard]] std::string AnswerText(const std::string& aVersion,
                                        const std::string& aRequestId) const;
 
