--- a/src/core/coldstart/cold_start_gate.cpp
+++ b/src/core/coldstart/cold_start_gate.cpp
@@ -56,6 +56,10 @@
 int
 ColdStartGate::Limit(const manifest::Upstream& aUpstream, TimePoint aNow) const
 {
+#ifdef FIGSLIP_WITHOUT_COLDSTART
+  (void)aNow;
+  return aUpstream.mConcurrency;
+#else
   const auto found = mStates.find(aUpstream.mName);
   if (found == mStates.end()) {
     return 0;
@@ -68,6 +72,7 @@
     return 0;
   }
   return std::min(state.mGrant.mSlots, aUpstream.mColdConcurrency);
+#endif
 }
 
 } // namespace figslip::coldstart
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -68,14 +68,16 @@
 }
 
 Refuse
-Router::MakeRefusal(const Ticket& aTicket,
+Router::MakeRefusal([[maybe_unused]] const Ticket& aTicket,
                     ErrorKind aKind,
                     std::string aText) const
 {
   auto run = RunState::NotRun;
+#ifndef FIGSLIP_WITHOUT_RUNSTATE
   if (aTicket.mMayHaveRun || aTicket.mForwardTaken) {
     run = RunState::Unknown;
   }
+#endif
   return { .mKind = aKind, .mRun = run, .mText = std::move(aText) };
 }
 
@@ -109,11 +111,13 @@
                        "client account \"" + request.mAccount +
                          "\" is not defined");
   }
+#ifndef FIGSLIP_WITHOUT_QUARANTINE
   if (mQuarantine.IsQuarantined(request.mFingerprint, aNow)) {
     return MakeRefusal(aTicket,
                        ErrorKind::Quarantined,
                        "the request crashed the upstreams that ran it");
   }
+#endif
   const auto* const chat = ChatOf(request);
   if (chat != nullptr && CascadeOf(request) != nullptr &&
       !Contains(account->mCascades, chat->mName)) {
@@ -187,6 +191,7 @@
   const auto& request = aTicket.mRequest;
   const auto& index = *mSnapshot->mManifest;
   const auto& name = ChatOf(request)->mName;
+#ifndef FIGSLIP_WITHOUT_SESSION
   if (request.mSession && request.mSession->mTarget == name &&
       !CheckVersion(*mSnapshot,
                     request.mAccount,
@@ -196,6 +201,7 @@
     aTicket.mVersion = request.mSession->mVersion;
     return std::nullopt;
   }
+#endif
   if (const auto* const cascade = index.FindCascade(name)) {
     return ChooseStage(aTicket, *cascade, aNow);
   }
--- a/tests/src/fuzz-router.cpp
+++ b/tests/src/fuzz-router.cpp
@@ -97,6 +97,7 @@
     int mSent = 0; ///< attempts whose bytes may have left
     std::optional<Dispatch> mDispatch;
     bool mWaiting = false;
+    bool mMayMove = false; ///< its session's version was withdrawn meanwhile
   };
   std::map<TicketId, Open> mOpen;
   std::map<std::string, int> mInFlight;
@@ -197,6 +198,9 @@
     if (aStep == Step::Withdraw) {
       state = state == VersionState::Stable ? VersionState::Withdrawn
                                             : VersionState::Stable;
+      for (auto& [ticket, open] : mOracle.mOpen) {
+        open.mMayMove = true;
+      }
     } else if (aStep == Step::Drain) {
       domain = domain == DomainState::In ? DomainState::Out : DomainState::In;
     } else if (aStep == Step::Leave) {
@@ -217,12 +221,16 @@
     const auto ticket = ++mLastTicket;
     const auto* const service = std::get_if<ServiceTarget>(&aTarget);
     const bool isBooking = service != nullptr && service->mOperation == "book";
-    const Request request{ .mId = "r" + std::to_string(ticket),
-                           .mAccount = kAccounts.at(aDraw / 8 % 2),
-                           .mTarget = std::move(aTarget),
-                           .mDeadline = mNow + std::chrono::seconds(30),
-                           .mIdempotencyKey = isBooking ? "k" : "",
-                           .mFingerprint = ticket };
+    Request request{ .mId = "r" + std::to_string(ticket),
+                     .mAccount = kAccounts.at(aDraw / 8 % 2),
+                     .mTarget = std::move(aTarget),
+                     .mDeadline = mNow + std::chrono::seconds(30),
+                     .mIdempotencyKey = isBooking ? "k" : "",
+                     .mFingerprint = ticket };
+    const auto* const chat = std::get_if<ChatTarget>(&request.mTarget);
+    if (chat != nullptr && chat->mName == "small") {
+      request.mSession = { request.mAccount, "small", "s1" };
+    }
     mOracle.mOpen[ticket] = { .mRequest = request, .mIdempotent = !isBooking };
     Follow(ticket, mRouter.Start(ticket, request, mNow));
   }
@@ -289,6 +297,11 @@
       RC_ASSERT(mIndex->AllowsVersion(account, version));
       RC_ASSERT(version.mVersion->mState != VersionState::Withdrawn);
     }
+    const auto& session = aOpen.mRequest.mSession;
+    const bool mustStay =
+      session && !aOpen.mMayMove &&
+      mIndex->FindVersion("s1")->mVersion->mState == VersionState::Stable;
+    RC_ASSERT(!mustStay || aDispatch.mVersion == session->mVersion);
     RC_ASSERT(mIndex->DomainTakesWork("a"));
     RC_ASSERT(std::ranges::count(mLeaving, aDispatch.mUpstream) == 0);
     // a non-idempotent request goes out once, and only under its claim
