--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 # only after a change of thrift/peer.thrift; needs the package thrift-compiler
 generate:
 	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/peer.thrift
+
+# longer, with new seeds, each printed: make soak ROUNDS=20
+soak: build
+	tools/soak.sh $(ROUNDS)
