--- a/src/core/routing/router_queue.cpp
+++ b/src/core/routing/router_queue.cpp
@@ -18,11 +18,13 @@
 Decision
 Router::ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch)
 {
+#ifndef FIGSLIP_WITHOUT_CLAIM
   if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
     // the slot is held while the key is claimed
     aTicket.mReserved = std::move(aDispatch);
     return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
   }
+#endif
   return Commit(aTicket, std::move(aDispatch));
 }
 
--- a/tests/standins/standin-upstream.cpp
+++ b/tests/standins/standin-upstream.cpp
@@ -19,6 +19,9 @@
   app.add_option("--cold-concurrency", options.mColdConcurrency);
   app.add_option("--cold-requests", options.mColdRequests);
   app.add_option("--token-ms", options.mTokenMs);
+  app.add_option("--history",
+                 options.mHistoryFile,
+                 "file to which each request started is appended");
   app.add_flag("--takes-orders", options.mTakesOrders);
   app.add_flag("--checks-fencing", options.mChecksFencing);
   app.add_option("--bad-share", badShares, "VERSION=SHARE of bad answers");
