--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -27,10 +27,14 @@
 {
   assert(aSnapshot != nullptr);
   const bool isNewManifest = aSnapshot->mManifest != mSnapshot->mManifest;
+  const bool isNewList = aSnapshot->mInstances != mSnapshot->mInstances;
   mSnapshot = std::move(aSnapshot);
   if (isNewManifest) {
     mVersions.OnManifest(*mSnapshot->mManifest, aNow);
   }
+  if (isNewManifest || isNewList) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
 }
 
@@ -75,6 +79,9 @@
   mEvidence.Expire(aNow);
   mQuarantine.Expire(aNow);
   auto stopped = mVersions.Evaluate(aNow);
+  if (!stopped.empty()) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
   std::ranges::copy(mQueue.TakeOverdue(aNow), std::back_inserter(mWakeUps));
   return stopped;
@@ -116,6 +123,13 @@
   return Plan(ticket, aNow);
 }
 
+void
+Router::OnClaimHeld(TicketId aTicket, TimePoint aNow)
+{
+  ReleaseReservation(mTickets.at(aTicket));
+  WakeWaiting(aNow);
+}
+
 Decision
 Router::OnClaim(TicketId aTicket, claim::ClaimEnd aEnd, TimePoint aNow)
 {
@@ -138,6 +152,10 @@
       return refuse(ErrorKind::KeyExpired,
                     RunState::Unknown,
                     "the idempotency key is older than the retention");
+    case ClaimEnd::FromFuture:
+      return refuse(ErrorKind::BadHeader,
+                    RunState::NotRun,
+                    "the time of the idempotency key is in the future");
     case ClaimEnd::OtherRequest:
       return refuse(ErrorKind::KeyInUse,
                     RunState::NotRun,
@@ -200,6 +218,7 @@
 {
   auto& ticket = mTickets.at(aTicket);
   ticket.mForwardTaken = ticket.mForwardTaken || aBytesLeft;
+  ++ticket.mForwards;
   if (aBytesLeft && !IsIdempotent(ticket.mRequest)) {
     return MakeRefusal(
       ticket, ErrorKind::UpstreamFailed, "the forwarded request was lost");
--- a/src/core/routing/router_queue.cpp
+++ b/src/core/routing/router_queue.cpp
@@ -75,6 +75,16 @@
                                      : request.mDeadline };
 }
 
+void
+Router::WakeAllWaiting()
+{
+  for (const auto& [id, ticket] : mTickets) {
+    if (mQueue.Remove(id)) {
+      mWakeUps.push_back(id);
+    }
+  }
+}
+
 void
 Router::WakeWaiting(TimePoint aNow)
 {
