--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -174,6 +174,10 @@
   [[nodiscard]] Decision DispatchOrWait(Ticket& aTicket, TimePoint aNow);
   [[nodiscard]] Decision ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch);
   [[nodiscard]] std::string NeedOf(const Ticket& aTicket) const;
+  /// Hands a request that would wait too long to another domain, once.
+  [[nodiscard]] Decision SpillOrRefuse(Ticket& aTicket,
+                                       Refuse aRefusal,
+                                       TimePoint aNow);
   [[nodiscard]] Decision WaitForTurn(Ticket& aTicket,
                                      std::string aNeed,
                                      TimePoint aNow);
--- a/src/core/routing/router_queue.cpp
+++ b/src/core/routing/router_queue.cpp
@@ -35,18 +35,37 @@
                                  : "service " + service->mService;
   // a retry avoids upstreams that others may use
   for (const auto& name : aTicket.mAvoid) {
-    need += " not " + name;
+    if (mSnapshot->mManifest->FindUpstream(name) != nullptr) {
+      need += " not " + name;
+    }
   }
   return need;
 }
 
+Decision
+Router::SpillOrRefuse(Ticket& aTicket, Refuse aRefusal, TimePoint aNow)
+{
+  // one other domain is asked, since more would multiply an overload of all;
+  // a lost forward of a non-idempotent request could not be repeated
+  if (!aTicket.mWholeAttempt && aTicket.mForwards == 0 &&
+      IsIdempotent(aTicket.mRequest)) {
+    auto decision = ForwardOrRefuse(aTicket, aNow);
+    if (std::holds_alternative<Forward>(decision)) {
+      return decision;
+    }
+  }
+  return RefuseOrDeliver(aTicket, std::move(aRefusal));
+}
+
 Decision
 Router::WaitForTurn(Ticket& aTicket, std::string aNeed, TimePoint aNow)
 {
   const auto& request = aTicket.mRequest;
   const auto refuse = [&](std::string aText) {
-    return RefuseOrDeliver(
-      aTicket, MakeRefusal(aTicket, ErrorKind::NoCapacity, std::move(aText)));
+    return SpillOrRefuse(
+      aTicket,
+      MakeRefusal(aTicket, ErrorKind::NoCapacity, std::move(aText)),
+      aNow);
   };
   admission::QueuedRequest waiting{
     .mTicket = aTicket.mId,
--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -274,6 +274,22 @@
     mManifest = manifest;
   }
 
+  /// Adds a second failure domain with an engine and two entries.
+  void AddNeighbour()
+  {
+    mManifest.mFailureDomains.push_back({ .mName = "b", .mRegion = "r" });
+    mManifest.mUpstreams.push_back({ .mName = "engine-b",
+                                     .mFailureDomain = "b",
+                                     .mVersions = { "small-1" } });
+    mManifest.mUpstreams.push_back({ .mName = "desk-b",
+                                     .mKind = manifest::UpstreamKind::Plain,
+                                     .mFailureDomain = "b",
+                                     .mService = "bookings" });
+    mInstances.mEntries = { { .mName = "entry-b", .mFailureDomain = "b" },
+                            { .mName = "entry-b2", .mFailureDomain = "b" } };
+    Publish(mManifest);
+  }
+
   void Publish(const manifest::Manifest& aManifest)
   {
     mRouter.OnSnapshot(
@@ -281,7 +297,7 @@
         .mManifest = std::make_shared<const manifest::ManifestIndex>(aManifest),
         .mConfirmedAt = kStart,
         .mHeartbeat = kStart,
-        .mInstances = {} }),
+        .mInstances = mInstances }),
       kStart);
   }
 
@@ -298,6 +314,7 @@
   }
 
   manifest::Manifest mManifest;
+  membership::InstanceList mInstances;
   routing::Router mRouter{ { .mFailureDomain = "a", .mMaxQueue = 2 } };
 };
 
@@ -344,6 +361,28 @@
     CHECK(refusal->mRun == routing::RunState::NotRun);
   }
 
+  SUBCASE("in a full queue is handed to another failure domain, once")
+  {
+    fixture.AddNeighbour();
+    for (TicketId ticket = 1; ticket <= 3; ++ticket) {
+      (void)fixture.Start(ticket, kChat);
+    }
+    CHECK(std::holds_alternative<routing::Forward>(fixture.Start(4, kChat)));
+    const auto decision = router.OnForwardFailed(4, false, kStart);
+    const auto* const refusal = std::get_if<routing::Refuse>(&decision);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->mKind == error::ErrorKind::NoCapacity);
+    CHECK(refusal->mRun == routing::RunState::NotRun);
+
+    SUBCASE("but not where it must not be repeated")
+    {
+      const auto first = fixture.Start(5, kBook);
+      REQUIRE(std::holds_alternative<routing::ClaimKey>(first));
+      const auto second = fixture.Start(6, kBook);
+      CHECK(std::holds_alternative<routing::Refuse>(second));
+    }
+  }
+
   SUBCASE("is woken to be refused when its version is withdrawn")
   {
     REQUIRE(std::holds_alternative<routing::Dispatch>(fixture.Start(1, kChat)));
