--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -198,18 +198,16 @@
 
     SUBCASE("expects the wait of a new request from its place")
     {
-      const auto wait = queue.ExpectedWait(next, now);
-      REQUIRE(wait);
-      CHECK(*wait > 8000ms);
-      CHECK(*wait < 8200ms);
+      const auto wait = queue.ExpectedWait(next, now).value_or(0s);
+      CHECK(wait > 8000ms);
+      CHECK(wait < 8200ms);
     }
 
     SUBCASE("expects a short one for an account that waits for little")
     {
       const QueuedRequest other{ .mNeed = "small", .mAccount = "school" };
-      const auto wait = queue.ExpectedWait(other, now);
-      REQUIRE(wait);
-      CHECK(*wait < 300ms);
+      const auto wait = queue.ExpectedWait(other, now).value_or(1h);
+      CHECK(wait < 300ms);
     }
 
     SUBCASE("gives up requests whose deadline comes before their turn")
@@ -225,7 +223,7 @@
 
     SUBCASE("sees that service stalls")
     {
-      CHECK(*queue.ExpectedWait(next, now + 20s) > 60s);
+      CHECK(queue.ExpectedWait(next, now + 20s).value_or(0s) > 60s);
     }
   }
 }
--- a/tests/src/unit-bad_input.cpp
+++ b/tests/src/unit-bad_input.cpp
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-using figslip::http::Header;
 using figslip::test::Cluster;
 using Json = nlohmann::json;
 
--- a/tests/src/unit-caller_request.cpp
+++ b/tests/src/unit-caller_request.cpp
@@ -92,7 +92,8 @@
     CHECK(request.mId == "r-1");
     CHECK(request.mDeadline == kNow + 1700ms);
     CHECK(request.mPriority == figslip::routing::Priority::Batch);
-    CHECK(request.mSession->mVersion == "small-1");
+    CHECK(request.mSession ==
+          figslip::routing::SessionPin{ "salon", "chat", "small-1" });
     CHECK(request.mForwarded);
 
     SUBCASE("and its idempotency key in one form whatever its case")
--- a/tests/src/unit-error.cpp
+++ b/tests/src/unit-error.cpp
@@ -52,7 +52,8 @@
     for (int kind = 0; kind <= last; ++kind) {
       const auto& description = Describe(static_cast<ErrorKind>(kind));
       CHECK(static_cast<int>(description.mKind) == kind);
-      CHECK(FindErrorByNumber(description.mNumber)->mKind == description.mKind);
+      const auto found = FindErrorByNumber(description.mNumber);
+      CHECK((found && found->mKind == description.mKind));
     }
   }
 
--- a/tests/src/unit-manifest_publisher.cpp
+++ b/tests/src/unit-manifest_publisher.cpp
@@ -144,6 +144,7 @@
   std::vector<std::string> refusals(kOperators);
   {
     std::vector<std::jthread> operators;
+    operators.reserve(kOperators);
     for (int index = 0; index < kOperators; ++index) {
       operators.emplace_back([&, index] {
         refusals[index] = platform.Refusal(
