--- a/include/figslip/peer/peer_service.hpp
+++ b/include/figslip/peer/peer_service.hpp
@@ -36,9 +36,9 @@
     std::uint64_t mSeed = 1;
     Duration mRound = std::chrono::milliseconds(500);
     /// keep and forget billing records of peers; refuse while they are not set
-    std::function<bool(const BillingCopies&)> mHoldBilling = {};
+    std::function<bool(const BillingCopies&)> mHoldBilling;
     std::function<bool(const membership::Incarnation&, std::int64_t)>
-      mReleaseBilling = {};
+      mReleaseBilling;
   };
 
   struct Services
--- a/tests/src/fuzz-coldstart.cpp
+++ b/tests/src/fuzz-coldstart.cpp
@@ -262,7 +262,7 @@
   int mBound;
   unsigned mLossPercent = 20;
   bool mKeepList = false;
-  TimePoint mNow{};
+  TimePoint mNow;
   membership::InstanceList mList;
   std::optional<std::size_t> mMissing;
   std::vector<Entry> mEntries;
--- a/tests/src/unit-peer.cpp
+++ b/tests/src/unit-peer.cpp
@@ -180,9 +180,9 @@
   SUBCASE("serves many callers at a time")
   {
     std::atomic<int> answered = 0;
-    std::vector<std::thread> callers;
-    for (int index = 0; index < 8; ++index) {
-      callers.emplace_back([&] {
+    std::vector<std::thread> callers(8);
+    for (auto& caller : callers) {
+      caller = std::thread([&] {
         for (int call = 0; call < 20; ++call) {
           answered += client.FetchManifest(self) ? 1 : 0;
         }
--- a/tests/standins/bench-peers.cpp
+++ b/tests/standins/bench-peers.cpp
@@ -82,6 +82,7 @@
   cluster.Start();
   std::this_thread::sleep_for(kSettle);
   std::vector<double> before;
+  before.reserve(plan.mEntries.size());
   for (const auto& entry : plan.mEntries) {
     before.push_back(ProcessorSeconds(cluster.Entry(entry.mName).Id()));
   }
