--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include <figslip/log/log.hpp>
 #include <figslip/orders/order_service.hpp>
 #include <figslip/peer/peer_service.hpp>
+#include <figslip/report/slo_counters.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <random>
@@ -182,7 +183,18 @@
   const auto billing = std::make_shared<billing::BillingService>(
     billing::BillingService::Options{ .mSelf = mSelf }, platform);
   const auto ratings = std::make_shared<ratings::RatingService>(
-    ratings::RatingService::Options{ .mSource = mSelf.mInstance },
+    ratings::RatingService::Options{
+      .mSource = mSelf.mInstance,
+      .mOnBadRating =
+        [control, metrics](const std::string& aAccount) {
+          const auto snapshot = control->Snapshot();
+          if (snapshot->mManifest != nullptr) {
+            report::CountForSlos(*metrics,
+                                 snapshot->mManifest->Content(),
+                                 aAccount,
+                                 report::BadRating{});
+          }
+        } },
     platform,
     router);
   const auto claims = std::make_shared<claim::ClaimService>(mSelf, platform);
