--- a/include/figslip/control/platform_watcher.hpp
+++ b/include/figslip/control/platform_watcher.hpp
@@ -42,7 +42,7 @@
     Duration mLoadEvery = std::chrono::milliseconds(500);
     Duration mRetryAfter = std::chrono::milliseconds(300); ///< after a failure
     /// is told each instance list that the platform gave
-    std::function<void(const membership::InstanceList&)> mOnInstances = {};
+    std::function<void(const membership::InstanceList&)> mOnInstances;
   };
 
   struct Services
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -301,14 +301,4 @@
   }
 }
 
-void
-Router::WakeAllWaiting()
-{
-  for (const auto& [id, ticket] : mTickets) {
-    if (mQueue.Remove(id)) {
-      mWakeUps.push_back(id);
-    }
-  }
-}
-
 } // namespace figslip::routing
