--- a/include/figslip/cascade/stage_planner.hpp
+++ b/include/figslip/cascade/stage_planner.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <figslip/cascade/stage_policy.hpp>
 #include <figslip/evidence/evidence_store.hpp>
 #include <figslip/manifest/manifest_index.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstddef>
+#include <random>
 #include <span>
 #include <string>
 #include <vector>
@@ -37,17 +39,26 @@
 class StagePlanner
 {
 public:
-  explicit StagePlanner(const evidence::EvidenceStore& aEvidence);
+  explicit StagePlanner(const evidence::EvidenceStore& aEvidence,
+                        StagePolicy aPolicy = ExpectedCost{});
 
   /// @brief Picks the start stage.
   /// @param[in] aRequest the request
   /// @param[in] aOptions the stages open to it, cheapest first; not empty
+  /// @param[in] aRandom seeded generator
   /// @return index into aOptions
   [[nodiscard]] std::size_t Start(const PlanRequest& aRequest,
-                                  std::span<const StageOption> aOptions) const;
+                                  std::span<const StageOption> aOptions,
+                                  std::mt19937_64& aRandom);
 
 private:
+  [[nodiscard]] std::size_t LeastExpectedCost(
+    const PlanRequest& aRequest,
+    std::span<const StageOption> aOptions) const;
+
   const evidence::EvidenceStore& mEvidence;
+  StagePolicy mPolicy;
+  std::size_t mTurn = 0; ///< of the round robin
 };
 
 } // namespace figslip::cascade
--- a/include/figslip/rollout/version_monitor.hpp
+++ b/include/figslip/rollout/version_monitor.hpp
@@ -20,7 +20,10 @@
 class VersionMonitor
 {
 public:
-  explicit VersionMonitor(const evidence::EvidenceStore& aEvidence);
+  /// @param[in] aEvidence the counts to test; outlives the monitor
+  /// @param[in] aLearns false keeps all shares and stops no version by itself
+  explicit VersionMonitor(const evidence::EvidenceStore& aEvidence,
+                          bool aLearns = true);
 
   /// @brief Takes a new manifest into account.
   void OnManifest(const manifest::ManifestIndex& aManifest, TimePoint aNow);
@@ -59,6 +62,7 @@
   [[nodiscard]] double ShareOf(const manifest::ModelVersion& aVersion) const;
 
   const evidence::EvidenceStore& mEvidence;
+  bool mLearns;
   std::vector<Watched> mWatched;
 };
 
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/admission/fair_queue.hpp>
 #include <figslip/cascade/stage_planner.hpp>
+#include <figslip/cascade/stage_policy.hpp>
 #include <figslip/claim/claim_outcome.hpp>
 #include <figslip/evidence/evidence_store.hpp>
 #include <figslip/quarantine/quarantine.hpp>
@@ -40,6 +41,7 @@
   std::vector<AttemptRecord> mAttempts;
   std::string mVersion; ///< version of the answer delivered; empty if none
   bool mDelivered = false;
+  evidence::EvidenceKey mRatingKey; ///< key for a rating of the answer
 };
 
 /// @brief Takes every decision of one entry instance.
@@ -67,6 +69,7 @@
     double mRetryShare = 0.1;     ///< retries earned per request, [0, 1]
     double mRetryBurst = 10.0;    ///< retries that may be saved up, >= 0
     std::size_t mMaxQueue = 1000; ///< requests waiting, >= 0
+    cascade::StagePolicy mStagePolicy = cascade::ExpectedCost{};
   };
 
   explicit Router(Options aOptions);
--- a/src/core/cascade/stage_planner.cpp
+++ b/src/core/cascade/stage_planner.cpp
@@ -1,6 +1,7 @@
 #include <figslip/cascade/stage_planner.hpp>
 
 #include <cassert>
+#include <utility>
 
 namespace figslip::cascade {
 
@@ -12,6 +13,15 @@
 constexpr double kPriorAccepted = 2.0;
 constexpr double kPriorEscalated = 1.0;
 
+template<class... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+template<class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
 struct StageEstimate
 {
   double mAccept; ///< probability that the score reaches the stage
@@ -31,16 +41,39 @@
 
 } // namespace
 
-StagePlanner::StagePlanner(const evidence::EvidenceStore& aEvidence)
+StagePlanner::StagePlanner(const evidence::EvidenceStore& aEvidence,
+                           StagePolicy aPolicy)
   : mEvidence(aEvidence)
+  , mPolicy(std::move(aPolicy))
 {
 }
 
 std::size_t
 StagePlanner::Start(const PlanRequest& aRequest,
-                    std::span<const StageOption> aOptions) const
+                    std::span<const StageOption> aOptions,
+                    std::mt19937_64& aRandom)
 {
   assert(!aOptions.empty());
+  const auto last = aOptions.size() - 1;
+  return std::visit(
+    Overloaded{
+      [&](const ExpectedCost&) {
+        return LeastExpectedCost(aRequest, aOptions);
+      },
+      [&](const AlwaysBest&) { return last; },
+      [&](const CheapestFirst&) { return std::size_t{ 0 }; },
+      [&](const FixedShares&) {
+        return std::uniform_int_distribution<std::size_t>(0, last)(aRandom);
+      },
+      [&](const RoundRobin&) { return mTurn++ % aOptions.size(); },
+    },
+    mPolicy);
+}
+
+std::size_t
+StagePlanner::LeastExpectedCost(const PlanRequest& aRequest,
+                                std::span<const StageOption> aOptions) const
+{
   std::size_t chosen = aOptions.size() - 1;
   double chosenCost = 0.0;
   double chosenQuality = -1.0;
--- a/src/core/evidence/evidence_store.cpp
+++ b/src/core/evidence/evidence_store.cpp
@@ -35,15 +35,53 @@
   return *this;
 }
 
+EvidenceCounts&
+EvidenceCounts::operator-=(const EvidenceCounts& aOther)
+{
+  mAnswered -= aOther.mAnswered;
+  mErrors -= aOther.mErrors;
+  mAccepted -= aOther.mAccepted;
+  mEscalated -= aOther.mEscalated;
+  mGood -= aOther.mGood;
+  mBad -= aOther.mBad;
+  return *this;
+}
+
 EvidenceStore::EvidenceStore(Options aOptions)
   : mOptions(std::move(aOptions))
 {
 }
 
 std::int64_t
-EvidenceStore::BucketAt(TimePoint aNow) const
+EvidenceStore::BucketAt(TimePoint aTime) const
 {
-  return aNow.time_since_epoch() / mOptions.mBucketLength;
+  return aTime.time_since_epoch() / mOptions.mBucketLength;
+}
+
+EvidenceStore::KeyState*
+EvidenceStore::FindOrAdd(const EvidenceKey& aKey)
+{
+  const auto found = mStates.find(aKey);
+  if (found != mStates.end()) {
+    return &found->second;
+  }
+  return mStates.size() < mOptions.mMaxKeys ? &mStates[aKey] : nullptr;
+}
+
+void
+EvidenceStore::Raise(KeyState& aState,
+                     const Place& aPlace,
+                     const EvidenceCounts& aCounts,
+                     TimePoint aNow)
+{
+  auto& cell = aState.mCells[aPlace];
+  if (cell.mCounts == aCounts) {
+    return;
+  }
+  auto& sum = aState.mSeries[aPlace.mBucket];
+  (sum -= cell.mCounts) += aCounts;
+  (aState.mTotal -= cell.mCounts) += aCounts;
+  cell = { .mCounts = aCounts, .mChangedAt = aNow };
 }
 
 void
@@ -51,29 +89,46 @@
                    const EvidenceCounts& aCounts,
                    TimePoint aNow)
 {
-  mCounts[aKey][{ BucketAt(aNow), mOptions.mSelf }] += aCounts;
+  if (auto* const state = FindOrAdd(aKey)) {
+    const Place place{ BucketAt(aNow), mOptions.mSelf };
+    auto counts = state->mCells[place].mCounts;
+    Raise(*state, place, counts += aCounts, aNow);
+  }
 }
 
 void
 EvidenceStore::Merge(const std::vector<EvidenceEntry>& aEntries, TimePoint aNow)
 {
+  // the clocks of instances differ a little
+  const auto newest = BucketAt(aNow) + 1;
   const auto oldest = BucketAt(aNow) - mOptions.mBucketsKept + 1;
   for (const auto& entry : aEntries) {
-    if (entry.mBucket >= oldest && entry.mOrigin != mOptions.mSelf) {
-      auto& counts = mCounts[entry.mKey][{ entry.mBucket, entry.mOrigin }];
-      counts = Largest(counts, entry.mCounts);
+    if (entry.mBucket < oldest || entry.mBucket > newest ||
+        entry.mOrigin == mOptions.mSelf) {
+      continue;
+    }
+    if (auto* const state = FindOrAdd(entry.mKey)) {
+      const Place place{ entry.mBucket, entry.mOrigin };
+      const auto& before = state->mCells[place].mCounts;
+      Raise(*state, place, Largest(before, entry.mCounts), aNow);
     }
   }
 }
 
 std::vector<EvidenceEntry>
 EvidenceStore::OwnEntries() const
+{
+  return OwnEntries(TimePoint::min());
+}
+
+std::vector<EvidenceEntry>
+EvidenceStore::OwnEntries(TimePoint aSince) const
 {
   std::vector<EvidenceEntry> entries;
-  for (const auto& [key, places] : mCounts) {
-    for (const auto& [place, counts] : places) {
-      if (place.mOrigin == mOptions.mSelf) {
-        entries.push_back({ place.mOrigin, place.mBucket, key, counts });
+  for (const auto& [key, state] : mStates) {
+    for (const auto& [place, cell] : state.mCells) {
+      if (place.mOrigin == mOptions.mSelf && cell.mChangedAt >= aSince) {
+        entries.push_back({ place.mOrigin, place.mBucket, key, cell.mCounts });
       }
     }
   }
@@ -83,38 +138,61 @@
 EvidenceCounts
 EvidenceStore::Sum(const EvidenceKey& aKey) const
 {
-  EvidenceCounts sum;
-  if (const auto found = mCounts.find(aKey); found != mCounts.end()) {
-    for (const auto& [place, counts] : found->second) {
-      sum += counts;
-    }
-  }
-  return sum;
+  const auto found = mStates.find(aKey);
+  return found == mStates.end() ? EvidenceCounts{} : found->second.mTotal;
+}
+
+EvidenceStore::States::const_iterator
+EvidenceStore::FirstOf(std::string_view aVersion) const
+{
+  return mStates.lower_bound({ std::string(aVersion), {} });
 }
 
 EvidenceCounts
 EvidenceStore::SumOfVersion(std::string_view aVersion) const
 {
   EvidenceCounts sum;
-  for (const auto& [key, places] : mCounts) {
-    if (key.mVersion == aVersion) {
-      sum += Sum(key);
-    }
+  for (auto position = FirstOf(aVersion);
+       position != mStates.end() && position->first.mVersion == aVersion;
+       ++position) {
+    sum += position->second.mTotal;
   }
   return sum;
 }
 
+std::vector<std::pair<std::string_view, const EvidenceSeries*>>
+EvidenceStore::SeriesOfVersion(std::string_view aVersion) const
+{
+  std::vector<std::pair<std::string_view, const EvidenceSeries*>> series;
+  for (auto position = FirstOf(aVersion);
+       position != mStates.end() && position->first.mVersion == aVersion;
+       ++position) {
+    series.emplace_back(position->first.mTaskKind, &position->second.mSeries);
+  }
+  return series;
+}
+
+void
+EvidenceStore::DropBefore(KeyState& aState, std::int64_t aOldest)
+{
+  const auto end = aState.mCells.lower_bound({ aOldest, {} });
+  for (auto cell = aState.mCells.begin(); cell != end; ++cell) {
+    aState.mTotal -= cell->second.mCounts;
+  }
+  aState.mCells.erase(aState.mCells.begin(), end);
+  aState.mSeries.erase(aState.mSeries.begin(),
+                       aState.mSeries.lower_bound(aOldest));
+}
+
 void
 EvidenceStore::Expire(TimePoint aNow)
 {
   const auto oldest = BucketAt(aNow) - mOptions.mBucketsKept + 1;
-  for (auto& [key, places] : mCounts) {
-    std::erase_if(places, [oldest](const auto& aEntry) {
-      return aEntry.first.mBucket < oldest;
-    });
+  for (auto& [key, state] : mStates) {
+    DropBefore(state, oldest);
   }
-  std::erase_if(mCounts,
-                [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(
+    mStates, [](const auto& aEntry) { return aEntry.second.mCells.empty(); });
 }
 
 } // namespace figslip::evidence
--- a/src/core/rollout/version_monitor.cpp
+++ b/src/core/rollout/version_monitor.cpp
@@ -5,8 +5,10 @@
 
 namespace figslip::rollout {
 
-VersionMonitor::VersionMonitor(const evidence::EvidenceStore& aEvidence)
+VersionMonitor::VersionMonitor(const evidence::EvidenceStore& aEvidence,
+                               bool aLearns)
   : mEvidence(aEvidence)
+  , mLearns(aLearns)
 {
 }
 
@@ -33,6 +35,9 @@
 VersionMonitor::Evaluate(TimePoint /*aNow*/)
 {
   constexpr std::uint64_t kEnoughBad = 20;
+  if (!mLearns) {
+    return {};
+  }
   std::vector<std::string> stopped;
   for (auto& version : mWatched) {
     const auto counts = mEvidence.SumOfVersion(version.mName);
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -13,8 +13,8 @@
   , mRandom(mOptions.mSeed)
   , mSnapshot(std::make_shared<const ControlSnapshot>())
   , mEvidence({ .mSelf = mOptions.mSelf })
-  , mPlanner(mEvidence)
-  , mVersions(mEvidence)
+  , mPlanner(mEvidence, mOptions.mStagePolicy)
+  , mVersions(mEvidence, cascade::Learns(mOptions.mStagePolicy))
   , mUpstreams(mOptions.mColdStart)
   , mQuarantine(mOptions.mQuarantine)
   , mRetryTokens(mOptions.mRetryBurst)
@@ -106,7 +106,11 @@
     mUpstreams.Release(reserved->mUpstream);
     WakeWaiting(aNow);
   }
-  mQueue.Remove(aTicket);
+  const bool waitedInVain = mQueue.Remove(aTicket);
+  if (waitedInVain && ticket.mWholeAttempt) {
+    // waiting again by halves of the time left would never come to an end
+    return Deliver{ *ticket.mWholeAttempt };
+  }
   return Plan(ticket, aNow);
 }
 
@@ -218,6 +222,11 @@
     const auto found = std::ranges::find(
       summary.mAttempts, *ticket.mWholeAttempt, &AttemptRecord::mAttempt);
     summary.mVersion = found->mVersion;
+    if (const auto* const chat =
+          std::get_if<ChatTarget>(&summary.mRequest.mTarget)) {
+      summary.mRatingKey = { .mVersion = found->mVersion,
+                             .mTaskKind = chat->mTaskKind };
+    }
   }
   mTickets.erase(aTicket);
   WakeWaiting(aNow);
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -278,7 +278,8 @@
                               .mTaskKind = chat.mTaskKind,
                               .mCommitted = chat.mStream,
                               .mTimeLeft = aTicket.mRequest.mDeadline - aNow },
-                            options);
+                            options,
+                            mRandom);
   }
   aTicket.mStage = options[chosen].mStage;
   aTicket.mStageChosen = true;
@@ -418,6 +419,7 @@
 {
   const auto* const cascade = CascadeOf(aTicket.mRequest);
   return cascade != nullptr && aTicket.mStageChosen &&
+         cascade::Escalates(mOptions.mStagePolicy) &&
          !ChatOf(aTicket.mRequest)->mStream &&
          aTicket.mStage + 1 < cascade->mStages.size();
 }
