Stop bad versions by a sequential test; count evidence by path

Cause: the old test stopped a version only after 20 bad ratings and a majority of them; counts of checked, committed and escalated answers were mixed, though escalated requests are harder; a single engine error or a deadline that ran out made a warm upstream cold and starved it; sessions stayed on a stopped version. Change: mixture likelihood-ratio test over the spans of time (SequentialTest), share of a roll-out by evidence; evidence::TaskKey holds cascade, task kind and path; learned latencies; errors and expired deadlines are no surprise to the cold-start gate; a stopped version moves its sessions.

--- a/include/figslip/rollout/version_monitor.hpp
+++ b/include/figslip/rollout/version_monitor.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/evidence/evidence_store.hpp>
 #include <figslip/manifest/manifest_index.hpp>
+#include <figslip/rollout/sequential_test.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <random>
@@ -53,11 +54,15 @@
   struct Watched
   {
     std::string mName;
+    std::string mModel;
     manifest::VersionState mState;
+    double mInitialShare = 1.0;
     double mShare = 1.0;
     bool mStopped = false;
   };
 
+  [[nodiscard]] std::vector<TestStratum> StrataOf(
+    const Watched& aVersion) const;
   [[nodiscard]] const Watched* Find(std::string_view aVersion) const;
   [[nodiscard]] double ShareOf(const manifest::ModelVersion& aVersion) const;
 
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <figslip/admission/fair_queue.hpp>
+#include <figslip/cascade/latency_estimator.hpp>
 #include <figslip/cascade/stage_planner.hpp>
 #include <figslip/cascade/stage_policy.hpp>
 #include <figslip/claim/claim_outcome.hpp>
 #include <figslip/evidence/evidence_store.hpp>
+#include <figslip/evidence/task_key.hpp>
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/rollout/version_monitor.hpp>
 #include <figslip/routing/attempt_outcome.hpp>
@@ -32,6 +34,7 @@
   std::string mVersion;
   std::optional<AttemptOutcome> mOutcome; ///< none while it runs
   std::int64_t mCost = 0;                 ///< micro currency units
+  evidence::EvidenceKey mEvidenceKey;     ///< counts that it belongs to
 };
 
 /// @brief Tells how a request went, once it is closed.
@@ -191,6 +194,12 @@
     const Request& aRequest) const;
   [[nodiscard]] std::int64_t CostOf(std::string_view aVersion,
                                     std::int64_t aTokens) const;
+  [[nodiscard]] evidence::EvidenceKey EvidenceKeyOf(
+    const Ticket& aTicket) const;
+  void LearnWarmth(const Ticket& aTicket,
+                   const AttemptRecord& aAttempt,
+                   const AttemptOutcome& aOutcome,
+                   TimePoint aNow);
   void LearnFromOutcome(const Ticket& aTicket,
                         const AttemptRecord& aAttempt,
                         const AttemptOutcome& aOutcome,
@@ -205,6 +214,7 @@
   std::mt19937_64 mRandom;
   ControlSnapshotPtr mSnapshot;
   evidence::EvidenceStore mEvidence;
+  cascade::LatencyEstimator mLatencies;
   cascade::StagePlanner mPlanner;
   rollout::VersionMonitor mVersions;
   UpstreamTable mUpstreams;
--- a/src/core/cascade/stage_planner.cpp
+++ b/src/core/cascade/stage_planner.cpp
@@ -1,7 +1,13 @@
 #include <figslip/cascade/stage_planner.hpp>
 
+#include <figslip/evidence/task_key.hpp>
+
+#include <algorithm>
 #include <cassert>
+#include <cmath>
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace figslip::cascade {
 
@@ -22,10 +28,13 @@
 template<class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+/// Standard errors that an estimate of quality stays below its mean.
+constexpr double kCaution = 1.0;
+
 struct StageEstimate
 {
   double mAccept; ///< probability that the score reaches the stage
-  double mGood;   ///< probability that an answer is rated good
+  double mGood;   ///< probability that a delivered answer is rated good
 };
 
 StageEstimate
@@ -36,7 +45,30 @@
   const auto accepted = static_cast<double>(aCounts.mAccepted) + kPriorAccepted;
   const auto escalated =
     static_cast<double>(aCounts.mEscalated) + kPriorEscalated;
-  return { accepted / (accepted + escalated), good / (good + bad) };
+  const double rate = good / (good + bad);
+  const double error = std::sqrt(rate * (1.0 - rate) / (good + bad));
+  return { accepted / (accepted + escalated), rate - kCaution * error };
+}
+
+/// Holds what to expect of a request from one stage on.
+struct Prospect
+{
+  double mCost = 0.0; ///< micro currency units for a thousand tokens
+  double mQuality = 0.0;
+  Duration mLatency{};
+};
+
+Prospect
+Then(const StageOption& aOption,
+     const StageEstimate& aEstimate,
+     const Prospect& aNext)
+{
+  const double escalates = 1.0 - aEstimate.mAccept;
+  return { .mCost = static_cast<double>(aOption.mCostPerThousandTokens) +
+                    escalates * aNext.mCost,
+           .mQuality =
+             aEstimate.mAccept * aEstimate.mGood + escalates * aNext.mQuality,
+           .mLatency = aOption.mExpectedLatency };
 }
 
 } // namespace
@@ -74,37 +106,49 @@
 StagePlanner::LeastExpectedCost(const PlanRequest& aRequest,
                                 std::span<const StageOption> aOptions) const
 {
-  std::size_t chosen = aOptions.size() - 1;
-  double chosenCost = 0.0;
-  double chosenQuality = -1.0;
-  double costAfter = 0.0;
-  double qualityAfter = 0.0;
+  using evidence::StagePath;
+  const auto estimate = [&](const StageOption& aOption, StagePath aPath) {
+    const auto taskKey =
+      evidence::TaskKey(aRequest.mCascade.mName, aRequest.mTaskKind, aPath);
+    return Estimate(mEvidence.Sum({ aOption.mVersion, taskKey }));
+  };
+  std::vector<Prospect> prospects(aOptions.size());
+  Prospect escalated;
   // from the last stage to the first, so that each builds on its successor
   for (std::size_t step = aOptions.size(); step-- > 0;) {
     const auto& option = aOptions[step];
-    const auto estimate =
-      Estimate(mEvidence.Sum({ option.mVersion, aRequest.mTaskKind }));
     const bool isLast = step + 1 == aOptions.size();
-    const double accept =
-      isLast || aRequest.mCommitted ? 1.0 : estimate.mAccept;
-    const double cost = static_cast<double>(option.mCostPerThousandTokens) +
-                        (1.0 - accept) * costAfter;
-    const double quality =
-      accept * estimate.mGood + (1.0 - accept) * qualityAfter;
-    const double target = aRequest.mCascade.mQualityTarget;
-    const bool reaches = quality >= target;
-    const bool chosenReaches = chosenQuality >= target;
-    const bool better =
-      reaches && chosenReaches ? cost < chosenCost : quality > chosenQuality;
-    if (better) {
-      chosen = step;
-      chosenCost = cost;
-      chosenQuality = quality;
+    const bool checks = !isLast && !aRequest.mCommitted;
+    auto first =
+      estimate(option, checks ? StagePath::Checked : StagePath::Committed);
+    auto later = estimate(option, StagePath::Escalated);
+    if (!checks) {
+      first.mAccept = 1.0;
+      later.mAccept = 1.0;
+    }
+    prospects[step] = Then(option, first, escalated);
+    escalated = Then(option, later, escalated);
+  }
+  const auto inTime = [&](const Prospect& aProspect) {
+    return aProspect.mLatency <= aRequest.mTimeLeft;
+  };
+  const bool anyInTime = std::ranges::any_of(prospects, inTime);
+  std::optional<std::size_t> cheapest;
+  std::optional<std::size_t> best;
+  for (std::size_t index = 0; index < prospects.size(); ++index) {
+    const auto& prospect = prospects[index];
+    if (anyInTime && !inTime(prospect)) {
+      continue;
+    }
+    if (prospect.mQuality >= aRequest.mCascade.mQualityTarget &&
+        (!cheapest || prospect.mCost < prospects[*cheapest].mCost)) {
+      cheapest = index;
+    }
+    if (!best || prospect.mQuality >= prospects[*best].mQuality) {
+      best = index;
     }
-    costAfter = cost;
-    qualityAfter = quality;
   }
-  return chosen;
+  return cheapest.value_or(*best);
 }
 
 } // namespace figslip::cascade
--- a/src/core/rollout/version_monitor.cpp
+++ b/src/core/rollout/version_monitor.cpp
@@ -1,10 +1,20 @@
 #include <figslip/rollout/version_monitor.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace figslip::rollout {
 
+namespace {
+
+/// Log evidence that doubles the share of a version in roll-out.
+constexpr double kGrowthPerDoubling = 1.5;
+/// Share that a roll-out does not outgrow before operators declare it stable.
+constexpr double kLargestRollOutShare = 0.5;
+
+} // namespace
+
 VersionMonitor::VersionMonitor(const evidence::EvidenceStore& aEvidence,
                                bool aLearns)
   : mEvidence(aEvidence)
@@ -23,7 +33,9 @@
       const bool keep = before != nullptr && before->mState == version.mState;
       watched.push_back(
         { .mName = version.mName,
+          .mModel = model.mName,
           .mState = version.mState,
+          .mInitialShare = version.mInitialShare,
           .mShare = keep ? before->mShare : version.mInitialShare,
           .mStopped = keep && before->mStopped });
     }
@@ -31,21 +43,48 @@
   mWatched = std::move(watched);
 }
 
+std::vector<TestStratum>
+VersionMonitor::StrataOf(const Watched& aVersion) const
+{
+  std::vector<TestStratum> strata;
+  for (const auto& [taskKey, series] :
+       mEvidence.SeriesOfVersion(aVersion.mName)) {
+    TestStratum stratum{ .mSeries = series };
+    for (const auto& other : mWatched) {
+      if (other.mModel == aVersion.mModel && other.mName != aVersion.mName &&
+          other.mState == manifest::VersionState::Stable && !other.mStopped) {
+        stratum.mReference +=
+          mEvidence.Sum({ other.mName, std::string(taskKey) });
+      }
+    }
+    strata.push_back(stratum);
+  }
+  return strata;
+}
+
 std::vector<std::string>
 VersionMonitor::Evaluate(TimePoint /*aNow*/)
 {
-  constexpr std::uint64_t kEnoughBad = 20;
+  std::vector<std::string> stopped;
   if (!mLearns) {
-    return {};
+    return stopped;
   }
-  std::vector<std::string> stopped;
   for (auto& version : mWatched) {
-    const auto counts = mEvidence.SumOfVersion(version.mName);
-    if (!version.mStopped && counts.mBad > kEnoughBad &&
-        counts.mBad > counts.mGood) {
+    if (version.mStopped ||
+        version.mState == manifest::VersionState::Withdrawn) {
+      continue;
+    }
+    const auto result = TestVersion(StrataOf(version));
+    if (std::max(result.mRatings, result.mErrors) >= kStopThreshold) {
       version.mStopped = true;
       stopped.push_back(version.mName);
+      continue;
     }
+    // evidence ages, but a share once earned stays
+    const double earned =
+      version.mInitialShare * std::exp2(result.mGrowth / kGrowthPerDoubling);
+    version.mShare =
+      std::max(version.mShare, std::min(kLargestRollOutShare, earned));
   }
   return stopped;
 }
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -222,11 +222,7 @@
     const auto found = std::ranges::find(
       summary.mAttempts, *ticket.mWholeAttempt, &AttemptRecord::mAttempt);
     summary.mVersion = found->mVersion;
-    if (const auto* const chat =
-          std::get_if<ChatTarget>(&summary.mRequest.mTarget)) {
-      summary.mRatingKey = { .mVersion = found->mVersion,
-                             .mTaskKind = chat->mTaskKind };
-    }
+    summary.mRatingKey = found->mEvidenceKey;
   }
   mTickets.erase(aTicket);
   WakeWaiting(aNow);
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -188,6 +188,7 @@
   const auto& index = *mSnapshot->mManifest;
   const auto& name = ChatOf(request)->mName;
   if (request.mSession && request.mSession->mTarget == name &&
+      !mVersions.IsStopped(request.mSession->mVersion) &&
       !CheckVersion(*mSnapshot,
                     request.mAccount,
                     request.mSession->mVersion,
@@ -253,6 +254,8 @@
                     TimePoint aNow)
 {
   std::vector<cascade::StageOption> options;
+  const auto& taskKind = ChatOf(aTicket.mRequest)->mTaskKind;
+  const auto timeLeft = aTicket.mRequest.mDeadline - aNow;
   const std::size_t first = aTicket.mStageChosen ? aTicket.mStage : 0;
   for (std::size_t stage = first; stage < aCascade.mStages.size(); ++stage) {
     const auto* const model =
@@ -262,7 +265,9 @@
       options.push_back(
         { .mStage = stage,
           .mVersion = version->mName,
-          .mCostPerThousandTokens = version->mCostPerThousandTokens });
+          .mCostPerThousandTokens = version->mCostPerThousandTokens,
+          .mExpectedLatency =
+            mLatencies.Expected({ version->mName, taskKind }) });
     }
   }
   if (options.empty()) {
@@ -271,13 +276,18 @@
                        "no stage of cascade \"" + aCascade.mName +
                          "\" is open to the client account");
   }
+  if (aTicket.mWholeAttempt && options.front().mExpectedLatency > timeLeft) {
+    return MakeRefusal(aTicket,
+                       ErrorKind::DeadlineExpired,
+                       "the next stage would end after the deadline");
+  }
   std::size_t chosen = 0;
   if (!aTicket.mStageChosen) {
     const auto& chat = *ChatOf(aTicket.mRequest);
     chosen = mPlanner.Start({ .mCascade = aCascade,
                               .mTaskKind = chat.mTaskKind,
                               .mCommitted = chat.mStream,
-                              .mTimeLeft = aTicket.mRequest.mDeadline - aNow },
+                              .mTimeLeft = timeLeft },
                             options,
                             mRandom);
   }
@@ -336,7 +346,8 @@
 {
   aTicket.mAttempts.push_back({ .mAttempt = aDispatch.mAttempt,
                                 .mUpstream = aDispatch.mUpstream,
-                                .mVersion = aDispatch.mVersion });
+                                .mVersion = aDispatch.mVersion,
+                                .mEvidenceKey = EvidenceKeyOf(aTicket) });
   return aDispatch;
 }
 
@@ -475,18 +486,60 @@
   return Plan(aTicket, aNow);
 }
 
+evidence::EvidenceKey
+Router::EvidenceKeyOf(const Ticket& aTicket) const
+{
+  const auto* const chat = ChatOf(aTicket.mRequest);
+  if (chat == nullptr) {
+    return {};
+  }
+  using evidence::StagePath;
+  auto path = StagePath::Committed;
+  if (aTicket.mWholeAttempt) {
+    path = StagePath::Escalated;
+  } else if (EscalationPossible(aTicket)) {
+    path = StagePath::Checked;
+  }
+  return { aTicket.mVersion,
+           evidence::TaskKey(chat->mName, chat->mTaskKind, path) };
+}
+
+void
+Router::LearnWarmth(const Ticket& aTicket,
+                    const AttemptRecord& aAttempt,
+                    const AttemptOutcome& aOutcome,
+                    TimePoint aNow)
+{
+  auto& coldStart = mUpstreams.ColdStart();
+  switch (aOutcome.mEnd) {
+    case AttemptEnd::Whole:
+      coldStart.OnSuccess(aAttempt.mUpstream, aOutcome.mBootId, aNow);
+      return;
+    case AttemptEnd::TimedOut:
+      // a deadline too short for the work says nothing about the upstream
+      if (aNow < aTicket.mRequest.mDeadline) {
+        coldStart.OnSurprise(aAttempt.mUpstream, aNow);
+      }
+      return;
+    case AttemptEnd::NotConnected:
+    case AttemptEnd::Rejected:
+    case AttemptEnd::Broken:
+      coldStart.OnSurprise(aAttempt.mUpstream, aNow);
+      return;
+    case AttemptEnd::Failed:
+      // one version or one request failed; the upstream is alive
+    case AttemptEnd::Cancelled:
+      return;
+  }
+}
+
 void
 Router::LearnFromOutcome(const Ticket& aTicket,
                          const AttemptRecord& aAttempt,
                          const AttemptOutcome& aOutcome,
                          TimePoint aNow)
 {
-  auto& coldStart = mUpstreams.ColdStart();
-  if (aOutcome.mEnd == AttemptEnd::Whole) {
-    coldStart.OnSuccess(aAttempt.mUpstream, aOutcome.mBootId, aNow);
-  } else if (aOutcome.mEnd != AttemptEnd::Cancelled) {
-    coldStart.OnSurprise(aAttempt.mUpstream, aNow);
-  }
+  LearnWarmth(aTicket, aAttempt, aOutcome, aNow);
   if (aOutcome.mEnd == AttemptEnd::Broken) {
     mQuarantine.OnCrash({ .mFingerprint = aTicket.mRequest.mFingerprint,
                           .mUpstream = aAttempt.mUpstream,
@@ -499,6 +552,7 @@
   evidence::EvidenceCounts counts;
   if (aOutcome.mEnd == AttemptEnd::Whole) {
     counts.mAnswered = 1;
+    mLatencies.Add({ aAttempt.mVersion, chat->mTaskKind }, aOutcome.mLatency);
     if (EscalationPossible(aTicket)) {
       const auto& stage = CascadeOf(aTicket.mRequest)->mStages[aTicket.mStage];
       const bool accepted = aOutcome.mScore >= stage.mAcceptScore;
@@ -507,7 +561,7 @@
   } else if (aOutcome.mEnd == AttemptEnd::Failed) {
     counts.mErrors = 1;
   }
-  mEvidence.Add({ aAttempt.mVersion, chat->mTaskKind }, counts, aNow);
+  mEvidence.Add(aAttempt.mEvidenceKey, counts, aNow);
 }
 
 } // namespace figslip::routing
