Hold a suspected roll-out back before it is stopped

Cause: a version that turned bad after its share had grown answered many requests until the ratings came. Change: evidence past 3.5, engine scores included, cuts a roll-out to a share of 0.02; scores alone never stop a version. Reference rates count from 6 ratings.

--- a/include/figslip/rollout/sequential_test.hpp
+++ b/include/figslip/rollout/sequential_test.hpp
@@ -18,6 +18,7 @@
 {
   double mRatings = 0.0; ///< log of the evidence by ratings, >= 0
   double mErrors = 0.0;  ///< log of the evidence by errors, >= 0
+  double mScores = 0.0;  ///< log of the evidence by the engine's scores, >= 0
   double mGrowth = 0.0;  ///< log of the evidence that ratings are no worse
 };
 
@@ -29,6 +30,12 @@
 /// there is one start a span.
 inline constexpr double kStopThreshold = 12.2;
 
+/// @brief Log evidence, scores included, at which a roll-out is held back.
+///
+/// An engine's own score comes at once and for every checked answer, but it is
+/// no rating: it may hold a roll-out back, and never stops a version.
+inline constexpr double kHoldThreshold = 3.5;
+
 /// @brief Tests a version on the counts of the spans kept.
 ///
 /// From each span as the possible start of trouble, multiplies the likelihood
--- a/include/figslip/rollout/version_monitor.hpp
+++ b/include/figslip/rollout/version_monitor.hpp
@@ -59,6 +59,7 @@
     double mInitialShare = 1.0;
     double mShare = 1.0;
     bool mStopped = false;
+    bool mIsHeld = false; ///< suspected, so that its share is small
   };
 
   [[nodiscard]] std::vector<TestStratum> StrataOf(
--- a/src/core/rollout/sequential_test.cpp
+++ b/src/core/rollout/sequential_test.cpp
@@ -19,7 +19,7 @@
 /// Odds factor of a version too bad to grow.
 constexpr double kGrowthFactor = 0.5;
 /// Ratings or attempts that a reference rate needs.
-constexpr double kLeastReference = 20.0;
+constexpr double kLeastReference = 6.0;
 /// Standard errors by which a reference rate is eased.
 constexpr double kEase = 1.5;
 /// Share of errors that is borne from any version.
@@ -71,6 +71,13 @@
            static_cast<double>(aCounts.mBad) };
 }
 
+Bernoulli
+ScoresOf(const EvidenceCounts& aCounts)
+{
+  return { static_cast<double>(aCounts.mAccepted),
+           static_cast<double>(aCounts.mEscalated) };
+}
+
 Bernoulli
 ErrorsOf(const EvidenceCounts& aCounts)
 {
@@ -177,14 +184,17 @@
   for (const auto start : Starts(aStrata)) {
     Logs ratings{};
     Logs errors{};
+    Logs scores{};
     for (const auto& stratum : aStrata) {
       const auto split = SplitAt(*stratum.mSeries, start);
       auto reference = stratum.mReference;
       reference += split.mBefore;
       AddRatings(ratings, RatingsOf(split.mAfter), RatingsOf(reference));
+      AddRatings(scores, ScoresOf(split.mAfter), ScoresOf(reference));
       AddErrors(errors, ErrorsOf(split.mAfter), ErrorsOf(reference));
     }
     result.mRatings = std::max(result.mRatings, LogMean(ratings));
+    result.mScores = std::max(result.mScores, LogMean(scores));
     result.mErrors = std::max(result.mErrors, LogMean(errors));
   }
   return result;
--- a/src/core/rollout/version_monitor.cpp
+++ b/src/core/rollout/version_monitor.cpp
@@ -13,6 +13,9 @@
 /// Share that a roll-out does not outgrow before operators declare it stable.
 constexpr double kLargestRollOutShare = 0.5;
 
+/// Share of a version that is held back: enough to earn ratings by.
+constexpr double kHeldShare = 0.02;
+
 } // namespace
 
 VersionMonitor::VersionMonitor(const evidence::EvidenceStore& aEvidence,
@@ -80,6 +83,12 @@
       stopped.push_back(version.mName);
       continue;
     }
+    const double suspicion =
+      std::max({ result.mRatings, result.mErrors, result.mScores });
+    version.mIsHeld = suspicion >= kHoldThreshold;
+    if (version.mIsHeld) {
+      continue;
+    }
     // evidence ages, but a share once earned stays
     const double earned =
       version.mInitialShare * std::exp2(result.mGrowth / kGrowthPerDoubling);
@@ -128,7 +137,10 @@
 VersionMonitor::ShareOf(const manifest::ModelVersion& aVersion) const
 {
   const auto* const found = Find(aVersion.mName);
-  return found == nullptr ? aVersion.mInitialShare : found->mShare;
+  if (found == nullptr) {
+    return aVersion.mInitialShare;
+  }
+  return found->mIsHeld ? std::min(found->mShare, kHeldShare) : found->mShare;
 }
 
 const manifest::ModelVersion*
