--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace figslip::routing {
@@ -82,6 +83,7 @@
     WakeAllWaiting();
   }
   WakeWaiting(aNow);
+  std::ranges::copy(mQueue.TakeOverdue(aNow), std::back_inserter(mWakeUps));
   return stopped;
 }
 
@@ -113,7 +115,11 @@
     mUpstreams.Release(reserved->mUpstream);
     WakeWaiting(aNow);
   }
-  mQueue.Remove(aTicket);
+  const bool waitEnded = mQueue.Remove(aTicket);
+  if (waitEnded && ticket.mWholeAttempt) {
+    // no better stage became free in the time set aside for it
+    return Deliver{ *ticket.mWholeAttempt };
+  }
   return Plan(ticket, aNow);
 }
 
@@ -268,21 +274,4 @@
   }
 }
 
-void
-Router::WakeWaiting(TimePoint aNow)
-{
-  if (mQueue.Empty()) {
-    return;
-  }
-  const auto reserve = [&](const admission::QueuedRequest& aWaiting) {
-    auto& ticket = mTickets.at(aWaiting.mTicket);
-    ticket.mReserved = TryReserve(ticket, aNow);
-    return ticket.mReserved.has_value();
-  };
-  // a reservation made by the predicate belongs to the request that is popped
-  while (const auto ticket = mQueue.Pop(reserve)) {
-    mWakeUps.push_back(*ticket);
-  }
-}
-
 } // namespace figslip::routing
