--- a/programs/figslip-report.cpp
+++ b/programs/figslip-report.cpp
@@ -157,7 +157,6 @@
       std::chrono::duration_cast<figslip::Duration>(Hours(aOptions.mLongHours)),
     .mBatches = {}
   };
-  std::string lines;
   for (const auto& path : aOptions.mSamples) {
     for (auto& sample :
          aReader.Take(report::ParseSamples(path, aReader.Read(path)))) {
--- a/tests/standins/bench-daemon.cpp
+++ b/tests/standins/bench-daemon.cpp
@@ -17,7 +17,7 @@
 using namespace figslip;
 
 constexpr auto kSettle = std::chrono::seconds(2);
-constexpr auto kSpan = std::chrono::seconds(5);
+constexpr auto kSpan = std::chrono::seconds(15);
 constexpr double kBytesPerMegabyte = 1e6;
 constexpr double kPercent = 100.0;
 
