--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -4,7 +4,7 @@
 #include <figslip/cascade/latency_estimator.hpp>
 #include <figslip/cascade/stage_planner.hpp>
 #include <figslip/cascade/stage_policy.hpp>
-#include <figslip/claim/claim_outcome.hpp>
+#include <figslip/claim/claim_end.hpp>
 #include <figslip/evidence/evidence_store.hpp>
 #include <figslip/evidence/task_key.hpp>
 #include <figslip/quarantine/quarantine.hpp>
@@ -68,6 +68,7 @@
     FreshnessLimits mFreshness;
     coldstart::ColdStartGate::Options mColdStart;
     quarantine::Quarantine::Options mQuarantine;
+    int mMaxForwards = 3;         ///< peers tried for a request, >= 0
     int mMaxAttempts = 4;         ///< attempts a request, >= 1
     double mRetryShare = 0.1;     ///< retries earned per request, [0, 1]
     double mRetryBurst = 10.0;    ///< retries that may be saved up, >= 0
@@ -97,6 +98,8 @@
                                Request aRequest,
                                TimePoint aNow);
   [[nodiscard]] Decision Resume(TicketId aTicket, TimePoint aNow);
+  /// @brief Notes that another request holds the key, so that this one waits.
+  void OnClaimHeld(TicketId aTicket, TimePoint aNow);
   [[nodiscard]] Decision OnClaim(TicketId aTicket,
                                  claim::ClaimEnd aEnd,
                                  TimePoint aNow);
@@ -149,8 +152,10 @@
     std::size_t mStage = 0; ///< stage of the cascade, if a cascade
     std::string mVersion;   ///< version chosen for the next attempt
     bool mStageChosen = false;
+    bool mFreshNext = false;      ///< use no pooled connection from now on
     bool mClaimed = false;        ///< the idempotency key is held
     bool mMayHaveRun = false;     ///< a byte of it may have reached an upstream
+    int mForwards = 0;            ///< forwards that failed
     bool mForwardTaken = false;   ///< a peer may have taken it
     std::set<std::string> mAvoid; ///< upstreams and peers that failed it
     std::optional<AttemptId> mWholeAttempt; ///< best whole answer so far
@@ -173,11 +178,14 @@
     const manifest::Model& aModel,
     TimePoint aNow);
   [[nodiscard]] Decision DispatchOrWait(Ticket& aTicket, TimePoint aNow);
+  [[nodiscard]] Decision ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch);
+  [[nodiscard]] std::string NeedOf(const Ticket& aTicket) const;
+  [[nodiscard]] Decision WaitForTurn(Ticket& aTicket,
+                                     std::string aNeed,
+                                     TimePoint aNow);
   [[nodiscard]] std::vector<const manifest::Upstream*> Candidates(
     const Ticket& aTicket,
     TimePoint aNow) const;
-  [[nodiscard]] const manifest::Upstream* FindRoom(const Ticket& aTicket,
-                                                   TimePoint aNow);
   [[nodiscard]] std::optional<Dispatch> TryReserve(Ticket& aTicket,
                                                    TimePoint aNow);
   [[nodiscard]] Decision ForwardOrRefuse(Ticket& aTicket, TimePoint aNow);
@@ -211,6 +219,8 @@
                                          Refuse aRefusal) const;
   void ReleaseReservation(Ticket& aTicket);
   void WakeWaiting(TimePoint aNow);
+  /// Lets every waiting request plan anew, as what it waits for may be gone.
+  void WakeAllWaiting();
 
   Options mOptions;
   std::mt19937_64 mRandom;
--- a/include/figslip/upstream/upstream_adapter.hpp
+++ b/include/figslip/upstream/upstream_adapter.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/error/result.hpp>
 #include <figslip/http/http_client.hpp>
+#include <figslip/orders/order_planner.hpp>
 #include <figslip/routing/attempt_outcome.hpp>
 #include <figslip/routing/decision.hpp>
 #include <figslip/routing/request.hpp>
@@ -42,6 +43,7 @@
   {
     Duration mFirstTokenTimeout = std::chrono::seconds(10);
     Duration mNextTokenTimeout = std::chrono::seconds(2);
+    Duration mServiceTimeout = std::chrono::seconds(2); ///< of idempotent calls
   };
 
   /// @brief Receives parts of a streamed answer; returns false to abandon it.
@@ -62,7 +64,16 @@
     const std::string& aUpstream,
     const http::Endpoint& aEndpoint) const;
 
+  /// @brief Sends an order to an engine and waits for its word.
+  /// @return whether the engine has taken it
+  [[nodiscard]] bool SendOrder(const orders::Order& aOrder,
+                               const http::Endpoint& aEndpoint) const;
+
 private:
+  [[nodiscard]] http::CallOptions OptionsOf(const routing::Dispatch& aDispatch,
+                                            const UpstreamCall& aCall,
+                                            TimePoint aNow) const;
+
   Options mOptions;
   std::shared_ptr<http::HttpClient> mClient;
 };
--- a/src/core/rollout/sequential_test.cpp
+++ b/src/core/rollout/sequential_test.cpp
@@ -19,9 +19,9 @@
 /// Odds factor of a version too bad to grow.
 constexpr double kGrowthFactor = 0.5;
 /// Ratings or attempts that a reference rate needs.
-constexpr double kLeastReference = 6.0;
+constexpr double kLeastReference = 20.0;
 /// Standard errors by which a reference rate is eased.
-constexpr double kEase = 1.5;
+constexpr double kEase = 2.5;
 /// Share of errors that is borne from any version.
 constexpr double kBorneErrors = 0.02;
 constexpr double kLowestRate = 0.05;
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace figslip::routing {
@@ -26,10 +27,14 @@
 {
   assert(aSnapshot != nullptr);
   const bool isNewManifest = aSnapshot->mManifest != mSnapshot->mManifest;
+  const bool isNewList = aSnapshot->mInstances != mSnapshot->mInstances;
   mSnapshot = std::move(aSnapshot);
   if (isNewManifest) {
     mVersions.OnManifest(*mSnapshot->mManifest, aNow);
   }
+  if (isNewManifest || isNewList) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
 }
 
@@ -74,7 +79,11 @@
   mEvidence.Expire(aNow);
   mQuarantine.Expire(aNow);
   auto stopped = mVersions.Evaluate(aNow);
+  if (!stopped.empty()) {
+    WakeAllWaiting();
+  }
   WakeWaiting(aNow);
+  std::ranges::copy(mQueue.TakeOverdue(aNow), std::back_inserter(mWakeUps));
   return stopped;
 }
 
@@ -101,19 +110,26 @@
                                .mVersion = reserved->mVersion,
                                .mOwnDomain = mOptions.mFailureDomain };
     if (!CheckDispatch(*mSnapshot, facts, mOptions.mFreshness, aNow)) {
-      return Commit(ticket, *std::move(reserved));
+      return ClaimOrCommit(ticket, *std::move(reserved));
     }
     mUpstreams.Release(reserved->mUpstream);
     WakeWaiting(aNow);
   }
-  const bool waitedInVain = mQueue.Remove(aTicket);
-  if (waitedInVain && ticket.mWholeAttempt) {
-    // waiting again by halves of the time left would never come to an end
+  const bool waitEnded = mQueue.Remove(aTicket);
+  if (waitEnded && ticket.mWholeAttempt) {
+    // no better stage became free in the time set aside for it
     return Deliver{ *ticket.mWholeAttempt };
   }
   return Plan(ticket, aNow);
 }
 
+void
+Router::OnClaimHeld(TicketId aTicket, TimePoint aNow)
+{
+  ReleaseReservation(mTickets.at(aTicket));
+  WakeWaiting(aNow);
+}
+
 Decision
 Router::OnClaim(TicketId aTicket, claim::ClaimEnd aEnd, TimePoint aNow)
 {
@@ -136,6 +152,10 @@
       return refuse(ErrorKind::KeyExpired,
                     RunState::Unknown,
                     "the idempotency key is older than the retention");
+    case ClaimEnd::FromFuture:
+      return refuse(ErrorKind::BadHeader,
+                    RunState::NotRun,
+                    "the time of the idempotency key is in the future");
     case ClaimEnd::OtherRequest:
       return refuse(ErrorKind::KeyInUse,
                     RunState::NotRun,
@@ -198,6 +218,7 @@
 {
   auto& ticket = mTickets.at(aTicket);
   ticket.mForwardTaken = ticket.mForwardTaken || aBytesLeft;
+  ++ticket.mForwards;
   if (aBytesLeft && !IsIdempotent(ticket.mRequest)) {
     return MakeRefusal(
       ticket, ErrorKind::UpstreamFailed, "the forwarded request was lost");
@@ -245,20 +266,12 @@
 }
 
 void
-Router::WakeWaiting(TimePoint aNow)
+Router::WakeAllWaiting()
 {
-  if (mQueue.Empty()) {
-    return;
-  }
-  // the queue may ask for several requests before it takes one, so that the
-  // predicate must not reserve
-  const auto hasRoom = [&](const admission::QueuedRequest& aWaiting) {
-    return FindRoom(mTickets.at(aWaiting.mTicket), aNow) != nullptr;
-  };
-  while (const auto id = mQueue.Pop(hasRoom)) {
-    auto& ticket = mTickets.at(*id);
-    ticket.mReserved = TryReserve(ticket, aNow);
-    mWakeUps.push_back(*id);
+  for (const auto& [id, ticket] : mTickets) {
+    if (mQueue.Remove(id)) {
+      mWakeUps.push_back(id);
+    }
   }
 }
 
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Part of the time left that a waiting request keeps for its answer.
-constexpr int kWaitShareDivisor = 2;
-
 const ChatTarget*
 ChatOf(const Request& aRequest)
 {
@@ -318,18 +315,12 @@
   return candidates;
 }
 
-const manifest::Upstream*
-Router::FindRoom(const Ticket& aTicket, TimePoint aNow)
-{
-  const auto candidates = Candidates(aTicket, aNow);
-  return mUpstreams.Choose(
-    candidates, aTicket.mRequest.mPrefixHash, mRandom, aNow);
-}
-
 std::optional<Dispatch>
 Router::TryReserve(Ticket& aTicket, TimePoint aNow)
 {
-  const auto* const upstream = FindRoom(aTicket, aNow);
+  const auto candidates = Candidates(aTicket, aNow);
+  const auto* const upstream =
+    mUpstreams.Choose(candidates, aTicket.mRequest.mPrefixHash, mRandom, aNow);
   if (upstream == nullptr) {
     return std::nullopt;
   }
@@ -341,7 +332,8 @@
     .mAddress = upstream->mAddress,
     .mPort = upstream->mPort,
     .mVersion = aTicket.mVersion,
-    .mFreshConnection = !IsIdempotent(aTicket.mRequest),
+    .mFreshConnection = aTicket.mFreshNext || !IsIdempotent(aTicket.mRequest),
+    .mMayRepeat = IsIdempotent(aTicket.mRequest),
     .mDeliverDirectly = chat != nullptr && chat->mStream,
     .mDeadline = aTicket.mRequest.mDeadline,
   };
@@ -366,34 +358,20 @@
                                        ErrorKind::UpstreamFailed,
                                        "no attempt gave a whole answer"));
   }
-  if (auto dispatch = TryReserve(aTicket, aNow)) {
-    if (!IsIdempotent(aTicket.mRequest) && !aTicket.mClaimed) {
-      // the slot is held while the key is claimed
-      aTicket.mReserved = std::move(dispatch);
-      return ClaimKey{ aTicket.mRequest.mIdempotencyKey };
+  const auto need = NeedOf(aTicket);
+  if (mQueue.IsAwaited(need)) {
+    // who came first goes first
+    WakeWaiting(aNow);
+  }
+  if (!mQueue.IsAwaited(need)) {
+    if (auto dispatch = TryReserve(aTicket, aNow)) {
+      return ClaimOrCommit(aTicket, std::move(*dispatch));
     }
-    return Commit(aTicket, std::move(*dispatch));
   }
   if (Candidates(aTicket, aNow).empty()) {
     return ForwardOrRefuse(aTicket, aNow);
   }
-  if (mQueue.Size() >= mOptions.mMaxQueue) {
-    return RefuseOrDeliver(
-      aTicket,
-      MakeRefusal(aTicket, ErrorKind::NoCapacity, "too many requests wait"));
-  }
-  const auto& request = aTicket.mRequest;
-  mQueue.Push(
-    { .mTicket = aTicket.mId,
-      .mAccount = request.mAccount,
-      .mShare = mSnapshot->mManifest->FindAccount(request.mAccount)->mShare,
-      .mCost =
-        static_cast<double>(std::max<std::int64_t>(1, request.mExpectedTokens)),
-      .mPriority = request.mPriority,
-      .mDeadline = request.mDeadline });
-  const auto timeLeft = request.mDeadline - aNow;
-  return Wait{ aTicket.mWholeAttempt ? aNow + timeLeft / kWaitShareDivisor
-                                     : request.mDeadline };
+  return WaitForTurn(aTicket, need, aNow);
 }
 
 Decision
@@ -417,6 +395,7 @@
     }
   }
   if (aTicket.mRequest.mForwarded || peers.empty() ||
+      aTicket.mForwards >= mOptions.mMaxForwards ||
       aNow >= aTicket.mRequest.mDeadline) {
     return RefuseOrDeliver(aTicket,
                            MakeRefusal(aTicket,
@@ -477,7 +456,10 @@
                        ErrorKind::UpstreamFailed,
                        "the answer broke off after part of it was sent");
   }
-  if (aOutcome.mEnd != AttemptEnd::Cancelled) {
+  if (IsConnectionFault(aOutcome)) {
+    // the same upstream may answer on a new connection
+    aTicket.mFreshNext = true;
+  } else if (aOutcome.mEnd != AttemptEnd::Cancelled) {
     aTicket.mAvoid.insert(attempt.mUpstream);
   }
   if (reached) {
@@ -523,14 +505,16 @@
       return;
     case AttemptEnd::TimedOut:
       // a deadline too short for the work says nothing about the upstream
-      if (aNow < aTicket.mRequest.mDeadline) {
+      if (aNow < aTicket.mRequest.mDeadline && !IsConnectionFault(aOutcome)) {
         coldStart.OnSurprise(aAttempt.mUpstream, aNow);
       }
       return;
     case AttemptEnd::NotConnected:
     case AttemptEnd::Rejected:
     case AttemptEnd::Broken:
-      coldStart.OnSurprise(aAttempt.mUpstream, aNow);
+      if (!IsConnectionFault(aOutcome)) {
+        coldStart.OnSurprise(aAttempt.mUpstream, aNow);
+      }
       return;
     case AttemptEnd::Failed:
       // one version or one request failed; the upstream is alive
@@ -546,7 +530,7 @@
                          TimePoint aNow)
 {
   LearnWarmth(aTicket, aAttempt, aOutcome, aNow);
-  if (aOutcome.mEnd == AttemptEnd::Broken) {
+  if (aOutcome.mEnd == AttemptEnd::Broken && !IsConnectionFault(aOutcome)) {
     mQuarantine.OnCrash({ .mFingerprint = aTicket.mRequest.mFingerprint,
                           .mUpstream = aAttempt.mUpstream,
                           .mSeenAt = aNow });
--- a/src/core/routing/upstream_table.cpp
+++ b/src/core/routing/upstream_table.cpp
@@ -1,12 +1,22 @@
+#include <figslip/membership/rendezvous.hpp>
 #include <figslip/routing/upstream_table.hpp>
 
 #include <algorithm>
 #include <cassert>
-#include <limits>
+#include <string>
 #include <vector>
 
 namespace figslip::routing {
 
+namespace {
+
+/// Age from which a load report says nothing any more.
+constexpr Duration kReportLife = std::chrono::seconds(5);
+/// Load, as a multiple of the average, up to which a prefix keeps its home.
+constexpr double kLoadBound = 1.25;
+
+} // namespace
+
 UpstreamTable::UpstreamTable(coldstart::ColdStartGate::Options aColdStart)
   : mColdStart(aColdStart)
 {
@@ -28,43 +38,69 @@
   return found == mStates.end() ? 0 : found->second.mInFlight;
 }
 
-int
-UpstreamTable::LoadOf(std::string_view aUpstream) const
+double
+UpstreamTable::LoadOf(const manifest::Upstream& aUpstream, TimePoint aNow) const
 {
-  const auto found = mStates.find(aUpstream);
+  const auto found = mStates.find(aUpstream.mName);
   if (found == mStates.end()) {
-    return 0;
+    return 0.0;
+  }
+  const auto& [inFlight, report] = found->second;
+  const bool fresh = aNow - report.mAt <= kReportLife;
+  const int running = fresh ? std::max(inFlight, report.mRunning) : inFlight;
+  return static_cast<double>(running) / aUpstream.mConcurrency;
+}
+
+const manifest::Upstream*
+UpstreamTable::PrefixHome(std::span<const Loaded> aOpen,
+                          std::uint64_t aPrefixHash)
+{
+  std::vector<std::string_view> names;
+  double sum = 0.0;
+  for (const auto& open : aOpen) {
+    names.emplace_back(open.mUpstream->mName);
+    sum += open.mLoad;
+  }
+  const double bound = kLoadBound * sum / static_cast<double>(aOpen.size());
+  const auto ranked =
+    membership::RankByRendezvous(std::to_string(aPrefixHash), names);
+  for (const auto name : ranked) {
+    const auto found = std::ranges::find_if(aOpen, [&](const Loaded& aOpenOne) {
+      return aOpenOne.mUpstream->mName == name;
+    });
+    // one request more than the average is borne on an idle upstream too
+    if (found->mLoad <= bound + 1.0 / found->mUpstream->mConcurrency) {
+      return found->mUpstream;
+    }
   }
-  return std::max(found->second.mInFlight, found->second.mReport.mRunning);
+  return nullptr;
 }
 
 const manifest::Upstream*
 UpstreamTable::Choose(std::span<const manifest::Upstream* const> aCandidates,
-                      std::uint64_t /*aPrefixHash*/,
+                      std::uint64_t aPrefixHash,
                       std::mt19937_64& aRandom,
                       TimePoint aNow) const
 {
-  std::vector<const manifest::Upstream*> best;
-  double bestLoad = std::numeric_limits<double>::infinity();
+  std::vector<Loaded> open;
   for (const auto* const upstream : aCandidates) {
-    if (InFlight(upstream->mName) >= mColdStart.Limit(*upstream, aNow)) {
-      continue;
-    }
-    const double load =
-      static_cast<double>(LoadOf(upstream->mName)) / upstream->mConcurrency;
-    if (load < bestLoad) {
-      best.clear();
-      bestLoad = load;
-    }
-    if (load == bestLoad) {
-      best.push_back(upstream);
+    if (InFlight(upstream->mName) < mColdStart.Limit(*upstream, aNow)) {
+      open.push_back({ upstream, LoadOf(*upstream, aNow) });
     }
   }
-  if (best.empty()) {
+  if (open.empty()) {
     return nullptr;
   }
-  std::uniform_int_distribution<std::size_t> pick(0, best.size() - 1);
-  return best[pick(aRandom)];
+  if (aPrefixHash != 0) {
+    if (const auto* const home = PrefixHome(open, aPrefixHash)) {
+      return home;
+    }
+  }
+  const double least =
+    std::ranges::min_element(open, {}, &Loaded::mLoad)->mLoad;
+  std::erase_if(open, [&](const Loaded& aOne) { return aOne.mLoad > least; });
+  std::uniform_int_distribution<std::size_t> pick(0, open.size() - 1);
+  return open[pick(aRandom)].mUpstream;
 }
 
 void
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -2,6 +2,7 @@
 #include <figslip/caller/caller_request.hpp>
 #include <figslip/caller/caller_response.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/report/slo_counters.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -77,7 +78,7 @@
   void Run()
   {
     if (mHttp.mMethod != "POST") {
-      Refuse({ { error::ErrorKind::MalformedBody, "method", "expected POST" } },
+      Refuse({ { error::ErrorKind::WrongMethod, "method", "expected POST" } },
              routing::RunState::NotRun);
       return;
     }
@@ -92,13 +93,24 @@
       return;
     }
     mRequest = std::move(request).assume_value();
-    if (mApi.mServices.mState->Now() == entry::Phase::Draining) {
+    if (mApi.mServices.mState->Now() != entry::Phase::Serving) {
+      mWriter.CloseAfterResponse();
+    }
+    if (mApi.mServices.mState->Now() == entry::Phase::Stopping) {
       Refuse({ { error::ErrorKind::Draining,
                  "instance",
                  "the instance finishes its work and stops" } },
              routing::RunState::NotRun);
       return;
     }
+    if (!mApi.mServices.mBilling->HasRoom()) {
+      Refuse(
+        { { error::ErrorKind::NoCapacity,
+            "billing",
+            "the platform takes no billing records and memory is short" } },
+        routing::RunState::NotRun);
+      return;
+    }
     const auto result = mApi.mServices.mRunner->Run(
       mRequest, mHttp.mBody, MakeRelay(), MakeSink(), mSummary);
     if (const auto* const answer = std::get_if<entry::Answer>(&result)) {
@@ -220,19 +232,39 @@
   {
     const auto end = ReadClock();
     // billed before the answer leaves, so that no answer goes unbilled
-    if (!aAnswer.mReplayed) {
-      mApi.mServices.mBilling->Add(MakeRecord(mSummary, mStart, end));
-    }
+    Bill(aAnswer, end);
     SendAnswer(aAnswer);
     Rate(aAnswer);
     Count("answered", "none");
+    CountForSlos(report::AnsweredRequest{ .mLatency = end - mStart });
     const auto micros = static_cast<double>(Duration(end - mStart).count());
     mApi.mServices.mMetrics
       ->HistogramOf("figslip_request_latency_ms",
-                    { { "account", mRequest.mAccount } })
+                    { { "account", AccountLabel() } })
       .Observe(micros / kMicrosPerMilli);
   }
 
+  void Bill(const entry::Answer& aAnswer, TimePoint aEnd)
+  {
+    if (aAnswer.mReplayedRecord) {
+      // the earlier holder may have crashed before it billed; the ledger
+      // drops the second record of a request
+      const auto stored = billing::ParseBatch(*aAnswer.mReplayedRecord);
+      if (stored) {
+        for (const auto& record : stored.assume_value()) {
+          mApi.mServices.mBilling->Add(record);
+        }
+      }
+      return;
+    }
+    const auto record = MakeRecord(mSummary, mStart, aEnd);
+    if (aAnswer.mClaim) {
+      mApi.mServices.mRunner->CompleteClaim(
+        mRequest, aAnswer, billing::PrintBatch({ record }));
+    }
+    mApi.mServices.mBilling->Add(record);
+  }
+
   void SendAnswer(const entry::Answer& aAnswer)
   {
     const auto* const chat =
@@ -260,11 +292,11 @@
         static_cast<double>(bucket) >= mApi.mRatingShare * kRatingBuckets) {
       return;
     }
-    mApi.mServices.mRatings->Submit(
-      { .mSource = {},
-        .mRequestId = mRequest.mId,
-        .mKey = { .mVersion = aAnswer.mVersion, .mTaskKind = chat->mTaskKind },
-        .mAnswer = aAnswer.mText });
+    mApi.mServices.mRatings->Submit({ .mSource = {},
+                                      .mAccount = mRequest.mAccount,
+                                      .mRequestId = mRequest.mId,
+                                      .mKey = mSummary.mRatingKey,
+                                      .mAnswer = aAnswer.mText });
   }
 
   void Refuse(const error::Findings& aFindings, routing::RunState aRun)
@@ -278,6 +310,9 @@
       if (StatusOf(kind) == StatusOf(error::ErrorKind::NotReady)) {
         headers.push_back({ "Retry-After", "1" });
       }
+      if (kind == error::ErrorKind::WrongMethod) {
+        headers.push_back({ "Allow", "POST" });
+      }
       (void)mWriter.Send(StatusOf(kind), headers, PrintError(aFindings, aRun));
     }
     log::Write(log::Level::Info,
@@ -287,13 +322,36 @@
                  { "run", std::string(routing::NameOf(aRun)) },
                  { "error", error::JoinMessages(aFindings, "; ") } });
     Count("refused", error::Describe(kind).mName);
+    CountForSlos(report::RefusedRequest{ .mKind = kind });
+  }
+
+  void CountForSlos(const report::SloEvent& aEvent) const
+  {
+    const auto snapshot = mApi.mServices.mControl->Snapshot();
+    if (snapshot->mManifest != nullptr) {
+      report::CountForSlos(*mApi.mServices.mMetrics,
+                           snapshot->mManifest->Content(),
+                           mRequest.mAccount,
+                           aEvent);
+    }
+  }
+
+  /// Names the client account in metrics. Accounts that are not defined share
+  /// one label, since callers could make up any number of them.
+  [[nodiscard]] std::string AccountLabel() const
+  {
+    const auto snapshot = mApi.mServices.mControl->Snapshot();
+    const bool known =
+      snapshot->mManifest != nullptr &&
+      snapshot->mManifest->FindAccount(mRequest.mAccount) != nullptr;
+    return known ? mRequest.mAccount : "unknown";
   }
 
   void Count(std::string_view aResult, std::string_view aError) const
   {
     mApi.mServices.mMetrics
       ->CounterOf("figslip_requests_total",
-                  { { "account", mRequest.mAccount },
+                  { { "account", AccountLabel() },
                     { "result", std::string(aResult) },
                     { "error", std::string(aError) } })
       .Add();
--- a/src/shell/entry/entry_daemon.cpp
+++ b/src/shell/entry/entry_daemon.cpp
@@ -5,6 +5,8 @@
 #include <figslip/entry/entry_daemon.hpp>
 #include <figslip/entry/request_runner.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/orders/order_service.hpp>
+#include <figslip/report/slo_counters.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <random>
@@ -107,6 +109,22 @@
                      .mStop = [loop] { loop->Stop(); } },
                    control);
   mKernel.Register({ .mName = "control_loop" }, loop);
+  const auto orders = std::make_shared<orders::OrderService>(
+    orders::OrderService::Options{ .mSelf = mSelf,
+                                   .mFailureDomain = aSettings.mFailureDomain },
+    orders::OrderService::Services{
+      .mControl = control,
+      .mPlatform = platform,
+      .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams") });
+  mKernel.Register({ .mName = "orders",
+                     .mDependsOn = { "control", "platform", "upstreams" },
+                     .mStart =
+                       [orders] {
+                         orders->Start();
+                         return Result<void>(outcome::success());
+                       },
+                     .mStop = [orders] { orders->Stop(); } },
+                   orders);
   mKernel.Register({ .mName = "platform_watcher",
                      .mDependsOn = { "control", "platform", "upstreams" },
                      .mStart =
@@ -129,16 +147,28 @@
   const auto billing = std::make_shared<billing::BillingService>(
     billing::BillingService::Options{ .mSelf = mSelf }, platform);
   const auto ratings = std::make_shared<ratings::RatingService>(
-    ratings::RatingService::Options{ .mSource = mSelf.mInstance },
+    ratings::RatingService::Options{
+      .mSource = mSelf.mInstance,
+      .mOnBadRating =
+        [control, metrics](const std::string& aAccount) {
+          const auto snapshot = control->Snapshot();
+          if (snapshot->mManifest != nullptr) {
+            report::CountForSlos(*metrics,
+                                 snapshot->mManifest->Content(),
+                                 aAccount,
+                                 report::BadRating{});
+          }
+        } },
     platform,
     router);
+  const auto claims = std::make_shared<claim::ClaimService>(mSelf, platform);
   const auto runner = std::make_shared<RequestRunner>(
     mSelf,
     RequestRunner::Services{
       .mRouter = router,
       .mUpstreams = mKernel.Find<upstream::UpstreamAdapter>("upstreams"),
       .mClient = mKernel.Find<http::HttpClient>("http_client"),
-      .mClaims = std::make_shared<claim::ClaimService>(mSelf, platform) });
+      .mClaims = claims });
   const auto callers = std::make_shared<caller::CallerApi>(
     aSettings,
     mSelf,
@@ -156,6 +186,15 @@
                                                    .mBilling = billing,
                                                    .mMetrics = metrics });
   const auto holder = std::make_shared<ServerHolder>();
+  mKernel.Register({ .mName = "claims",
+                     .mDependsOn = { "platform" },
+                     .mStart =
+                       [claims] {
+                         claims->Start();
+                         return Result<void>(outcome::success());
+                       },
+                     .mStop = [claims] { claims->Stop(); } },
+                   claims);
   mKernel.Register({ .mName = "billing",
                      .mDependsOn = { "platform" },
                      .mStart =
@@ -184,7 +223,11 @@
                    ratings);
   mKernel.Register(
     { .mName = "caller_server",
-      .mDependsOn = { "control", "billing", "ratings", "platform_watcher" },
+      .mDependsOn = { "control",
+                      "billing",
+                      "claims",
+                      "ratings",
+                      "platform_watcher" },
       .mStart = [holder, callers, admin, options = ServerOptions(aSettings)]()
         -> Result<void> {
         auto routes = callers->Routes();
@@ -225,6 +268,7 @@
   mKernel.Find<EntryState>("state")->Enter(Phase::Draining);
   std::this_thread::sleep_for(
     std::chrono::milliseconds(mSettings.mDrainDelayMs));
+  mKernel.Find<EntryState>("state")->Enter(Phase::Stopping);
   WaitForOpenRequests();
   mKernel.Stop();
   log::Write(log::Level::Info, "stopped");
--- a/src/shell/http/http_server.cpp
+++ b/src/shell/http/http_server.cpp
@@ -19,25 +19,15 @@
   return mg_get_response_code_text(nullptr, aStatus);
 }
 
+/// Reads a body; stops once it is over the limit, as a chunked one tells no
+/// length beforehand.
 std::string
-HeadOf(int aStatus, const std::vector<Header>& aHeaders)
-{
-  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
-  text += ReasonOf(aStatus);
-  text += "\r\n";
-  for (const auto& header : aHeaders) {
-    text += header.mName + ": " + header.mValue + "\r\n";
-  }
-  return text;
-}
-
-std::string
-ReadBody(mg_connection* aConnection)
+ReadBody(mg_connection* aConnection, std::size_t aMaxBytes)
 {
   std::string body;
   std::array<char, 16384> buffer{};
   int count = mg_read(aConnection, buffer.data(), buffer.size());
-  while (count > 0) {
+  while (count > 0 && body.size() <= aMaxBytes) {
     body.append(buffer.data(), static_cast<std::size_t>(count));
     count = mg_read(aConnection, buffer.data(), buffer.size());
   }
@@ -59,7 +49,7 @@
   if (info->content_length > static_cast<long long>(aMaxBodyBytes)) {
     request.mBodyTooLarge = true;
   } else {
-    request.mBody = ReadBody(aConnection);
+    request.mBody = ReadBody(aConnection, aMaxBodyBytes);
     request.mBodyTooLarge = request.mBody.size() > aMaxBodyBytes;
   }
   return request;
@@ -78,7 +68,7 @@
   const auto request = ReadRequest(aConnection, route.mMaxBodyBytes);
   ResponseWriter writer(aConnection);
   route.mRoute.mHandler(request, writer);
-  if (writer.Aborted() || request.mBodyTooLarge) {
+  if (writer.EndsConnection() || request.mBodyTooLarge) {
     mg_disable_connection_keep_alive(aConnection);
   }
   return kHandled;
@@ -86,6 +76,21 @@
 
 } // namespace
 
+std::string
+ResponseWriter::HeadOf(int aStatus, const std::vector<Header>& aHeaders) const
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  text += ReasonOf(aStatus);
+  text += "\r\n";
+  for (const auto& header : aHeaders) {
+    text += header.mName + ": " + header.mValue + "\r\n";
+  }
+  if (mCloseAfter) {
+    text += "Connection: close\r\n";
+  }
+  return text;
+}
+
 bool
 ResponseWriter::Write(const std::string& aText)
 {
--- /dev/null
+++ b/tests/src/unit-upstream_table.cpp
@@ -0,0 +1,130 @@
+#include <figslip/routing/upstream_table.hpp>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace figslip;
+using routing::UpstreamTable;
+
+namespace {
+
+constexpr TimePoint kNow{ std::chrono::hours(10) };
+constexpr int kUpstreams = 4;
+
+struct Fixture
+{
+  std::vector<manifest::Upstream> mUpstreams;
+  std::vector<const manifest::Upstream*> mCandidates;
+  UpstreamTable mTable{ { .mWarmSuccesses = 1,
+                          .mWarmTime = Duration::zero() } };
+  std::mt19937_64 mRandom{ 1 };
+
+  Fixture()
+  {
+    for (int index = 0; index < kUpstreams; ++index) {
+      mUpstreams.push_back(
+        { .mName = "u" + std::to_string(index), .mConcurrency = 10 });
+    }
+    for (const auto& upstream : mUpstreams) {
+      mCandidates.push_back(&upstream);
+      mTable.ColdStart().OnSuccess(upstream.mName, "boot", kNow);
+    }
+  }
+
+  const manifest::Upstream* Choose(std::uint64_t aPrefix, TimePoint aNow = kNow)
+  {
+    return mTable.Choose(mCandidates, aPrefix, mRandom, aNow);
+  }
+
+  void Load(const std::string& aName, int aRequests)
+  {
+    for (int request = 0; request < aRequests; ++request) {
+      mTable.Reserve(aName);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("the choice of an upstream")
+{
+  Fixture fixture;
+
+  SUBCASE("without a prefix takes the least loaded")
+  {
+    for (const auto* const name : { "u0", "u1", "u3" }) {
+      fixture.Load(name, 1);
+    }
+    CHECK(fixture.Choose(0)->mName == "u2");
+
+    SUBCASE("and believes a fresh report of others' work")
+    {
+      fixture.mTable.OnLoadReport(
+        { .mUpstream = "u2", .mRunning = 9, .mAt = kNow });
+      CHECK(fixture.Choose(0)->mName != "u2");
+
+      SUBCASE("but not an old one")
+      {
+        CHECK(fixture.Choose(0, kNow + std::chrono::seconds(6))->mName == "u2");
+      }
+
+      SUBCASE("nor an older one that comes later")
+      {
+        fixture.mTable.OnLoadReport({ .mUpstream = "u2",
+                                      .mRunning = 0,
+                                      .mAt = kNow - std::chrono::seconds(1) });
+        CHECK(fixture.Choose(0)->mName != "u2");
+      }
+    }
+  }
+
+  SUBCASE("with a prefix")
+  {
+    const auto home = fixture.Choose(7)->mName;
+
+    SUBCASE("stays at the home of the prefix")
+    {
+      fixture.Load(home, 1);
+      CHECK(fixture.Choose(7)->mName == home);
+    }
+
+    SUBCASE("leaves a home whose load is far above the average")
+    {
+      fixture.Load(home, 5);
+      CHECK(fixture.Choose(7)->mName != home);
+    }
+
+    SUBCASE("spreads different prefixes")
+    {
+      std::set<std::string> homes;
+      for (std::uint64_t prefix = 1; prefix <= 40; ++prefix) {
+        homes.insert(fixture.Choose(prefix)->mName);
+      }
+      CHECK(homes.size() == kUpstreams);
+    }
+  }
+
+  SUBCASE("finds none where all are full or cold")
+  {
+    for (const auto& upstream : fixture.mUpstreams) {
+      fixture.Load(upstream.mName, upstream.mConcurrency);
+    }
+    CHECK(fixture.Choose(0) == nullptr);
+    CHECK(fixture.Choose(7) == nullptr);
+  }
+}
+
+// a slot count against the work of a plain loop: no upstream ever gets more
+// than its limit, and the load of one prefix spreads before its home is full
+TEST_CASE("one hot prefix cannot overload its home")
+{
+  Fixture fixture;
+  for (int request = 0; request < kUpstreams * 10; ++request) {
+    const auto* const upstream = fixture.Choose(7);
+    REQUIRE(upstream != nullptr);
+    fixture.mTable.Reserve(upstream->mName);
+    CHECK(fixture.mTable.InFlight(upstream->mName) <= upstream->mConcurrency);
+  }
+  CHECK(fixture.Choose(7) == nullptr);
+}
