Mend two findings of the linter in the stage planner

Cause: clang-tidy found a move of a trivial type and an unchecked optional. Result: unit-cascade, unit-admission and fuzz-admission pass; clang-tidy is clean on stage_planner.cpp and sequential_test.cpp.

--- a/src/core/cascade/stage_planner.cpp
+++ b/src/core/cascade/stage_planner.cpp
@@ -6,7 +6,6 @@
 #include <cassert>
 #include <cmath>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace figslip::cascade {
@@ -79,7 +78,7 @@
 StagePlanner::StagePlanner(const evidence::EvidenceStore& aEvidence,
                            StagePolicy aPolicy)
   : mEvidence(aEvidence)
-  , mPolicy(std::move(aPolicy))
+  , mPolicy(aPolicy)
 {
 }
 
@@ -138,7 +137,8 @@
   };
   const bool anyInTime = std::ranges::any_of(prospects, inTime);
   std::optional<std::size_t> cheapest;
-  std::optional<std::size_t> best;
+  std::size_t best = 0;
+  double bestQuality = -1.0;
   for (std::size_t index = 0; index < prospects.size(); ++index) {
     const auto& prospect = prospects[index];
     if (anyInTime && !inTime(prospect)) {
@@ -148,11 +148,12 @@
         (!cheapest || prospect.mCost < prospects[*cheapest].mCost)) {
       cheapest = index;
     }
-    if (!best || prospect.mQuality >= prospects[*best].mQuality) {
+    if (prospect.mQuality >= bestQuality) {
       best = index;
+      bestQuality = prospect.mQuality;
     }
   }
-  return cheapest.value_or(*best);
+  return cheapest.value_or(best);
 }
 
 } // namespace figslip::cascade
