--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -83,6 +83,15 @@
   void OnSnapshot(ControlSnapshotPtr aSnapshot, TimePoint aNow);
   void OnLoadReport(const LoadReport& aReport, TimePoint aNow);
   void OnGrant(const coldstart::Grant& aGrant, TimePoint aNow);
+  void OnPeerSurprise(std::string_view aUpstream,
+                      TimePoint aAt,
+                      TimePoint aNow);
+  void OnPeerWarm(std::string_view aUpstream,
+                  std::string_view aBootId,
+                  std::optional<TimePoint> aSurpriseAt,
+                  TimePoint aNow);
+  /// @brief Stops a version on the word of peers.
+  void StopVersion(std::string_view aVersion, TimePoint aNow);
   void OnCrashReport(const quarantine::CrashReport& aReport);
   void OnEvidence(const std::vector<evidence::EvidenceEntry>& aEntries,
                   TimePoint aNow);
@@ -180,6 +189,10 @@
   [[nodiscard]] Decision DispatchOrWait(Ticket& aTicket, TimePoint aNow);
   [[nodiscard]] Decision ClaimOrCommit(Ticket& aTicket, Dispatch aDispatch);
   [[nodiscard]] std::string NeedOf(const Ticket& aTicket) const;
+  /// Hands a request that would wait too long to another domain, once.
+  [[nodiscard]] Decision SpillOrRefuse(Ticket& aTicket,
+                                       Refuse aRefusal,
+                                       TimePoint aNow);
   [[nodiscard]] Decision WaitForTurn(Ticket& aTicket,
                                      std::string aNeed,
                                      TimePoint aNow);
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -65,14 +65,16 @@
 }
 
 Refuse
-Router::MakeRefusal(const Ticket& aTicket,
+Router::MakeRefusal([[maybe_unused]] const Ticket& aTicket,
                     ErrorKind aKind,
                     std::string aText) const
 {
   auto run = RunState::NotRun;
+#ifndef FIGSLIP_WITHOUT_RUNSTATE
   if (aTicket.mMayHaveRun || aTicket.mForwardTaken) {
     run = RunState::Unknown;
   }
+#endif
   return { .mKind = aKind, .mRun = run, .mText = std::move(aText) };
 }
 
@@ -106,11 +108,13 @@
                        "client account \"" + request.mAccount +
                          "\" is not defined");
   }
+#ifndef FIGSLIP_WITHOUT_QUARANTINE
   if (mQuarantine.IsQuarantined(request.mFingerprint, aNow)) {
     return MakeRefusal(aTicket,
                        ErrorKind::Quarantined,
                        "the request crashed the upstreams that ran it");
   }
+#endif
   const auto* const chat = ChatOf(request);
   if (chat != nullptr && CascadeOf(request) != nullptr &&
       !Contains(account->mCascades, chat->mName)) {
@@ -184,6 +188,7 @@
   const auto& request = aTicket.mRequest;
   const auto& index = *mSnapshot->mManifest;
   const auto& name = ChatOf(request)->mName;
+#ifndef FIGSLIP_WITHOUT_SESSION
   if (request.mSession && request.mSession->mTarget == name &&
       !mVersions.IsStopped(request.mSession->mVersion) &&
       !CheckVersion(*mSnapshot,
@@ -194,6 +199,7 @@
     aTicket.mVersion = request.mSession->mVersion;
     return std::nullopt;
   }
+#endif
   if (const auto* const cascade = index.FindCascade(name)) {
     return ChooseStage(aTicket, *cascade, aNow);
   }
@@ -498,6 +504,9 @@
                     const AttemptOutcome& aOutcome,
                     TimePoint aNow)
 {
+  if (IsConnectionFault(aOutcome)) {
+    return;
+  }
   auto& coldStart = mUpstreams.ColdStart();
   switch (aOutcome.mEnd) {
     case AttemptEnd::Whole:
@@ -505,16 +514,14 @@
       return;
     case AttemptEnd::TimedOut:
       // a deadline too short for the work says nothing about the upstream
-      if (aNow < aTicket.mRequest.mDeadline && !IsConnectionFault(aOutcome)) {
+      if (aNow < aTicket.mRequest.mDeadline) {
         coldStart.OnSurprise(aAttempt.mUpstream, aNow);
       }
       return;
     case AttemptEnd::NotConnected:
     case AttemptEnd::Rejected:
     case AttemptEnd::Broken:
-      if (!IsConnectionFault(aOutcome)) {
-        coldStart.OnSurprise(aAttempt.mUpstream, aNow);
-      }
+      coldStart.OnSurprise(aAttempt.mUpstream, aNow);
       return;
     case AttemptEnd::Failed:
       // one version or one request failed; the upstream is alive
@@ -531,9 +538,11 @@
 {
   LearnWarmth(aTicket, aAttempt, aOutcome, aNow);
   if (aOutcome.mEnd == AttemptEnd::Broken && !IsConnectionFault(aOutcome)) {
-    mQuarantine.OnCrash({ .mFingerprint = aTicket.mRequest.mFingerprint,
-                          .mUpstream = aAttempt.mUpstream,
-                          .mSeenAt = aNow });
+    // the slot of this attempt is free again already
+    mQuarantine.OnBroken(aTicket.mRequest.mFingerprint,
+                         aAttempt.mUpstream,
+                         mUpstreams.InFlight(aAttempt.mUpstream) + 1,
+                         aNow);
   }
   const auto* const chat = ChatOf(aTicket.mRequest);
   if (chat == nullptr || aOutcome.mEnd == AttemptEnd::Cancelled) {
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -28,12 +28,18 @@
 }
 
 std::string
-WriteTemporaryFile(const std::string& aName, const std::string& aText)
+TemporaryPath(const std::string& aName)
 {
   const auto folder = std::filesystem::temp_directory_path() /
                       ("figslip-" + std::to_string(getpid()));
   std::filesystem::create_directories(folder);
-  const auto path = folder / aName;
+  return folder / aName;
+}
+
+std::string
+WriteTemporaryFile(const std::string& aName, const std::string& aText)
+{
+  auto path = TemporaryPath(aName);
   std::ofstream(path) << aText;
   return path;
 }
@@ -94,14 +100,22 @@
 Process::WaitForPort(const std::string& aField)
 {
   while (true) {
-    const auto line = nlohmann::json::parse(ReadLine(), nullptr, false);
+    mListening = ReadLine();
+    const auto line = nlohmann::json::parse(mListening, nullptr, false);
     if (line.is_object() && line.contains(aField)) {
       DrainOutput();
-      return json::NumberOr(line, aField, 0);
+      return PortOf(aField);
     }
   }
 }
 
+int
+Process::PortOf(const std::string& aField) const
+{
+  const auto line = nlohmann::json::parse(mListening, nullptr, false);
+  return line.is_object() ? json::NumberOr(line, aField, 0) : 0;
+}
+
 /// Keeps the pipe from filling up, since nobody reads the log.
 void
 Process::DrainOutput()
@@ -160,8 +174,14 @@
 std::optional<int>
 Process::Stop(std::chrono::milliseconds aPatience)
 {
-  constexpr auto kPoll = std::chrono::milliseconds(10);
   Signal(SIGTERM);
+  return Wait(aPatience);
+}
+
+std::optional<int>
+Process::Wait(std::chrono::milliseconds aPatience)
+{
+  constexpr auto kPoll = std::chrono::milliseconds(10);
   for (auto waited = std::chrono::milliseconds(0); waited < aPatience;
        waited += kPoll) {
     int status = 0;
--- a/tests/harness/process.hpp
+++ b/tests/harness/process.hpp
@@ -25,6 +25,9 @@
   /// Waits for the line that tells a port, and returns the number in a field.
   [[nodiscard]] int WaitForPort(const std::string& aField);
 
+  /// Returns another number of the line that told the port, 0 if absent.
+  [[nodiscard]] int PortOf(const std::string& aField) const;
+
   void Signal(int aSignal) const;
   void Kill();
   void Freeze() const;
@@ -34,6 +37,9 @@
   /// @return the exit code, or nothing if it had to be killed
   std::optional<int> Stop(std::chrono::milliseconds aPatience);
 
+  /// Waits for the end of a process that was told to stop; see `Stop`.
+  std::optional<int> Wait(std::chrono::milliseconds aPatience);
+
   [[nodiscard]] pid_t Id() const { return mId; }
   [[nodiscard]] bool IsRunning() const { return mId > 0; }
 
@@ -44,12 +50,17 @@
   pid_t mId = -1;
   int mOutput = -1;
   std::string mPending;
+  std::string mListening; ///< the line that told the port
 };
 
 /// Returns the folder of the built programs.
 [[nodiscard]] std::string
 ProgramFolder();
 
+/// Returns the path of a file in this test's folder for temporary files.
+[[nodiscard]] std::string
+TemporaryPath(const std::string& aName);
+
 /// Writes a text to a new file in the folder for temporary files.
 [[nodiscard]] std::string
 WriteTemporaryFile(const std::string& aName, const std::string& aText);
