Keep the slot of an abandoned attempt until its upstream has noticed

The log of attempts showed one that ended as timed_out after 4 ms: it had waited almost to its deadline, its slot was free at once, and the upstream still ran it. Change: the slot of an attempt that timed out, broke or was left by its caller stays taken for a second; the daemon logs the end of each attempt at debug level.

--- a/include/figslip/routing/attempt_outcome.hpp
+++ b/include/figslip/routing/attempt_outcome.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace figslip::routing {
 
@@ -19,6 +20,29 @@
   Cancelled     ///< the caller went away or the dispatch check said no
 };
 
+/// @brief Returns the name that logs use.
+[[nodiscard]] constexpr std::string_view
+NameOf(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::Whole:
+      return "whole";
+    case AttemptEnd::NotConnected:
+      return "not_connected";
+    case AttemptEnd::Rejected:
+      return "rejected";
+    case AttemptEnd::Broken:
+      return "broken";
+    case AttemptEnd::TimedOut:
+      return "timed_out";
+    case AttemptEnd::Failed:
+      return "failed";
+    case AttemptEnd::Cancelled:
+      break;
+  }
+  return "cancelled";
+}
+
 /// @brief Describes how an attempt ended.
 struct AttemptOutcome
 {
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -230,6 +230,9 @@
   [[nodiscard]] Decision Commit(Ticket& aTicket, Dispatch aDispatch);
   [[nodiscard]] Decision RefuseOrDeliver(const Ticket& aTicket,
                                          Refuse aRefusal) const;
+  void ReleaseSlot(std::string_view aUpstream,
+                   const AttemptOutcome& aOutcome,
+                   TimePoint aNow);
   void ReleaseReservation(Ticket& aTicket);
   void WakeWaiting(TimePoint aNow);
   /// Lets every waiting request plan anew, as what it waits for may be gone.
--- a/include/figslip/routing/upstream_table.hpp
+++ b/include/figslip/routing/upstream_table.hpp
@@ -62,6 +62,17 @@
   /// @brief Counts one request less on an upstream.
   void Release(std::string_view aUpstream);
 
+  /// @brief Counts one request less, but keeps its slot until a time.
+  ///
+  /// An upstream may go on with a request that was abandoned.
+  void ReleaseAt(std::string_view aUpstream, TimePoint aUntil);
+
+  /// @brief Frees the slots of abandoned requests whose time has come.
+  void Expire(TimePoint aNow);
+
+  /// @brief Returns the slots taken: requests in flight and abandoned ones.
+  [[nodiscard]] int Occupied(std::string_view aUpstream) const;
+
   /// @brief Returns the requests of this entry on an upstream.
   [[nodiscard]] int InFlight(std::string_view aUpstream) const;
 
@@ -70,6 +81,7 @@
   {
     int mInFlight = 0;
     LoadReport mReport;
+    std::vector<TimePoint> mAbandoned; ///< when their slots are free again
   };
 
   struct Loaded
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -101,6 +101,7 @@
 Router::OnTick(TimePoint aNow)
 {
   mEvidence.Expire(aNow);
+  mUpstreams.Expire(aNow);
   mQuarantine.Expire(aNow);
   auto stopped = mVersions.Evaluate(aNow);
   if (!stopped.empty()) {
@@ -209,7 +210,7 @@
   // a grant of cold capacity may have run out since the slot was reserved
   const auto* const upstream =
     mSnapshot->mManifest->FindUpstream(attempt.mUpstream);
-  if (mUpstreams.InFlight(attempt.mUpstream) >
+  if (mUpstreams.Occupied(attempt.mUpstream) >
       mUpstreams.ColdStart().Limit(*upstream, aNow)) {
     return DispatchObstacle{ ErrorKind::NoCapacity,
                              "the upstream is in cold start",
@@ -229,7 +230,7 @@
   assert(!attempt.mOutcome);
   attempt.mOutcome = aOutcome;
   attempt.mCost = CostOf(attempt.mVersion, aOutcome.mTokens);
-  mUpstreams.Release(attempt.mUpstream);
+  ReleaseSlot(attempt.mUpstream, aOutcome, aNow);
   ticket.mMayHaveRun = ticket.mMayHaveRun || MayHaveRun(aOutcome.mEnd);
   LearnFromOutcome(ticket, attempt, aOutcome, aNow);
   auto decision = aOutcome.mEnd == AttemptEnd::Whole
@@ -239,6 +240,24 @@
   return decision;
 }
 
+void
+Router::ReleaseSlot(std::string_view aUpstream,
+                    const AttemptOutcome& aOutcome,
+                    TimePoint aNow)
+{
+  // time in which an upstream notices that a request was abandoned.
+  constexpr Duration kAbandonedHold = std::chrono::seconds(1);
+  const bool isAbandoned =
+    aOutcome.mEnd == AttemptEnd::TimedOut ||
+    aOutcome.mEnd == AttemptEnd::Broken ||
+    (aOutcome.mEnd == AttemptEnd::Cancelled && aOutcome.mBytesToCaller);
+  if (isAbandoned) {
+    mUpstreams.ReleaseAt(aUpstream, aNow + kAbandonedHold);
+  } else {
+    mUpstreams.Release(aUpstream);
+  }
+}
+
 std::int64_t
 Router::CostOf(std::string_view aVersion, std::int64_t aTokens) const
 {
--- a/src/core/routing/upstream_table.cpp
+++ b/src/core/routing/upstream_table.cpp
@@ -48,7 +48,8 @@
   if (found == mStates.end()) {
     return 0.0;
   }
-  const auto& [inFlight, report] = found->second;
+  const auto& report = found->second.mReport;
+  const int inFlight = found->second.mInFlight;
   const bool fresh = aNow - report.mAt <= kReportLife;
   const int running = fresh ? std::max(inFlight, report.mRunning) : inFlight;
   return static_cast<double>(running) / aUpstream.mConcurrency;
@@ -87,7 +88,7 @@
 {
   std::vector<Loaded> open;
   for (const auto* const upstream : aCandidates) {
-    if (InFlight(upstream->mName) < mColdStart.Limit(*upstream, aNow)) {
+    if (Occupied(upstream->mName) < mColdStart.Limit(*upstream, aNow)) {
       open.push_back({ upstream, LoadOf(*upstream, aNow) });
     }
   }
@@ -112,6 +113,32 @@
   ++mStates[std::string(aUpstream)].mInFlight;
 }
 
+int
+UpstreamTable::Occupied(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end()
+           ? 0
+           : found->second.mInFlight +
+               static_cast<int>(found->second.mAbandoned.size());
+}
+
+void
+UpstreamTable::ReleaseAt(std::string_view aUpstream, TimePoint aUntil)
+{
+  Release(aUpstream);
+  mStates[std::string(aUpstream)].mAbandoned.push_back(aUntil);
+}
+
+void
+UpstreamTable::Expire(TimePoint aNow)
+{
+  for (auto& [upstream, state] : mStates) {
+    std::erase_if(state.mAbandoned,
+                  [aNow](TimePoint aUntil) { return aUntil <= aNow; });
+  }
+}
+
 void
 UpstreamTable::Release(std::string_view aUpstream)
 {
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -1,4 +1,5 @@
 #include <figslip/entry/request_runner.hpp>
+#include <figslip/log/log.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -102,6 +103,14 @@
     };
     auto result =
       mRunner.mServices.mUpstreams->Run(aStep, call, beforeSend, sink);
+    log::Write(
+      log::Level::Debug,
+      "attempt_ended",
+      { { "request_id", mRequest.mId },
+        { "attempt_id", call.mAttemptId },
+        { "upstream", aStep.mUpstream },
+        { "end", std::string(NameOf(result.mOutcome.mEnd)) },
+        { "latency_us", std::to_string(result.mOutcome.mLatency.count()) } });
     if (result.mOutcome.mEnd == routing::AttemptEnd::Whole) {
       mAnswers[aStep.mAttempt] = { .mVersion = aStep.mVersion,
                                    .mText = std::move(result.mAnswer),
--- a/tests/src/unit-retry.cpp
+++ b/tests/src/unit-retry.cpp
@@ -49,6 +49,15 @@
       CHECK(refusal.mRun == RunState::Unknown);
     }
 
+    SUBCASE("keeps its slot until the upstream has noticed")
+    {
+      (void)router.OnOutcome(kTicket, broken, fixture.mNow);
+      CHECK(router.Upstreams().InFlight(first.mUpstream) == 0);
+      CHECK(router.Upstreams().Occupied(first.mUpstream) == 1);
+      (void)router.OnTick(fixture.mNow + std::chrono::seconds(1));
+      CHECK(router.Upstreams().Occupied(first.mUpstream) == 0);
+    }
+
     SUBCASE("makes the upstream cold")
     {
       (void)router.OnOutcome(kTicket, broken, fixture.mNow);
