Give a claimed key back before a booking is forwarded

Ruled out: handing the claim over with the request, since a forward that is lost would leave it open who holds it. Change: the key is released before the forward; where the platform does not confirm that, the booking is not forwarded and the release is tried again once the request has ended.

--- a/include/figslip/claim/claim_service.hpp
+++ b/include/figslip/claim/claim_service.hpp
@@ -61,6 +61,10 @@
   /// @brief Gives a key back, since its request was not run and never will be.
   void Release(const ClaimRequest& aRequest);
 
+  /// @brief Gives a key back now, so that another instance can claim it.
+  /// @return whether the platform has taken it; if not, the claim may stand
+  [[nodiscard]] bool TryRelease(const ClaimRequest& aRequest) const;
+
 private:
   [[nodiscard]] ClaimRecord RecordOf(const ClaimRequest& aRequest,
                                      ClaimState aState) const;
@@ -70,7 +74,6 @@
   [[nodiscard]] ClaimStep Execute(const ClaimRequest& aRequest,
                                   ClaimFlow& aFlow,
                                   const WatchClaim& aStep) const;
-  [[nodiscard]] bool TryRelease(const ClaimRequest& aRequest) const;
   void Run();
 
   membership::Incarnation mSelf;
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -107,6 +107,8 @@
                                Request aRequest,
                                TimePoint aNow);
   [[nodiscard]] Decision Resume(TicketId aTicket, TimePoint aNow);
+  /// @brief Notes that the claimed key was given back.
+  void OnClaimReleased(TicketId aTicket);
   /// @brief Notes that another request holds the key, so that this one waits.
   void OnClaimHeld(TicketId aTicket, TimePoint aNow);
   [[nodiscard]] Decision OnClaim(TicketId aTicket,
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -148,6 +148,12 @@
   return Plan(ticket, aNow);
 }
 
+void
+Router::OnClaimReleased(TicketId aTicket)
+{
+  mTickets.at(aTicket).mClaimed = false;
+}
+
 void
 Router::OnClaimHeld(TicketId aTicket, TimePoint aNow)
 {
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -122,8 +122,28 @@
     });
   }
 
+  /// Gives a claimed key back, so that the peer can claim it.
+  /// @return false if the claim may still stand
+  bool GiveClaimBack()
+  {
+    if (!mClaim) {
+      return true;
+    }
+    mClaim.reset();
+    mRouter.With(
+      [&](routing::Router& aRouter) { aRouter.OnClaimReleased(mTicket); });
+    mClaimMayStand =
+      !mRunner.mServices.mClaims->TryRelease(ClaimOf(mRequest, mTicket));
+    return !mClaimMayStand;
+  }
+
   Decision OnForward(const routing::Forward& aStep)
   {
+    if (!GiveClaimBack()) {
+      return mRouter.With([&](routing::Router& aRouter) {
+        return aRouter.OnForwardFailed(mTicket, false, ReadClock());
+      });
+    }
     const auto timeLeft =
       std::max(Duration::zero(), mRequest.mDeadline - ReadClock());
     bool refusedNotRun = false;
@@ -215,6 +235,9 @@
   void SettleClaim(RunResult& aResult) const
   {
     if (!mClaim) {
+      if (mClaimMayStand) {
+        mRunner.mServices.mClaims->Release(ClaimOf(mRequest, mTicket));
+      }
       return;
     }
     if (auto* const answer = std::get_if<Answer>(&aResult)) {
@@ -238,6 +261,7 @@
   std::map<routing::AttemptId, Answer> mAnswers;
   std::optional<RunResult> mResult;
   std::optional<claim::ClaimWon> mClaim;
+  bool mClaimMayStand = false; ///< given back, but without the platform's word
 };
 
 RequestRunner::RequestRunner(membership::Incarnation aSelf, Services aServices)
