--- a/include/figslip/orders/order_service.hpp
+++ b/include/figslip/orders/order_service.hpp
@@ -33,7 +33,7 @@
     std::shared_ptr<upstream::UpstreamAdapter> mUpstreams;
   };
 
-  OrderService(Options aOptions, Services aServices);
+  OrderService(const Options& aOptions, Services aServices);
   OrderService(const OrderService&) = delete;
   OrderService& operator=(const OrderService&) = delete;
   ~OrderService() { Stop(); }
--- a/src/core/claim/claim_record.cpp
+++ b/src/core/claim/claim_record.cpp
@@ -41,8 +41,8 @@
 FromHex(std::string_view aText)
 {
   std::uint64_t number = 0;
-  const auto* const end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, number, kHexBase);
+  const auto* const end = aText.end();
+  const auto parsed = std::from_chars(aText.begin(), end, number, kHexBase);
   if (parsed.ec != std::errc{} || parsed.ptr != end) {
     return std::nullopt;
   }
--- a/src/core/load/deployment.cpp
+++ b/src/core/load/deployment.cpp
@@ -77,16 +77,17 @@
 MakeUpstreams(const Workers& aWorkers)
 {
   std::vector<Upstream> upstreams;
-  const auto add = [&](const std::string& aKind, int aCount, Upstream aLike) {
-    for (int index = 0; index < aCount; ++index) {
-      auto upstream = aLike;
-      upstream.mName = aKind + "-" + std::to_string(index + 1);
-      upstream.mFailureDomain = DomainName(index);
-      upstream.mAddress = "10.0.0.1";
-      upstream.mPort = kPort;
-      upstreams.push_back(std::move(upstream));
-    }
-  };
+  const auto add =
+    [&](const std::string& aKind, int aCount, const Upstream& aLike) {
+      for (int index = 0; index < aCount; ++index) {
+        auto upstream = aLike;
+        upstream.mName = aKind + "-" + std::to_string(index + 1);
+        upstream.mFailureDomain = DomainName(index);
+        upstream.mAddress = "10.0.0.1";
+        upstream.mPort = kPort;
+        upstreams.push_back(std::move(upstream));
+      }
+    };
   add("large",
       aWorkers.mLarge,
       { .mVersions = { "large-1", "large-2" },
@@ -110,6 +111,7 @@
 MakeAccounts()
 {
   std::vector<manifest::ClientAccount> accounts;
+  accounts.reserve(kAccounts);
   for (int index = 0; index < kAccounts; ++index) {
     accounts.push_back({ .mName = "account-" + std::to_string(index + 1),
                          .mShare = index < kLargeAccounts ? kLargeShare : 1.0,
--- a/src/core/orders/order_planner.cpp
+++ b/src/core/orders/order_planner.cpp
@@ -95,8 +95,8 @@
       candidates.push_back(wanted.front());
     }
   }
-  std::ranges::stable_partition(candidates, [&](const Order& aOrder) {
-    return !IsInRollOut(aManifest, aOrder.mVersion);
+  std::ranges::sort(candidates, {}, [&](const Order& aOrder) {
+    return std::pair(IsInRollOut(aManifest, aOrder.mVersion), aOrder.mUpstream);
   });
   std::vector<Order> orders;
   for (auto& order : candidates) {
--- a/src/shell/orders/order_service.cpp
+++ b/src/shell/orders/order_service.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-OrderService::OrderService(Options aOptions, Services aServices)
+OrderService::OrderService(const Options& aOptions, Services aServices)
   : mServices(std::move(aServices))
   , mLeaseObject{ "lease", "orders-" + aOptions.mFailureDomain }
   , mFailureDomain(aOptions.mFailureDomain)
@@ -99,9 +99,11 @@
     const auto report = mServices.mUpstreams->ReadLoad(
       upstream.mName, { upstream.mAddress, upstream.mPort });
     // an engine that does not tell what it serves takes no orders
-    if (report && report.assume_value().mLoadedVersions) {
-      mPlanner.OnEngineReport(upstream.mName,
-                              *report.assume_value().mLoadedVersions);
+    if (!report) {
+      continue;
+    }
+    if (const auto& loaded = report.assume_value().mLoadedVersions) {
+      mPlanner.OnEngineReport(upstream.mName, *loaded);
     }
   }
   const auto held = mLease.Held(ReadClock());
--- a/tests/src/concurrent-billing.cpp
+++ b/tests/src/concurrent-billing.cpp
@@ -184,6 +184,7 @@
     origin->SetPeerCalls(std::move(calls));
     origin->Start();
     std::vector<std::thread> callers;
+    callers.reserve(kRecords);
     for (int number = 0; number < kRecords; ++number) {
       callers.emplace_back([&, number] { origin->Add(RecordOf(number)); });
     }
--- a/tests/src/fuzz-claim.cpp
+++ b/tests/src/fuzz-claim.cpp
@@ -111,6 +111,7 @@
     const bool holds = rc::check([] {
       PlatformModel platform;
       std::vector<Runner> runners;
+      runners.reserve(kFlows);
       for (std::size_t flow = 0; flow < kFlows; ++flow) {
         runners.emplace_back(flow);
       }
--- a/tests/src/fuzz-lease.cpp
+++ b/tests/src/fuzz-lease.cpp
@@ -76,6 +76,7 @@
     const bool holds = rc::check([] {
       PlatformModel platform;
       std::vector<LeaseFlow> flows;
+      flows.reserve(kCandidates);
       for (std::size_t candidate = 0; candidate < kCandidates; ++candidate) {
         flows.emplace_back(OptionsOf(candidate));
       }
--- a/tests/src/fuzz-router.cpp
+++ b/tests/src/fuzz-router.cpp
@@ -50,6 +50,7 @@
   const auto raw = *rc::gen::container<std::vector<std::uint64_t>>(
     rc::gen::inRange<std::uint64_t>(0, kSteps * 1000));
   std::vector<Command> commands;
+  commands.reserve(raw.size());
   for (const auto number : raw) {
     commands.push_back({ static_cast<Step>(number % kSteps), number / kSteps });
   }
