--- a/include/figslip/routing/control_snapshot.hpp
+++ b/include/figslip/routing/control_snapshot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/error/finding.hpp>
 #include <figslip/manifest/manifest_index.hpp>
 #include <figslip/membership/instance.hpp>
 #include <figslip/time/time_point.hpp>
@@ -21,6 +22,8 @@
   TimePoint mConfirmedAt; ///< when the manifest was last known to be current
   TimePoint mHeartbeat;   ///< last turn of the control thread
   membership::InstanceList mInstances;
+  /// findings of the manifest refused last; empty once a valid one is in force
+  error::Findings mManifestFindings;
 };
 
 /// @brief Shares an immutable snapshot.
--- a/src/shell/caller/caller_api.cpp
+++ b/src/shell/caller/caller_api.cpp
@@ -164,18 +164,23 @@
     };
   }
 
+  /// Returns the generation in force, 0 if none is.
+  [[nodiscard]] std::int64_t Generation() const
+  {
+    const auto snapshot = mApi.mServices.mControl->Snapshot();
+    return snapshot->mManifest == nullptr ? 0
+                                          : snapshot->mManifest->Generation();
+  }
+
   [[nodiscard]] std::vector<http::Header> CommonHeaders(
     routing::RunState aRun,
     std::string_view aContentType) const
   {
-    const auto snapshot = mApi.mServices.mControl->Snapshot();
-    const auto generation =
-      snapshot->mManifest == nullptr ? 0 : snapshot->mManifest->Generation();
     return {
       { "Content-Type", std::string(aContentType) },
       { std::string(kRequestIdHeader), mRequest.mId },
       { std::string(kRunHeader), std::string(routing::NameOf(aRun)) },
-      { std::string(kGenerationHeader), std::to_string(generation) },
+      { std::string(kGenerationHeader), std::to_string(Generation()) },
     };
   }
 
@@ -319,6 +324,7 @@
                "request_refused",
                { { "request_id", mRequest.mId },
                  { "account", mRequest.mAccount },
+                 { "generation", std::to_string(Generation()) },
                  { "run", std::string(routing::NameOf(aRun)) },
                  { "error", error::JoinMessages(aFindings, "; ") } });
     Count("refused", error::Describe(kind).mName);
--- a/src/shell/control/control_service.cpp
+++ b/src/shell/control/control_service.cpp
@@ -198,6 +198,7 @@
   snapshot.mManifestText = mText;
   snapshot.mHeartbeat = mPauseGuard.Heartbeat(mKeeper.ConfirmedAt(), aNow);
   snapshot.mInstances = mInstances;
+  snapshot.mManifestFindings = mKeeper.LastFindings();
   const auto published =
     std::make_shared<const routing::ControlSnapshot>(std::move(snapshot));
   mPublished.store(published);
--- a/src/shell/entry/admin_api.cpp
+++ b/src/shell/entry/admin_api.cpp
@@ -86,6 +86,11 @@
       { { "name", entry.mName }, { "failure_domain", entry.mFailureDomain } });
   }
   status["entries"] = std::move(peers);
+  auto findings = nlohmann::ordered_json::array();
+  for (const auto& finding : snapshot->mManifestFindings) {
+    findings.push_back(finding.Message());
+  }
+  status["manifest_findings"] = std::move(findings);
   auto upstreams = nlohmann::ordered_json::array();
   mServices.mRouter->With([&](const routing::Router& aRouter) {
     status["waiting_requests"] = aRouter.WaitingRequests();
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -285,8 +285,11 @@
                              const Answer& aAnswer,
                              std::string aBillingRecord)
 {
+  if (!aAnswer.mClaim) {
+    return;
+  }
   mServices.mClaims->Complete(ClaimOf(aRequest, aAnswer.mTicket),
-                              aAnswer.mClaim.value(),
+                              *aAnswer.mClaim,
                               aAnswer.mText,
                               std::move(aBillingRecord));
 }
