--- /dev/null
+++ b/include/figslip/gateway/control_plane.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <figslip/gateway/traffic_state.hpp>
+#include <figslip/ingress/freshness_lease.hpp>
+#include <figslip/membership/lapse_guard.hpp>
+#include <figslip/metrics/registry.hpp>
+#include <figslip/net/asio.hpp>
+#include <figslip/settings/ingress_settings.hpp>
+#include <figslip/store/object_follower.hpp>
+#include <figslip/store/store_client.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace figslip::gateway {
+
+/// @brief Follows the store and keeps the traffic thread informed.
+///
+/// Lives on the control thread. Decoded state is handed to the traffic thread
+/// as immutable values; reports of the traffic thread become writes.
+class ControlPlane
+{
+public:
+  /// Runs a task on the traffic thread.
+  using Post = std::function<void(std::function<void(TrafficState&)>)>;
+
+  ControlPlane(net::asio::io_context& aContext,
+               const settings::IngressSettings& aSettings,
+               const store::StoreDialect& aDialect,
+               ingress::FreshnessLease& aLease,
+               metrics::Registry& aMetrics,
+               Post aPost);
+
+  /// @brief Starts to follow all kinds.
+  void Start();
+
+  /// @brief Writes a status of a roll-out; on the control thread.
+  void WriteStatus(const rollout::StatusChange& aChange);
+
+  /// @brief Tells all instances of a request that crashes upstreams.
+  void ReportCrashing(std::uint64_t aFingerprint);
+
+  /// @brief Takes this instance off the list of instances.
+  [[nodiscard]] net::Awaitable<void> Deregister();
+
+private:
+  void Follow(store::ObjectFollower::Options aOptions,
+              store::ObjectFollower::Callbacks aCallbacks);
+  [[nodiscard]] store::ObjectFollower::Callbacks CallbacksOf(
+    store::ObjectKind aKind,
+    std::function<void(const store::ObjectFollower::Objects&)> aOnObjects);
+  void OnConfiguration(const store::ObjectFollower::Objects& aObjects);
+  void OnUpstreams(const store::ObjectFollower::Objects& aObjects);
+  void OnRollouts(const store::ObjectFollower::Objects& aObjects);
+  void OnDrains(const store::ObjectFollower::Objects& aObjects);
+  void OnShared(const store::ObjectFollower::Objects& aObjects);
+  void PublishUpstreams();
+  [[nodiscard]] net::Awaitable<void> ExpireLapsed();
+  [[nodiscard]] net::Awaitable<void> Register();
+  [[nodiscard]] net::Awaitable<void> Write(net::RequestMessage aRequest,
+                                           std::string aName);
+  void LogUnreadable(const store::Object& aObject,
+                     std::string_view aKind,
+                     const error::Findings& aFindings);
+
+  net::asio::io_context& mContext;
+  const settings::IngressSettings& mSettings;
+  const store::StoreDialect& mDialect;
+  ingress::FreshnessLease& mLease;
+  Post mPost;
+  store::StoreClient mClient;
+  std::vector<std::unique_ptr<store::ObjectFollower>> mFollowers;
+  membership::LapseGuard mLapses;
+  std::map<std::string, std::int64_t> mUnreadable; ///< revisions logged
+  std::int64_t mVersion = -1; ///< newest configuration seen
+  std::set<std::uint64_t> mReported;
+};
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/include/figslip/gateway/ingress_daemon.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <figslip/gateway/control_plane.hpp>
+#include <figslip/gateway/frontend.hpp>
+#include <figslip/gateway/traffic_state.hpp>
+#include <figslip/kernel/kernel.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace figslip::gateway {
+
+/// @brief Composes an instance that serves callers' HTTP requests.
+///
+/// One thread has the control state, the calling one serves the traffic.
+class IngressDaemon
+{
+public:
+  struct Options
+  {
+    settings::IngressSettings mSettings;
+    ingress::Dialect mHttp;
+    store::StoreDialect mStore;
+    /// reads the settings anew
+    std::function<Result<settings::IngressSettings>()> mReadSettings;
+  };
+
+  explicit IngressDaemon(Options aOptions);
+
+  /// @brief Serves until a signal asks to stop.
+  [[nodiscard]] Result<void> Run();
+
+private:
+  void RegisterServices();
+  [[nodiscard]] net::Awaitable<void> Tick();
+  [[nodiscard]] net::Awaitable<void> AwaitStop();
+  void Reload();
+
+  Options mOptions;
+  kernel::Kernel mKernel;
+  net::asio::io_context mTrafficContext{ 1 };
+  net::asio::io_context mControlContext{ 1 };
+  metrics::Registry mMetrics;
+  ingress::FreshnessLease mLease;
+  std::shared_ptr<TrafficState> mTraffic;
+  std::shared_ptr<ControlPlane> mControl;
+  std::shared_ptr<Frontend> mFrontend;
+};
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/include/figslip/gateway/request_flow.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <figslip/gateway/traffic_state.hpp>
+#include <figslip/net/caller_connection.hpp>
+#include <figslip/net/client_connection.hpp>
+#include <figslip/stream/event_splitter.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace figslip::gateway {
+
+/// @brief Takes one request from the caller to its end.
+class RequestFlow
+{
+public:
+  RequestFlow(TrafficState& aState, net::CallerConnection& aCaller);
+
+  /// @brief Serves the request that the connection has read.
+  /// @return whether the connection may go on
+  [[nodiscard]] net::Awaitable<bool> Run();
+
+private:
+  /// Lists what becomes of the request after an attempt.
+  enum class Next
+  {
+    Ended,  ///< the answer is out, or nothing more can be done
+    Again,  ///< another attempt, if one is allowed
+    Larger, ///< an answer was dropped in favour of a larger model's
+    Failed  ///< no further attempt is possible
+  };
+
+  /// Holds one attempt at an upstream.
+  struct Attempt
+  {
+    placement::Choice mChoice;
+    ingress::UpstreamEntry mUpstream;
+    placement::Load mLoad;
+    std::string mModel;
+    std::size_t mSize = 0; ///< index of the model
+    std::shared_ptr<net::ClientConnection> mConnection;
+    TimePoint mSentAt;
+    bool mHadEvent = false;
+  };
+
+  [[nodiscard]] std::optional<RequestEnd> Admit();
+  [[nodiscard]] std::optional<RequestEnd> AdmitAccount();
+  [[nodiscard]] net::Awaitable<void> Serve();
+  [[nodiscard]] net::Awaitable<Next> RunAttempt(Attempt& aAttempt);
+  [[nodiscard]] net::Awaitable<Next> Exchange(Attempt& aAttempt);
+  [[nodiscard]] net::Awaitable<bool> Open(Attempt& aAttempt);
+  [[nodiscard]] net::Awaitable<Next> OnHead(Attempt& aAttempt);
+  [[nodiscard]] net::Awaitable<Next> RelayWhole(Attempt& aAttempt);
+  [[nodiscard]] net::Awaitable<Next> RelayStream(Attempt& aAttempt);
+  [[nodiscard]] net::Awaitable<bool> SendEvents(Attempt& aAttempt,
+                                                const std::string& aEvents);
+  [[nodiscard]] net::Awaitable<void> WaitForRoom(Duration aTime);
+  [[nodiscard]] net::Awaitable<void> Refuse(RequestEnd aEnd);
+  [[nodiscard]] net::Awaitable<void> GiveUp();
+
+  [[nodiscard]] std::optional<Attempt> Plan(TimePoint aNow);
+  [[nodiscard]] placement::PlacementQuery QueryOf(std::string_view aModel);
+  [[nodiscard]] cascade::SizeQuestion SizeQuestionOf(TimePoint aNow);
+  [[nodiscard]] bool MaySendNow(const Attempt& aAttempt, TimePoint aNow) const;
+  [[nodiscard]] bool MayTryAgain(TimePoint aNow);
+  [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
+                                          TimePoint aNow) const;
+  [[nodiscard]] std::chrono::milliseconds FirstLimit(const Attempt& aAttempt,
+                                                     TimePoint aNow) const;
+  [[nodiscard]] Next OnBroken(Attempt& aAttempt,
+                              net::StepEnd aEnd,
+                              TimePoint aNow);
+  [[nodiscard]] Next AfterFailure() const;
+  void OnHealth(Attempt& aAttempt, placement::AttemptHealth aHealth);
+  void NoteFirstEvent(Attempt& aAttempt, TimePoint aNow);
+  void Sample(const Attempt& aAttempt, bool aFailed, TimePoint aNow);
+  void Close(RequestEnd aEnd);
+  [[nodiscard]] bool IsStream() const
+  {
+    return mRoute->mKind == ingress::RouteKind::Streaming;
+  }
+  [[nodiscard]] bool ClosesAfterwards() const
+  {
+    return mState.mIsStopping || !mCaller.KeepsAlive();
+  }
+
+  TrafficState& mState;
+  net::CallerConnection& mCaller;
+  ingress::ConfigurationPtr mConfiguration; ///< in force when it came
+  const ingress::Route* mRoute = nullptr;
+  const ingress::ClientAccount* mAccount = nullptr;
+  ingress::CallerFacts mFacts;
+  std::string mService;
+  std::uint64_t mSession = 0;     ///< hash
+  std::uint64_t mFingerprint = 0; ///< of path, account and body
+  TimePoint mArrivedAt;
+  TimePoint mDeadline;
+  TimePoint mWaitUntil; ///< for a place
+  std::set<std::string> mAvoid;
+  std::shared_ptr<net::ClientConnection> mCurrent; ///< attempt that runs
+  stream::EventSplitter mEvents;
+  int mAttempts = 0;      ///< sends that may have run
+  int mSends = 0;         ///< sends, those rejected too
+  int mCrashes = 0;       ///< connections that broke while it ran
+  bool mHasRetry = false; ///< a repeat was taken out of the budget
+  bool mMayHaveRun = false;
+  bool mDropped = false;  ///< a smaller model's answer was dropped
+  bool mHeadSent = false; ///< the caller has the head of an answer
+  bool mEnded = false;
+  RequestEnd mLastFailure = RequestEnd::NoUpstream;
+  std::string mUpstreams; ///< upstreams tried, for the log
+};
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <figslip/cascade/size_policy.hpp>
+#include <figslip/gateway/request_end.hpp>
+#include <figslip/ingress/configuration.hpp>
+#include <figslip/ingress/dialect.hpp>
+#include <figslip/ingress/freshness_lease.hpp>
+#include <figslip/metrics/registry.hpp>
+#include <figslip/net/connection_pool.hpp>
+#include <figslip/placement/upstream_board.hpp>
+#include <figslip/quarantine/quarantine.hpp>
+#include <figslip/retry/retry_budget.hpp>
+#include <figslip/rollout/staged_rollout.hpp>
+#include <figslip/settings/ingress_settings.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace figslip::gateway {
+
+/// @brief Holds what the traffic thread tells the control thread.
+struct TrafficReports
+{
+  std::function<void(const rollout::StatusChange&)> mOnStatusChange;
+  std::function<void(std::uint64_t aFingerprint)> mOnCrashingRequest;
+};
+
+/// @brief Holds all state of the traffic thread; used by that thread only.
+struct TrafficState
+{
+  TrafficState(const settings::IngressSettings& aSettings,
+               const ingress::Dialect& aDialect,
+               ingress::FreshnessLease& aLease,
+               metrics::Registry& aMetrics);
+
+  /// @name Control events
+  /// @{
+  void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
+  void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries);
+  void OnInstances(int aInstances);
+  void OnCrashingRequests(const std::set<std::uint64_t>& aFingerprints);
+  /// @brief Hands due status changes to the control thread; every 100 ms.
+  void OnTick();
+  /// @}
+
+  /// @brief Tells whether callers can be served.
+  [[nodiscard]] bool IsReady() const;
+
+  const settings::IngressSettings& mSettings;
+  const ingress::Dialect& mDialect;
+  ingress::FreshnessLease& mLease;
+  metrics::Registry& mMetrics;
+  ingress::ConfigurationPtr mConfiguration;
+  placement::UpstreamBoard mBoard;
+  retry::RetryBudget mRetries;
+  rollout::StagedRollout mRollouts;
+  cascade::SizePolicy mSizes;
+  net::ConnectionPool mPool;
+  std::set<std::uint64_t> mCrashing; ///< fingerprints of requests to refuse
+  TrafficReports mReports;
+  bool mHasUpstreams = false;
+  bool mIsStopping = false;
+  int mOpenRequests = 0;
+};
+
+} // namespace figslip::gateway
--- a/include/figslip/json/object_reader.hpp
+++ b/include/figslip/json/object_reader.hpp
@@ -32,6 +32,13 @@
   Number mHigh;
 };
 
+/// @brief Lists what becomes of fields that nobody reads.
+enum class UnknownFields
+{
+  Report,
+  Ignore ///< the writer may have added fields since
+};
+
 /// @brief Reads the fields of one JSON object and collects findings.
 ///
 /// A reader never stops at the first fault: each accessor adds a finding and
@@ -43,9 +50,11 @@
   /// @param[in] aValue the value that must be an object
   /// @param[in] aPointer the JSON pointer of the value
   /// @param[out] aFindings receives the findings
+  /// @param[in] aUnknown holds for the objects in its arrays too
   ObjectReader(const nlohmann::json& aValue,
                std::string aPointer,
-               error::Findings& aFindings);
+               error::Findings& aFindings,
+               UnknownFields aUnknown = UnknownFields::Report);
 
   /// @brief Tells whether the value is an object at all.
   [[nodiscard]] bool IsObject() const { return mValue.is_object(); }
@@ -109,6 +118,7 @@
   const nlohmann::json& mValue;
   std::string mPointer;
   error::Findings& mFindings;
+  UnknownFields mUnknown;
   std::set<std::string, std::less<>> mRead;
 };
 
--- /dev/null
+++ b/include/figslip/net/client_connection.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <figslip/net/asio.hpp>
+#include <figslip/net/message.hpp>
+#include <figslip/net/watchdog.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace figslip::net {
+
+/// @brief Names a TCP endpoint.
+struct Endpoint
+{
+  std::string mAddress; ///< IP number
+  std::uint16_t mPort = 0;
+
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+/// @brief Lists how a step of an exchange can end.
+enum class StepEnd
+{
+  Done,
+  TimedOut,  ///< the watchdog expired
+  Closed,    ///< the other side closed or reset the connection
+  Malformed, ///< bytes that are no HTTP/1.1 response
+  Aborted    ///< `Abort` was called
+};
+
+/// @brief Returns the name of an end, as logs and metrics have it.
+[[nodiscard]] std::string_view
+NameOf(StepEnd aEnd);
+
+/// @brief Runs requests over one connection, one at a time.
+///
+/// Every step has its own deadline. A connection that saw anything but a whole
+/// and well-formed response is not reusable.
+class ClientConnection
+{
+public:
+  using Milliseconds = std::chrono::milliseconds;
+
+  explicit ClientConnection(const asio::any_io_executor& aExecutor);
+
+  /// @brief Opens the connection.
+  [[nodiscard]] Awaitable<StepEnd> Connect(const Endpoint& aEndpoint,
+                                           Milliseconds aLimit);
+
+  /// @brief Starts to send a request; reading may begin at once.
+  ///
+  /// An upstream may answer before it has read the whole request.
+  void StartSend(std::string aBytes);
+
+  /// @brief Reads the head of the response.
+  [[nodiscard]] Awaitable<StepEnd> ReadHead(Milliseconds aLimit);
+
+  /// @brief Reads more of the body into `Piece`, which is empty at its end.
+  [[nodiscard]] Awaitable<StepEnd> ReadBody(Milliseconds aLimit);
+
+  /// @brief Ends whatever runs; the connection is closed.
+  void Abort();
+
+  [[nodiscard]] const ResponseHead& Head() const { return mHead; }
+  [[nodiscard]] const std::string& Piece() const { return mPiece; }
+  [[nodiscard]] bool BodyIsWhole() const;
+  /// @brief Tells whether any byte of the request may have left.
+  [[nodiscard]] bool HasSent() const { return mSendStarted; }
+  /// @brief Tells whether another request may follow.
+  [[nodiscard]] bool IsReusable() const;
+  /// @brief Tells whether an idle connection has been closed or has got bytes
+  /// that belong to no request.
+  [[nodiscard]] bool IsStale();
+
+private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  struct SendState
+  {
+    std::string mBytes;
+    bool mDone = true;
+    bool mFailed = false;
+  };
+
+  [[nodiscard]] StepEnd EndOf(const error_code& aError) const;
+  void TakeHead();
+
+  std::shared_ptr<tcp::socket> mSocket;
+  Watchdog mWatchdog;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<Parser> mParser;
+  std::shared_ptr<SendState> mSend;
+  std::array<char, 8192> mPieceBuffer{};
+  ResponseHead mHead;
+  std::string mPiece;
+  bool mSendStarted = false;
+  bool mBroken = false;
+  bool mAborted = false;
+};
+
+} // namespace figslip::net
--- /dev/null
+++ b/include/figslip/placement/upstream_board.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <figslip/ingress/configuration.hpp>
+#include <figslip/ingress/dialect.hpp>
+#include <figslip/ingress/upstream_entry.hpp>
+#include <figslip/placement/health.hpp>
+#include <figslip/placement/prefix_cache.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figslip::placement {
+
+/// @brief Describes a request to place.
+struct PlacementQuery
+{
+  std::string_view mService;
+  std::string_view mModel; ///< empty at a plain service
+  const std::vector<ingress::PromptPart>* mPrompt = nullptr;
+  std::int64_t mPromptTokens = 0;
+  std::int64_t mOutputTokens = 0;
+  /// tells whether a version may serve the request
+  std::function<bool(std::string_view)> mAllowsVersion;
+  const std::set<std::string>* mAvoid = nullptr; ///< upstreams that failed it
+  const std::vector<std::string>* mRegions = nullptr; ///< null or empty: all
+};
+
+/// @brief Names the upstream chosen and what to expect there.
+struct Choice
+{
+  const ingress::UpstreamEntry* mUpstream = nullptr;
+  Duration mFirstEvent{};      ///< expected time to the first event
+  std::int64_t mNewTokens = 0; ///< prompt tokens to be read
+  std::int64_t mCachedTokens = 0;
+};
+
+/// @brief Lists why no upstream was chosen.
+enum class NoChoice
+{
+  NoUpstream, ///< none is registered, ready and allowed
+  AllCold,    ///< those that have room are cold and have no rate left
+  AllFull     ///< all places are taken
+};
+
+/// @brief Counts one request on an upstream until it ends.
+struct Load
+{
+  std::string mUpstream;
+  std::string mModel;
+  double mReadingMs = 0.0; ///< expected time to read its prompt
+  double mDecodeWeight = 0.0;
+  bool mIsReading = true;
+  TimePoint mSentAt;
+};
+
+/// @brief Knows the upstreams, their load, warmth and health, and chooses.
+///
+/// Answers uneven load, long prompts that hold up all others of an engine,
+/// lost and failing upstreams, and upstreams in cold start. The expected time
+/// to the first event decides: prompts queued for reading, what the prefix
+/// cache spares, and the requests that run. The load that answers state counts
+/// for what other instances send.
+class UpstreamBoard
+{
+public:
+  struct Options
+  {
+    std::string mDomain;                         ///< own failure domain
+    std::map<std::string, std::string> mRegions; ///< by failure domain
+    /// prompt tokens read in a millisecond by a model of pace 1
+    double mTokensPerMs = 60.0;
+    /// places of an engine that all instances together fill, part of its slots
+    double mFill = 1.0;
+  };
+
+  explicit UpstreamBoard(Options aOptions);
+
+  /// @name Control events
+  /// @{
+  void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries,
+                   TimePoint aNow);
+  void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
+  void SetDrained(std::set<std::string> aDomains);
+  /// @brief Sets the number of instances that share the cold rates.
+  void SetInstances(int aInstances);
+  /// @}
+
+  /// @brief Chooses the upstream that is expected to answer first.
+  [[nodiscard]] std::optional<Choice> Choose(const PlacementQuery& aQuery,
+                                             TimePoint aNow) const;
+  /// @brief Tells why `Choose` found none.
+  [[nodiscard]] NoChoice Explain(const PlacementQuery& aQuery,
+                                 TimePoint aNow) const;
+  /// @brief Tells whether an upstream may be sent a request, right now.
+  [[nodiscard]] bool MaySend(std::string_view aUpstream, TimePoint aNow) const;
+
+  /// @brief Counts a request on the upstream chosen.
+  [[nodiscard]] Load Reserve(const Choice& aChoice,
+                             const PlacementQuery& aQuery,
+                             TimePoint aNow);
+  /// @brief Notes that the prompt has been read.
+  void OnFirstEvent(Load& aLoad, TimePoint aNow);
+  /// @brief Takes a request off its upstream.
+  void Release(Load& aLoad);
+  void OnStatedLoad(std::string_view aUpstream,
+                    const ingress::StatedLoad& aLoad,
+                    TimePoint aNow);
+  void OnOutcome(std::string_view aUpstream,
+                 AttemptHealth aHealth,
+                 TimePoint aNow);
+
+  [[nodiscard]] const ingress::UpstreamEntry* Find(
+    std::string_view aUpstream) const;
+  /// @brief Returns the versions of ready upstreams of a service.
+  [[nodiscard]] std::set<std::string> VersionsOf(
+    std::string_view aService) const;
+  /// @brief Returns the part of the places of a service that is taken.
+  [[nodiscard]] double Occupancy(std::string_view aService,
+                                 TimePoint aNow) const;
+  [[nodiscard]] std::size_t Size() const { return mStates.size(); }
+
+private:
+  struct State
+  {
+    ingress::UpstreamEntry mEntry;
+    int mInFlight = 0;
+    double mReadingMs = 0.0;    ///< of own requests that have no event yet
+    double mDecodeWeight = 0.0; ///< of own requests
+    ingress::StatedLoad mStated;
+    TimePoint mStatedAt;
+    int mOwnAtStated = 0;
+    Health mHealth;
+    PrefixCache mCache;
+    TimePoint mColdUntil;
+    TimePoint mNextCold; ///< earliest time of the next request while cold
+  };
+
+  [[nodiscard]] bool IsCandidate(const State& aState,
+                                 const PlacementQuery& aQuery) const;
+  [[nodiscard]] bool IsInRegions(const State& aState,
+                                 const PlacementQuery& aQuery) const;
+  [[nodiscard]] double RunningOf(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] bool HasRoom(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] bool HasColdRate(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] double PaceOf(std::string_view aService,
+                              std::string_view aModel) const;
+  [[nodiscard]] Choice Estimate(const State& aState,
+                                const PlacementQuery& aQuery,
+                                bool aIsHome,
+                                TimePoint aNow) const;
+  [[nodiscard]] std::string_view HomeOf(const PlacementQuery& aQuery) const;
+  void Admit(State& aState,
+             const ingress::UpstreamEntry& aEntry,
+             bool aIsFirstList,
+             TimePoint aNow) const;
+
+  Options mOptions;
+  ingress::ConfigurationPtr mConfiguration;
+  std::map<std::string, State, std::less<>> mStates;
+  std::set<std::string, std::less<>> mDrained;
+  int mInstances = 1;
+  bool mHasList = false;
+};
+
+} // namespace figslip::placement
--- /dev/null
+++ b/include/figslip/rollout/canary_evidence.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace figslip::rollout {
+
+/// @brief Holds what one attempt tells of its version.
+struct CanarySample
+{
+  std::string mRoute;
+  bool mFailed = false;
+  /// time to the first event as a multiple of what was expected; none where
+  /// there was no event
+  std::optional<double> mSlowness;
+};
+
+/// @brief Compares a new version with the others on the latest attempts.
+///
+/// Only the latest count, as a version may turn bad late, under load, or on
+/// one route alone.
+class CanaryEvidence
+{
+public:
+  void OnTarget(const CanarySample& aSample);
+  void OnOthers(const CanarySample& aSample);
+
+  /// @brief Tells why the new version is bad.
+  /// @return nothing while there is no sufficient evidence
+  [[nodiscard]] std::optional<std::string> Verdict() const;
+
+  [[nodiscard]] std::size_t Samples() const { return mSamples; }
+
+private:
+  struct Series
+  {
+    std::deque<bool> mFailed;
+    std::deque<double> mSlowness;
+
+    void Add(const CanarySample& aSample);
+    [[nodiscard]] int Failures() const;
+    [[nodiscard]] double FailureRate() const;
+    [[nodiscard]] double MedianSlowness() const;
+  };
+
+  [[nodiscard]] static bool IsFailing(const Series& aTarget,
+                                      const Series& aOthers);
+
+  std::map<std::string, Series> mTarget; ///< by route
+  std::map<std::string, Series> mOthers;
+  Series mAllTarget;
+  Series mAllOthers;
+  std::size_t mSamples = 0;
+};
+
+} // namespace figslip::rollout
--- /dev/null
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <figslip/error/result.hpp>
+#include <figslip/net/client_connection.hpp>
+#include <figslip/time/time_point.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace figslip::settings {
+
+/// @brief Holds the settings of an instance that serves callers' HTTP requests.
+struct IngressSettings
+{
+  std::string mInstance;      ///< unique name of the instance
+  std::string mFailureDomain; ///< failure domain of the instance
+  std::map<std::string, std::string> mRegions; ///< by failure domain
+  net::Endpoint mCallers;                      ///< where callers are served
+  net::Endpoint mReadiness; ///< where the balancer asks for readiness
+  net::Endpoint mMetrics;   ///< where metrics are served
+  net::Endpoint mStore;     ///< the platform's store
+  int mMemoryMb = 256;      ///< memory of the process, MB
+  int mMaxDescriptors = 1024;
+  Duration mGrace{};        ///< from SIGTERM to the end of the process
+  Duration mRevocation{};   ///< a key taken away works no longer than this
+  double mRetryShare = 0.0; ///< repeats per request that all instances share
+  double mRetrySlack = 0.0; ///< repeats beyond, of all instances together
+  Duration mRetryWindow{};  ///< over which both count
+  Duration mSessionTtl{};   ///< pause that ends a session
+};
+
+/// @brief Parses and checks the settings.
+/// @param[in] aText the JSON text
+/// @return the settings, or all findings, each with its JSON pointer
+[[nodiscard]] Result<IngressSettings>
+ParseIngressSettings(std::string_view aText);
+
+} // namespace figslip::settings
--- a/include/figslip/time/wall_clock.hpp
+++ b/include/figslip/time/wall_clock.hpp
@@ -11,4 +11,9 @@
 [[nodiscard]] TimePoint
 ReadClock();
 
+/// @brief Reads a clock that no step moves and that counts while the machine is
+/// suspended; its zero is the boot of the machine.
+[[nodiscard]] TimePoint
+ReadBootClock();
+
 } // namespace figslip
--- /dev/null
+++ b/src/core/ingress/configuration.cpp
@@ -0,0 +1,88 @@
+#include <figslip/ingress/configuration.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+#include <ranges>
+#include <utility>
+
+namespace figslip::ingress {
+
+namespace {
+
+std::string_view
+WithoutPort(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.find(':'));
+}
+
+} // namespace
+
+ConfigurationIndex::ConfigurationIndex(Configuration aConfiguration)
+  : mConfiguration(std::move(aConfiguration))
+{
+  for (const auto& route : mConfiguration.mRoutes) {
+    mByHost[route.mHost].push_back(&route);
+  }
+  for (auto& routes : mByHost | std::views::values) {
+    std::ranges::stable_sort(routes, std::greater{}, [](const Route* aRoute) {
+      return aRoute->mPathPrefix.size();
+    });
+  }
+  for (const auto& account : mConfiguration.mAccounts) {
+    for (const auto& key : account.mKeys) {
+      mByKey.emplace(key, &account);
+    }
+  }
+  for (const auto& service : mConfiguration.mServices) {
+    mByService.emplace(service.mName, &service);
+  }
+}
+
+const Route*
+ConfigurationIndex::Match(std::string_view aHost, std::string_view aPath) const
+{
+  const auto host = mByHost.find(WithoutPort(aHost));
+  if (host == mByHost.end()) {
+    return nullptr;
+  }
+  const auto route =
+    std::ranges::find_if(host->second, [&](const Route* aRoute) {
+      return aPath.starts_with(aRoute->mPathPrefix);
+    });
+  return route == host->second.end() ? nullptr : *route;
+}
+
+const ClientAccount*
+ConfigurationIndex::AccountOf(std::string_view aKey) const
+{
+  const auto found = mByKey.find(aKey);
+  return found == mByKey.end() ? nullptr : found->second;
+}
+
+const Service*
+ConfigurationIndex::FindService(std::string_view aName) const
+{
+  const auto found = mByService.find(aName);
+  return found == mByService.end() ? nullptr : found->second;
+}
+
+const std::string&
+ChooseService(const Route& aRoute, std::uint64_t aHash)
+{
+  assert(!aRoute.mServices.empty());
+  constexpr std::uint64_t kSteps = 1'000'000;
+  const auto weights =
+    aRoute.mServices | std::views::transform(&WeightedService::mWeight);
+  const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+  double place = static_cast<double>(aHash % kSteps) / kSteps * total;
+  for (const auto& service : aRoute.mServices) {
+    place -= service.mWeight;
+    if (place < 0.0) {
+      return service.mService;
+    }
+  }
+  return aRoute.mServices.back().mService;
+}
+
+} // namespace figslip::ingress
--- a/src/core/json/object_reader.cpp
+++ b/src/core/json/object_reader.cpp
@@ -44,10 +44,12 @@
 
 ObjectReader::ObjectReader(const nlohmann::json& aValue,
                            std::string aPointer,
-                           error::Findings& aFindings)
+                           error::Findings& aFindings,
+                           UnknownFields aUnknown)
   : mValue(aValue)
   , mPointer(std::move(aPointer))
   , mFindings(aFindings)
+  , mUnknown(aUnknown)
 {
   if (!mValue.is_object()) {
     mFindings.push_back(
@@ -213,7 +215,8 @@
   }
   const auto pointer = PointerTo(mPointer, aField);
   for (std::size_t index = 0; index < value->size(); ++index) {
-    ObjectReader element((*value)[index], PointerTo(pointer, index), mFindings);
+    ObjectReader element(
+      (*value)[index], PointerTo(pointer, index), mFindings, mUnknown);
     if (element.IsObject()) {
       aRead(element);
       element.Finish();
@@ -224,7 +227,7 @@
 void
 ObjectReader::Finish()
 {
-  if (!mValue.is_object()) {
+  if (!mValue.is_object() || mUnknown == UnknownFields::Ignore) {
     return;
   }
   for (const auto& [field, value] : mValue.items()) {
--- /dev/null
+++ b/src/core/placement/upstream_board.cpp
@@ -0,0 +1,423 @@
+#include <figslip/membership/rendezvous.hpp>
+#include <figslip/placement/upstream_board.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <ranges>
+#include <utility>
+
+namespace figslip::placement {
+
+namespace {
+
+/// Age from which a stated load is ignored.
+constexpr Duration kLoadAge = std::chrono::milliseconds(1500);
+
+/// Part of an engine's memory that holds cached prefixes under load.
+constexpr double kCachePart = 0.6;
+
+/// Expected cost of one more running request for all others, ms.
+constexpr double kRunningMs = 4.0;
+
+/// Expected time to the first event of an idle engine, ms.
+constexpr double kBaseMs = 12.0;
+
+/// Penalty of an upstream in another failure domain, ms.
+constexpr double kOtherDomainMs = 6.0;
+
+/// Expected loss by a failed attempt, ms, times the failure rate.
+constexpr double kFailureMs = 2'000.0;
+
+/// Part of an uncached prompt that its home is assumed to keep, as other
+/// instances send there too.
+constexpr double kHomePart = 0.5;
+
+/// Reported running requests that a plain service counts as one slot.
+constexpr double kPlainSlotMs = 30.0;
+
+Duration
+FromMs(double aMs)
+{
+  constexpr double kMicros = 1'000.0;
+  return Duration(static_cast<Duration::rep>(aMs * kMicros));
+}
+
+} // namespace
+
+UpstreamBoard::UpstreamBoard(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void
+UpstreamBoard::OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries,
+                           TimePoint aNow)
+{
+  std::set<std::string_view> present;
+  for (const auto& entry : aEntries) {
+    present.insert(entry.mId);
+    Admit(mStates[entry.mId], entry, !mHasList, aNow);
+  }
+  std::erase_if(mStates, [&](const auto& aState) {
+    return !present.contains(aState.first);
+  });
+  mHasList = true;
+}
+
+void
+UpstreamBoard::Admit(State& aState,
+                     const ingress::UpstreamEntry& aEntry,
+                     bool aIsFirstList,
+                     TimePoint aNow) const
+{
+  const bool isNew = aState.mEntry.mId.empty();
+  const bool isReborn =
+    !isNew && aState.mEntry.mStartedAtMs != aEntry.mStartedAtMs;
+  if (isReborn) {
+    aState.mHealth.Reset();
+    aState.mCache.Clear();
+  }
+  const auto* const service =
+    mConfiguration ? mConfiguration->FindService(aEntry.mService) : nullptr;
+  auto cold = aEntry.mColdRemaining;
+  if (service != nullptr) {
+    if (service->mEngine) {
+      const auto tokens =
+        static_cast<double>(service->mEngine->mCapacityTokens);
+      aState.mCache.SetCapacity(static_cast<std::int64_t>(tokens * kCachePart));
+    }
+    if (isReborn || (isNew && !aIsFirstList)) {
+      cold = std::max(cold, service->mColdStart);
+    }
+  }
+  const bool isNews = isNew || !(aState.mEntry == aEntry);
+  if (isNews && cold > Duration::zero()) {
+    aState.mColdUntil = std::max(aState.mColdUntil, aNow + cold);
+  }
+  aState.mEntry = aEntry;
+}
+
+void
+UpstreamBoard::OnConfiguration(ingress::ConfigurationPtr aConfiguration)
+{
+  mConfiguration = std::move(aConfiguration);
+  for (auto& state : mStates | std::views::values) {
+    const auto* const service =
+      mConfiguration->FindService(state.mEntry.mService);
+    if (service != nullptr && service->mEngine) {
+      const auto tokens =
+        static_cast<double>(service->mEngine->mCapacityTokens);
+      state.mCache.SetCapacity(static_cast<std::int64_t>(tokens * kCachePart));
+    }
+  }
+}
+
+void
+UpstreamBoard::SetDrained(std::set<std::string> aDomains)
+{
+  mDrained = { aDomains.begin(), aDomains.end() };
+}
+
+void
+UpstreamBoard::SetInstances(int aInstances)
+{
+  mInstances = std::max(aInstances, 1);
+}
+
+std::optional<Choice>
+UpstreamBoard::Choose(const PlacementQuery& aQuery, TimePoint aNow) const
+{
+  const auto home = HomeOf(aQuery);
+  std::optional<Choice> best;
+  bool bestAvoided = true;
+  for (const auto& state : mStates | std::views::values) {
+    if (!IsCandidate(state, aQuery) || !HasRoom(state, aNow) ||
+        !HasColdRate(state, aNow)) {
+      continue;
+    }
+    const bool avoided = state.mHealth.IsAvoided(aNow);
+    if (best && avoided && !bestAvoided) {
+      continue;
+    }
+    auto choice = Estimate(state, aQuery, home == state.mEntry.mId, aNow);
+    const bool isBetter = !best || (bestAvoided && !avoided) ||
+                          choice.mFirstEvent < best->mFirstEvent;
+    if (isBetter) {
+      best = choice;
+      bestAvoided = avoided;
+    }
+  }
+  return best;
+}
+
+NoChoice
+UpstreamBoard::Explain(const PlacementQuery& aQuery, TimePoint aNow) const
+{
+  auto reason = NoChoice::NoUpstream;
+  for (const auto& state : mStates | std::views::values) {
+    if (!IsCandidate(state, aQuery)) {
+      continue;
+    }
+    if (!HasRoom(state, aNow)) {
+      return NoChoice::AllFull;
+    }
+    reason = NoChoice::AllCold;
+  }
+  return reason;
+}
+
+bool
+UpstreamBoard::MaySend(std::string_view aUpstream, TimePoint aNow) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found != mStates.end() &&
+         found->second.mEntry.mState == ingress::UpstreamState::Ready &&
+         !mDrained.contains(found->second.mEntry.mDomain) &&
+         aNow >= TimePoint{};
+}
+
+Load
+UpstreamBoard::Reserve(const Choice& aChoice,
+                       const PlacementQuery& aQuery,
+                       TimePoint aNow)
+{
+  auto& state = mStates.find(aChoice.mUpstream->mId)->second;
+  const auto pace = PaceOf(aQuery.mService, aQuery.mModel);
+  Load load{ .mUpstream = state.mEntry.mId,
+             .mModel = std::string(aQuery.mModel),
+             .mReadingMs = static_cast<double>(aChoice.mNewTokens) /
+                           mOptions.mTokensPerMs * pace,
+             .mDecodeWeight = pace,
+             .mSentAt = aNow };
+  ++state.mInFlight;
+  state.mReadingMs += load.mReadingMs;
+  state.mDecodeWeight += load.mDecodeWeight;
+  if (aQuery.mPrompt != nullptr) {
+    state.mCache.Touch(ChainOf(*aQuery.mPrompt, aQuery.mModel));
+  }
+  if (aNow < state.mColdUntil) {
+    const auto* const service =
+      mConfiguration ? mConfiguration->FindService(aQuery.mService) : nullptr;
+    const double rate = service != nullptr ? service->mColdPerSecond : 0.0;
+    if (rate > 0.0) {
+      constexpr double kMicros = 1e6;
+      const auto interval =
+        Duration(static_cast<Duration::rep>(mInstances / rate * kMicros));
+      state.mNextCold = std::max(state.mNextCold, aNow) + interval;
+    }
+  }
+  return load;
+}
+
+void
+UpstreamBoard::OnFirstEvent(Load& aLoad, TimePoint /*aNow*/)
+{
+  const auto found = mStates.find(aLoad.mUpstream);
+  if (aLoad.mIsReading && found != mStates.end()) {
+    auto& reading = found->second.mReadingMs;
+    reading = std::max(0.0, reading - aLoad.mReadingMs);
+  }
+  aLoad.mIsReading = false;
+}
+
+void
+UpstreamBoard::Release(Load& aLoad)
+{
+  const auto found = mStates.find(aLoad.mUpstream);
+  if (found == mStates.end()) {
+    return;
+  }
+  auto& state = found->second;
+  state.mInFlight = std::max(0, state.mInFlight - 1);
+  state.mDecodeWeight =
+    std::max(0.0, state.mDecodeWeight - aLoad.mDecodeWeight);
+  if (aLoad.mIsReading) {
+    state.mReadingMs = std::max(0.0, state.mReadingMs - aLoad.mReadingMs);
+  }
+  if (state.mInFlight == 0) {
+    state.mReadingMs = 0.0;
+    state.mDecodeWeight = 0.0;
+  }
+}
+
+void
+UpstreamBoard::OnStatedLoad(std::string_view aUpstream,
+                            const ingress::StatedLoad& aLoad,
+                            TimePoint aNow)
+{
+  const auto found = mStates.find(aUpstream);
+  if (found != mStates.end()) {
+    found->second.mStated = aLoad;
+    found->second.mStatedAt = aNow;
+    found->second.mOwnAtStated = found->second.mInFlight;
+  }
+}
+
+void
+UpstreamBoard::OnOutcome(std::string_view aUpstream,
+                         AttemptHealth aHealth,
+                         TimePoint aNow)
+{
+  const auto found = mStates.find(aUpstream);
+  if (found != mStates.end()) {
+    found->second.mHealth.OnOutcome(aHealth, aNow);
+  }
+}
+
+const ingress::UpstreamEntry*
+UpstreamBoard::Find(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end() ? nullptr : &found->second.mEntry;
+}
+
+std::set<std::string>
+UpstreamBoard::VersionsOf(std::string_view aService) const
+{
+  std::set<std::string> versions;
+  for (const auto& state : mStates | std::views::values) {
+    if (state.mEntry.mService == aService &&
+        state.mEntry.mState == ingress::UpstreamState::Ready) {
+      versions.insert(state.mEntry.mVersion);
+    }
+  }
+  return versions;
+}
+
+double
+UpstreamBoard::Occupancy(std::string_view aService, TimePoint aNow) const
+{
+  double taken = 0.0;
+  double slots = 0.0;
+  for (const auto& state : mStates | std::views::values) {
+    if (state.mEntry.mService == aService &&
+        state.mEntry.mState == ingress::UpstreamState::Ready &&
+        !mDrained.contains(state.mEntry.mDomain)) {
+      taken += RunningOf(state, aNow);
+      slots += state.mEntry.mSlots;
+    }
+  }
+  return slots > 0.0 ? taken / slots : 1.0;
+}
+
+bool
+UpstreamBoard::IsCandidate(const State& aState,
+                           const PlacementQuery& aQuery) const
+{
+  const auto& entry = aState.mEntry;
+  return entry.mService == aQuery.mService &&
+         entry.mState == ingress::UpstreamState::Ready &&
+         !mDrained.contains(entry.mDomain) &&
+         (aQuery.mAvoid == nullptr || !aQuery.mAvoid->contains(entry.mId)) &&
+         (!aQuery.mAllowsVersion || aQuery.mAllowsVersion(entry.mVersion)) &&
+         IsInRegions(aState, aQuery);
+}
+
+bool
+UpstreamBoard::IsInRegions(const State& aState,
+                           const PlacementQuery& aQuery) const
+{
+  if (aQuery.mRegions == nullptr || aQuery.mRegions->empty()) {
+    return true;
+  }
+  const auto region = mOptions.mRegions.find(aState.mEntry.mDomain);
+  return region != mOptions.mRegions.end() &&
+         std::ranges::find(*aQuery.mRegions, region->second) !=
+           aQuery.mRegions->end();
+}
+
+double
+UpstreamBoard::RunningOf(const State& aState, TimePoint aNow) const
+{
+  double others = 0.0;
+  if (aNow < aState.mStatedAt + kLoadAge) {
+    others =
+      aState.mStated.mRunning + aState.mStated.mWaiting - aState.mOwnAtStated;
+  }
+  return aState.mInFlight + std::max(0.0, others);
+}
+
+bool
+UpstreamBoard::HasRoom(const State& aState, TimePoint aNow) const
+{
+  return RunningOf(aState, aNow) < aState.mEntry.mSlots * mOptions.mFill;
+}
+
+bool
+UpstreamBoard::HasColdRate(const State& aState, TimePoint aNow) const
+{
+  return aNow >= aState.mColdUntil || aNow >= aState.mNextCold;
+}
+
+double
+UpstreamBoard::PaceOf(std::string_view aService, std::string_view aModel) const
+{
+  const auto* const service =
+    mConfiguration ? mConfiguration->FindService(aService) : nullptr;
+  if (service == nullptr || !service->mEngine) {
+    return 1.0;
+  }
+  // the time a model takes rises with its place among the sizes
+  const auto& models = service->mEngine->mModels;
+  const auto found =
+    std::ranges::find(models, aModel, &ingress::EngineModel::mName);
+  constexpr double kSmallest = 0.3;
+  constexpr double kLargest = 3.0;
+  const auto place = std::distance(models.begin(), found);
+  const auto last = std::ssize(models) - 1;
+  if (found == models.end() || last <= 0) {
+    return 1.0;
+  }
+  return place == 0 ? kSmallest : place == last ? kLargest : 1.0;
+}
+
+Choice
+UpstreamBoard::Estimate(const State& aState,
+                        const PlacementQuery& aQuery,
+                        bool aIsHome,
+                        TimePoint aNow) const
+{
+  const auto& entry = aState.mEntry;
+  Choice choice{ .mUpstream = &aState.mEntry };
+  double ms = 0.0;
+  const auto running = RunningOf(aState, aNow);
+  if (aQuery.mPrompt != nullptr) {
+    const auto cached =
+      aState.mCache.CachedTokens(ChainOf(*aQuery.mPrompt, aQuery.mModel));
+    choice.mCachedTokens = std::min(cached, aQuery.mPromptTokens);
+    choice.mNewTokens = aQuery.mPromptTokens - choice.mCachedTokens;
+    const double spared = aIsHome ? kHomePart : 0.0;
+    const double reading = static_cast<double>(choice.mNewTokens) /
+                           mOptions.mTokensPerMs *
+                           PaceOf(aQuery.mService, aQuery.mModel);
+    ms = kBaseMs + reading * (1.0 - spared) + aState.mReadingMs +
+         running * kRunningMs;
+  } else {
+    const double perSlot = running / std::max(1, entry.mSlots);
+    ms = kPlainSlotMs * (1.0 + perSlot);
+  }
+  ms += entry.mDomain == mOptions.mDomain ? 0.0 : kOtherDomainMs;
+  ms += aState.mHealth.FailureRate() * kFailureMs;
+  choice.mFirstEvent = FromMs(ms);
+  return choice;
+}
+
+std::string_view
+UpstreamBoard::HomeOf(const PlacementQuery& aQuery) const
+{
+  if (aQuery.mPrompt == nullptr || aQuery.mPrompt->size() < 2) {
+    return {};
+  }
+  // the last part is the request's own; the one before is its subject
+  const auto subject = std::to_string(aQuery.mPrompt->rbegin()[1].mId);
+  std::vector<std::string_view> names;
+  for (const auto& [name, state] : mStates) {
+    if (IsCandidate(state, aQuery)) {
+      names.push_back(name);
+    }
+  }
+  return names.empty() ? std::string_view{}
+                       : membership::RankByRendezvous(subject, names).front();
+}
+
+} // namespace figslip::placement
--- /dev/null
+++ b/src/shell/gateway/control_plane.cpp
@@ -0,0 +1,371 @@
+#include <figslip/gateway/control_plane.hpp>
+#include <figslip/log/log.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <ranges>
+
+namespace figslip::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using store::ObjectKind;
+
+/// Time for the answer of a write.
+constexpr auto kWriteLimit = milliseconds(1'500);
+
+/// Pause before a write that failed is made again.
+constexpr auto kWritePause = milliseconds(400);
+constexpr int kMaxWrites = 12;
+
+/// Time between looks for entries that did not come back.
+constexpr auto kLapsePoll = milliseconds(250);
+
+constexpr std::string_view kInstancePrefix = "instance.";
+constexpr std::string_view kCrashPrefix = "crash.";
+
+constexpr int kHexadecimal = 16;
+
+net::Awaitable<void>
+Sleep(milliseconds aTime)
+{
+  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
+  net::error_code ignored; // nothing cancels the timer
+  co_await timer.async_wait(
+    net::asio::redirect_error(net::asio::use_awaitable, ignored));
+}
+
+std::string
+ToHex(std::uint64_t aNumber)
+{
+  std::array<char, 17> text{};
+  const auto end = std::to_chars(
+    text.data(), text.data() + text.size(), aNumber, kHexadecimal);
+  return { text.data(), end.ptr };
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(net::asio::io_context& aContext,
+                           const settings::IngressSettings& aSettings,
+                           const store::StoreDialect& aDialect,
+                           ingress::FreshnessLease& aLease,
+                           metrics::Registry& aMetrics,
+                           Post aPost)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mDialect(aDialect)
+  , mLease(aLease)
+  , mPost(std::move(aPost))
+  , mClient(aContext.get_executor(), aSettings.mStore, aMetrics)
+  , mLapses({})
+{
+}
+
+void
+ControlPlane::Start()
+{
+  // watches without news return early enough to confirm the lease, and to
+  // find a connection that went silent within the bounds of each kind
+  auto configuration =
+    CallbacksOf(ObjectKind::Configuration,
+                [this](const auto& aObjects) { OnConfiguration(aObjects); });
+  configuration.mOnConfirmed = [this](TimePoint aSentAt) {
+    if (mVersion >= 0) {
+      mLease.Confirm(aSentAt);
+    }
+  };
+  Follow({ .mKind = ObjectKind::Configuration, .mWait = milliseconds(1'000) },
+         std::move(configuration));
+  auto upstreams =
+    CallbacksOf(ObjectKind::Upstreams,
+                [this](const auto& aObjects) { OnUpstreams(aObjects); });
+  const auto onLost = upstreams.mOnLost;
+  const auto onRegained = upstreams.mOnRegained;
+  upstreams.mOnLost = [this, onLost](const std::string& aReason) {
+    mLapses.OnStoreLost();
+    onLost(aReason);
+  };
+  upstreams.mOnRegained = [this, onRegained] {
+    mLapses.OnStoreRegained(ReadBootClock());
+    onRegained();
+  };
+  Follow({ .mKind = ObjectKind::Upstreams,
+           .mWait = milliseconds(1'500),
+           .mPause = milliseconds(200) },
+         std::move(upstreams));
+  Follow({ .mKind = ObjectKind::Rollouts, .mWait = milliseconds(2'000) },
+         CallbacksOf(ObjectKind::Rollouts,
+                     [this](const auto& aObjects) { OnRollouts(aObjects); }));
+  Follow({ .mKind = ObjectKind::Drains, .mWait = milliseconds(2'000) },
+         CallbacksOf(ObjectKind::Drains,
+                     [this](const auto& aObjects) { OnDrains(aObjects); }));
+  Follow({ .mKind = ObjectKind::Shared, .mWait = milliseconds(2'500) },
+         CallbacksOf(ObjectKind::Shared,
+                     [this](const auto& aObjects) { OnShared(aObjects); }));
+  net::asio::co_spawn(mContext, ExpireLapsed(), net::asio::detached);
+  net::asio::co_spawn(mContext, Register(), net::asio::detached);
+}
+
+store::ObjectFollower::Callbacks
+ControlPlane::CallbacksOf(
+  ObjectKind aKind,
+  std::function<void(const store::ObjectFollower::Objects&)> aOnObjects)
+{
+  const std::string kind(store::NameOf(aKind));
+  return { .mOnObjects = std::move(aOnObjects),
+           .mOnConfirmed = [](TimePoint) {},
+           .mOnLost =
+             [kind](const std::string& aReason) {
+               log::Write(log::Level::Warning,
+                          "store_lost",
+                          { { "kind", kind }, { "reason", aReason } });
+             },
+           .mOnRegained =
+             [kind] {
+               log::Write(
+                 log::Level::Info, "store_regained", { { "kind", kind } });
+             } };
+}
+
+void
+ControlPlane::Follow(store::ObjectFollower::Options aOptions,
+                     store::ObjectFollower::Callbacks aCallbacks)
+{
+  mFollowers.push_back(std::make_unique<store::ObjectFollower>(
+    aOptions, mDialect, mClient, std::move(aCallbacks)));
+  net::asio::co_spawn(mContext, mFollowers.back()->Run(), net::asio::detached);
+}
+
+void
+ControlPlane::OnConfiguration(const store::ObjectFollower::Objects& aObjects)
+{
+  for (const auto& object : aObjects | std::views::values) {
+    auto read = mDialect.mReadConfiguration(object);
+    if (!read) {
+      LogUnreadable(object, "configuration", read.assume_error());
+      continue;
+    }
+    auto configuration = std::move(read).assume_value();
+    if (configuration.mVersion <= mVersion) {
+      continue;
+    }
+    mVersion = configuration.mVersion;
+    log::Write(log::Level::Info,
+               "configuration_in_force",
+               { { "configuration", std::to_string(mVersion) },
+                 { "revision", std::to_string(object.mRevision) },
+                 { "routes", std::to_string(configuration.mRoutes.size()) } });
+    const auto index = std::make_shared<const ingress::ConfigurationIndex>(
+      std::move(configuration));
+    mPost([index](TrafficState& aState) { aState.OnConfiguration(index); });
+  }
+}
+
+void
+ControlPlane::OnUpstreams(const store::ObjectFollower::Objects& aObjects)
+{
+  std::vector<ingress::UpstreamEntry> entries;
+  for (const auto& object : aObjects | std::views::values) {
+    auto entry = mDialect.mReadUpstream(object);
+    if (entry) {
+      entries.push_back(std::move(entry).assume_value());
+    } else {
+      LogUnreadable(object, "upstream", entry.assume_error());
+    }
+  }
+  mLapses.OnEntries(std::move(entries), ReadBootClock());
+  PublishUpstreams();
+}
+
+void
+ControlPlane::PublishUpstreams()
+{
+  mPost([entries = mLapses.Entries()](TrafficState& aState) {
+    aState.OnUpstreams(entries);
+  });
+}
+
+net::Awaitable<void>
+ControlPlane::ExpireLapsed()
+{
+  while (true) {
+    co_await Sleep(kLapsePoll);
+    const auto kept = mLapses.Kept();
+    if (kept > 0 && mLapses.Expire(ReadBootClock())) {
+      log::Write(log::Level::Info,
+                 "lapsed_upstreams_dropped",
+                 { { "upstreams", std::to_string(kept) } });
+      PublishUpstreams();
+    }
+  }
+}
+
+void
+ControlPlane::OnRollouts(const store::ObjectFollower::Objects& aObjects)
+{
+  std::vector<rollout::RolloutOrder> orders;
+  for (const auto& object : aObjects | std::views::values) {
+    auto order = mDialect.mReadRollout(object);
+    if (!order) {
+      LogUnreadable(object, "rollout", order.assume_error());
+      continue;
+    }
+    orders.push_back(std::move(order).assume_value());
+    log::Write(
+      log::Level::Info,
+      "rollout_seen",
+      { { "service", orders.back().mService },
+        { "version", orders.back().mTarget },
+        { "state", std::string(rollout::NameOf(orders.back().mState)) },
+        { "revision", std::to_string(object.mRevision) } });
+  }
+  mPost([orders](TrafficState& aState) {
+    aState.mRollouts.OnOrders(orders, ReadBootClock());
+  });
+}
+
+void
+ControlPlane::OnDrains(const store::ObjectFollower::Objects& aObjects)
+{
+  std::set<std::string> domains;
+  std::string names;
+  for (const auto& name : aObjects | std::views::keys) {
+    domains.insert(name);
+    names += name + " ";
+  }
+  log::Write(log::Level::Info, "drained_domains", { { "domains", names } });
+  mPost([domains](TrafficState& aState) { aState.mBoard.SetDrained(domains); });
+}
+
+void
+ControlPlane::OnShared(const store::ObjectFollower::Objects& aObjects)
+{
+  int instances = 0;
+  std::set<std::uint64_t> crashing;
+  for (const auto& name : aObjects | std::views::keys) {
+    if (name.starts_with(kInstancePrefix)) {
+      ++instances;
+    } else if (name.starts_with(kCrashPrefix)) {
+      const auto digits = std::string_view(name).substr(kCrashPrefix.size());
+      std::uint64_t fingerprint = 0;
+      const auto read = std::from_chars(digits.data(),
+                                        digits.data() + digits.size(),
+                                        fingerprint,
+                                        kHexadecimal);
+      if (read.ec == std::errc{}) {
+        crashing.insert(fingerprint);
+      }
+    }
+  }
+  mReported.insert(crashing.begin(), crashing.end());
+  mPost([instances, crashing](TrafficState& aState) {
+    aState.OnInstances(std::max(1, instances));
+    aState.OnCrashingRequests(crashing);
+  });
+}
+
+void
+ControlPlane::WriteStatus(const rollout::StatusChange& aChange)
+{
+  log::Write(log::Level::Info,
+             "rollout_status",
+             { { "service", aChange.mOrder.mService },
+               { "version", aChange.mOrder.mTarget },
+               { "state", std::string(rollout::NameOf(aChange.mState)) },
+               { "reason", aChange.mReason },
+               { "revision", std::to_string(aChange.mOrder.mRevision) } });
+  // one try: a change that is still due is asked for again
+  net::asio::co_spawn(
+    mContext,
+    [this,
+     request = mDialect.mPutStatus(aChange)]() mutable -> net::Awaitable<void> {
+      const auto result = co_await mClient.Call(
+        std::move(request), "put rollout status", kWriteLimit);
+      log::Write(log::Level::Info,
+                 "rollout_status_written",
+                 { { "status", std::to_string(result.mStatus) },
+                   { "reason", result.mReason } });
+    },
+    net::asio::detached);
+}
+
+void
+ControlPlane::ReportCrashing(std::uint64_t aFingerprint)
+{
+  if (!mReported.insert(aFingerprint).second) {
+    return;
+  }
+  const auto name = std::string(kCrashPrefix) + ToHex(aFingerprint);
+  log::Write(log::Level::Warning, "request_quarantined", { { "name", name } });
+  mPost([aFingerprint](TrafficState& aState) {
+    aState.OnCrashingRequests({ aFingerprint });
+  });
+  auto request = mDialect.mCreateShared(name, nlohmann::json::object());
+  net::asio::co_spawn(mContext,
+                      Write(std::move(request), "create quarantine"),
+                      net::asio::detached);
+}
+
+net::Awaitable<void>
+ControlPlane::Register()
+{
+  const auto name = std::string(kInstancePrefix) + mSettings.mInstance;
+  auto request = mDialect.mCreateShared(
+    name, { { "failure_domain", mSettings.mFailureDomain } });
+  co_await Write(std::move(request), "register instance");
+}
+
+net::Awaitable<void>
+ControlPlane::Deregister()
+{
+  auto request =
+    mDialect.mRemoveShared(std::string(kInstancePrefix) + mSettings.mInstance);
+  const std::string call = "deregister instance";
+  const auto result =
+    co_await mClient.Call(std::move(request), call, kWriteLimit);
+  if (result.mEnd != store::CallEnd::Answered) {
+    log::Write(log::Level::Warning,
+               "write_failed",
+               { { "call", call }, { "reason", result.mReason } });
+  }
+}
+
+net::Awaitable<void>
+ControlPlane::Write(net::RequestMessage aRequest, std::string aName)
+{
+  for (int tries = 0; tries < kMaxWrites; ++tries) {
+    auto request = aRequest;
+    const auto result =
+      co_await mClient.Call(std::move(request), aName, kWriteLimit);
+    // an object that exists already is as good
+    if (result.mEnd == store::CallEnd::Answered) {
+      co_return;
+    }
+    log::Write(log::Level::Warning,
+               "write_failed",
+               { { "call", aName }, { "reason", result.mReason } });
+    co_await Sleep(kWritePause * (tries + 1));
+  }
+}
+
+void
+ControlPlane::LogUnreadable(const store::Object& aObject,
+                            std::string_view aKind,
+                            const error::Findings& aFindings)
+{
+  auto& logged = mUnreadable[std::string(aKind) + "/" + aObject.mName];
+  if (logged != aObject.mRevision) {
+    logged = aObject.mRevision;
+    log::Write(log::Level::Warning,
+               "object_unreadable",
+               { { "kind", std::string(aKind) },
+                 { "name", aObject.mName },
+                 { "revision", std::to_string(aObject.mRevision) },
+                 { "findings", error::JoinMessages(aFindings, "; ") } });
+  }
+}
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/src/shell/gateway/frontend.cpp
@@ -0,0 +1,249 @@
+#include <figslip/gateway/frontend.hpp>
+#include <figslip/gateway/request_flow.hpp>
+#include <figslip/log/log.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <algorithm>
+
+namespace figslip::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kBacklog = 4'096;
+
+/// Time in which the balancer notices twice that an instance is not ready.
+constexpr auto kNoticeTime = milliseconds(2'600);
+
+/// Part of the grace after which what still runs is left to end by itself.
+constexpr double kDrainPart = 0.92;
+
+constexpr auto kDrainPoll = milliseconds(50);
+
+/// Pause after a failed accept, as when descriptors have run out.
+constexpr auto kAcceptPause = milliseconds(20);
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kTimeout = 408;
+constexpr unsigned kBodyTooLarge = 413;
+constexpr unsigned kHeaderTooLarge = 431;
+
+net::Awaitable<void>
+Sleep(milliseconds aTime)
+{
+  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
+  net::error_code ignored; // nothing cancels the timer
+  co_await timer.async_wait(
+    net::asio::redirect_error(net::asio::use_awaitable, ignored));
+}
+
+unsigned
+StatusOf(net::ReadEnd aEnd)
+{
+  switch (aEnd) {
+    case net::ReadEnd::HeaderTooLarge:
+      return kHeaderTooLarge;
+    case net::ReadEnd::BodyTooLarge:
+      return kBodyTooLarge;
+    case net::ReadEnd::TooSlow:
+      return kTimeout;
+    case net::ReadEnd::Whole:
+    case net::ReadEnd::Closed:
+    case net::ReadEnd::BadRequest:
+      break;
+  }
+  return kBadRequest;
+}
+
+ingress::CallerLimits
+LimitsOf(const TrafficState& aState)
+{
+  return aState.mConfiguration ? aState.mConfiguration->All().mLimits
+                               : ingress::CallerLimits{};
+}
+
+} // namespace
+
+Frontend::Frontend(net::asio::io_context& aContext, TrafficState& aState)
+  : mContext(aContext)
+  , mState(aState)
+{
+}
+
+Result<void>
+Frontend::Start()
+{
+  error::Findings findings;
+  const auto listen = [&](const net::Endpoint& aEndpoint, Serve aServe) {
+    auto started = Listen(aEndpoint, aServe);
+    if (!started) {
+      std::ranges::move(started.assume_error(), std::back_inserter(findings));
+    }
+  };
+  listen(mState.mSettings.mCallers, &Frontend::ServeCaller);
+  listen(mState.mSettings.mReadiness, &Frontend::ServeReadiness);
+  listen(mState.mSettings.mMetrics, &Frontend::ServeMetrics);
+  if (!findings.empty()) {
+    return outcome::failure(std::move(findings));
+  }
+  return outcome::success();
+}
+
+Result<void>
+Frontend::Listen(const net::Endpoint& aEndpoint, Serve aServe)
+{
+  const auto place = aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
+  net::error_code error;
+  const auto address = net::asio::ip::make_address(aEndpoint.mAddress, error);
+  auto acceptor = std::make_shared<net::tcp::acceptor>(mContext);
+  const net::tcp::endpoint endpoint(address, aEndpoint.mPort);
+  if (!error) {
+    acceptor->open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor->set_option(net::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor->bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor->listen(kBacklog, error);
+  }
+  if (error) {
+    return Failure(error::ErrorKind::ConnectFailed, place, error.message());
+  }
+  mAcceptors.push_back(acceptor);
+  net::asio::co_spawn(
+    mContext, Accept(std::move(acceptor), aServe), net::asio::detached);
+  return outcome::success();
+}
+
+net::Awaitable<void>
+Frontend::Accept(std::shared_ptr<net::tcp::acceptor> aAcceptor, Serve aServe)
+{
+  while (aAcceptor->is_open()) {
+    net::error_code error;
+    net::tcp::socket socket(mContext);
+    co_await aAcceptor->async_accept(
+      socket, net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (error) {
+      co_await Sleep(kAcceptPause);
+      continue;
+    }
+    auto connection =
+      std::make_shared<net::CallerConnection>(std::move(socket));
+    net::asio::co_spawn(
+      mContext, (this->*aServe)(std::move(connection)), net::asio::detached);
+  }
+}
+
+net::Awaitable<void>
+Frontend::ServeCaller(Connection aConnection)
+{
+  mCallers.insert(aConnection);
+  bool goesOn = true;
+  bool hasLeft = false;
+  while (goesOn) {
+    const auto limits = LimitsOf(mState);
+    const auto end = co_await aConnection->Read(limits);
+    if (end == net::ReadEnd::Whole) {
+      RequestFlow flow(mState, *aConnection);
+      goesOn = co_await flow.Run();
+      hasLeft = aConnection->HasLeft();
+      continue;
+    }
+    goesOn = false;
+    hasLeft = end == net::ReadEnd::Closed;
+    if (!hasLeft) {
+      co_await RefuseUnread(aConnection, end);
+    }
+  }
+  mCallers.erase(aConnection);
+  if (hasLeft) {
+    aConnection->Abort();
+  } else {
+    co_await aConnection->CloseGracefully();
+  }
+}
+
+net::Awaitable<void>
+Frontend::RefuseUnread(Connection aConnection, net::ReadEnd aEnd)
+{
+  const auto status = StatusOf(aEnd);
+  mState.mMetrics
+    .CounterOf("figslip_unread_requests_total",
+               { { "status", std::to_string(status) } })
+    .Add();
+  log::Write(log::Level::Info,
+             "request_unread",
+             { { "status", std::to_string(status) } });
+  const net::Headers headers;
+  co_await aConnection->Respond(status, headers, "", true);
+}
+
+net::Awaitable<void>
+Frontend::ServeReadiness(Connection aConnection)
+{
+  const ingress::CallerLimits limits;
+  while (true) {
+    const auto end = co_await aConnection->Read(limits);
+    if (end != net::ReadEnd::Whole) {
+      break;
+    }
+    const unsigned status = mState.IsReady() ? kOk : kUnavailable;
+    const net::Headers headers;
+    const bool isSent =
+      co_await aConnection->Respond(status, headers, "", false);
+    if (!isSent || !aConnection->KeepsAlive()) {
+      break;
+    }
+  }
+  aConnection->Abort();
+}
+
+net::Awaitable<void>
+Frontend::ServeMetrics(Connection aConnection)
+{
+  const ingress::CallerLimits limits;
+  const auto end = co_await aConnection->Read(limits);
+  if (end == net::ReadEnd::Whole) {
+    const net::Headers headers = { { .mName = "Content-Type",
+                                     .mValue = "text/plain; version=0.0.4" } };
+    const auto text = mState.mMetrics.Print();
+    co_await aConnection->Respond(kOk, headers, text, true);
+  }
+  co_await aConnection->CloseGracefully();
+}
+
+net::Awaitable<void>
+Frontend::Stop()
+{
+  const auto begun = ReadBootClock();
+  mState.mIsStopping = true;
+  log::Write(log::Level::Info,
+             "stopping",
+             { { "open_requests", std::to_string(mState.mOpenRequests) },
+               { "connections", std::to_string(mCallers.size()) } });
+  co_await Sleep(kNoticeTime);
+  const auto grace = Duration(static_cast<Duration::rep>(
+    static_cast<double>(mState.mSettings.mGrace.count()) * kDrainPart));
+  while (ReadBootClock() < begun + grace) {
+    const auto callers = mCallers;
+    for (const auto& caller : callers) {
+      caller->CloseIfIdle();
+    }
+    if (mState.mOpenRequests == 0) {
+      break;
+    }
+    co_await Sleep(kDrainPoll);
+  }
+  log::Write(log::Level::Info,
+             "stopped",
+             { { "open_requests", std::to_string(mState.mOpenRequests) } });
+  mContext.stop();
+}
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -0,0 +1,143 @@
+#include <figslip/gateway/ingress_daemon.hpp>
+#include <figslip/log/log.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace figslip::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Interval of housekeeping.
+constexpr auto kTick = milliseconds(100);
+
+/// Taken off the time for which a key taken away may still work.
+constexpr auto kLeaseMargin = milliseconds(600);
+
+} // namespace
+
+IngressDaemon::IngressDaemon(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mLease(mOptions.mSettings.mRevocation - kLeaseMargin)
+  , mTraffic(std::make_shared<TrafficState>(mOptions.mSettings,
+                                            mOptions.mHttp,
+                                            mLease,
+                                            mMetrics))
+  , mControl(std::make_shared<ControlPlane>(
+      mControlContext,
+      mOptions.mSettings,
+      mOptions.mStore,
+      mLease,
+      mMetrics,
+      [this](std::function<void(TrafficState&)> aTask) {
+        net::asio::post(mTrafficContext,
+                        [this, task = std::move(aTask)] { task(*mTraffic); });
+      }))
+  , mFrontend(std::make_shared<Frontend>(mTrafficContext, *mTraffic))
+{
+  mTraffic->mReports = {
+    .mOnStatusChange =
+      [this](const rollout::StatusChange& aChange) {
+        net::asio::post(mControlContext, [control = mControl, aChange] {
+          control->WriteStatus(aChange);
+        });
+      },
+    .mOnCrashingRequest =
+      [this](std::uint64_t aFingerprint) {
+        net::asio::post(mControlContext, [control = mControl, aFingerprint] {
+          control->ReportCrashing(aFingerprint);
+        });
+      }
+  };
+  RegisterServices();
+}
+
+void
+IngressDaemon::RegisterServices()
+{
+  mKernel.Register({ .mName = "control",
+                     .mDependsOn = { "frontend" },
+                     .mStart =
+                       [this] {
+                         mControl->Start();
+                         return Result<void>(outcome::success());
+                       } },
+                   mControl);
+  mKernel.Register(
+    { .mName = "frontend", .mStart = [this] { return mFrontend->Start(); } },
+    mFrontend);
+}
+
+Result<void>
+IngressDaemon::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  auto started = mKernel.Start();
+  if (!started) {
+    return started;
+  }
+  net::asio::co_spawn(mTrafficContext, Tick(), net::asio::detached);
+  net::asio::co_spawn(mTrafficContext, AwaitStop(), net::asio::detached);
+  log::Write(log::Level::Info,
+             "started",
+             { { "failure_domain", mOptions.mSettings.mFailureDomain } });
+  const auto work = net::asio::make_work_guard(mControlContext);
+  std::thread control([this] { mControlContext.run(); });
+  mTrafficContext.run();
+  mControlContext.stop();
+  control.join();
+  mKernel.Stop();
+  return outcome::success();
+}
+
+net::Awaitable<void>
+IngressDaemon::Tick()
+{
+  net::asio::steady_timer timer(mTrafficContext);
+  while (true) {
+    timer.expires_after(kTick);
+    net::error_code ignored; // nothing cancels the timer
+    co_await timer.async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, ignored));
+    mTraffic->OnTick();
+  }
+}
+
+net::Awaitable<void>
+IngressDaemon::AwaitStop()
+{
+  net::asio::signal_set signals(mTrafficContext, SIGTERM, SIGINT, SIGHUP);
+  while (true) {
+    net::error_code error;
+    const int signal = co_await signals.async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (!error && signal != SIGHUP) {
+      break;
+    }
+    Reload();
+  }
+  net::asio::co_spawn(
+    mControlContext, mControl->Deregister(), net::asio::detached);
+  co_await mFrontend->Stop();
+}
+
+void
+IngressDaemon::Reload()
+{
+  const auto settings = mOptions.mReadSettings();
+  if (!settings) {
+    log::Write(
+      log::Level::Error,
+      "settings_rejected",
+      { { "findings", error::JoinMessages(settings.assume_error(), "; ") } });
+    return;
+  }
+  log::Write(log::Level::Info, "settings_reloaded");
+}
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/src/shell/gateway/request_attempt.cpp
@@ -0,0 +1,413 @@
+#include <figslip/gateway/request_flow.hpp>
+#include <figslip/log/log.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace figslip::gateway {
+
+namespace {
+
+using placement::AttemptHealth;
+using std::chrono::milliseconds;
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstServerError = 500;
+
+/// Time to open a connection to an upstream.
+constexpr auto kConnectLimit = milliseconds(300);
+
+/// Idle time after which a kept connection is not used for a request that may
+/// run only once, as a reset leaves open whether it ran.
+constexpr auto kOnceMaxIdle = milliseconds(500);
+constexpr auto kRepeatMaxIdle = std::chrono::seconds(30);
+
+/// Longest body of a plain answer that is buffered, bytes.
+constexpr std::size_t kMaxWholeBytes = 16 << 20;
+
+/// A first event is late after this multiple of the expected time, and this
+/// time more.
+constexpr int kFirstEventFactor = 5;
+constexpr auto kFirstEventSlack = milliseconds(600);
+
+/// A plain answer is late after this multiple of the target.
+constexpr double kPlainLateFactor = 2.5;
+
+/// A pause of a stream is too long after this multiple of the target.
+constexpr double kPauseFactor = 2.0;
+
+/// Crashes after which a request is kept from all upstreams.
+constexpr int kMaxCrashes = 2;
+
+milliseconds
+ToMs(Duration aTime)
+{
+  return std::max(milliseconds(1),
+                  std::chrono::duration_cast<milliseconds>(aTime));
+}
+
+Duration
+Times(Duration aTime, double aFactor)
+{
+  return Duration(
+    static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor));
+}
+
+} // namespace
+
+net::Awaitable<RequestFlow::Next>
+RequestFlow::RunAttempt(Attempt& aAttempt)
+{
+  const auto next = co_await Exchange(aAttempt);
+  mCurrent.reset();
+  mState.mBoard.Release(aAttempt.mLoad);
+  co_return next;
+}
+
+net::Awaitable<bool>
+RequestFlow::Open(Attempt& aAttempt)
+{
+  const net::Endpoint endpoint{ .mAddress = aAttempt.mUpstream.mAddress,
+                                .mPort = aAttempt.mUpstream.mPort };
+  const net::ConnectionPool::Clock::duration maxIdle =
+    mRoute->MayRepeat() ? net::ConnectionPool::Clock::duration(kRepeatMaxIdle)
+                        : net::ConnectionPool::Clock::duration(kOnceMaxIdle);
+  aAttempt.mConnection = mState.mPool.Take(endpoint, maxIdle);
+  if (aAttempt.mConnection) {
+    mCurrent = aAttempt.mConnection;
+    co_return true;
+  }
+  const auto executor = co_await net::asio::this_coro::executor;
+  aAttempt.mConnection = std::make_shared<net::ClientConnection>(executor);
+  mCurrent = aAttempt.mConnection;
+  const auto opened =
+    co_await aAttempt.mConnection->Connect(endpoint, kConnectLimit);
+  if (opened == net::StepEnd::Done) {
+    co_return true;
+  }
+  if (opened != net::StepEnd::Aborted) {
+    OnHealth(aAttempt, AttemptHealth::Unreachable);
+    mLastFailure =
+      mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
+  }
+  co_return false;
+}
+
+net::Awaitable<RequestFlow::Next>
+RequestFlow::Exchange(Attempt& aAttempt)
+{
+  mUpstreams += (mUpstreams.empty() ? "" : ",") + aAttempt.mUpstream.mId;
+  const bool isOpen = co_await Open(aAttempt);
+  auto now = ReadBootClock();
+  if (!isOpen) {
+    mAvoid.insert(aAttempt.mUpstream.mId);
+    ++mSends;
+    co_return Next::Again;
+  }
+  if (mCaller.HasLeft()) {
+    co_return Next::Ended;
+  }
+  if (!MaySendNow(aAttempt, now)) {
+    mLastFailure = mAccount != nullptr && !mState.mLease.IsHeld(now)
+                     ? RequestEnd::StaleKeys
+                     : RequestEnd::NoUpstream;
+    ++mSends;
+    co_return Next::Again;
+  }
+  if (mSends == 0) {
+    mState.mRetries.OnFirstSend(mService, now);
+  }
+  ++mSends;
+  ++mAttempts;
+  aAttempt.mSentAt = now;
+  aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
+  const auto end =
+    co_await aAttempt.mConnection->ReadHead(FirstLimit(aAttempt, now));
+  now = ReadBootClock();
+  if (end != net::StepEnd::Done) {
+    co_return OnBroken(aAttempt, end, now);
+  }
+  co_return co_await OnHead(aAttempt);
+}
+
+std::string
+RequestFlow::FormatAttempt(const Attempt& aAttempt, TimePoint aNow) const
+{
+  const auto last =
+    mEvents.LastId().empty() ? mFacts.mLastEventId : mEvents.LastId();
+  const auto message = mState.mDialect.mWriteAttempt(
+    mCaller.Request(),
+    { .mTimeLeft = mDeadline - aNow,
+      .mUpstream = aAttempt.mUpstream.mId,
+      .mAccount = mAccount == nullptr ? std::string() : mAccount->mName,
+      .mModel = mRoute->mModels.empty() ? std::string() : aAttempt.mModel,
+      .mPriority = mAccount != nullptr && mAccount->mPriority
+                     ? *mAccount->mPriority
+                     : mRoute->mPriority,
+      .mLastEventId = last });
+  return net::FormatRequest(message);
+}
+
+std::chrono::milliseconds
+RequestFlow::FirstLimit(const Attempt& aAttempt, TimePoint aNow) const
+{
+  const Duration left = mDeadline - aNow;
+  const bool mayRepeat =
+    mRoute->MayRepeat() && mAttempts < mRoute->mMaxAttempts;
+  if (!mayRepeat) {
+    return ToMs(left);
+  }
+  const Duration late =
+    IsStream()
+      ? aAttempt.mChoice.mFirstEvent * kFirstEventFactor + kFirstEventSlack
+      : Times(mRoute->mTargetLatency, kPlainLateFactor);
+  return ToMs(std::min(left, late));
+}
+
+net::Awaitable<RequestFlow::Next>
+RequestFlow::OnHead(Attempt& aAttempt)
+{
+  const auto now = ReadBootClock();
+  const auto& head = aAttempt.mConnection->Head();
+  const auto facts = mState.mDialect.mReadAnswer(head);
+  if (facts.mLoad) {
+    mState.mBoard.OnStatedLoad(aAttempt.mUpstream.mId, *facts.mLoad, now);
+  }
+  const bool isForeign =
+    !facts.mAttemptId.empty() && facts.mAttemptId != mFacts.mAttemptId;
+  if (isForeign) {
+    co_return OnBroken(aAttempt, net::StepEnd::Malformed, now);
+  }
+  if (facts.mNotExecuted || head.mStatus == kMisdirected) {
+    --mAttempts;
+    OnHealth(aAttempt, AttemptHealth::Rejected);
+    mAvoid.insert(aAttempt.mUpstream.mId);
+    mLastFailure =
+      mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
+    aAttempt.mConnection->Abort();
+    co_return Next::Again;
+  }
+  mMayHaveRun = true;
+  if (!facts.mSigned) {
+    co_return OnBroken(aAttempt, net::StepEnd::Malformed, now);
+  }
+  const bool isFailure = head.mStatus >= kFirstServerError;
+  if (isFailure) {
+    OnHealth(aAttempt, AttemptHealth::Error);
+    Sample(aAttempt, true, now);
+    if (mRoute->MayRepeat() && MayTryAgain(now)) {
+      mAvoid.insert(aAttempt.mUpstream.mId);
+      mLastFailure = RequestEnd::UpstreamFailed;
+      aAttempt.mConnection->Abort();
+      co_return Next::Again;
+    }
+  }
+  const auto& models = mRoute->mModels;
+  const bool wantsLarger = !isFailure && !models.empty() && !mHeadSent &&
+                           !mState.mSizes.Accepts(aAttempt.mSize,
+                                                  facts.mConfidence,
+                                                  SizeQuestionOf(now)) &&
+                           MayTryAgain(now);
+  if (wantsLarger) {
+    OnHealth(aAttempt, AttemptHealth::Good);
+    NoteFirstEvent(aAttempt, now);
+    mDropped = true;
+    aAttempt.mConnection->Abort();
+    log::Write(log::Level::Debug,
+               "answer_dropped",
+               { { "request", mFacts.mAttemptId },
+                 { "model", aAttempt.mModel },
+                 { "confidence", std::to_string(*facts.mConfidence) } });
+    co_return Next::Larger;
+  }
+  if (IsStream() && !isFailure) {
+    co_return co_await RelayStream(aAttempt);
+  }
+  co_return co_await RelayWhole(aAttempt);
+}
+
+net::Awaitable<RequestFlow::Next>
+RequestFlow::RelayWhole(Attempt& aAttempt)
+{
+  std::string body;
+  auto& connection = *aAttempt.mConnection;
+  while (!connection.BodyIsWhole()) {
+    const auto limit = ToMs(mDeadline - ReadBootClock());
+    const auto end = co_await connection.ReadBody(limit);
+    body += connection.Piece();
+    if (end != net::StepEnd::Done || body.size() > kMaxWholeBytes) {
+      co_return OnBroken(aAttempt, end, ReadBootClock());
+    }
+  }
+  const auto now = ReadBootClock();
+  const auto status = connection.Head().mStatus;
+  if (status < kFirstServerError) {
+    OnHealth(aAttempt, AttemptHealth::Good);
+    NoteFirstEvent(aAttempt, now);
+    Sample(aAttempt, false, now);
+  }
+  if (mHeadSent) {
+    co_return Next::Failed; // a failure cannot go on a stream
+  }
+  auto headers = connection.Head().mHeaders;
+  net::RemoveConnectionHeaders(headers);
+  mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
+                      .mPort = aAttempt.mUpstream.mPort },
+                    aAttempt.mConnection);
+  mCurrent.reset();
+  mCaller.StopWatching();
+  Close(RequestEnd::Served);
+  co_await mCaller.Respond(status, headers, body, ClosesAfterwards());
+  co_return Next::Ended;
+}
+
+net::Awaitable<RequestFlow::Next>
+RequestFlow::RelayStream(Attempt& aAttempt)
+{
+  auto& connection = *aAttempt.mConnection;
+  mEvents.DropPartial();
+  while (!connection.BodyIsWhole()) {
+    auto now = ReadBootClock();
+    Duration limit = mDeadline - now;
+    const bool mayMove = mRoute->MayRepeat() &&
+                         mAttempts < mRoute->mMaxAttempts &&
+                         mRoute->mTargetGap > Duration::zero();
+    if (mayMove) {
+      limit = std::min(limit, Times(mRoute->mTargetGap, kPauseFactor));
+    }
+    const auto end = co_await connection.ReadBody(ToMs(limit));
+    now = ReadBootClock();
+    const auto events = mEvents.Push(connection.Piece());
+    if (!events.empty()) {
+      NoteFirstEvent(aAttempt, now);
+      const bool isSent = co_await SendEvents(aAttempt, events);
+      if (!isSent) {
+        connection.Abort();
+        Close(RequestEnd::CallerLeft);
+        co_return Next::Ended;
+      }
+    }
+    if (end != net::StepEnd::Done || mEvents.IsOverlong()) {
+      co_return OnBroken(aAttempt, end, now);
+    }
+  }
+  const auto now = ReadBootClock();
+  if (mEvents.HasPartial() || mEvents.Events() == 0) {
+    co_return OnBroken(aAttempt, net::StepEnd::Closed, now);
+  }
+  OnHealth(aAttempt, AttemptHealth::Good);
+  Sample(aAttempt, false, now);
+  mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
+                      .mPort = aAttempt.mUpstream.mPort },
+                    aAttempt.mConnection);
+  mCurrent.reset();
+  Close(RequestEnd::Served);
+  co_await mCaller.EndStream();
+  co_return Next::Ended;
+}
+
+net::Awaitable<bool>
+RequestFlow::SendEvents(Attempt& aAttempt, const std::string& aEvents)
+{
+  if (mHeadSent) {
+    co_return co_await mCaller.SendPiece(aEvents);
+  }
+  mHeadSent = true;
+  auto headers = aAttempt.mConnection->Head().mHeaders;
+  net::RemoveConnectionHeaders(headers);
+  const auto status = aAttempt.mConnection->Head().mStatus;
+  co_return co_await mCaller.BeginStream(
+    status, headers, aEvents, ClosesAfterwards());
+}
+
+RequestFlow::Next
+RequestFlow::OnBroken(Attempt& aAttempt, net::StepEnd aEnd, TimePoint aNow)
+{
+  aAttempt.mConnection->Abort();
+  mMayHaveRun = true;
+  if (mCaller.HasLeft()) {
+    return Next::Failed;
+  }
+  log::Write(
+    log::Level::Info,
+    "attempt_broken",
+    { { "request", mFacts.mAttemptId },
+      { "upstream", aAttempt.mUpstream.mId },
+      { "version", aAttempt.mUpstream.mVersion },
+      { "model", aAttempt.mModel },
+      { "reason", std::string(net::NameOf(aEnd)) },
+      { "after_ms", std::to_string(ToMs(aNow - aAttempt.mSentAt).count()) },
+      { "events", std::to_string(mEvents.Events()) } });
+  if (aNow >= mDeadline) {
+    mLastFailure = RequestEnd::RouteTimeout;
+    OnHealth(aAttempt, AttemptHealth::Broken);
+    return Next::Failed;
+  }
+  OnHealth(aAttempt, AttemptHealth::Broken);
+  Sample(aAttempt, true, aNow);
+  mAvoid.insert(aAttempt.mUpstream.mId);
+  mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
+                      .mPort = aAttempt.mUpstream.mPort });
+  if (aEnd == net::StepEnd::Closed && !aAttempt.mHadEvent) {
+    ++mCrashes;
+    if (mCrashes >= kMaxCrashes) {
+      mState.mReports.mOnCrashingRequest(mFingerprint);
+    }
+  }
+  mLastFailure = RequestEnd::UpstreamFailed;
+  return AfterFailure();
+}
+
+RequestFlow::Next
+RequestFlow::AfterFailure() const
+{
+  return mRoute->MayRepeat() && mCrashes < kMaxCrashes ? Next::Again
+                                                       : Next::Failed;
+}
+
+void
+RequestFlow::OnHealth(Attempt& aAttempt, AttemptHealth aHealth)
+{
+  mState.mBoard.OnOutcome(aAttempt.mUpstream.mId, aHealth, ReadBootClock());
+}
+
+void
+RequestFlow::NoteFirstEvent(Attempt& aAttempt, TimePoint aNow)
+{
+  if (aAttempt.mHadEvent) {
+    return;
+  }
+  aAttempt.mHadEvent = true;
+  mState.mBoard.OnFirstEvent(aAttempt.mLoad, aNow);
+  mState.mRollouts.OnServed(
+    mService, aAttempt.mUpstream.mVersion, mSession, aNow);
+  constexpr double kMicros = 1'000.0;
+  mState.mMetrics
+    .HistogramOf("figslip_first_event_ms", { { "route", mRoute->mName } })
+    .Observe(static_cast<double>((aNow - mArrivedAt).count()) / kMicros);
+  const auto expected =
+    static_cast<double>(aAttempt.mChoice.mFirstEvent.count());
+  mState.mRollouts.OnSample(
+    mService,
+    aAttempt.mUpstream.mVersion,
+    { .mRoute = mRoute->mName,
+      .mFailed = false,
+      .mSlowness = static_cast<double>((aNow - aAttempt.mSentAt).count()) /
+                   std::max(1.0, expected) });
+}
+
+void
+RequestFlow::Sample(const Attempt& aAttempt, bool aFailed, TimePoint aNow)
+{
+  if (aFailed) {
+    mState.mRollouts.OnSample(
+      mService,
+      aAttempt.mUpstream.mVersion,
+      { .mRoute = mRoute->mName, .mFailed = true, .mSlowness = std::nullopt });
+  }
+  mState.mRollouts.OnServed(
+    mService, aAttempt.mUpstream.mVersion, mSession, aNow);
+}
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/src/shell/gateway/request_flow.cpp
@@ -0,0 +1,358 @@
+#include <figslip/gateway/request_flow.hpp>
+#include <figslip/log/log.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace figslip::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longest event of a stream that is buffered, bytes.
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
+/// Pause between looks for a place, while all are taken.
+constexpr auto kRoomPoll = milliseconds(10);
+
+/// Sends that upstreams may reject, beyond the attempts that may run.
+constexpr int kMaxRejections = 3;
+
+/// Time that must be left for another attempt to make sense.
+constexpr Duration kLeastTime = milliseconds(20);
+
+/// When a caller that was refused should come back, seconds.
+constexpr std::string_view kRetryAfter = "0.5";
+
+std::uint64_t
+HashOf(std::string_view aText, std::uint64_t aSeed = 0)
+{
+  return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
+}
+
+std::string_view
+PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+/// Names what requests of a session have in common: the session, else the
+/// subject of the prompt, else the request itself.
+std::uint64_t
+SessionOf(const ingress::CallerFacts& aFacts)
+{
+  if (!aFacts.mSession.empty()) {
+    return HashOf(aFacts.mSession);
+  }
+  if (aFacts.mPrompt.size() > 1) {
+    const auto subject = aFacts.mPrompt.rbegin()[1].mId;
+    return XXH3_64bits(&subject, sizeof(subject));
+  }
+  return HashOf(aFacts.mAttemptId);
+}
+
+std::string
+MillisText(Duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<milliseconds>(aTime).count());
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(TrafficState& aState, net::CallerConnection& aCaller)
+  : mState(aState)
+  , mCaller(aCaller)
+  , mConfiguration(aState.mConfiguration)
+  , mArrivedAt(ReadBootClock())
+  , mEvents(kMaxEventBytes)
+{
+}
+
+net::Awaitable<bool>
+RequestFlow::Run()
+{
+  ++mState.mOpenRequests;
+  const auto refusal = Admit();
+  if (refusal) {
+    co_await Refuse(*refusal);
+  } else {
+    mCaller.WatchLeaving([this] {
+      if (mCurrent) {
+        mCurrent->Abort();
+      }
+    });
+    co_await Serve();
+    mCaller.StopWatching();
+  }
+  --mState.mOpenRequests;
+  co_return !mCaller.HasLeft() && !ClosesAfterwards() &&
+    mLastFailure != RequestEnd::BrokenMidway;
+}
+
+std::optional<RequestEnd>
+RequestFlow::Admit()
+{
+  auto facts = mState.mDialect.mReadRequest(mCaller.Request());
+  if (!facts) {
+    return RequestEnd::Malformed;
+  }
+  mFacts = std::move(facts).assume_value();
+  if (!mConfiguration || !mState.mHasUpstreams) {
+    return RequestEnd::NotReady;
+  }
+  const bool isFresh = mState.mLease.IsHeld(mArrivedAt);
+  const auto host = net::FindHeader(mCaller.Request().mHeaders, "host");
+  const auto path = PathOf(mCaller.Request().mTarget);
+  mRoute = mConfiguration->Match(host.value_or(""), path);
+  if (mRoute == nullptr) {
+    // a route may have been added meanwhile
+    return isFresh ? RequestEnd::NoRoute : RequestEnd::StaleKeys;
+  }
+  if (const auto refusal = AdmitAccount()) {
+    return refusal;
+  }
+  mFingerprint = HashOf(mCaller.Request().mBody, HashOf(path));
+  if (mAccount != nullptr) {
+    mFingerprint = HashOf(mAccount->mName, mFingerprint);
+  }
+  if (mState.mCrashing.contains(mFingerprint)) {
+    return RequestEnd::CrashesUpstreams;
+  }
+  mSession = SessionOf(mFacts);
+  mService = ingress::ChooseService(*mRoute, mSession);
+  const auto patience =
+    std::min(mFacts.mPatience.value_or(mRoute->mTimeout), mRoute->mTimeout);
+  mDeadline = mArrivedAt + patience;
+  mWaitUntil = mArrivedAt + std::min(patience / 3, mRoute->mTargetLatency);
+  return std::nullopt;
+}
+
+std::optional<RequestEnd>
+RequestFlow::AdmitAccount()
+{
+  if (mRoute->mPublic || mConfiguration->All().mAccounts.empty()) {
+    return std::nullopt;
+  }
+  if (!mState.mLease.IsHeld(mArrivedAt)) {
+    return RequestEnd::StaleKeys;
+  }
+  mAccount = mConfiguration->AccountOf(mFacts.mApiKey);
+  return mAccount == nullptr ? std::optional(RequestEnd::UnknownKey)
+                             : std::nullopt;
+}
+
+net::Awaitable<void>
+RequestFlow::Serve()
+{
+  while (!mEnded && !mCaller.HasLeft()) {
+    const auto now = ReadBootClock();
+    if (now + kLeastTime >= mDeadline) {
+      mLastFailure = RequestEnd::RouteTimeout;
+      break;
+    }
+    auto attempt = Plan(now);
+    if (!attempt) {
+      const auto reason = mState.mBoard.Explain(QueryOf(""), now);
+      const bool mayWait =
+        reason != placement::NoChoice::NoUpstream && now < mWaitUntil;
+      if (mayWait) {
+        co_await WaitForRoom(kRoomPoll);
+        continue;
+      }
+      if (mSends == 0) {
+        mLastFailure = reason == placement::NoChoice::NoUpstream
+                         ? RequestEnd::NoUpstream
+                         : RequestEnd::NoCapacity;
+      }
+      break;
+    }
+    mHasRetry = false;
+    const auto next = co_await RunAttempt(*attempt);
+    if (next == Next::Ended) {
+      co_return;
+    }
+    const bool mayGoOn = next != Next::Failed && MayTryAgain(ReadBootClock());
+    if (!mayGoOn) {
+      break;
+    }
+  }
+  if (mCaller.HasLeft()) {
+    Close(RequestEnd::CallerLeft);
+  } else if (mHeadSent) {
+    co_await GiveUp();
+  } else {
+    mCaller.StopWatching();
+    co_await Refuse(mLastFailure);
+  }
+}
+
+bool
+RequestFlow::MayTryAgain(TimePoint aNow)
+{
+  const int limit = std::max(1, mRoute->mMaxAttempts);
+  const bool isPossible = mAttempts < limit &&
+                          mSends < limit + kMaxRejections &&
+                          aNow + kLeastTime < mDeadline;
+  // a repeat is taken out of the budget once, however often it is asked for
+  mHasRetry =
+    mHasRetry || (isPossible && mState.mRetries.TryRepeat(mService, aNow));
+  return isPossible && mHasRetry;
+}
+
+placement::PlacementQuery
+RequestFlow::QueryOf(std::string_view aModel)
+{
+  const bool isEngine = !mFacts.mPrompt.empty();
+  return { .mService = mService,
+           .mModel = aModel,
+           .mPrompt = isEngine ? &mFacts.mPrompt : nullptr,
+           .mPromptTokens = mFacts.mPromptTokens,
+           .mOutputTokens = mFacts.mMaxOutputTokens,
+           .mAllowsVersion =
+             [this](std::string_view aVersion) {
+               return mState.mRollouts.Allows(
+                 mService, aVersion, mSession, ReadBootClock());
+             },
+           .mAvoid = &mAvoid,
+           .mRegions = &mRoute->mAllowedRegions };
+}
+
+cascade::SizeQuestion
+RequestFlow::SizeQuestionOf(TimePoint aNow)
+{
+  const auto& models = mRoute->mModels;
+  const auto largest = mState.mBoard.Choose(QueryOf(models.back()), aNow);
+  return { .mModels = models.size(),
+           .mAttemptsLeft = mRoute->mMaxAttempts - mAttempts,
+           .mTimeToTarget = mArrivedAt + mRoute->mTargetLatency - aNow,
+           .mLargestFirst =
+             largest ? largest->mFirstEvent : Duration(mRoute->mTimeout),
+           .mIsDropped = mDropped };
+}
+
+std::optional<RequestFlow::Attempt>
+RequestFlow::Plan(TimePoint aNow)
+{
+  Attempt attempt;
+  attempt.mModel = mFacts.mModel;
+  const auto& models = mRoute->mModels;
+  if (!models.empty()) {
+    attempt.mSize = mState.mSizes.Choose(SizeQuestionOf(aNow));
+    attempt.mModel = models.at(attempt.mSize);
+  }
+  auto query = QueryOf(attempt.mModel);
+  auto choice = mState.mBoard.Choose(query, aNow);
+  if (!choice && !mAvoid.empty() && mRoute->MayRepeat()) {
+    // rather an upstream that failed it than none
+    mAvoid.clear();
+    choice = mState.mBoard.Choose(query, aNow);
+  }
+  if (!choice) {
+    return std::nullopt;
+  }
+  attempt.mChoice = *choice;
+  attempt.mUpstream = *choice->mUpstream;
+  attempt.mLoad = mState.mBoard.Reserve(*choice, query, aNow);
+  return attempt;
+}
+
+bool
+RequestFlow::MaySendNow(const Attempt& aAttempt, TimePoint aNow) const
+{
+  const bool needsKey = mAccount != nullptr;
+  if (needsKey) {
+    const auto current = mState.mConfiguration;
+    const auto* const account = current->AccountOf(mFacts.mApiKey);
+    const bool isHeld = account != nullptr && mState.mLease.IsHeld(aNow) &&
+                        account->mName == mAccount->mName;
+    if (!isHeld) {
+      return false;
+    }
+  }
+  return mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow) &&
+         mState.mRollouts.Allows(
+           mService, aAttempt.mUpstream.mVersion, mSession, aNow);
+}
+
+net::Awaitable<void>
+RequestFlow::WaitForRoom(Duration aTime)
+{
+  net::asio::steady_timer timer(
+    co_await net::asio::this_coro::executor,
+    std::chrono::duration_cast<net::asio::steady_timer::duration>(aTime));
+  net::error_code ignored; // nothing cancels the timer
+  co_await timer.async_wait(
+    net::asio::redirect_error(net::asio::use_awaitable, ignored));
+}
+
+net::Awaitable<void>
+RequestFlow::Refuse(RequestEnd aEnd)
+{
+  auto end = aEnd;
+  if (mMayHaveRun && Describe(end).mPromisesNotRun) {
+    end = RequestEnd::UpstreamFailed;
+  } else if (!mMayHaveRun && mSends == 0 && end == RequestEnd::RouteTimeout) {
+    end = RequestEnd::NoCapacity;
+  }
+  Close(end);
+  const auto& description = Describe(end);
+  net::Headers headers;
+  if (description.mPromisesNotRun) {
+    headers.push_back(
+      { .mName = "Retry-After", .mValue = std::string(kRetryAfter) });
+  }
+  const std::string body = std::string(description.mName) + "\n";
+  co_await mCaller.Respond(
+    description.mStatus, headers, body, ClosesAfterwards());
+}
+
+net::Awaitable<void>
+RequestFlow::GiveUp()
+{
+  mLastFailure = RequestEnd::BrokenMidway;
+  Close(RequestEnd::BrokenMidway);
+  // without its last chunk the answer does not look complete
+  mCaller.Abort();
+  co_return;
+}
+
+void
+RequestFlow::Close(RequestEnd aEnd)
+{
+  if (mEnded) {
+    return;
+  }
+  mEnded = true;
+  const auto now = ReadBootClock();
+  const auto& description = Describe(aEnd);
+  const std::string route = mRoute == nullptr ? "none" : mRoute->mName;
+  mState.mMetrics
+    .CounterOf(
+      "figslip_requests_total",
+      { { "route", route }, { "end", std::string(description.mName) } })
+    .Add();
+  constexpr double kMicros = 1'000.0;
+  mState.mMetrics.HistogramOf("figslip_request_ms", { { "route", route } })
+    .Observe(static_cast<double>((now - mArrivedAt).count()) / kMicros);
+  const bool isServed = aEnd == RequestEnd::Served;
+  log::Write(
+    isServed ? log::Level::Debug : log::Level::Info,
+    "request_ended",
+    { { "request", mFacts.mAttemptId },
+      { "end", std::string(description.mName) },
+      { "route", route },
+      { "took_ms", MillisText(now - mArrivedAt) },
+      { "attempts", std::to_string(mAttempts) },
+      { "sends", std::to_string(mSends) },
+      { "upstreams", mUpstreams },
+      { "configuration",
+        mConfiguration ? std::to_string(mConfiguration->Version()) : "" },
+      { "configuration_age_ms",
+        MillisText(now - mState.mLease.ConfirmedAt()) } });
+}
+
+} // namespace figslip::gateway
--- /dev/null
+++ b/src/shell/store/store_client.cpp
@@ -0,0 +1,114 @@
+#include <figslip/store/store_client.hpp>
+
+namespace figslip::store {
+
+namespace {
+
+/// Time to open a connection to the store.
+constexpr auto kConnectLimit = std::chrono::milliseconds(400);
+
+/// Longest body of the store that is read, bytes; a page has about 1 MB.
+constexpr std::size_t kMaxBodyBytes = 4 << 20;
+
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kUnavailable = 503;
+
+} // namespace
+
+std::string_view
+NameOf(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Configuration:
+      return "configuration";
+    case ObjectKind::Upstreams:
+      return "upstreams";
+    case ObjectKind::Rollouts:
+      return "rollouts";
+    case ObjectKind::Drains:
+      return "drains";
+    case ObjectKind::Shared:
+      return "shared";
+  }
+  return "";
+}
+
+StoreClient::StoreClient(const net::asio::any_io_executor& aExecutor,
+                         net::Endpoint aEndpoint,
+                         metrics::Registry& aMetrics)
+  : mExecutor(aExecutor)
+  , mEndpoint(std::move(aEndpoint))
+  , mMetrics(aMetrics)
+  , mPool(net::ConnectionPool::Options{})
+{
+}
+
+net::Awaitable<CallResult>
+StoreClient::Call(net::RequestMessage aRequest,
+                  std::string aName,
+                  Milliseconds aLimit)
+{
+  aRequest.mHeaders.push_back(
+    { .mName = "Host",
+      .mValue = mEndpoint.mAddress + ":" + std::to_string(mEndpoint.mPort) });
+  auto bytes = net::FormatRequest(aRequest);
+  auto result = co_await Exchange(std::move(bytes), aLimit);
+  const bool isBusy =
+    result.mStatus == kTooManyRequests || result.mStatus == kUnavailable;
+  if (isBusy) {
+    result.mEnd = CallEnd::Unavailable;
+    result.mReason = "status " + std::to_string(result.mStatus);
+  }
+  const std::string outcome = result.mEnd == CallEnd::Answered
+                                ? std::to_string(result.mStatus)
+                                : result.mReason;
+  mMetrics
+    .CounterOf("figslip_store_calls_total",
+               { { "call", aName }, { "outcome", outcome } })
+    .Add();
+  co_return result;
+}
+
+net::Awaitable<CallResult>
+StoreClient::Exchange(std::string aBytes, Milliseconds aLimit)
+{
+  CallResult result;
+  auto connection = mPool.Take(mEndpoint, std::chrono::seconds(60));
+  const auto endpoint = mEndpoint;
+  if (!connection) {
+    connection = std::make_shared<net::ClientConnection>(mExecutor);
+    const auto opened = co_await connection->Connect(endpoint, kConnectLimit);
+    if (opened != net::StepEnd::Done) {
+      result.mReason = "connect: " + std::string(net::NameOf(opened));
+      co_return result;
+    }
+  }
+  result.mEnd = CallEnd::Unknown;
+  connection->StartSend(std::move(aBytes));
+  auto end = co_await connection->ReadHead(aLimit);
+  while (end == net::StepEnd::Done && !connection->BodyIsWhole()) {
+    end = co_await connection->ReadBody(aLimit);
+    result.mBody += connection->Piece();
+    if (result.mBody.size() > kMaxBodyBytes) {
+      connection->Abort();
+      end = net::StepEnd::Malformed;
+    }
+  }
+  if (end != net::StepEnd::Done) {
+    result.mReason = net::NameOf(end);
+    co_return result;
+  }
+  result.mEnd = CallEnd::Answered;
+  result.mStatus = connection->Head().mStatus;
+  mPool.Give(endpoint, connection);
+  co_return result;
+}
+
+void
+StoreClient::SetEndpoint(net::Endpoint aEndpoint)
+{
+  mPool.Drop(mEndpoint);
+  mEndpoint = std::move(aEndpoint);
+}
+
+} // namespace figslip::store
--- a/src/shell/wall_clock.cpp
+++ b/src/shell/wall_clock.cpp
@@ -1,5 +1,7 @@
 #include <figslip/time/wall_clock.hpp>
 
+#include <ctime>
+
 namespace figslip {
 
 TimePoint
@@ -14,4 +16,14 @@
                    duration_cast<Duration>(steady_clock::now() - sSteadyStart));
 }
 
+TimePoint
+ReadBootClock()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(time.tv_sec) +
+    std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 } // namespace figslip
--- a/tools/install-packages.sh
+++ b/tools/install-packages.sh
@@ -6,4 +6,4 @@
   g++ make cmake ninja-build ccache clang-format-19 clang-tidy-19 \
   libcivetweb-dev libcpp-httplib-dev libthrift-dev libcli11-dev \
   libeasyloggingpp-dev libboost-dev librapidcheck-dev nlohmann-json3-dev \
-  doctest-dev libssl-dev libxxhash-dev libbenchmark-dev > /dev/null
+  doctest-dev libssl-dev libxxhash-dev libbenchmark-dev libtomlplusplus-dev > /dev/null
