Take turns at cold upstreams, pin sessions while open, call the store less

Cause: on the grown sites all instances sent to a cold upstream at the same moment, a request that still ran did not pin its session, and each status of a roll-out was written by all instances at once; a good version was found slow, as the time of its first events was compared with an expectation of a few ms.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -42,6 +42,7 @@
     std::size_t mSize = 0; ///< index of the model
     std::shared_ptr<net::ClientConnection> mConnection;
     TimePoint mSentAt;
+    bool mIsSent = false;
     bool mHadEvent = false;
   };
 
@@ -75,7 +76,7 @@
   [[nodiscard]] Next AfterFailure() const;
   void OnHealth(Attempt& aAttempt, placement::AttemptHealth aHealth);
   void NoteFirstEvent(Attempt& aAttempt, TimePoint aNow);
-  void Sample(const Attempt& aAttempt, bool aFailed, TimePoint aNow);
+  void SampleFailure(const Attempt& aAttempt);
   void Close(RequestEnd aEnd);
   [[nodiscard]] bool IsStream() const
   {
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -71,6 +71,7 @@
 public:
   struct Options
   {
+    std::string mInstance;                       ///< own name
     std::string mDomain;                         ///< own failure domain
     std::map<std::string, std::string> mRegions; ///< by failure domain
     /// prompt tokens read in a millisecond by a model of pace 1
@@ -155,6 +156,8 @@
                                 bool aIsHome,
                                 TimePoint aNow) const;
   [[nodiscard]] std::string_view HomeOf(const PlacementQuery& aQuery) const;
+  [[nodiscard]] Duration ColdInterval(std::string_view aService) const;
+  void BeginCold(State& aState, Duration aTime, TimePoint aNow) const;
   void Admit(State& aState,
              const ingress::UpstreamEntry& aEntry,
              bool aIsFirstList,
--- a/include/figslip/rollout/canary_evidence.hpp
+++ b/include/figslip/rollout/canary_evidence.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <figslip/time/time_point.hpp>
+
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -18,6 +20,12 @@
   std::optional<double> mSlowness;
 };
 
+/// @brief Makes the sample of an attempt that had an event.
+/// @param[in] aTook time to the first event
+/// @param[in] aExpected time that was expected
+[[nodiscard]] CanarySample
+SampleOf(std::string aRoute, Duration aTook, Duration aExpected);
+
 /// @brief Compares a new version with the others on the latest attempts.
 ///
 /// Only the latest count, as a version may turn bad late, under load, or on
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -80,11 +80,25 @@
                             std::uint64_t aSession,
                             TimePoint aNow) const;
 
-  /// @brief Notes the version that a request of a session ran on.
-  void OnServed(std::string_view aService,
-                std::string_view aVersion,
-                std::uint64_t aSession,
-                TimePoint aNow);
+  /// @brief Tells whether a session that its own version has no place for may
+  /// run on another one.
+  [[nodiscard]] bool AllowsInstead(std::string_view aService,
+                                   std::string_view aVersion,
+                                   std::uint64_t aSession,
+                                   TimePoint aNow) const;
+
+  /// @brief Tells whether any request may be sent to a version; checked again
+  /// right before bytes leave.
+  [[nodiscard]] bool IsOpen(std::string_view aService,
+                            std::string_view aVersion) const;
+
+  /// @brief Notes that a request of a session is sent to a version.
+  void OnSent(std::string_view aVersion,
+              std::uint64_t aSession,
+              TimePoint aNow);
+
+  /// @brief Notes that a request of a session has ended.
+  void OnEnded(std::uint64_t aSession, TimePoint aNow);
 
   /// @brief Takes the result of an attempt.
   void OnSample(std::string_view aService,
@@ -106,17 +120,20 @@
     CanaryEvidence mEvidence;
     bool mIsBad = false;
     std::string mReason;
-    std::optional<TimePoint> mAskedAt; ///< when a change was asked for last
-    TimePoint mSeenAt;
-    int mStage = 0; ///< stages whose status was asked for
+    std::optional<TimePoint> mAskedAt;  ///< when a change was asked for last
+    std::optional<TimePoint> mDueSince; ///< when a change became due
   };
 
   struct Session
   {
     std::string mVersion;
-    TimePoint mLast;
+    int mOpen = 0;   ///< requests sent that have not ended
+    TimePoint mLast; ///< end of the last request
   };
 
+  [[nodiscard]] const Session* ActiveSession(std::uint64_t aSession,
+                                             TimePoint aNow) const;
+
   [[nodiscard]] static double ProgressOf(const Watched& aWatched,
                                          TimePoint aNow);
   [[nodiscard]] bool AllowsInProgress(const Watched& aWatched,
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -1,6 +1,8 @@
 #include <figslip/membership/rendezvous.hpp>
 #include <figslip/placement/upstream_board.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <limits>
 #include <ranges>
@@ -91,10 +93,41 @@
     }
   }
   const bool isNews = isNew || !(aState.mEntry == aEntry);
+  aState.mEntry = aEntry;
   if (isNews && cold > Duration::zero()) {
-    aState.mColdUntil = std::max(aState.mColdUntil, aNow + cold);
+    BeginCold(aState, cold, aNow);
+  }
+}
+
+Duration
+UpstreamBoard::ColdInterval(std::string_view aService) const
+{
+  const auto* const service =
+    mConfiguration ? mConfiguration->FindService(aService) : nullptr;
+  if (service == nullptr || service->mColdPerSecond <= 0.0) {
+    return Duration::zero();
+  }
+  constexpr double kMicros = 1e6;
+  return Duration(
+    static_cast<Duration::rep>(mInstances / service->mColdPerSecond * kMicros));
+}
+
+void
+UpstreamBoard::BeginCold(State& aState, Duration aTime, TimePoint aNow) const
+{
+  aState.mColdUntil = std::max(aState.mColdUntil, aNow + aTime);
+  // the instances take turns, as all of them see the upstream at once
+  const auto interval = ColdInterval(aState.mEntry.mService);
+  if (interval > Duration::zero()) {
+    const auto turn =
+      XXH3_64bits_withSeed(
+        mOptions.mInstance.data(),
+        mOptions.mInstance.size(),
+        XXH3_64bits(aState.mEntry.mId.data(), aState.mEntry.mId.size())) %
+      static_cast<std::uint64_t>(interval.count());
+    aState.mNextCold = std::max(
+      aState.mNextCold, aNow + Duration(static_cast<Duration::rep>(turn)));
   }
-  aState.mEntry = aEntry;
 }
 
 void
@@ -196,15 +229,8 @@
     state.mCache.Touch(ChainOf(*aQuery.mPrompt, aQuery.mModel));
   }
   if (aNow < state.mColdUntil) {
-    const auto* const service =
-      mConfiguration ? mConfiguration->FindService(aQuery.mService) : nullptr;
-    const double rate = service != nullptr ? service->mColdPerSecond : 0.0;
-    if (rate > 0.0) {
-      constexpr double kMicros = 1e6;
-      const auto interval =
-        Duration(static_cast<Duration::rep>(mInstances / rate * kMicros));
-      state.mNextCold = std::max(state.mNextCold, aNow) + interval;
-    }
+    state.mNextCold =
+      std::max(state.mNextCold, aNow) + ColdInterval(aQuery.mService);
   }
   return load;
 }
@@ -259,8 +285,20 @@
                          TimePoint aNow)
 {
   const auto found = mStates.find(aUpstream);
-  if (found != mStates.end()) {
-    found->second.mHealth.OnOutcome(aHealth, aNow);
+  if (found == mStates.end()) {
+    return;
+  }
+  auto& state = found->second;
+  state.mHealth.OnOutcome(aHealth, aNow);
+  // it may have crashed, and be back before its new entry is known here
+  const bool mayRestart =
+    aHealth == AttemptHealth::Broken || aHealth == AttemptHealth::Unreachable;
+  const auto* const service =
+    mConfiguration ? mConfiguration->FindService(state.mEntry.mService)
+                   : nullptr;
+  if (mayRestart && service != nullptr &&
+      service->mColdStart > Duration::zero()) {
+    BeginCold(state, service->mColdStart, aNow);
   }
 }
 
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -17,13 +17,26 @@
 constexpr double kExcessRate = 0.2;
 
 /// Attempts without which no version is found to be slow.
-constexpr std::size_t kLeastTimes = 5;
+constexpr std::size_t kLeastTimes = 8;
 
 /// A version is slow from this multiple of the others' time.
-constexpr double kSlowFactor = 2.5;
+constexpr double kSlowFactor = 3.0;
+
+/// Added to both times, so that short ones do not count for much.
+constexpr Duration kTimeSlack = std::chrono::milliseconds(100);
 
 } // namespace
 
+CanarySample
+SampleOf(std::string aRoute, Duration aTook, Duration aExpected)
+{
+  const auto took = static_cast<double>((aTook + kTimeSlack).count());
+  const auto expected = static_cast<double>((aExpected + kTimeSlack).count());
+  return { .mRoute = std::move(aRoute),
+           .mFailed = false,
+           .mSlowness = took / expected };
+}
+
 void
 CanaryEvidence::Series::Add(const CanarySample& aSample)
 {
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -24,6 +24,9 @@
 /// Part of the time at which the roll-out is completed.
 constexpr double kCompleteAt = 0.92;
 
+/// The same at an instance that has sent the new version nothing.
+constexpr double kCompleteUntriedAt = 0.96;
+
 /// Time after which a change that was asked for and not seen is asked again.
 constexpr Duration kAskAgain = std::chrono::milliseconds(700);
 
@@ -75,7 +78,6 @@
     if (isNew) {
       watched = {};
       watched.mBegan = aNow - order.mElapsed;
-      watched.mSeenAt = aNow;
     }
     // an instance that restarted learns the age of the order from its status
     watched.mBegan = std::min(watched.mBegan, aNow - order.mElapsed);
@@ -118,30 +120,78 @@
   const auto progress = ProgressOf(aWatched, aNow);
   const double place = static_cast<double>(aSession % kSteps) / kSteps;
   bool wantsTarget = place < ShareAt(progress);
-  const auto session = mSessions.find(aSession);
-  const bool isActive = session != mSessions.end() &&
-                        aNow < session->second.mLast + mOptions.mSessionTtl;
-  if (isActive && session->second.mVersion == aWatched.mOrder.mTarget) {
+  const auto* const session = ActiveSession(aSession, aNow);
+  if (session != nullptr && session->mVersion == aWatched.mOrder.mTarget) {
     wantsTarget = true;
-  } else if (isActive && progress < kStages[1].mProgress) {
+  } else if (session != nullptr && progress < kStages[1].mProgress) {
     wantsTarget = false;
   }
   return wantsTarget == aIsTarget;
 }
 
+bool
+StagedRollout::AllowsInstead(std::string_view aService,
+                             std::string_view aVersion,
+                             std::uint64_t aSession,
+                             TimePoint aNow) const
+{
+  const auto* const session = ActiveSession(aSession, aNow);
+  return IsOpen(aService, aVersion) &&
+         (session == nullptr || session->mVersion == aVersion);
+}
+
+bool
+StagedRollout::IsOpen(std::string_view aService,
+                      std::string_view aVersion) const
+{
+  const auto found = mWatched.find(aService);
+  if (found == mWatched.end()) {
+    return true;
+  }
+  const auto& watched = found->second;
+  const bool isTarget = aVersion == watched.mOrder.mTarget;
+  const bool isRefused =
+    watched.mIsBad || watched.mOrder.mState == RolloutState::RolledBack;
+  return isTarget ? !isRefused
+                  : watched.mOrder.mState != RolloutState::Completed;
+}
+
+const StagedRollout::Session*
+StagedRollout::ActiveSession(std::uint64_t aSession, TimePoint aNow) const
+{
+  const auto found = mSessions.find(aSession);
+  const bool isActive = found != mSessions.end() &&
+                        (found->second.mOpen > 0 ||
+                         aNow < found->second.mLast + mOptions.mSessionTtl);
+  return isActive ? &found->second : nullptr;
+}
+
 void
-StagedRollout::OnServed(std::string_view /*aService*/,
-                        std::string_view aVersion,
-                        std::uint64_t aSession,
-                        TimePoint aNow)
+StagedRollout::OnSent(std::string_view aVersion,
+                      std::uint64_t aSession,
+                      TimePoint aNow)
 {
   constexpr std::size_t kMaxSessions = 20'000;
   if (mSessions.size() >= kMaxSessions && !mSessions.contains(aSession)) {
     std::erase_if(mSessions, [&](const auto& aEntry) {
-      return aNow >= aEntry.second.mLast + mOptions.mSessionTtl;
+      return aEntry.second.mOpen == 0 &&
+             aNow >= aEntry.second.mLast + mOptions.mSessionTtl;
     });
   }
-  mSessions[aSession] = { .mVersion = std::string(aVersion), .mLast = aNow };
+  auto& session = mSessions[aSession];
+  session.mVersion = aVersion;
+  session.mLast = aNow;
+  ++session.mOpen;
+}
+
+void
+StagedRollout::OnEnded(std::uint64_t aSession, TimePoint aNow)
+{
+  const auto found = mSessions.find(aSession);
+  if (found != mSessions.end()) {
+    found->second.mOpen = std::max(0, found->second.mOpen - 1);
+    found->second.mLast = aNow;
+  }
 }
 
 void
@@ -174,13 +224,19 @@
 {
   std::vector<StatusChange> changes;
   for (auto& watched : mWatched | std::views::values) {
-    const bool waits =
-      (watched.mAskedAt && aNow < *watched.mAskedAt + kAskAgain) ||
-      aNow < watched.mSeenAt + mOptions.mWriteDelay;
-    if (waits) {
+    const auto state = WantedState(watched, aNow);
+    if (!state) {
+      watched.mDueSince.reset();
       continue;
     }
-    if (const auto state = WantedState(watched, aNow)) {
+    if (!watched.mDueSince) {
+      watched.mDueSince = aNow;
+    }
+    // the instances wait for times of their own, so that one writes for all
+    const bool waits =
+      aNow < *watched.mDueSince + mOptions.mWriteDelay ||
+      (watched.mAskedAt && aNow < *watched.mAskedAt + kAskAgain);
+    if (!waits) {
       watched.mAskedAt = aNow;
       changes.push_back({ .mOrder = watched.mOrder,
                           .mState = *state,
@@ -202,7 +258,8 @@
     return RolloutState::RolledBack;
   }
   const auto progress = ProgressOf(aWatched, aNow);
-  if (progress >= kCompleteAt && aWatched.mEvidence.Samples() > 0) {
+  const bool isTried = aWatched.mEvidence.Samples() > 0;
+  if (progress >= (isTried ? kCompleteAt : kCompleteUntriedAt)) {
     return RolloutState::Completed;
   }
   const auto told = static_cast<double>(aWatched.mOrder.mElapsed.count()) /
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -77,7 +77,7 @@
       mLease.Confirm(aSentAt);
     }
   };
-  Follow({ .mKind = ObjectKind::Configuration, .mWait = milliseconds(1'000) },
+  Follow({ .mKind = ObjectKind::Configuration, .mWait = milliseconds(1'800) },
          std::move(configuration));
   auto upstreams =
     CallbacksOf(ObjectKind::Upstreams,
@@ -93,16 +93,16 @@
     onRegained();
   };
   Follow({ .mKind = ObjectKind::Upstreams,
-           .mWait = milliseconds(1'500),
-           .mPause = milliseconds(200) },
+           .mWait = milliseconds(2'000),
+           .mPause = milliseconds(650) },
          std::move(upstreams));
-  Follow({ .mKind = ObjectKind::Rollouts, .mWait = milliseconds(2'000) },
+  Follow({ .mKind = ObjectKind::Rollouts, .mWait = milliseconds(3'000) },
          CallbacksOf(ObjectKind::Rollouts,
                      [this](const auto& aObjects) { OnRollouts(aObjects); }));
-  Follow({ .mKind = ObjectKind::Drains, .mWait = milliseconds(2'000) },
+  Follow({ .mKind = ObjectKind::Drains, .mWait = milliseconds(3'000) },
          CallbacksOf(ObjectKind::Drains,
                      [this](const auto& aObjects) { OnDrains(aObjects); }));
-  Follow({ .mKind = ObjectKind::Shared, .mWait = milliseconds(2'500) },
+  Follow({ .mKind = ObjectKind::Shared, .mWait = milliseconds(8'000) },
          CallbacksOf(ObjectKind::Shared,
                      [this](const auto& aObjects) { OnShared(aObjects); }));
   net::asio::co_spawn(mContext, ExpireLapsed(), net::asio::detached);
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -62,6 +62,9 @@
   const auto next = co_await Exchange(aAttempt);
   mCurrent.reset();
   mState.mBoard.Release(aAttempt.mLoad);
+  if (aAttempt.mIsSent) {
+    mState.mRollouts.OnEnded(mSession, ReadBootClock());
+  }
   co_return next;
 }
 
@@ -121,6 +124,8 @@
   ++mSends;
   ++mAttempts;
   aAttempt.mSentAt = now;
+  aAttempt.mIsSent = true;
+  mState.mRollouts.OnSent(aAttempt.mUpstream.mVersion, mSession, now);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
   const auto end =
     co_await aAttempt.mConnection->ReadHead(FirstLimit(aAttempt, now));
@@ -195,7 +200,7 @@
   const bool isFailure = head.mStatus >= kFirstServerError;
   if (isFailure) {
     OnHealth(aAttempt, AttemptHealth::Error);
-    Sample(aAttempt, true, now);
+    SampleFailure(aAttempt);
     if (mRoute->MayRepeat() && MayTryAgain(now)) {
       mAvoid.insert(aAttempt.mUpstream.mId);
       mLastFailure = RequestEnd::UpstreamFailed;
@@ -245,7 +250,6 @@
   if (status < kFirstServerError) {
     OnHealth(aAttempt, AttemptHealth::Good);
     NoteFirstEvent(aAttempt, now);
-    Sample(aAttempt, false, now);
   }
   if (mHeadSent) {
     co_return Next::Failed; // a failure cannot go on a stream
@@ -297,7 +301,6 @@
     co_return OnBroken(aAttempt, net::StepEnd::Closed, now);
   }
   OnHealth(aAttempt, AttemptHealth::Good);
-  Sample(aAttempt, false, now);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
                     aAttempt.mConnection);
@@ -345,7 +348,7 @@
     return Next::Failed;
   }
   OnHealth(aAttempt, AttemptHealth::Broken);
-  Sample(aAttempt, true, aNow);
+  SampleFailure(aAttempt);
   mAvoid.insert(aAttempt.mUpstream.mId);
   mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort });
@@ -380,34 +383,24 @@
   }
   aAttempt.mHadEvent = true;
   mState.mBoard.OnFirstEvent(aAttempt.mLoad, aNow);
-  mState.mRollouts.OnServed(
-    mService, aAttempt.mUpstream.mVersion, mSession, aNow);
   constexpr double kMicros = 1'000.0;
   mState.mMetrics
     .HistogramOf("figslip_first_event_ms", { { "route", mRoute->mName } })
     .Observe(static_cast<double>((aNow - mArrivedAt).count()) / kMicros);
-  const auto expected =
-    static_cast<double>(aAttempt.mChoice.mFirstEvent.count());
-  mState.mRollouts.OnSample(
-    mService,
-    aAttempt.mUpstream.mVersion,
-    { .mRoute = mRoute->mName,
-      .mFailed = false,
-      .mSlowness = static_cast<double>((aNow - aAttempt.mSentAt).count()) /
-                   std::max(1.0, expected) });
+  mState.mRollouts.OnSample(mService,
+                            aAttempt.mUpstream.mVersion,
+                            rollout::SampleOf(mRoute->mName,
+                                              aNow - aAttempt.mSentAt,
+                                              aAttempt.mChoice.mFirstEvent));
 }
 
 void
-RequestFlow::Sample(const Attempt& aAttempt, bool aFailed, TimePoint aNow)
+RequestFlow::SampleFailure(const Attempt& aAttempt)
 {
-  if (aFailed) {
-    mState.mRollouts.OnSample(
-      mService,
-      aAttempt.mUpstream.mVersion,
-      { .mRoute = mRoute->mName, .mFailed = true, .mSlowness = std::nullopt });
-  }
-  mState.mRollouts.OnServed(
-    mService, aAttempt.mUpstream.mVersion, mSession, aNow);
+  mState.mRollouts.OnSample(
+    mService,
+    aAttempt.mUpstream.mVersion,
+    { .mRoute = mRoute->mName, .mFailed = true, .mSlowness = std::nullopt });
 }
 
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -251,6 +251,12 @@
     mAvoid.clear();
     choice = mState.mBoard.Choose(query, aNow);
   }
+  if (!choice) {
+    query.mAllowsVersion = [&](std::string_view aVersion) {
+      return mState.mRollouts.AllowsInstead(mService, aVersion, mSession, aNow);
+    };
+    choice = mState.mBoard.Choose(query, aNow);
+  }
   if (!choice) {
     return std::nullopt;
   }
@@ -274,8 +280,7 @@
     }
   }
   return mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow) &&
-         mState.mRollouts.Allows(
-           mService, aAttempt.mUpstream.mVersion, mSession, aNow);
+         mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion);
 }
 
 net::Awaitable<void>
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -1,13 +1,21 @@
 #include <figslip/gateway/traffic_state.hpp>
 #include <figslip/time/wall_clock.hpp>
 
+#include <xxhash.h>
+
 namespace figslip::gateway {
 
 namespace {
 
-/// Part of the shared retry budget that is used, so that instances which do
-/// not know of each other yet stay within it too.
-constexpr double kUsedBudget = 0.6;
+/// Part of the share of repeats that is used; it counts own requests only.
+constexpr double kUsedShare = 0.85;
+
+/// Part of the common allowance that is used, so that instances which do not
+/// know of each other yet stay within it too.
+constexpr double kUsedAllowance = 0.6;
+
+/// Longest delay before an instance writes a status that any could write.
+constexpr std::uint64_t kMaxWriteDelayMs = 600;
 
 /// Requests that crash upstreams and are remembered.
 constexpr std::size_t kMaxCrashing = 10'000;
@@ -24,10 +32,14 @@
   , mMetrics(aMetrics)
   , mBoard(
       { .mDomain = aSettings.mFailureDomain, .mRegions = aSettings.mRegions })
-  , mRetries({ .mShare = aSettings.mRetryShare * kUsedBudget,
+  , mRetries({ .mShare = aSettings.mRetryShare * kUsedShare,
                .mAllowance = 0.0,
                .mWindow = aSettings.mRetryWindow })
-  , mRollouts({ .mSessionTtl = aSettings.mSessionTtl })
+  , mRollouts(
+      { .mSessionTtl = aSettings.mSessionTtl,
+        .mWriteDelay = std::chrono::milliseconds(
+          XXH3_64bits(aSettings.mInstance.data(), aSettings.mInstance.size()) %
+          kMaxWriteDelayMs) })
   , mSizes({})
   , mPool({})
 {
@@ -51,7 +63,7 @@
 TrafficState::OnInstances(int aInstances)
 {
   mBoard.SetInstances(aInstances);
-  mRetries.SetAllowance(mSettings.mRetrySlack * kUsedBudget / aInstances);
+  mRetries.SetAllowance(mSettings.mRetrySlack * kUsedAllowance / aInstances);
 }
 
 void
