Compare few random upstreams, bound the first share of a roll-out

Ruled out: the pace at cold upstreams, which each instance kept, and the count of instances, which was right at all of them.

Change: a request compares the two homes of its prompt with four random upstreams; unknown load counts as the usual load; the first share falls with the number of instances.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -111,6 +111,7 @@
   bool mHeadSent = false; ///< the caller has the head of an answer
   bool mEnded = false;
   RequestEnd mLastFailure = RequestEnd::NoUpstream;
+  std::string mVersion;   ///< of the upstream tried last
   std::string mUpstreams; ///< upstreams tried, for the log
 };
 
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -76,8 +77,10 @@
     std::map<std::string, std::string> mRegions; ///< by failure domain
     /// prompt tokens read in a millisecond by a model of pace 1
     double mTokensPerMs = 60.0;
-    /// places of an engine that all instances together fill, part of its slots
-    double mFill = 1.0;
+    /// upstreams compared for a request, beside the homes of its prompt; a
+    /// random few, as all instances would choose the same best of all
+    std::size_t mCompared = 4;
+    std::uint64_t mSeed = 1; ///< of the generator of random choices
   };
 
   explicit UpstreamBoard(Options aOptions);
@@ -94,7 +97,7 @@
 
   /// @brief Chooses the upstream that is expected to answer first.
   [[nodiscard]] std::optional<Choice> Choose(const PlacementQuery& aQuery,
-                                             TimePoint aNow) const;
+                                             TimePoint aNow);
   /// @brief Tells why `Choose` found none.
   [[nodiscard]] NoChoice Explain(const PlacementQuery& aQuery,
                                  TimePoint aNow) const;
@@ -147,6 +150,7 @@
   [[nodiscard]] bool IsInRegions(const State& aState,
                                  const PlacementQuery& aQuery) const;
   [[nodiscard]] double RunningOf(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] bool HasStated(const State& aState, TimePoint aNow) const;
   [[nodiscard]] bool HasRoom(const State& aState, TimePoint aNow) const;
   [[nodiscard]] bool HasColdRate(const State& aState, TimePoint aNow) const;
   [[nodiscard]] double PaceOf(std::string_view aService,
@@ -154,8 +158,17 @@
   [[nodiscard]] Choice Estimate(const State& aState,
                                 const PlacementQuery& aQuery,
                                 bool aIsHome,
+                                double aUsualRunning,
                                 TimePoint aNow) const;
-  [[nodiscard]] std::string_view HomeOf(const PlacementQuery& aQuery) const;
+  /// Returns the upstreams where requests with the same subject go first.
+  [[nodiscard]] std::vector<const State*> HomesOf(
+    const PlacementQuery& aQuery,
+    const std::vector<const State*>& aOpen) const;
+  [[nodiscard]] std::vector<const State*> OpenFor(const PlacementQuery& aQuery,
+                                                  TimePoint aNow) const;
+  /// Returns the running requests of an upstream that has stated none lately.
+  [[nodiscard]] double UsualRunning(std::string_view aService,
+                                    TimePoint aNow) const;
   [[nodiscard]] Duration ColdInterval(std::string_view aService) const;
   void BeginCold(State& aState, Duration aTime, TimePoint aNow) const;
   void Admit(State& aState,
@@ -167,6 +180,7 @@
   ingress::ConfigurationPtr mConfiguration;
   std::map<std::string, State, std::less<>> mStates;
   std::set<std::string, std::less<>> mDrained;
+  std::mt19937_64 mRandom;
   int mInstances = 1;
   bool mHasList = false;
 };
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -65,10 +65,7 @@
     Duration mWriteDelay = std::chrono::milliseconds(50);
   };
 
-  explicit StagedRollout(Options aOptions)
-    : mOptions(aOptions)
-  {
-  }
+  explicit StagedRollout(Options aOptions);
 
   /// @brief Takes all orders known now.
   void OnOrders(const std::vector<RolloutOrder>& aOrders, TimePoint aNow);
@@ -108,9 +105,12 @@
   /// @brief Returns the status changes that are due.
   [[nodiscard]] std::vector<StatusChange> Due(TimePoint aNow);
 
+  /// @brief Sets the number of instances that serve traffic.
+  void SetInstances(int aInstances);
+
   /// @brief Returns the share of sessions that the new version gets.
   /// @param[in] aProgress part of the time given, [0, 1]
-  [[nodiscard]] static double ShareAt(double aProgress);
+  [[nodiscard]] double ShareAt(double aProgress) const;
 
 private:
   struct Watched
@@ -145,6 +145,7 @@
     TimePoint aNow);
 
   Options mOptions;
+  double mFirstShare;
   std::map<std::string, Watched, std::less<>> mWatched; ///< by service
   std::map<std::uint64_t, Session> mSessions;
 };
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -1,10 +1,9 @@
-#include <figslip/membership/rendezvous.hpp>
 #include <figslip/placement/upstream_board.hpp>
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <limits>
+#include <functional>
 #include <ranges>
 #include <utility>
 
@@ -34,6 +33,9 @@
 /// instances send there too.
 constexpr double kHomePart = 0.5;
 
+/// Upstreams where the prompts of a subject go first.
+constexpr std::size_t kHomes = 2;
+
 /// Reported running requests that a plain service counts as one slot.
 constexpr double kPlainSlotMs = 30.0;
 
@@ -48,6 +50,7 @@
 
 UpstreamBoard::UpstreamBoard(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
 {
 }
 
@@ -157,28 +160,49 @@
   mInstances = std::max(aInstances, 1);
 }
 
-std::optional<Choice>
-UpstreamBoard::Choose(const PlacementQuery& aQuery, TimePoint aNow) const
+std::vector<const UpstreamBoard::State*>
+UpstreamBoard::OpenFor(const PlacementQuery& aQuery, TimePoint aNow) const
 {
-  const auto home = HomeOf(aQuery);
-  std::optional<Choice> best;
-  bool bestAvoided = true;
+  std::vector<const State*> open;
+  std::vector<const State*> avoided;
   for (const auto& state : mStates | std::views::values) {
-    if (!IsCandidate(state, aQuery) || !HasRoom(state, aNow) ||
-        !HasColdRate(state, aNow)) {
-      continue;
+    const bool isOpen = IsCandidate(state, aQuery) && HasRoom(state, aNow) &&
+                        HasColdRate(state, aNow);
+    if (isOpen) {
+      (state.mHealth.IsAvoided(aNow) ? avoided : open).push_back(&state);
     }
-    const bool avoided = state.mHealth.IsAvoided(aNow);
-    if (best && avoided && !bestAvoided) {
-      continue;
-    }
-    auto choice = Estimate(state, aQuery, home == state.mEntry.mId, aNow);
-    const bool isBetter = !best || (bestAvoided && !avoided) ||
-                          choice.mFirstEvent < best->mFirstEvent;
-    if (isBetter) {
+  }
+  // rather an upstream that failed lately than none
+  return open.empty() ? avoided : open;
+}
+
+std::optional<Choice>
+UpstreamBoard::Choose(const PlacementQuery& aQuery, TimePoint aNow)
+{
+  auto open = OpenFor(aQuery, aNow);
+  if (open.empty()) {
+    return std::nullopt;
+  }
+  const auto homes = HomesOf(aQuery, open);
+  const auto compared = std::min(open.size(), mOptions.mCompared);
+  for (std::size_t place = 0; place < compared; ++place) {
+    std::uniform_int_distribution<std::size_t> any(place, open.size() - 1);
+    std::swap(open[place], open[any(mRandom)]);
+  }
+  open.resize(compared);
+  const auto usual = UsualRunning(aQuery.mService, aNow);
+  std::optional<Choice> best;
+  const auto compare = [&](const State* aState, bool aIsHome) {
+    auto choice = Estimate(*aState, aQuery, aIsHome, usual, aNow);
+    if (!best || choice.mFirstEvent < best->mFirstEvent) {
       best = choice;
-      bestAvoided = avoided;
     }
+  };
+  for (const auto* const home : homes) {
+    compare(home, true);
+  }
+  for (const auto* const other : open) {
+    compare(other, false);
   }
   return best;
 }
@@ -368,17 +392,37 @@
 UpstreamBoard::RunningOf(const State& aState, TimePoint aNow) const
 {
   double others = 0.0;
-  if (aNow < aState.mStatedAt + kLoadAge) {
+  if (HasStated(aState, aNow)) {
     others =
       aState.mStated.mRunning + aState.mStated.mWaiting - aState.mOwnAtStated;
   }
   return aState.mInFlight + std::max(0.0, others);
 }
 
+bool
+UpstreamBoard::HasStated(const State& aState, TimePoint aNow) const
+{
+  return aNow < aState.mStatedAt + kLoadAge;
+}
+
+double
+UpstreamBoard::UsualRunning(std::string_view aService, TimePoint aNow) const
+{
+  double running = 0.0;
+  int upstreams = 0;
+  for (const auto& state : mStates | std::views::values) {
+    if (state.mEntry.mService == aService && HasStated(state, aNow)) {
+      running += RunningOf(state, aNow);
+      ++upstreams;
+    }
+  }
+  return upstreams == 0 ? 0.0 : running / upstreams;
+}
+
 bool
 UpstreamBoard::HasRoom(const State& aState, TimePoint aNow) const
 {
-  return RunningOf(aState, aNow) < aState.mEntry.mSlots * mOptions.mFill;
+  return RunningOf(aState, aNow) < aState.mEntry.mSlots;
 }
 
 bool
@@ -413,12 +457,15 @@
 UpstreamBoard::Estimate(const State& aState,
                         const PlacementQuery& aQuery,
                         bool aIsHome,
+                        double aUsualRunning,
                         TimePoint aNow) const
 {
   const auto& entry = aState.mEntry;
   Choice choice{ .mUpstream = &aState.mEntry };
   double ms = 0.0;
-  const auto running = RunningOf(aState, aNow);
+  const auto own = RunningOf(aState, aNow);
+  const auto running =
+    HasStated(aState, aNow) ? own : std::max(own, aUsualRunning);
   if (aQuery.mPrompt != nullptr) {
     const auto cached =
       aState.mCache.CachedTokens(ChainOf(*aQuery.mPrompt, aQuery.mModel));
@@ -440,22 +487,23 @@
   return choice;
 }
 
-std::string_view
-UpstreamBoard::HomeOf(const PlacementQuery& aQuery) const
+std::vector<const UpstreamBoard::State*>
+UpstreamBoard::HomesOf(const PlacementQuery& aQuery,
+                       const std::vector<const State*>& aOpen) const
 {
   if (aQuery.mPrompt == nullptr || aQuery.mPrompt->size() < 2) {
     return {};
   }
   // the last part is the request's own; the one before is its subject
-  const auto subject = std::to_string(aQuery.mPrompt->rbegin()[1].mId);
-  std::vector<std::string_view> names;
-  for (const auto& [name, state] : mStates) {
-    if (IsCandidate(state, aQuery)) {
-      names.push_back(name);
-    }
-  }
-  return names.empty() ? std::string_view{}
-                       : membership::RankByRendezvous(subject, names).front();
+  const auto subject = aQuery.mPrompt->rbegin()[1].mId;
+  const auto weight = [&](const State* aState) {
+    return XXH3_64bits_withSeed(
+      aState->mEntry.mId.data(), aState->mEntry.mId.size(), subject);
+  };
+  std::vector<const State*> homes(std::min(kHomes, aOpen.size()));
+  std::ranges::partial_sort_copy(
+    aOpen, homes, std::greater<>{}, weight, weight);
+  return homes;
 }
 
 } // namespace figslip::placement
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -15,11 +15,19 @@
   double mShare;
 };
 
-/// In the first half, sessions that ran on the old version stay there, so the
-/// share is small and constant; the rest of the time moves all of them and
-/// lets answers that run on the old version end.
+/// Largest share in the first half.
+constexpr double kMaxFirstShare = 0.08;
+
+/// Share in the first half times the number of instances. Sessions that run
+/// when the order comes may not change their version in that half, and an
+/// instance does not know those of others; so few of them may be in the share,
+/// however large the traffic is.
+constexpr double kFirstShareOfAll = 0.4;
+
+/// The rest of the time moves all sessions, and lets answers that run on the
+/// old version end.
 constexpr auto kStages = std::to_array<Stage>(
-  { { 0.0, 0.08 }, { 0.52, 0.3 }, { 0.58, 0.6 }, { 0.65, 1.0 } });
+  { { 0.0, 0.0 }, { 0.52, 0.3 }, { 0.58, 0.6 }, { 0.65, 1.0 } });
 
 /// Part of the time at which the roll-out is completed.
 constexpr double kCompleteAt = 0.92;
@@ -56,10 +64,24 @@
   return "";
 }
 
+StagedRollout::StagedRollout(Options aOptions)
+  : mOptions(aOptions)
+  , mFirstShare(kMaxFirstShare)
+{
+}
+
+void
+StagedRollout::SetInstances(int aInstances)
+{
+  mFirstShare =
+    std::min(kMaxFirstShare, kFirstShareOfAll / std::max(1, aInstances));
+}
+
 double
-StagedRollout::ShareAt(double aProgress)
+StagedRollout::ShareAt(double aProgress) const
 {
-  return kStages.at(StageAt(std::max(0.0, aProgress))).mShare;
+  const auto stage = StageAt(std::max(0.0, aProgress));
+  return std::max(mFirstShare, kStages.at(stage).mShare);
 }
 
 void
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -28,6 +28,14 @@
 
 constexpr int kHexadecimal = 16;
 
+constexpr unsigned kFirstClientError = 400;
+
+/// An object of this name exists already, which is as good as writing it.
+constexpr unsigned kConflict = 409;
+
+/// Bytes of an answer that a log line has.
+constexpr std::size_t kMaxLoggedAnswer = 200;
+
 net::Awaitable<void>
 Sleep(milliseconds aTime)
 {
@@ -102,7 +110,9 @@
   Follow({ .mKind = ObjectKind::Drains, .mWait = milliseconds(3'000) },
          CallbacksOf(ObjectKind::Drains,
                      [this](const auto& aObjects) { OnDrains(aObjects); }));
-  Follow({ .mKind = ObjectKind::Shared, .mWait = milliseconds(8'000) },
+  Follow({ .mKind = ObjectKind::Shared,
+           .mWait = milliseconds(8'000),
+           .mPause = milliseconds(300) },
          CallbacksOf(ObjectKind::Shared,
                      [this](const auto& aObjects) { OnShared(aObjects); }));
   net::asio::co_spawn(mContext, ExpireLapsed(), net::asio::detached);
@@ -261,6 +271,10 @@
     }
   }
   mReported.insert(crashing.begin(), crashing.end());
+  log::Write(log::Level::Info,
+             "instances_known",
+             { { "instances", std::to_string(instances) },
+               { "quarantined", std::to_string(crashing.size()) } });
   mPost([instances, crashing](TrafficState& aState) {
     aState.OnInstances(std::max(1, instances));
     aState.OnCrashingRequests(crashing);
@@ -340,13 +354,18 @@
     auto request = aRequest;
     const auto result =
       co_await mClient.Call(std::move(request), aName, kWriteLimit);
-    // an object that exists already is as good
-    if (result.mEnd == store::CallEnd::Answered) {
+    const bool isWritten =
+      result.mEnd == store::CallEnd::Answered &&
+      (result.mStatus < kFirstClientError || result.mStatus == kConflict);
+    if (isWritten) {
       co_return;
     }
     log::Write(log::Level::Warning,
                "write_failed",
-               { { "call", aName }, { "reason", result.mReason } });
+               { { "call", aName },
+                 { "status", std::to_string(result.mStatus) },
+                 { "reason", result.mReason },
+                 { "answer", result.mBody.substr(0, kMaxLoggedAnswer) } });
     co_await Sleep(kWritePause * (tries + 1));
   }
 }
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -101,6 +101,7 @@
 RequestFlow::Exchange(Attempt& aAttempt)
 {
   mUpstreams += (mUpstreams.empty() ? "" : ",") + aAttempt.mUpstream.mId;
+  mVersion = aAttempt.mUpstream.mVersion;
   const bool isOpen = co_await Open(aAttempt);
   auto now = ReadBootClock();
   if (!isOpen) {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -354,6 +354,8 @@
       { "attempts", std::to_string(mAttempts) },
       { "sends", std::to_string(mSends) },
       { "upstreams", mUpstreams },
+      { "version", mVersion },
+      { "session", mFacts.mSession },
       { "configuration",
         mConfiguration ? std::to_string(mConfiguration->Version()) : "" },
       { "configuration_age_ms",
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -3,6 +3,8 @@
 
 #include <xxhash.h>
 
+#include <random>
+
 namespace figslip::gateway {
 
 namespace {
@@ -30,8 +32,9 @@
   , mDialect(aDialect)
   , mLease(aLease)
   , mMetrics(aMetrics)
-  , mBoard(
-      { .mDomain = aSettings.mFailureDomain, .mRegions = aSettings.mRegions })
+  , mBoard({ .mDomain = aSettings.mFailureDomain,
+             .mRegions = aSettings.mRegions,
+             .mSeed = std::random_device{}() })
   , mRetries({ .mShare = aSettings.mRetryShare * kUsedShare,
                .mAllowance = 0.0,
                .mWindow = aSettings.mRetryWindow })
@@ -63,6 +66,7 @@
 TrafficState::OnInstances(int aInstances)
 {
   mBoard.SetInstances(aInstances);
+  mRollouts.SetInstances(aInstances);
   mRetries.SetAllowance(mSettings.mRetrySlack * kUsedAllowance / aInstances);
 }
 
