Bound log lines by event and never wait for their reader

Cause: a line went to standard output while its reader might not read, which would have held up the traffic, and nothing bounded the volume.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -66,6 +66,7 @@
   [[nodiscard]] cascade::SizeQuestion SizeQuestionOf(TimePoint aNow);
   [[nodiscard]] bool MaySendNow(const Attempt& aAttempt, TimePoint aNow) const;
   [[nodiscard]] bool MayTryAgain(TimePoint aNow);
+  void LogAttempt(const Attempt& aAttempt) const;
   [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
                                           TimePoint aNow) const;
   [[nodiscard]] std::chrono::milliseconds FirstLimit(const Attempt& aAttempt,
--- /dev/null
+++ b/include/figslip/log/line_budget.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <figslip/time/time_point.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace figslip::log {
+
+/// @brief Bounds how many lines of an event are written.
+///
+/// Each event has a budget of its own, so that a frequent one never crowds out
+/// another. A line that follows lines left out tells how many these were.
+class LineBudget
+{
+public:
+  struct Options
+  {
+    double mLinesPerSecond = 20.0; ///< of one event, > 0
+    double mBurst = 40.0;          ///< lines that may be saved up, >= 1
+    std::size_t mMaxEvents = 200;  ///< bound on memory; further share a budget
+  };
+
+  explicit LineBudget(Options aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  /// @brief Takes one line out of the budget of an event.
+  /// @return lines left out since the last one written, or nothing where this
+  /// line is to be left out
+  [[nodiscard]] std::optional<std::uint64_t> Take(std::string_view aEvent,
+                                                  TimePoint aNow);
+
+private:
+  struct Account
+  {
+    double mLines = 0.0;
+    TimePoint mAt;
+    std::uint64_t mLeftOut = 0;
+  };
+
+  Options mOptions;
+  std::map<std::string, Account, std::less<>> mAccounts;
+};
+
+} // namespace figslip::log
--- a/include/figslip/log/log.hpp
+++ b/include/figslip/log/log.hpp
@@ -28,11 +28,18 @@
 void
 Configure(std::string_view aInstance, std::string_view aLevel);
 
-/// @brief Writes one line.
+/// @brief Writes one line; never waits for the reader of standard output.
+///
+/// Each event has a budget of lines; see `LineBudget`. Lines that are left out
+/// are counted in the field `left_out` of the next one.
 /// @param[in] aEvent name of the event, in lower case with underscores
 void
 Write(Level aLevel,
       std::string_view aEvent,
       std::initializer_list<Field> aFields = {});
 
+/// @brief Writes lines that were kept while nobody read standard output.
+void
+Flush();
+
 } // namespace figslip::log
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -105,6 +105,7 @@
     co_await timer.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, ignored));
     mTraffic->OnTick();
+    log::Flush();
   }
 }
 
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -127,6 +127,7 @@
   aAttempt.mSentAt = now;
   aAttempt.mIsSent = true;
   mState.mRollouts.OnSent(aAttempt.mUpstream.mVersion, mSession, now);
+  LogAttempt(aAttempt);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
   const auto end =
     co_await aAttempt.mConnection->ReadHead(FirstLimit(aAttempt, now));
@@ -137,6 +138,24 @@
   co_return co_await OnHead(aAttempt);
 }
 
+void
+RequestFlow::LogAttempt(const Attempt& aAttempt) const
+{
+  log::Write(
+    log::Level::Info,
+    "attempt_sent",
+    { { "request", mFacts.mAttemptId },
+      { "attempt", std::to_string(mSends) },
+      { "upstream", aAttempt.mUpstream.mId },
+      { "version", aAttempt.mUpstream.mVersion },
+      { "model", aAttempt.mModel },
+      { "expected_ms",
+        std::to_string(ToMs(aAttempt.mChoice.mFirstEvent).count()) },
+      { "cached_tokens", std::to_string(aAttempt.mChoice.mCachedTokens) },
+      { "left_ms",
+        std::to_string(ToMs(mDeadline - aAttempt.mSentAt).count()) } });
+}
+
 std::string
 RequestFlow::FormatAttempt(const Attempt& aAttempt, TimePoint aNow) const
 {
@@ -220,7 +239,7 @@
     NoteFirstEvent(aAttempt, now);
     mDropped = true;
     aAttempt.mConnection->Abort();
-    log::Write(log::Level::Debug,
+    log::Write(log::Level::Info,
                "answer_dropped",
                { { "request", mFacts.mAttemptId },
                  { "model", aAttempt.mModel },
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -345,8 +345,8 @@
     .Observe(static_cast<double>((now - mArrivedAt).count()) / kMicros);
   const bool isServed = aEnd == RequestEnd::Served;
   log::Write(
-    isServed ? log::Level::Debug : log::Level::Info,
-    "request_ended",
+    log::Level::Info,
+    isServed ? "request_served" : "request_failed",
     { { "request", mFacts.mAttemptId },
       { "end", std::string(description.mName) },
       { "route", route },
--- a/src/shell/log/log.cpp
+++ b/src/shell/log/log.cpp
@@ -1,11 +1,16 @@
+#include <figslip/log/line_budget.hpp>
+#include <figslip/log/line_sink.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
+#include <mutex>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -18,10 +23,16 @@
                                                           "warning",
                                                           "error" };
 
+/// Bytes of lines that are kept while nobody reads standard output.
+constexpr std::size_t kMaxKeptBytes = 256 * 1024;
+
 struct State
 {
+  std::mutex mMutex;
   std::string mInstance;
   Level mLowest = Level::Info;
+  LineBudget mBudget{ {} };
+  LineSink mSink{ STDOUT_FILENO, kMaxKeptBytes };
 };
 
 State&
@@ -31,6 +42,18 @@
   return sState;
 }
 
+/// Hands the lines of easylogging++ to the sink, which never blocks.
+class SinkDispatch : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    SharedState().mSink.Write(aData->logMessage()->message() + "\n");
+  }
+};
+
+constexpr const char* kDispatchName = "figslip_sink";
+
 } // namespace
 
 void
@@ -46,8 +69,9 @@
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(configuration);
+  el::Helpers::installLogDispatchCallback<SinkDispatch>(kDispatchName);
 }
 
 void
@@ -55,10 +79,15 @@
       std::string_view aEvent,
       std::initializer_list<Field> aFields)
 {
-  const auto& state = SharedState();
+  auto& state = SharedState();
   if (aLevel < state.mLowest) {
     return;
   }
+  const std::scoped_lock lock(state.mMutex);
+  const auto leftOut = state.mBudget.Take(aEvent, ReadBootClock());
+  if (!leftOut) {
+    return;
+  }
   nlohmann::ordered_json line = {
     { "time_ms", ToUnixMillis(ReadClock()) },
     { "level", kLevelNames.at(static_cast<std::size_t>(aLevel)) },
@@ -68,9 +97,23 @@
   for (const auto& field : aFields) {
     line[std::string(field.mName)] = field.mValue;
   }
+  if (*leftOut > 0) {
+    line["left_out"] = *leftOut;
+  }
+  if (const auto dropped = state.mSink.Dropped()) {
+    line["dropped"] = dropped;
+  }
   const auto text =
     line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   LOG(INFO) << text;
 }
 
+void
+Flush()
+{
+  auto& state = SharedState();
+  const std::scoped_lock lock(state.mMutex);
+  state.mSink.Flush();
+}
+
 } // namespace figslip::log
--- /dev/null
+++ b/tests/src/unit-log.cpp
@@ -0,0 +1,107 @@
+#include <figslip/log/line_budget.hpp>
+#include <figslip/log/line_sink.hpp>
+
+#include <doctest/doctest.h>
+
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+/// A pipe that nobody reads until asked.
+struct Pipe
+{
+  Pipe() { REQUIRE(::pipe(mEnds.data()) == 0); }
+  Pipe(const Pipe&) = delete;
+  Pipe& operator=(const Pipe&) = delete;
+  ~Pipe()
+  {
+    ::close(mEnds[0]);
+    ::close(mEnds[1]);
+  }
+
+  /// Reads at most 64 KB.
+  [[nodiscard]] std::string Read() const
+  {
+    std::string text(65'536, '\0');
+    const auto size = ::read(mEnds[0], text.data(), text.size());
+    text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return text;
+  }
+
+  std::array<int, 2> mEnds{};
+};
+
+} // namespace
+
+TEST_CASE("the budget of log lines")
+{
+  log::LineBudget budget(
+    { .mLinesPerSecond = 10.0, .mBurst = 5.0, .mMaxEvents = 3 });
+
+  SUBCASE("bounds a frequent event and tells what it left out")
+  {
+    int written = 0;
+    for (int line = 0; line < 1'000; ++line) {
+      written += budget.Take("request_failed", kStart) ? 1 : 0;
+    }
+    CHECK(written == 5);
+    CHECK(budget.Take("request_failed", kStart + 100ms) == 995);
+    CHECK(budget.Take("request_failed", kStart + 200ms) == 0);
+
+    SUBCASE("which crowds out no other event")
+    {
+      CHECK(budget.Take("store_lost", kStart) == 0);
+    }
+  }
+
+  SUBCASE("has a bound on the events that it knows")
+  {
+    for (int event = 0; event < 100; ++event) {
+      (void)budget.Take("event" + std::to_string(event), kStart);
+    }
+    CHECK_FALSE(budget.Take("new", kStart));
+  }
+}
+
+TEST_CASE("lines for a reader")
+{
+  const Pipe pipe;
+  log::LineSink sink(pipe.mEnds[1], 100'000);
+
+  SUBCASE("come as they were written")
+  {
+    sink.Write("one\n");
+    sink.Write("two\n");
+    CHECK(pipe.Read() == "one\ntwo\n");
+  }
+
+  SUBCASE("who does not read block nobody")
+  {
+    const std::string line(999, 'x');
+    for (int count = 0; count < 1'000; ++count) {
+      sink.Write(line + "\n");
+    }
+    CHECK(sink.Dropped() > 0);
+
+    SUBCASE("and go on whole when the reader is back")
+    {
+      std::string all;
+      for (int reads = 0; reads < 10; ++reads) {
+        all += pipe.Read();
+        sink.Flush();
+        sink.Write("probe\n");
+      }
+      CHECK(all.starts_with(line + "\n" + line));
+      CHECK(all.find("probe\n") != std::string::npos);
+    }
+  }
+}
--- /dev/null
+++ b/tests/src/unit-placement.cpp
@@ -0,0 +1,258 @@
+#include <figslip/placement/upstream_board.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <ranges>
+#include <string>
+#include <vector>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using placement::AttemptHealth;
+using placement::NoChoice;
+using placement::UpstreamBoard;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+ingress::ConfigurationPtr
+MakeConfiguration(double aColdPerSecond = 10.0)
+{
+  ingress::Configuration configuration;
+  configuration.mServices.push_back(
+    { .mName = "engines",
+      .mColdStart = 3s,
+      .mColdPerSecond = aColdPerSecond,
+      .mEngine = ingress::EngineLimits{
+        .mSlots = 24,
+        .mCapacityTokens = 400'000,
+        .mModels = { { "small", 0.02 }, { "large", 0.3 } } } });
+  configuration.mServices.push_back({ .mName = "desk" });
+  return std::make_shared<const ingress::ConfigurationIndex>(configuration);
+}
+
+ingress::UpstreamEntry
+MakeEntry(const std::string& aId, const std::string& aDomain = "a")
+{
+  return { .mId = aId,
+           .mService = "engines",
+           .mAddress = "127.0.0.1",
+           .mPort = 80,
+           .mDomain = aDomain,
+           .mVersion = "v1",
+           .mSlots = 24,
+           .mStartedAtMs = 1 };
+}
+
+std::vector<ingress::UpstreamEntry>
+MakeEntries(int aCount)
+{
+  std::vector<ingress::UpstreamEntry> entries;
+  for (int number = 0; number < aCount; ++number) {
+    entries.push_back(MakeEntry("e" + std::to_string(number)));
+  }
+  return entries;
+}
+
+UpstreamBoard
+MakeBoard(const std::string& aInstance = "self", std::uint64_t aSeed = 1)
+{
+  UpstreamBoard board(
+    { .mInstance = aInstance, .mDomain = "a", .mSeed = aSeed });
+  board.OnConfiguration(MakeConfiguration());
+  return board;
+}
+
+} // namespace
+
+TEST_CASE("an instance that chooses an upstream")
+{
+  auto board = MakeBoard();
+  std::vector<ingress::PromptPart> prompt = { { 1, 500 },
+                                              { 2, 4'000 },
+                                              { 3, 1'000 } };
+  const placement::PlacementQuery query{ .mService = "engines",
+                                         .mModel = "large",
+                                         .mPrompt = &prompt,
+                                         .mPromptTokens = 5'500 };
+
+  SUBCASE("finds none where none is registered")
+  {
+    CHECK_FALSE(board.Choose(query, kStart));
+    CHECK(board.Explain(query, kStart) == NoChoice::NoUpstream);
+  }
+
+  SUBCASE("leaves out those that may not be used")
+  {
+    auto draining = MakeEntry("draining");
+    draining.mState = ingress::UpstreamState::Draining;
+    auto other = MakeEntry("other");
+    other.mService = "desk";
+    board.OnUpstreams({ draining, other, MakeEntry("far", "b") }, kStart);
+    board.SetDrained({ "b" });
+    CHECK_FALSE(board.Choose(query, kStart));
+    CHECK_FALSE(board.MaySend("draining", kStart));
+    CHECK_FALSE(board.MaySend("far", kStart));
+
+    SUBCASE("and takes a failure domain back")
+    {
+      board.SetDrained({});
+      REQUIRE(board.Choose(query, kStart));
+      CHECK(board.Choose(query, kStart)->mUpstream->mId == "far");
+    }
+  }
+
+  SUBCASE("sends a prompt back to where its beginning was read")
+  {
+    board.OnUpstreams(MakeEntries(12), kStart);
+    const auto first = board.Choose(query, kStart);
+    REQUIRE(first);
+    auto load = board.Reserve(*first, query, kStart);
+    board.OnFirstEvent(load, kStart);
+    const auto id = first->mUpstream->mId;
+    prompt[2].mId = 4; // another request about the same subject
+    const auto second = board.Choose(query, kStart);
+    REQUIRE(second);
+    CHECK(second->mUpstream->mId == id);
+    CHECK(second->mCachedTokens == 4'500);
+
+    SUBCASE("unless long prompts wait there already")
+    {
+      for (int count = 0; count < 6; ++count) {
+        (void)board.Reserve(*second, query, kStart);
+      }
+      const auto third = board.Choose(query, kStart);
+      REQUIRE(third);
+      CHECK(third->mUpstream->mId != id);
+    }
+
+    SUBCASE("unless it has restarted and keeps nothing")
+    {
+      auto entries = MakeEntries(12);
+      for (auto& entry : entries) {
+        entry.mStartedAtMs += entry.mId == id ? 1 : 0;
+      }
+      board.OnUpstreams(entries, kStart + 10s);
+      const auto third = board.Choose(query, kStart + 14s);
+      REQUIRE(third);
+      CHECK(third->mCachedTokens == 0);
+    }
+  }
+
+  SUBCASE("avoids one that breaks its answers off, while others are there")
+  {
+    board.OnUpstreams({ MakeEntry("good"), MakeEntry("bad") }, kStart);
+    for (int count = 0; count < 4; ++count) {
+      board.OnOutcome("bad", AttemptHealth::Broken, kStart);
+    }
+    CHECK(board.Choose(query, kStart)->mUpstream->mId == "good");
+
+    SUBCASE("and takes it when it is the only one")
+    {
+      board.OnUpstreams({ MakeEntry("bad") }, kStart);
+      // it may have restarted, so it is paced like a cold one
+      REQUIRE(board.Choose(query, kStart + 1s));
+    }
+  }
+
+  SUBCASE("finds all places taken")
+  {
+    board.OnUpstreams({ MakeEntry("only") }, kStart);
+    board.OnStatedLoad(
+      "only", { .mRunning = 20, .mWaiting = 4, .mSlots = 24 }, kStart);
+    CHECK_FALSE(board.Choose(query, kStart));
+    CHECK(board.Explain(query, kStart) == NoChoice::AllFull);
+    // what was stated long ago says nothing
+    CHECK(board.Choose(query, kStart + 2s));
+  }
+
+  SUBCASE("does not run out of places by requests that have ended")
+  {
+    board.OnUpstreams({ MakeEntry("only") }, kStart);
+    for (int count = 0; count < 100; ++count) {
+      const auto choice = board.Choose(query, kStart);
+      REQUIRE(choice);
+      auto load = board.Reserve(*choice, query, kStart);
+      board.Release(load);
+    }
+    CHECK(board.Occupancy("engines", kStart) == 0.0);
+  }
+}
+
+TEST_CASE("many instances at one upstream that has just come back cold")
+{
+  // plays the load of 35 instances that all learn of it at the same moment
+  constexpr int kInstances = 35;
+  constexpr double kColdPerSecond = 9.8;
+  std::vector<ingress::PromptPart> prompt = { { 1, 500 }, { 2, 500 } };
+  const placement::PlacementQuery query{ .mService = "engines",
+                                         .mModel = "small",
+                                         .mPrompt = &prompt,
+                                         .mPromptTokens = 1'000 };
+  std::vector<UpstreamBoard> boards;
+  for (int number = 0; number < kInstances; ++number) {
+    UpstreamBoard board({ .mInstance = "entry-" + std::to_string(number),
+                          .mDomain = "a",
+                          .mSeed = static_cast<std::uint64_t>(number) });
+    board.OnConfiguration(MakeConfiguration(kColdPerSecond));
+    board.SetInstances(kInstances);
+    board.OnUpstreams({}, kStart);
+    board.OnUpstreams({ MakeEntry("returned") }, kStart);
+    boards.push_back(std::move(board));
+  }
+
+  std::vector<TimePoint> sent;
+  for (TimePoint now = kStart; now < kStart + 3s; now += 10ms) {
+    for (auto& board : boards) {
+      if (const auto choice = board.Choose(query, now)) {
+        auto load = board.Reserve(*choice, query, now);
+        board.Release(load);
+        sent.push_back(now);
+      }
+    }
+  }
+
+  SUBCASE("send it no more in any second than it bears")
+  {
+    const auto most =
+      std::ranges::max(sent | std::views::transform([&](TimePoint aFrom) {
+                         return std::ranges::count_if(sent, [&](TimePoint aAt) {
+                           return aAt >= aFrom && aAt < aFrom + 1s;
+                         });
+                       }));
+    CHECK(most <= kColdPerSecond * 1.5 + 5.0);
+  }
+
+  SUBCASE("send it something all the same")
+  {
+    CHECK(sent.size() >= 15);
+  }
+}
+
+TEST_CASE("many instances that see one idle upstream among loaded ones")
+{
+  // the idle one has stated no load; it must not get all requests at once
+  constexpr int kInstances = 35;
+  const placement::PlacementQuery query{ .mService = "engines",
+                                         .mModel = "small" };
+  std::map<std::string, int> sent;
+  for (int number = 0; number < kInstances; ++number) {
+    auto board = MakeBoard("entry-" + std::to_string(number),
+                           static_cast<std::uint64_t>(number) + 1);
+    board.OnUpstreams(MakeEntries(90), kStart);
+    for (int upstream = 1; upstream < 90; ++upstream) {
+      board.OnStatedLoad("e" + std::to_string(upstream),
+                         { .mRunning = 5, .mWaiting = 0, .mSlots = 24 },
+                         kStart);
+    }
+    const auto choice = board.Choose(query, kStart);
+    REQUIRE(choice);
+    ++sent[choice->mUpstream->mId];
+  }
+  CHECK(sent["e0"] <= 5);
+}
--- /dev/null
+++ b/tests/src/unit-staged_rollout.cpp
@@ -0,0 +1,214 @@
+#include <figslip/rollout/staged_rollout.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using rollout::RolloutState;
+using rollout::StagedRollout;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+rollout::RolloutOrder
+MakeOrder(RolloutState aState = RolloutState::Ordered)
+{
+  return { .mService = "engines",
+           .mTarget = "v2",
+           .mDuration = 20s,
+           .mCreated = 7,
+           .mRevision = 12,
+           .mState = aState };
+}
+
+/// Counts the sessions of a thousand that get the new version.
+int
+SessionsOnTarget(const StagedRollout& aRollout, TimePoint aNow)
+{
+  int count = 0;
+  for (std::uint64_t session = 0; session < 10'000; session += 10) {
+    count += aRollout.Allows("engines", "v2", session, aNow) ? 1 : 0;
+  }
+  return count;
+}
+
+rollout::CanarySample
+Failure()
+{
+  return { .mRoute = "chat", .mFailed = true, .mSlowness = std::nullopt };
+}
+
+rollout::CanarySample
+Success(double aSlowness = 1.0)
+{
+  return { .mRoute = "chat", .mFailed = false, .mSlowness = aSlowness };
+}
+
+} // namespace
+
+TEST_CASE("a roll-out")
+{
+  StagedRollout rollout({ .mSessionTtl = 5s, .mWriteDelay = 100ms });
+
+  SUBCASE("that nobody ordered leaves all versions open")
+  {
+    CHECK(rollout.Allows("engines", "v1", 1, kStart));
+    CHECK(rollout.IsOpen("engines", "v2"));
+    CHECK(rollout.Due(kStart).empty());
+  }
+
+  SUBCASE("that was ordered")
+  {
+    rollout.OnOrders({ MakeOrder() }, kStart);
+
+    SUBCASE("gives the new version a small share in the first half")
+    {
+      CHECK(SessionsOnTarget(rollout, kStart + 1s) == 80);
+      CHECK(SessionsOnTarget(rollout, kStart + 10s) == 80);
+    }
+
+    SUBCASE("gives it a smaller one where there are many instances")
+    {
+      rollout.SetInstances(40);
+      CHECK(SessionsOnTarget(rollout, kStart + 1s) == 10);
+    }
+
+    SUBCASE("moves all sessions in the second half")
+    {
+      CHECK(SessionsOnTarget(rollout, kStart + 11s) == 300);
+      CHECK(SessionsOnTarget(rollout, kStart + 14s) == 1'000);
+      CHECK_FALSE(rollout.Allows("engines", "v1", 3, kStart + 14s));
+    }
+
+    SUBCASE("leaves a session on the old version in the first half")
+    {
+      constexpr std::uint64_t kCanary = 10;
+      CHECK(rollout.Allows("engines", "v2", kCanary, kStart));
+      rollout.OnSent("v1", kCanary, kStart);
+
+      SUBCASE("while its request runs")
+      {
+        CHECK_FALSE(rollout.Allows("engines", "v2", kCanary, kStart + 9s));
+      }
+
+      SUBCASE("and for its time to live afterwards")
+      {
+        rollout.OnEnded(kCanary, kStart + 1s);
+        CHECK_FALSE(rollout.Allows("engines", "v2", kCanary, kStart + 5s));
+        CHECK(rollout.Allows("engines", "v2", kCanary, kStart + 7s));
+      }
+    }
+
+    SUBCASE("keeps a session on the new version")
+    {
+      constexpr std::uint64_t kOther = 9'999;
+      rollout.OnSent("v2", kOther, kStart);
+      CHECK(rollout.Allows("engines", "v2", kOther, kStart + 2s));
+      CHECK_FALSE(rollout.AllowsInstead("engines", "v1", kOther, kStart + 2s));
+    }
+
+    SUBCASE("is written as in progress after a delay, and again if unseen")
+    {
+      CHECK(rollout.Due(kStart).empty());
+      const auto due = rollout.Due(kStart + 100ms);
+      REQUIRE(due.size() == 1);
+      CHECK(due.front().mState == RolloutState::InProgress);
+      CHECK(due.front().mOrder.mRevision == 12);
+      CHECK(rollout.Due(kStart + 200ms).empty());
+      CHECK(rollout.Due(kStart + 900ms).size() == 1);
+    }
+
+    SUBCASE("is stopped at once by an instance that sees failures")
+    {
+      for (int count = 0; count < 3; ++count) {
+        rollout.OnSample("engines", "v2", Failure());
+      }
+      CHECK(SessionsOnTarget(rollout, kStart + 1s) == 0);
+      CHECK_FALSE(rollout.IsOpen("engines", "v2"));
+      (void)rollout.Due(kStart + 1s);
+      const auto due = rollout.Due(kStart + 2s);
+      REQUIRE(due.size() == 1);
+      CHECK(due.front().mState == RolloutState::RolledBack);
+      CHECK(due.front().mReason == "failures");
+    }
+
+    SUBCASE("goes on while the old version fails just as often")
+    {
+      for (int count = 0; count < 20; ++count) {
+        rollout.OnSample("engines", "v1", Failure());
+        rollout.OnSample("engines", "v2", Failure());
+      }
+      CHECK(rollout.IsOpen("engines", "v2"));
+    }
+
+    SUBCASE("is stopped when the new version turns bad late")
+    {
+      for (int count = 0; count < 200; ++count) {
+        rollout.OnSample("engines", "v2", Success());
+        rollout.OnSample("engines", "v1", Success());
+      }
+      for (int count = 0; count < 8; ++count) {
+        rollout.OnSample("engines", "v2", Failure());
+      }
+      CHECK_FALSE(rollout.IsOpen("engines", "v2"));
+    }
+
+    SUBCASE("is stopped when the new version fails on one route only")
+    {
+      for (int count = 0; count < 24; ++count) {
+        auto good = Success();
+        good.mRoute = "notes";
+        rollout.OnSample("engines", "v2", good);
+      }
+      for (int count = 0; count < 3; ++count) {
+        rollout.OnSample("engines", "v2", Failure());
+      }
+      CHECK_FALSE(rollout.IsOpen("engines", "v2"));
+    }
+
+    SUBCASE("is stopped when the new version is several times slower")
+    {
+      for (int count = 0; count < 8; ++count) {
+        rollout.OnSample("engines", "v1", Success());
+        rollout.OnSample("engines", "v2", Success(4.0));
+      }
+      CHECK_FALSE(rollout.IsOpen("engines", "v2"));
+    }
+
+    SUBCASE("is completed near the end of its time, after it was tried")
+    {
+      rollout.OnSample("engines", "v2", Success());
+      (void)rollout.Due(kStart + 18'300ms);
+      const auto due = rollout.Due(kStart + 18'500ms);
+      REQUIRE(due.size() == 1);
+      CHECK(due.front().mState == RolloutState::Completed);
+    }
+  }
+
+  SUBCASE("that is older than this instance's start")
+  {
+    auto order = MakeOrder(RolloutState::InProgress);
+    order.mElapsed = 13s;
+    rollout.OnOrders({ order }, kStart);
+    CHECK(SessionsOnTarget(rollout, kStart) == 1'000);
+  }
+
+  SUBCASE("that is completed leaves only the new version open")
+  {
+    rollout.OnOrders({ MakeOrder(RolloutState::Completed) }, kStart);
+    CHECK(rollout.Allows("engines", "v2", 9'000, kStart));
+    CHECK_FALSE(rollout.IsOpen("engines", "v1"));
+  }
+
+  SUBCASE("that is rolled back leaves only the old version open")
+  {
+    rollout.OnOrders({ MakeOrder(RolloutState::RolledBack) }, kStart);
+    CHECK_FALSE(rollout.Allows("engines", "v2", 0, kStart));
+    CHECK(rollout.Allows("engines", "v1", 0, kStart));
+    CHECK(rollout.Due(kStart + 30s).empty());
+  }
+}
