Refuse new requests once a stopping instance could not end them

Change: after the time in which the balancer notices, new requests get 503 and come back at another instance; times to come back follow from the reason of a refusal.

--- a/include/figslip/gateway/request_end.hpp
+++ b/include/figslip/gateway/request_end.hpp
@@ -13,6 +13,7 @@
   TooSlow,          ///< not whole in time
   NoRoute,          ///< no route for its host and path
   UnknownKey,       ///< no account holds its key
+  Stopping,         ///< the instance is about to end
   NotReady,         ///< no configuration or no upstreams are known yet
   StaleKeys,        ///< the configuration is too old to accept a key
   CrashesUpstreams, ///< it crashed upstreams that ran it
@@ -31,8 +32,11 @@
   RequestEnd mEnd;
   std::string_view mName;
   unsigned mStatus; ///< answer to the caller; 0: none of our own
-  /// whether the status promises that the request has not run
-  bool mPromisesNotRun;
+  /// when the caller should come back, seconds; such a status promises that
+  /// the request has not run
+  std::string_view mRetryAfter;
+
+  [[nodiscard]] bool PromisesNotRun() const { return !mRetryAfter.empty(); }
 };
 
 [[nodiscard]] const EndDescription&
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -61,7 +61,8 @@
   std::set<std::uint64_t> mCrashing; ///< fingerprints of requests to refuse
   TrafficReports mReports;
   bool mHasUpstreams = false;
-  bool mIsStopping = false;
+  bool mIsStopping = false; ///< not ready any more; serves what comes
+  bool mRefusesNew = false; ///< what came now would be cut off
   int mOpenRequests = 0;
 };
 
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -228,6 +228,7 @@
              { { "open_requests", std::to_string(mState.mOpenRequests) },
                { "connections", std::to_string(mCallers.size()) } });
   co_await Sleep(kNoticeTime);
+  mState.mRefusesNew = true;
   const auto grace = Duration(static_cast<Duration::rep>(
     static_cast<double>(mState.mSettings.mGrace.count()) * kDrainPart));
   while (ReadBootClock() < begun + grace) {
--- a/src/shell/gateway/request_end.cpp
+++ b/src/shell/gateway/request_end.cpp
@@ -8,23 +8,33 @@
 
 namespace {
 
+/// Another instance can serve the caller right away.
+constexpr std::string_view kElsewhere = "0.05";
+
+/// Places come free, or upstreams come back, within this time.
+constexpr std::string_view kSoon = "0.4";
+
+/// Nothing that is known will change soon.
+constexpr std::string_view kLater = "2";
+
 constexpr auto kDescriptions = std::to_array<EndDescription>({
-  { RequestEnd::Served, "served", 0, false },
-  { RequestEnd::Malformed, "malformed", 400, false },
-  { RequestEnd::TooLarge, "too_large", 413, false },
-  { RequestEnd::TooSlow, "too_slow", 408, true },
-  { RequestEnd::NoRoute, "no_route", 404, false },
-  { RequestEnd::UnknownKey, "unknown_key", 401, false },
-  { RequestEnd::NotReady, "not_ready", 503, true },
-  { RequestEnd::StaleKeys, "stale_keys", 503, true },
-  { RequestEnd::CrashesUpstreams, "crashes_upstreams", 503, true },
-  { RequestEnd::NoUpstream, "no_upstream", 503, true },
-  { RequestEnd::NoCapacity, "no_capacity", 503, true },
-  { RequestEnd::Rejected, "rejected", 503, true },
-  { RequestEnd::RouteTimeout, "route_timeout", 504, false },
-  { RequestEnd::UpstreamFailed, "upstream_failed", 502, false },
-  { RequestEnd::BrokenMidway, "broken_midway", 0, false },
-  { RequestEnd::CallerLeft, "caller_left", 0, false },
+  { RequestEnd::Served, "served", 0, "" },
+  { RequestEnd::Malformed, "malformed", 400, "" },
+  { RequestEnd::TooLarge, "too_large", 413, "" },
+  { RequestEnd::TooSlow, "too_slow", 408, kElsewhere },
+  { RequestEnd::NoRoute, "no_route", 404, "" },
+  { RequestEnd::UnknownKey, "unknown_key", 401, "" },
+  { RequestEnd::Stopping, "stopping", 503, kElsewhere },
+  { RequestEnd::NotReady, "not_ready", 503, kElsewhere },
+  { RequestEnd::StaleKeys, "stale_keys", 503, kElsewhere },
+  { RequestEnd::CrashesUpstreams, "crashes_upstreams", 503, kLater },
+  { RequestEnd::NoUpstream, "no_upstream", 503, kSoon },
+  { RequestEnd::NoCapacity, "no_capacity", 503, kSoon },
+  { RequestEnd::Rejected, "rejected", 503, kSoon },
+  { RequestEnd::RouteTimeout, "route_timeout", 504, "" },
+  { RequestEnd::UpstreamFailed, "upstream_failed", 502, "" },
+  { RequestEnd::BrokenMidway, "broken_midway", 0, "" },
+  { RequestEnd::CallerLeft, "caller_left", 0, "" },
 });
 
 } // namespace
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -24,9 +24,6 @@
 /// Time that must be left for another attempt to make sense.
 constexpr Duration kLeastTime = milliseconds(20);
 
-/// When a caller that was refused should come back, seconds.
-constexpr std::string_view kRetryAfter = "0.5";
-
 std::uint64_t
 HashOf(std::string_view aText, std::uint64_t aSeed = 0)
 {
@@ -101,6 +98,9 @@
     return RequestEnd::Malformed;
   }
   mFacts = std::move(facts).assume_value();
+  if (mState.mRefusesNew) {
+    return RequestEnd::Stopping;
+  }
   if (!mConfiguration || !mState.mHasUpstreams) {
     return RequestEnd::NotReady;
   }
@@ -298,7 +298,7 @@
 RequestFlow::Refuse(RequestEnd aEnd)
 {
   auto end = aEnd;
-  if (mMayHaveRun && Describe(end).mPromisesNotRun) {
+  if (mMayHaveRun && Describe(end).PromisesNotRun()) {
     end = RequestEnd::UpstreamFailed;
   } else if (!mMayHaveRun && mSends == 0 && end == RequestEnd::RouteTimeout) {
     end = RequestEnd::NoCapacity;
@@ -306,9 +306,9 @@
   Close(end);
   const auto& description = Describe(end);
   net::Headers headers;
-  if (description.mPromisesNotRun) {
-    headers.push_back(
-      { .mName = "Retry-After", .mValue = std::string(kRetryAfter) });
+  if (description.PromisesNotRun()) {
+    headers.push_back({ .mName = "Retry-After",
+                        .mValue = std::string(description.mRetryAfter) });
   }
   const std::string body = std::string(description.mName) + "\n";
   co_await mCaller.Respond(
