Prove the path against stand-ins; tell slow callers that they were slow

Change: while a request is read the watchdog cancels the read only. New stand-ins of the store and of an engine, and a test of the real program before them: streams that go on, bookings that run once, keys that end with their lease, drains, lost history, graceful stop, hostile input.

--- a/include/figslip/membership/lapse_guard.hpp
+++ b/include/figslip/membership/lapse_guard.hpp
@@ -33,7 +33,8 @@
   void OnStoreRegained(TimePoint aNow);
 
   /// @brief Takes the entries that the store has now.
-  void OnEntries(std::vector<ingress::UpstreamEntry> aEntries, TimePoint aNow);
+  void OnEntries(const std::vector<ingress::UpstreamEntry>& aEntries,
+                 TimePoint aNow);
 
   /// @brief Drops entries that did not come back in time.
   /// @return whether any was dropped
--- a/include/figslip/net/asio.hpp
+++ b/include/figslip/net/asio.hpp
@@ -3,6 +3,12 @@
 // g++ 12 needs <utility> before the coroutine headers of Boost.Asio 1.74
 #include <utility>
 
+// Boost.Asio 1.74 looks for the coroutines of the standard in g++ only
+#if defined(__clang__) && !defined(BOOST_ASIO_HAS_CO_AWAIT)
+#define BOOST_ASIO_HAS_CO_AWAIT 1
+#define BOOST_ASIO_HAS_STD_COROUTINE 1
+#endif
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -68,9 +68,8 @@
 private:
   [[nodiscard]] Awaitable<bool> Write(std::string aBytes);
   void Watch();
-  template<typename Parser>
-  [[nodiscard]] ReadEnd EndOf(const error_code& aError,
-                              const Parser& aParser) const;
+  [[nodiscard]] ReadEnd EndOf(const error_code& aError) const;
+  void OnTooSlow();
 
   tcp::socket mSocket;
   Watchdog mWatchdog;
@@ -82,7 +81,7 @@
   bool mHasLeft = false;
   bool mKeepsAlive = true;
   bool mIdle = false;
-  bool mHeaderBegan = false;
+  bool mIsReading = false; ///< a request that has begun
 };
 
 } // namespace figslip::net
--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -92,7 +92,7 @@
   std::shared_ptr<tcp::socket> mSocket;
   Watchdog mWatchdog;
   boost::beast::flat_buffer mBuffer;
-  std::optional<Parser> mParser;
+  std::unique_ptr<Parser> mParser; ///< null before the first request
   std::shared_ptr<SendState> mSend;
   std::array<char, 8192> mPieceBuffer{};
   ResponseHead mHead;
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -90,7 +90,7 @@
   void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries,
                    TimePoint aNow);
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
-  void SetDrained(std::set<std::string> aDomains);
+  void SetDrained(const std::set<std::string>& aDomains);
   /// @brief Sets the number of instances that share the cold rates.
   void SetInstances(int aInstances);
   /// @}
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -55,7 +55,7 @@
   };
 
   [[nodiscard]] net::Awaitable<Step> List();
-  [[nodiscard]] net::Awaitable<Step> Watch();
+  [[nodiscard]] net::Awaitable<Step> Watch(std::int64_t aRevision);
   void Apply(const Changes& aChanges);
   void Note(const Step& aStep);
 
--- a/src/core/ingress/configuration.cpp
+++ b/src/core/ingress/configuration.cpp
@@ -25,7 +25,7 @@
     mByHost[route.mHost].push_back(&route);
   }
   for (auto& routes : mByHost | std::views::values) {
-    std::ranges::stable_sort(routes, std::greater{}, [](const Route* aRoute) {
+    std::ranges::sort(routes, std::greater{}, [](const Route* aRoute) {
       return aRoute->mPathPrefix.size();
     });
   }
--- a/src/core/membership/lapse_guard.cpp
+++ b/src/core/membership/lapse_guard.cpp
@@ -30,7 +30,7 @@
 }
 
 void
-LapseGuard::OnEntries(std::vector<ingress::UpstreamEntry> aEntries,
+LapseGuard::OnEntries(const std::vector<ingress::UpstreamEntry>& aEntries,
                       TimePoint aNow)
 {
   std::set<std::string_view> present;
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -149,7 +149,7 @@
 }
 
 void
-UpstreamBoard::SetDrained(std::set<std::string> aDomains)
+UpstreamBoard::SetDrained(const std::set<std::string>& aDomains)
 {
   mDrained = { aDomains.begin(), aDomains.end() };
 }
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -186,7 +186,7 @@
       LogUnreadable(object, "upstream", entry.assume_error());
     }
   }
-  mLapses.OnEntries(std::move(entries), ReadBootClock());
+  mLapses.OnEntries(entries, ReadBootClock());
   PublishUpstreams();
 }
 
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -101,16 +101,17 @@
   auto acceptor = std::make_shared<net::tcp::acceptor>(mContext);
   const net::tcp::endpoint endpoint(address, aEndpoint.mPort);
   if (!error) {
-    acceptor->open(endpoint.protocol(), error);
+    error = acceptor->open(endpoint.protocol(), error);
   }
   if (!error) {
-    acceptor->set_option(net::tcp::acceptor::reuse_address(true), error);
+    error =
+      acceptor->set_option(net::tcp::acceptor::reuse_address(true), error);
   }
   if (!error) {
-    acceptor->bind(endpoint, error);
+    error = acceptor->bind(endpoint, error);
   }
   if (!error) {
-    acceptor->listen(kBacklog, error);
+    error = acceptor->listen(kBacklog, error);
   }
   if (error) {
     return Failure(error::ErrorKind::ConnectFailed, place, error.message());
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -239,11 +239,12 @@
     NoteFirstEvent(aAttempt, now);
     mDropped = true;
     aAttempt.mConnection->Abort();
-    log::Write(log::Level::Info,
-               "answer_dropped",
-               { { "request", mFacts.mAttemptId },
-                 { "model", aAttempt.mModel },
-                 { "confidence", std::to_string(*facts.mConfidence) } });
+    log::Write(
+      log::Level::Info,
+      "answer_dropped",
+      { { "request", mFacts.mAttemptId },
+        { "model", aAttempt.mModel },
+        { "confidence", std::to_string(facts.mConfidence.value_or(-1)) } });
     co_return Next::Larger;
   }
   if (IsStream() && !isFailure) {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 /// Longest event of a stream that is buffered, bytes.
-constexpr std::size_t kMaxEventBytes = 256 * 1024;
+constexpr std::size_t kMaxEventBytes = 262'144;
 
 /// Pause between looks for a place, while all are taken.
 constexpr auto kRoomPoll = milliseconds(10);
--- a/src/shell/log/log.cpp
+++ b/src/shell/log/log.cpp
@@ -24,7 +24,7 @@
                                                           "error" };
 
 /// Bytes of lines that are kept while nobody reads standard output.
-constexpr std::size_t kMaxKeptBytes = 256 * 1024;
+constexpr std::size_t kMaxKeptBytes = 262'144;
 
 struct State
 {
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -66,18 +66,18 @@
 
 CallerConnection::CallerConnection(tcp::socket aSocket)
   : mSocket(std::move(aSocket))
-  , mWatchdog(mSocket.get_executor(), [this] { Abort(); })
+  , mWatchdog(mSocket.get_executor(), [this] { OnTooSlow(); })
 {
   error_code ignored; // the option only tunes
-  mSocket.set_option(tcp::no_delay(true), ignored);
+  ignored = mSocket.set_option(tcp::no_delay(true), ignored);
 }
 
 Awaitable<ReadEnd>
 CallerConnection::Read(const ingress::CallerLimits& aLimits)
 {
   error_code error;
-  mHeaderBegan = mBuffer.size() > 0;
-  if (!mHeaderBegan) {
+  const bool hasBegun = mBuffer.size() > 0;
+  if (!hasBegun) {
     mIdle = true;
     mWatchdog.Set(aLimits.mIdleTimeout);
     co_await mSocket.async_wait(
@@ -90,11 +90,13 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(aLimits.mMaxHeaderBytes));
   parser.body_limit(aLimits.mMaxBodyBytes);
+  mIsReading = true;
   mWatchdog.Set(aLimits.mHeaderTimeout);
   co_await http::async_read_header(
     mSocket, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  mIsReading = false;
   if (error) {
-    co_return EndOf(error, parser);
+    co_return EndOf(error);
   }
   if (IsAmbiguous(parser.get())) {
     mWatchdog.Clear();
@@ -107,12 +109,14 @@
       co_return ReadEnd::Closed;
     }
   }
+  mIsReading = true;
   mWatchdog.Set(aLimits.mIdleTimeout);
   co_await http::async_read(
     mSocket, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  mIsReading = false;
   mWatchdog.Clear();
   if (error) {
-    co_return EndOf(error, parser);
+    co_return EndOf(error);
   }
   auto& message = parser.get();
   mKeepsAlive = message.keep_alive();
@@ -128,9 +132,8 @@
                                               : ReadEnd::BadRequest;
 }
 
-template<typename Parser>
 ReadEnd
-CallerConnection::EndOf(const error_code& aError, const Parser& aParser) const
+CallerConnection::EndOf(const error_code& aError) const
 {
   if (mWatchdog.HasExpired()) {
     return ReadEnd::TooSlow;
@@ -146,7 +149,6 @@
     http::make_error_code(http::error::bad_value).category();
   const bool isEnd = aError == http::error::end_of_stream ||
                      aError == http::error::partial_message;
-  (void)aParser;
   return isProtocol && !isEnd ? ReadEnd::BadRequest : ReadEnd::Closed;
 }
 
@@ -195,7 +197,7 @@
     mWatching = false;
     mOnLeft = nullptr;
     error_code ignored; // only the watch can be pending here
-    mSocket.cancel(ignored);
+    ignored = mSocket.cancel(ignored);
   }
 }
 
@@ -257,7 +259,7 @@
 CallerConnection::CloseGracefully()
 {
   error_code error;
-  mSocket.shutdown(tcp::socket::shutdown_send, error);
+  error = mSocket.shutdown(tcp::socket::shutdown_send, error);
   mWatchdog.Set(kLingerLimit);
   std::array<char, 4096> sink{};
   while (!error) {
@@ -269,11 +271,23 @@
   Abort();
 }
 
+void
+CallerConnection::OnTooSlow()
+{
+  if (mIsReading) {
+    // the connection stays open, so that the caller can be told
+    error_code ignored; // only the read can be pending here
+    ignored = mSocket.cancel(ignored);
+  } else {
+    Abort();
+  }
+}
+
 void
 CallerConnection::Abort()
 {
   error_code ignored; // closing an open socket cannot fail
-  mSocket.close(ignored);
+  ignored = mSocket.close(ignored);
 }
 
 void
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -21,7 +21,7 @@
 SetOptions(tcp::socket& aSocket)
 {
   error_code ignored; // both options only tune; the connection works without
-  aSocket.set_option(tcp::no_delay(true), ignored);
+  ignored = aSocket.set_option(tcp::no_delay(true), ignored);
   setsockopt(aSocket.native_handle(),
              IPPROTO_TCP,
              TCP_USER_TIMEOUT,
@@ -55,7 +55,7 @@
               [socket = std::weak_ptr(mSocket)] {
                 if (const auto open = socket.lock()) {
                   error_code ignored; // closing an open socket cannot fail
-                  open->close(ignored);
+                  ignored = open->close(ignored);
                 }
               })
   , mSend(std::make_shared<SendState>())
@@ -92,7 +92,7 @@
   mSend->mDone = false;
   mHead = {};
   mPiece.clear();
-  mParser.emplace();
+  mParser = std::make_unique<Parser>();
   mParser->header_limit(kMaxHeaderBytes);
   // a number is needed: Beast 1.74 refuses every length without a limit
   mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -117,7 +117,7 @@
     *mParser,
     asio::redirect_error(asio::use_awaitable, error));
   while (!error && mParser->get().result_int() < kFirstFinalStatus) {
-    mParser.emplace();
+    mParser = std::make_unique<Parser>();
     mParser->header_limit(kMaxHeaderBytes);
     mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await http::async_read_header(
@@ -186,7 +186,7 @@
   mAborted = true;
   mBroken = true;
   error_code ignored; // closing an open socket cannot fail
-  mSocket->close(ignored);
+  ignored = mSocket->close(ignored);
 }
 
 bool
--- a/src/shell/net/connection_pool.cpp
+++ b/src/shell/net/connection_pool.cpp
@@ -74,13 +74,12 @@
 ConnectionPool::Clock::duration
 ConnectionPool::IdleTimeOf(const ResponseHead& aHead) const
 {
-  const auto keepAlive = FindHeader(aHead.mHeaders, "keep-alive");
-  const auto place =
-    keepAlive ? keepAlive->find(kTimeoutParameter) : std::string_view::npos;
+  const auto keepAlive = FindHeader(aHead.mHeaders, "keep-alive").value_or("");
+  const auto place = keepAlive.find(kTimeoutParameter);
   if (place == std::string_view::npos) {
     return mOptions.mMaxIdle;
   }
-  const auto digits = keepAlive->substr(place + kTimeoutParameter.size());
+  const auto digits = keepAlive.substr(place + kTimeoutParameter.size());
   long seconds = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
   const Clock::duration stated = std::chrono::seconds(seconds);
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -55,8 +55,8 @@
   Duration pause = kFirstPause;
   while (true) {
     Step step;
-    if (mRevision) {
-      step = co_await Watch();
+    if (const auto revision = mRevision) {
+      step = co_await Watch(*revision);
     } else {
       step = co_await List();
     }
@@ -124,11 +124,11 @@
 }
 
 net::Awaitable<ObjectFollower::Step>
-ObjectFollower::Watch()
+ObjectFollower::Watch(std::int64_t aRevision)
 {
   const auto sentAt = ReadBootClock();
   const std::string name = "watch " + std::string(NameOf(mOptions.mKind));
-  auto request = mDialect.mWatch(mOptions.mKind, *mRevision, mOptions.mWait);
+  auto request = mDialect.mWatch(mOptions.mKind, aRevision, mOptions.mWait);
   const auto limit =
     std::chrono::duration_cast<StoreClient::Milliseconds>(mOptions.mWait) +
     kCallLimit;
@@ -165,7 +165,7 @@
       mObjects.insert_or_assign(change.mObject.mName, change.mObject);
     }
   }
-  mRevision = std::max(*mRevision, aChanges.mRevision);
+  mRevision = std::max(mRevision.value_or(0), aChanges.mRevision);
   if (!aChanges.mChanges.empty()) {
     mCallbacks.mOnObjects(mObjects);
   }
--- /dev/null
+++ b/tests/harness/engine_stand_in.cpp
@@ -0,0 +1,148 @@
+#include <harness/engine_stand_in.hpp>
+
+#include <chrono>
+#include <cstdlib>
+
+namespace figslip::test {
+
+namespace {
+
+net::Awaitable<void>
+Sleep(std::chrono::milliseconds aTime)
+{
+  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
+  net::error_code ignored;
+  co_await timer.async_wait(
+    net::asio::redirect_error(net::asio::use_awaitable, ignored));
+}
+
+std::string
+HeaderOf(const net::RequestMessage& aRequest, std::string_view aName)
+{
+  return std::string(net::FindHeader(aRequest.mHeaders, aName).value_or(""));
+}
+
+} // namespace
+
+EngineStandIn::EngineStandIn(std::string aId)
+  : mId(std::move(aId))
+  , mAcceptor(mContext, { net::asio::ip::make_address("127.0.0.1"), 0 })
+  , mPort(mAcceptor.local_endpoint().port())
+{
+  net::asio::co_spawn(mContext, Accept(), net::asio::detached);
+  mThread = std::thread([this] { mContext.run(); });
+}
+
+EngineStandIn::~EngineStandIn()
+{
+  mContext.stop();
+  mThread.join();
+}
+
+std::vector<net::RequestMessage>
+EngineStandIn::Runs()
+{
+  const std::scoped_lock lock(mMutex);
+  return mRuns;
+}
+
+net::Awaitable<void>
+EngineStandIn::Accept()
+{
+  while (true) {
+    net::error_code error;
+    net::tcp::socket socket(mContext);
+    co_await mAcceptor.async_accept(
+      socket, net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (!error) {
+      auto connection =
+        std::make_shared<net::CallerConnection>(std::move(socket));
+      net::asio::co_spawn(
+        mContext, Serve(std::move(connection)), net::asio::detached);
+    }
+  }
+}
+
+net::Awaitable<void>
+EngineStandIn::Serve(Connection aConnection)
+{
+  ingress::CallerLimits limits;
+  limits.mIdleTimeout = std::chrono::seconds(30);
+  bool goesOn = true;
+  while (goesOn) {
+    const auto end = co_await aConnection->Read(limits);
+    if (end != net::ReadEnd::Whole) {
+      break;
+    }
+    goesOn = co_await Answer(aConnection);
+  }
+  aConnection->Abort();
+}
+
+net::Awaitable<bool>
+EngineStandIn::Answer(Connection aConnection)
+{
+  const auto& request = aConnection->Request();
+  const auto behaviour = mBehaviour.load();
+  const bool isOther = HeaderOf(request, "X-Expected-Instance") != mId;
+  if (isOther || behaviour == Behaviour::Refuse) {
+    const net::Headers headers = { { .mName = "X-Not-Executed",
+                                     .mValue = "1" } };
+    const unsigned status = isOther ? 421 : 503;
+    co_return co_await aConnection->Respond(status, headers, "", false);
+  }
+  {
+    const std::scoped_lock lock(mMutex);
+    mRuns.push_back(request);
+  }
+  if (behaviour == Behaviour::RunAndVanish) {
+    co_return false;
+  }
+  if (behaviour == Behaviour::Hang) {
+    co_await Sleep(std::chrono::seconds(20));
+    co_return false;
+  }
+  const auto attempt = behaviour == Behaviour::WrongRequest
+                         ? std::string("another")
+                         : HeaderOf(request, "X-Attempt-Id");
+  net::Headers headers = { { .mName = "X-Attempt-Id", .mValue = attempt },
+                           { .mName = "X-Response-Signature",
+                             .mValue = "signed-by-" + mId } };
+  if (behaviour == Behaviour::Fail) {
+    co_return co_await aConnection->Respond(500, headers, "failed", false);
+  }
+  if (request.mTarget.starts_with("/chat/")) {
+    co_return co_await Stream(aConnection, std::move(headers));
+  }
+  const std::string body = "answer to " + attempt;
+  co_return co_await aConnection->Respond(200, headers, body, false);
+}
+
+net::Awaitable<bool>
+EngineStandIn::Stream(Connection aConnection, net::Headers aHeaders)
+{
+  const auto first =
+    std::atoi(HeaderOf(aConnection->Request(), "Last-Event-Id").c_str()) + 1;
+  aHeaders.push_back(
+    { .mName = "Content-Type", .mValue = "text/event-stream" });
+  bool isSent = co_await aConnection->BeginStream(200, aHeaders, "", false);
+  for (int event = first; isSent && event <= kEvents; ++event) {
+    co_await Sleep(mPause.load());
+    std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+    const bool breaks =
+      event == 3 && mBehaviour.load() == Behaviour::BreakMidway;
+    if (breaks) {
+      text.resize(text.size() / 2);
+    }
+    isSent = co_await aConnection->SendPiece(text);
+    if (breaks) {
+      co_return false;
+    }
+  }
+  if (isSent) {
+    isSent = co_await aConnection->EndStream();
+  }
+  co_return isSent;
+}
+
+} // namespace figslip::test
--- /dev/null
+++ b/tests/harness/ingress_world.cpp
@@ -0,0 +1,312 @@
+#include <harness/ingress_world.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <functional>
+#include <stdexcept>
+#include <thread>
+
+namespace figslip::test {
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto kReadyPatience = std::chrono::seconds(10);
+constexpr auto kPoll = std::chrono::milliseconds(10);
+
+sockaddr_in
+Loopback(int aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+/// Finds a port that is free now.
+int
+FreePort()
+{
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  auto address = Loopback(0);
+  socklen_t size = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  const bool isFound = ::bind(descriptor, generic, size) == 0 &&
+                       ::getsockname(descriptor, generic, &size) == 0;
+  ::close(descriptor);
+  if (!isFound) {
+    throw std::runtime_error("no free port on loopback");
+  }
+  return ntohs(address.sin_port);
+}
+
+/// Reads until a time; returns whether the other side closed.
+bool
+ReadUntil(int aDescriptor,
+          Clock::time_point aUntil,
+          std::string& aText,
+          const std::function<bool()>& aIsDone)
+{
+  while (!aIsDone() && Clock::now() < aUntil) {
+    pollfd descriptor{ .fd = aDescriptor, .events = POLLIN, .revents = 0 };
+    if (::poll(&descriptor, 1, 20) <= 0) {
+      continue;
+    }
+    std::array<char, 4096> bytes{};
+    const auto size = ::recv(aDescriptor, bytes.data(), bytes.size(), 0);
+    if (size <= 0) {
+      return true;
+    }
+    aText.append(bytes.data(), static_cast<std::size_t>(size));
+  }
+  return false;
+}
+
+/// Decodes chunks; tells whether the last one was there.
+bool
+Unchunk(std::string_view aText, std::string& aBody)
+{
+  while (true) {
+    const auto end = aText.find("\r\n");
+    if (end == std::string_view::npos) {
+      return false;
+    }
+    const auto size =
+      std::strtoul(std::string(aText.substr(0, end)).c_str(), nullptr, 16);
+    aText.remove_prefix(end + 2);
+    if (size == 0) {
+      return aText.starts_with("\r\n");
+    }
+    if (aText.size() < size + 2) {
+      return false;
+    }
+    aBody += aText.substr(0, size);
+    aText.remove_prefix(size + 2);
+  }
+}
+
+/// Splits what came into head and body.
+void
+Decode(const std::string& aText, CallerAnswer& aAnswer)
+{
+  const auto end = aText.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return;
+  }
+  aAnswer.mHead = aText.substr(0, end + 2);
+  aAnswer.mStatus = std::atoi(aAnswer.mHead.c_str() + 9);
+  aAnswer.mBody.clear();
+  const auto rest = aText.substr(end + 4);
+  if (aAnswer.mHead.find("chunked") != std::string::npos) {
+    aAnswer.mIsWhole = Unchunk(rest, aAnswer.mBody);
+    return;
+  }
+  const auto length = aAnswer.mHead.find("Content-Length: ");
+  const auto size =
+    length == std::string::npos
+      ? 0UL
+      : std::strtoul(aAnswer.mHead.c_str() + length + 16, nullptr, 10);
+  aAnswer.mBody = rest.substr(0, size);
+  aAnswer.mIsWhole = rest.size() >= size;
+}
+
+} // namespace
+
+IngressWorld::IngressWorld(int aInstances)
+{
+  for (const auto* const id : { "e-1", "e-2" }) {
+    mEngines.push_back(std::make_unique<EngineStandIn>(id));
+  }
+  for (std::size_t index = 0; index < mEngines.size(); ++index) {
+    PutEngine(index);
+  }
+  PutConfiguration({ "key-1" });
+  for (int number = 0; number < aInstances; ++number) {
+    Running running{ .mCallerPort = FreePort(), .mReadinessPort = FreePort() };
+    const auto address = [](int aPort) {
+      return "127.0.0.1:" + std::to_string(aPort);
+    };
+    const auto name = "entry-" + std::to_string(number);
+    const json settings = { { "instance", name },
+                            { "failure_domain", "a" },
+                            { "failure_domains",
+                              { { { "name", "a" }, { "region", "r" } } } },
+                            { "callers", address(running.mCallerPort) },
+                            { "readiness", address(running.mReadinessPort) },
+                            { "metrics", address(FreePort()) },
+                            { "store", address(mStore.Port()) },
+                            { "memory_mb", 256 },
+                            { "max_descriptors", 1024 },
+                            { "grace_s", 8 },
+                            { "revocation_ms", 5000 },
+                            { "retry_share", 0.9 },
+                            { "retry_slack", 50 },
+                            { "retry_window_s", 10 },
+                            { "session_ttl_s", 5 } };
+    running.mSettings = WriteTemporaryFile(name + ".json", settings.dump());
+    mInstances.push_back(std::move(running));
+    Restart(static_cast<std::size_t>(number));
+  }
+}
+
+void
+IngressWorld::Restart(std::size_t aIndex)
+{
+  auto& running = mInstances.at(aIndex);
+  running.mProcess = std::make_unique<Process>(
+    "figslip-ingress",
+    std::vector<std::string>{ "--settings", running.mSettings });
+  if (!WaitForReady(aIndex)) {
+    throw std::runtime_error("the instance did not become ready");
+  }
+}
+
+void
+IngressWorld::PutConfiguration(const std::vector<std::string>& aKeys)
+{
+  const auto route = [](const char* aName,
+                        const char* aPrefix,
+                        const char* aType,
+                        int aAttempts) {
+    return json{ { "name", aName },
+                 { "host", "a.example" },
+                 { "path_prefix", aPrefix },
+                 { "type", aType },
+                 { "timeout_ms", 4000 },
+                 { "target_latency_ms", 400 },
+                 { "target_gap_ms", 500 },
+                 { "service", "engines" },
+                 { "max_attempts", aAttempts },
+                 { "resumable", std::string(aType) == "streaming" } };
+  };
+  ++mVersion;
+  mStore.Put(
+    "config",
+    "main",
+    { { "version", mVersion },
+      { "routes",
+        { route("chat", "/chat/", "streaming", 3),
+          route("booking", "/book/", "non_idempotent", 1),
+          route("lookup", "/look/", "idempotent", 3) } },
+      { "services", { { { "name", "engines" } } } },
+      { "limits",
+        { { "max_header_bytes", 4096 },
+          { "max_body_bytes", 2048 },
+          { "header_timeout_ms", 500 },
+          { "idle_timeout_ms", 2000 } } },
+      { "tenants", { { { "name", "studio" }, { "api_keys", aKeys } } } } });
+}
+
+void
+IngressWorld::PutEngine(std::size_t aIndex,
+                        const std::string& aState,
+                        const std::string& aVersion)
+{
+  const auto& engine = *mEngines.at(aIndex);
+  mStore.Put("servers",
+             engine.Id(),
+             { { "service", "engines" },
+               { "address", "127.0.0.1:" + std::to_string(engine.Port()) },
+               { "zone", "a" },
+               { "version", aVersion },
+               { "slots", 8 },
+               { "state", aState },
+               { "cold_remaining_ms", 0 },
+               { "born", 1 },
+               { "seq", mVersion } });
+}
+
+bool
+IngressWorld::WaitForReady(std::size_t aIndex, bool aReady)
+{
+  const auto until = Clock::now() + kReadyPatience;
+  while (Clock::now() < until) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto address = Loopback(mInstances.at(aIndex).mReadinessPort);
+    std::string text;
+    const bool isOpen = ::connect(descriptor,
+                                  reinterpret_cast<const sockaddr*>(&address),
+                                  sizeof(address)) == 0;
+    if (isOpen) {
+      const std::string question =
+        "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+      ::send(descriptor, question.data(), question.size(), MSG_NOSIGNAL);
+      ReadUntil(descriptor, Clock::now() + std::chrono::seconds(1), text, [&] {
+        return text.find("\r\n\r\n") != std::string::npos;
+      });
+    }
+    ::close(descriptor);
+    const bool isReady = text.find(" 200 ") != std::string::npos;
+    if (isReady == aReady) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return false;
+}
+
+CallerAnswer
+IngressWorld::SendRaw(std::size_t aIndex,
+                      const std::string& aBytes,
+                      std::chrono::milliseconds aPatience)
+{
+  CallerAnswer answer;
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  const auto address = Loopback(mInstances.at(aIndex).mCallerPort);
+  std::string text;
+  const bool isOpen = ::connect(descriptor,
+                                reinterpret_cast<const sockaddr*>(&address),
+                                sizeof(address)) == 0;
+  if (isOpen) {
+    ::send(descriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    answer.mCloses = ReadUntil(descriptor, Clock::now() + aPatience, text, [&] {
+      Decode(text, answer);
+      return answer.mIsWhole;
+    });
+    Decode(text, answer);
+  }
+  ::close(descriptor);
+  return answer;
+}
+
+CallerAnswer
+IngressWorld::Send(std::size_t aIndex,
+                   const std::string& aMethod,
+                   const std::string& aPath,
+                   const std::string& aAttempt,
+                   const std::string& aKey)
+{
+  const std::string body = aMethod == "POST" ? "body" : "";
+  return SendRaw(aIndex,
+                 aMethod + " " + aPath +
+                   " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + aAttempt +
+                   "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: " + aKey +
+                   "\r\nContent-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body);
+}
+
+int
+IngressWorld::RunsOf(const std::string& aAttempt)
+{
+  int runs = 0;
+  for (const auto& engine : mEngines) {
+    const auto all = engine->Runs();
+    runs += static_cast<int>(
+      std::ranges::count_if(all, [&](const net::RequestMessage& aRun) {
+        return net::FindHeader(aRun.mHeaders, "X-Attempt-Id") == aAttempt;
+      }));
+  }
+  return runs;
+}
+
+} // namespace figslip::test
--- /dev/null
+++ b/tests/harness/ingress_world.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <harness/engine_stand_in.hpp>
+#include <harness/process.hpp>
+#include <harness/store_stand_in.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace figslip::test {
+
+/// Holds what a caller got.
+struct CallerAnswer
+{
+  int mStatus = 0;   ///< 0: none
+  std::string mHead; ///< status line and headers
+  std::string mBody; ///< decoded
+  bool mIsWhole = false;
+  bool mCloses = false; ///< the connection ended after it
+};
+
+/// Runs instances of figslip before stand-ins of the store and two engines.
+class IngressWorld
+{
+public:
+  explicit IngressWorld(int aInstances = 1);
+
+  [[nodiscard]] StoreStandIn& Store() { return mStore; }
+  [[nodiscard]] EngineStandIn& Engine(std::size_t aIndex)
+  {
+    return *mEngines.at(aIndex);
+  }
+  [[nodiscard]] Process& Instance(std::size_t aIndex)
+  {
+    return *mInstances.at(aIndex).mProcess;
+  }
+  void Restart(std::size_t aIndex);
+
+  /// Writes the configuration; each one has a higher version.
+  void PutConfiguration(const std::vector<std::string>& aKeys);
+  void PutEngine(std::size_t aIndex,
+                 const std::string& aState = "ready",
+                 const std::string& aVersion = "v1");
+
+  /// Waits until an instance says that it is ready, or not.
+  [[nodiscard]] bool WaitForReady(std::size_t aIndex, bool aReady = true);
+
+  /// Sends bytes to an instance and reads one answer.
+  [[nodiscard]] CallerAnswer SendRaw(
+    std::size_t aIndex,
+    const std::string& aBytes,
+    std::chrono::milliseconds aPatience = std::chrono::seconds(8));
+  /// Sends a proper request.
+  [[nodiscard]] CallerAnswer Send(std::size_t aIndex,
+                                  const std::string& aMethod,
+                                  const std::string& aPath,
+                                  const std::string& aAttempt,
+                                  const std::string& aKey = "key-1");
+
+  /// Counts the runs of a request on both engines.
+  [[nodiscard]] int RunsOf(const std::string& aAttempt);
+
+private:
+  struct Running
+  {
+    int mCallerPort = 0;
+    int mReadinessPort = 0;
+    std::string mSettings;
+    std::unique_ptr<Process> mProcess;
+  };
+
+  StoreStandIn mStore;
+  std::vector<std::unique_ptr<EngineStandIn>> mEngines;
+  std::vector<Running> mInstances;
+  int mVersion = 0;
+};
+
+} // namespace figslip::test
--- /dev/null
+++ b/tests/harness/store_stand_in.cpp
@@ -0,0 +1,243 @@
+#include <harness/store_stand_in.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+
+namespace figslip::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto kWatchPoll = std::chrono::milliseconds(5);
+constexpr std::string_view kRoot = "/-/objects/";
+
+/// Returns a parameter of a query, or a fallback.
+std::int64_t
+Parameter(const std::string& aTarget,
+          const std::string& aName,
+          std::int64_t aFallback)
+{
+  const auto place = aTarget.find(aName + "=");
+  return place == std::string::npos
+           ? aFallback
+           : std::atoll(aTarget.c_str() + place + aName.size() + 1);
+}
+
+net::Awaitable<void>
+Sleep(std::chrono::milliseconds aTime)
+{
+  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
+  net::error_code ignored;
+  co_await timer.async_wait(
+    net::asio::redirect_error(net::asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn()
+  : mAcceptor(mContext, { net::asio::ip::make_address("127.0.0.1"), 0 })
+  , mPort(mAcceptor.local_endpoint().port())
+{
+  net::asio::co_spawn(mContext, Accept(), net::asio::detached);
+  mThread = std::thread([this] { mContext.run(); });
+}
+
+StoreStandIn::~StoreStandIn()
+{
+  mContext.stop();
+  mThread.join();
+}
+
+void
+StoreStandIn::Put(const std::string& aKind,
+                  const std::string& aName,
+                  const json& aSpec)
+{
+  const std::scoped_lock lock(mMutex);
+  auto& object = mObjects[aKind][aName];
+  if (object.is_null()) {
+    object = { { "metadata",
+                 { { "name", aName }, { "created", mRevision + 1 } } },
+               { "status", nullptr } };
+  }
+  object["spec"] = aSpec;
+  object["metadata"]["revision"] = mRevision + 1;
+  Note(aKind, object, false);
+}
+
+void
+StoreStandIn::Remove(const std::string& aKind, const std::string& aName)
+{
+  const std::scoped_lock lock(mMutex);
+  auto object = mObjects[aKind][aName];
+  mObjects[aKind].erase(aName);
+  object["metadata"]["name"] = aName;
+  object["metadata"]["revision"] = mRevision + 1;
+  Note(aKind, object, true);
+}
+
+void
+StoreStandIn::Compact()
+{
+  const std::scoped_lock lock(mMutex);
+  ++mRevision;
+  mForgotten = mRevision;
+  mEvents.clear();
+}
+
+json
+StoreStandIn::StatusOf(const std::string& aKind, const std::string& aName)
+{
+  const std::scoped_lock lock(mMutex);
+  const auto& object = mObjects[aKind][aName];
+  return object.is_object() ? object.value("status", json()) : json();
+}
+
+std::vector<std::string>
+StoreStandIn::NamesOf(const std::string& aKind)
+{
+  const std::scoped_lock lock(mMutex);
+  std::vector<std::string> names;
+  for (const auto& [name, object] : mObjects[aKind]) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+void
+StoreStandIn::Note(const std::string& aKind, const json& aObject, bool aDeleted)
+{
+  ++mRevision;
+  mEvents.push_back(
+    { .mKind = aKind,
+      .mRevision = mRevision,
+      .mBody = { { "object", aObject }, { "deleted", aDeleted } } });
+}
+
+net::Awaitable<void>
+StoreStandIn::Accept()
+{
+  while (true) {
+    net::error_code error;
+    net::tcp::socket socket(mContext);
+    co_await mAcceptor.async_accept(
+      socket, net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (!error) {
+      auto connection =
+        std::make_shared<net::CallerConnection>(std::move(socket));
+      net::asio::co_spawn(
+        mContext, Serve(std::move(connection)), net::asio::detached);
+    }
+  }
+}
+
+net::Awaitable<void>
+StoreStandIn::Serve(Connection aConnection)
+{
+  ingress::CallerLimits limits;
+  limits.mIdleTimeout = std::chrono::seconds(60);
+  while (true) {
+    const auto end = co_await aConnection->Read(limits);
+    if (end != net::ReadEnd::Whole) {
+      co_return;
+    }
+    const auto wait = Parameter(aConnection->Request().mTarget, "wait_ms", 0);
+    const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
+    auto answer = AnswerTo(aConnection->Request());
+    while (answer.mMustWait && std::chrono::steady_clock::now() < until) {
+      co_await Sleep(kWatchPoll);
+      answer = AnswerTo(aConnection->Request());
+    }
+    while (mMode == Mode::Silent) {
+      co_await Sleep(kWatchPoll);
+    }
+    const net::Headers headers;
+    const auto body = answer.mBody.dump();
+    const bool isSent =
+      co_await aConnection->Respond(answer.mStatus, headers, body, false);
+    if (!isSent) {
+      co_return;
+    }
+  }
+}
+
+StoreStandIn::Answer
+StoreStandIn::AnswerTo(const net::RequestMessage& aRequest)
+{
+  if (mMode == Mode::Busy) {
+    return { .mStatus = 503, .mBody = json::object() };
+  }
+  const std::scoped_lock lock(mMutex);
+  auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
+  path.erase(0, kRoot.size());
+  const auto slash = path.find('/');
+  const auto kind = path.substr(0, slash);
+  const auto name =
+    slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  return aRequest.mMethod == "GET"
+           ? Read(kind, Parameter(aRequest.mTarget, "watch", -1))
+           : Write(aRequest, kind, name);
+}
+
+StoreStandIn::Answer
+StoreStandIn::Read(const std::string& aKind, std::int64_t aWatch)
+{
+  Answer answer;
+  if (aWatch < 0) {
+    answer.mBody = { { "items", json::array() },
+                     { "has_more", false },
+                     { "store_revision", mRevision } };
+    for (const auto& [name, object] : mObjects[aKind]) {
+      answer.mBody["items"].push_back(object);
+    }
+    return answer;
+  }
+  if (aWatch < mForgotten) {
+    return { .mStatus = 410, .mBody = json::object() };
+  }
+  answer.mBody = { { "events", json::array() },
+                   { "store_revision", mRevision } };
+  for (const auto& event : mEvents) {
+    if (event.mKind == aKind && event.mRevision > aWatch) {
+      answer.mBody["events"].push_back(event.mBody);
+    }
+  }
+  answer.mMustWait = answer.mBody["events"].empty();
+  return answer;
+}
+
+StoreStandIn::Answer
+StoreStandIn::Write(const net::RequestMessage& aRequest,
+                    const std::string& aKind,
+                    const std::string& aName)
+{
+  auto& objects = mObjects[aKind];
+  if (aRequest.mMethod == "DELETE") {
+    objects.erase(aName);
+    return { .mBody = json::object() };
+  }
+  const auto body = json::parse(aRequest.mBody);
+  if (aRequest.mMethod == "POST") {
+    const std::string name = body["metadata"]["name"];
+    if (objects.contains(name)) {
+      return { .mStatus = 409, .mBody = objects[name] };
+    }
+    objects[name] = body;
+    objects[name]["metadata"]["revision"] = mRevision + 1;
+    Note(aKind, objects[name], false);
+    return { .mBody = objects[name] };
+  }
+  auto& object = objects[aName.substr(0, aName.find('/'))];
+  if (body["metadata"]["revision"] != object["metadata"]["revision"]) {
+    return { .mStatus = 409, .mBody = object };
+  }
+  object["status"] = body["status"];
+  object["metadata"]["revision"] = mRevision + 1;
+  Note(aKind, object, false);
+  return { .mBody = object };
+}
+
+} // namespace figslip::test
--- /dev/null
+++ b/tests/harness/store_stand_in.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <figslip/net/asio.hpp>
+#include <figslip/net/caller_connection.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace figslip::test {
+
+/// Plays the platform's store: lists, watches and conditional writes.
+class StoreStandIn
+{
+public:
+  enum class Mode
+  {
+    Open,
+    Busy,  ///< answers 503
+    Silent ///< answers nothing
+  };
+
+  StoreStandIn();
+  StoreStandIn(const StoreStandIn&) = delete;
+  StoreStandIn& operator=(const StoreStandIn&) = delete;
+  ~StoreStandIn();
+
+  [[nodiscard]] int Port() const { return mPort; }
+
+  void SetMode(Mode aMode) { mMode = aMode; }
+
+  /// Writes an object as the operator or an upstream would.
+  void Put(const std::string& aKind,
+           const std::string& aName,
+           const nlohmann::json& aSpec);
+  void Remove(const std::string& aKind, const std::string& aName);
+  /// Forgets the history, so that watches answer 410.
+  void Compact();
+
+  /// Returns the status of an object; null if there is none.
+  [[nodiscard]] nlohmann::json StatusOf(const std::string& aKind,
+                                        const std::string& aName);
+  /// Returns the names of the objects of a kind.
+  [[nodiscard]] std::vector<std::string> NamesOf(const std::string& aKind);
+
+private:
+  using Connection = std::shared_ptr<net::CallerConnection>;
+
+  /// Holds an answer, or tells to wait for a change.
+  struct Answer
+  {
+    unsigned mStatus = 200;
+    nlohmann::json mBody;
+    bool mMustWait = false;
+  };
+
+  struct Event
+  {
+    std::string mKind;
+    std::int64_t mRevision = 0;
+    nlohmann::json mBody;
+  };
+
+  [[nodiscard]] net::Awaitable<void> Accept();
+  [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
+  [[nodiscard]] Answer AnswerTo(const net::RequestMessage& aRequest);
+  [[nodiscard]] Answer Read(const std::string& aKind, std::int64_t aWatch);
+  [[nodiscard]] Answer Write(const net::RequestMessage& aRequest,
+                             const std::string& aKind,
+                             const std::string& aName);
+  void Note(const std::string& aKind,
+            const nlohmann::json& aObject,
+            bool aDeleted);
+
+  net::asio::io_context mContext{ 1 };
+  net::tcp::acceptor mAcceptor;
+  int mPort = 0;
+  std::atomic<Mode> mMode{ Mode::Open };
+  std::mutex mMutex;
+  std::int64_t mRevision = 5;
+  std::int64_t mForgotten = 0; ///< revision up to which the history is gone
+  std::map<std::string, std::map<std::string, nlohmann::json>> mObjects;
+  std::vector<Event> mEvents;
+  std::thread mThread;
+};
+
+} // namespace figslip::test
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -53,6 +53,7 @@
 MakeEntries(int aCount)
 {
   std::vector<ingress::UpstreamEntry> entries;
+  entries.reserve(static_cast<std::size_t>(aCount));
   for (int number = 0; number < aCount; ++number) {
     entries.push_back(MakeEntry("e" + std::to_string(number)));
   }
