Ask large models less while they answer late; count a crash once

Ruled out: the roll-back as the cause of the lateness, which began with the loss of engines at 20 s.

Change: the expected time of the largest model is scaled by what its answers took lately, and forgets it in seconds; the crash of an upstream counts as one failure of its version. Tests of both.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -77,7 +77,7 @@
   [[nodiscard]] Next AfterFailure() const;
   void OnHealth(Attempt& aAttempt, placement::AttemptHealth aHealth);
   void NoteFirstEvent(Attempt& aAttempt, TimePoint aNow);
-  void SampleFailure(const Attempt& aAttempt);
+  void SampleFailure(const Attempt& aAttempt, bool aIsBroken);
   void Close(RequestEnd aEnd);
   [[nodiscard]] bool IsStream() const
   {
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/cascade/delay_scale.hpp>
 #include <figslip/cascade/size_policy.hpp>
 #include <figslip/gateway/request_end.hpp>
 #include <figslip/ingress/configuration.hpp>
@@ -14,6 +15,7 @@
 #include <figslip/settings/ingress_settings.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
@@ -57,6 +59,8 @@
   retry::RetryBudget mRetries;
   rollout::StagedRollout mRollouts;
   cascade::SizePolicy mSizes;
+  /// how much later than expected the largest models answer, by service
+  std::map<std::string, cascade::DelayScale> mLargestDelay;
   net::ConnectionPool mPool;
   std::set<std::uint64_t> mCrashing; ///< fingerprints of requests to refuse
   TrafficReports mReports;
--- a/include/figslip/rollout/canary_evidence.hpp
+++ b/include/figslip/rollout/canary_evidence.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace figslip::rollout {
@@ -15,6 +16,9 @@
 {
   std::string mRoute;
   bool mFailed = false;
+  /// upstream that broke the attempt off, if it did not report a failure; its
+  /// crash ends all attempts there at once and counts as one failure
+  std::string mBrokenAt;
   /// time to the first event as a multiple of what was expected; none where
   /// there was no event
   std::optional<double> mSlowness;
@@ -54,6 +58,8 @@
     [[nodiscard]] double MedianSlowness() const;
   };
 
+  /// Tells whether the crash of this upstream was counted already.
+  [[nodiscard]] bool IsKnownCrash(const CanarySample& aSample);
   [[nodiscard]] static bool IsFailing(const Series& aTarget,
                                       const Series& aOthers);
 
@@ -61,6 +67,7 @@
   std::map<std::string, Series> mOthers;
   Series mAllTarget;
   Series mAllOthers;
+  std::set<std::string> mBroken; ///< upstreams whose crash was counted
   std::size_t mSamples = 0;
 };
 
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -78,9 +78,19 @@
   return *middle;
 }
 
+bool
+CanaryEvidence::IsKnownCrash(const CanarySample& aSample)
+{
+  return !aSample.mBrokenAt.empty() &&
+         !mBroken.insert(aSample.mBrokenAt).second;
+}
+
 void
 CanaryEvidence::OnTarget(const CanarySample& aSample)
 {
+  if (IsKnownCrash(aSample)) {
+    return;
+  }
   ++mSamples;
   mAllTarget.Add(aSample);
   mTarget[aSample.mRoute].Add(aSample);
@@ -89,6 +99,9 @@
 void
 CanaryEvidence::OnOthers(const CanarySample& aSample)
 {
+  if (IsKnownCrash(aSample)) {
+    return;
+  }
   mAllOthers.Add(aSample);
   mOthers[aSample.mRoute].Add(aSample);
 }
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -220,7 +220,7 @@
   const bool isFailure = head.mStatus >= kFirstServerError;
   if (isFailure) {
     OnHealth(aAttempt, AttemptHealth::Error);
-    SampleFailure(aAttempt);
+    SampleFailure(aAttempt, false);
     if (mRoute->MayRepeat() && MayTryAgain(now)) {
       mAvoid.insert(aAttempt.mUpstream.mId);
       mLastFailure = RequestEnd::UpstreamFailed;
@@ -369,7 +369,7 @@
     return Next::Failed;
   }
   OnHealth(aAttempt, AttemptHealth::Broken);
-  SampleFailure(aAttempt);
+  SampleFailure(aAttempt, true);
   mAvoid.insert(aAttempt.mUpstream.mId);
   mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort });
@@ -408,6 +408,10 @@
   mState.mMetrics
     .HistogramOf("figslip_first_event_ms", { { "route", mRoute->mName } })
     .Observe(static_cast<double>((aNow - mArrivedAt).count()) / kMicros);
+  if (aAttempt.mSize + 1 == mRoute->mModels.size()) {
+    mState.mLargestDelay[mService].OnSample(
+      aNow - aAttempt.mSentAt, aAttempt.mChoice.mFirstEvent, aNow);
+  }
   mState.mRollouts.OnSample(mService,
                             aAttempt.mUpstream.mVersion,
                             rollout::SampleOf(mRoute->mName,
@@ -416,12 +420,15 @@
 }
 
 void
-RequestFlow::SampleFailure(const Attempt& aAttempt)
+RequestFlow::SampleFailure(const Attempt& aAttempt, bool aIsBroken)
 {
   mState.mRollouts.OnSample(
     mService,
     aAttempt.mUpstream.mVersion,
-    { .mRoute = mRoute->mName, .mFailed = true, .mSlowness = std::nullopt });
+    { .mRoute = mRoute->mName,
+      .mFailed = true,
+      .mBrokenAt = aIsBroken ? aAttempt.mUpstream.mId : std::string(),
+      .mSlowness = std::nullopt });
 }
 
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -226,11 +226,13 @@
 {
   const auto& models = mRoute->mModels;
   const auto largest = mState.mBoard.Choose(QueryOf(models.back()), aNow);
+  const auto expected =
+    largest ? largest->mFirstEvent : Duration(mRoute->mTimeout);
   return { .mModels = models.size(),
            .mAttemptsLeft = mRoute->mMaxAttempts - mAttempts,
            .mTimeToTarget = mArrivedAt + mRoute->mTargetLatency - aNow,
            .mLargestFirst =
-             largest ? largest->mFirstEvent : Duration(mRoute->mTimeout),
+             mState.mLargestDelay[mService].Apply(expected, aNow),
            .mIsDropped = mDropped };
 }
 
--- a/tests/src/unit-ingress.cpp
+++ b/tests/src/unit-ingress.cpp
@@ -1,3 +1,4 @@
+#include <figslip/cascade/delay_scale.hpp>
 #include <figslip/cascade/size_policy.hpp>
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/freshness_lease.hpp>
@@ -182,6 +183,33 @@
   }
 }
 
+TEST_CASE("largest models on engines that are short for the load")
+{
+  // plays a load under which the largest model answers six times too late
+  cascade::DelayScale delay;
+  const cascade::SizePolicy policy({});
+  const auto choose = [&](TimePoint aNow) {
+    return policy.Choose({ .mModels = 3,
+                           .mAttemptsLeft = 1,
+                           .mTimeToTarget = 1s,
+                           .mLargestFirst = delay.Apply(300ms, aNow) });
+  };
+  CHECK(choose(kStart) == 2);
+  for (int answer = 0; answer < 20; ++answer) {
+    delay.OnSample(1'800ms, 300ms, kStart);
+  }
+
+  SUBCASE("are not asked where their answer would be late")
+  {
+    CHECK(choose(kStart) == 0);
+  }
+
+  SUBCASE("are tried again after a while")
+  {
+    CHECK(choose(kStart + 10s) == 2);
+  }
+}
+
 TEST_CASE("entries of upstreams")
 {
   membership::LapseGuard guard({ .mReturnTime = 2s });
--- a/tests/src/unit-staged_rollout.cpp
+++ b/tests/src/unit-staged_rollout.cpp
@@ -136,6 +136,16 @@
       CHECK(due.front().mReason == "failures");
     }
 
+    SUBCASE("goes on when one upstream of the new version crashes")
+    {
+      for (int request = 0; request < 10; ++request) {
+        auto broken = Failure();
+        broken.mBrokenAt = "engine-7";
+        rollout.OnSample("engines", "v2", broken);
+      }
+      CHECK(rollout.IsOpen("engines", "v2"));
+    }
+
     SUBCASE("goes on while the old version fails just as often")
     {
       for (int count = 0; count < 20; ++count) {
