--- a/include/figslip/cascade/size_policy.hpp
+++ b/include/figslip/cascade/size_policy.hpp
@@ -26,7 +26,7 @@
 public:
   struct Options
   {
-    int mAcceptConfidence = 60; ///< least confidence of an answer taken, 0-100
+    int mAcceptConfidence = 45; ///< least confidence of an answer taken, 0-100
     Duration mSmallFirst =
       std::chrono::milliseconds(60); ///< small model's time
     double mSafety = 1.5;            ///< factor on expected times
