--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -57,7 +57,6 @@
   [[nodiscard]] net::Awaitable<Next> RelayStream(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<bool> SendEvents(Attempt& aAttempt,
                                                 const std::string& aEvents);
-  [[nodiscard]] net::Awaitable<void> WaitForRoom(Duration aTime);
   [[nodiscard]] net::Awaitable<void> Refuse(RequestEnd aEnd);
   [[nodiscard]] net::Awaitable<void> GiveUp();
 
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -1,5 +1,6 @@
 #include <figslip/gateway/control_plane.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -40,15 +41,6 @@
 /// Bytes of an answer that a log line has.
 constexpr std::size_t kMaxLoggedAnswer = 200;
 
-net::Awaitable<void>
-Sleep(milliseconds aTime)
-{
-  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
-  net::error_code ignored; // nothing cancels the timer
-  co_await timer.async_wait(
-    net::asio::redirect_error(net::asio::use_awaitable, ignored));
-}
-
 std::string
 ToHex(std::uint64_t aNumber)
 {
@@ -212,7 +204,7 @@
 ControlPlane::ExpireLapsed()
 {
   while (true) {
-    co_await Sleep(kLapsePoll);
+    co_await net::Sleep(kLapsePoll);
     const auto kept = mLapses.Kept();
     if (kept > 0 && mLapses.Expire(ReadBootClock())) {
       log::Write(log::Level::Info,
@@ -376,7 +368,7 @@
                  { "status", std::to_string(result.mStatus) },
                  { "reason", result.mReason },
                  { "answer", result.mBody.substr(0, kMaxLoggedAnswer) } });
-    co_await Sleep(kWritePause * (tries + 1));
+    co_await net::Sleep(kWritePause * (tries + 1));
   }
 }
 
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -1,6 +1,7 @@
 #include <figslip/gateway/frontend.hpp>
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -31,15 +32,6 @@
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
 
-net::Awaitable<void>
-Sleep(milliseconds aTime)
-{
-  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
-  net::error_code ignored; // nothing cancels the timer
-  co_await timer.async_wait(
-    net::asio::redirect_error(net::asio::use_awaitable, ignored));
-}
-
 unsigned
 StatusOf(net::ReadEnd aEnd)
 {
@@ -131,7 +123,7 @@
     co_await aAcceptor->async_accept(
       socket, net::asio::redirect_error(net::asio::use_awaitable, error));
     if (error) {
-      co_await Sleep(kAcceptPause);
+      co_await net::Sleep(kAcceptPause);
       continue;
     }
     auto connection =
@@ -228,7 +220,7 @@
              "stopping",
              { { "open_requests", std::to_string(mState.mOpenRequests) },
                { "connections", std::to_string(mCallers.size()) } });
-  co_await Sleep(kNoticeTime);
+  co_await net::Sleep(kNoticeTime);
   mState.mRefusesNew = true;
   const auto grace = Duration(static_cast<Duration::rep>(
     static_cast<double>(mState.mSettings.mGrace.count()) * kDrainPart));
@@ -240,7 +232,7 @@
     if (mState.mOpenRequests == 0) {
       break;
     }
-    co_await Sleep(kDrainPoll);
+    co_await net::Sleep(kDrainPoll);
   }
   log::Write(log::Level::Info,
              "stopped",
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -1,5 +1,6 @@
 #include <figslip/gateway/ingress_daemon.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <boost/asio/signal_set.hpp>
@@ -100,12 +101,8 @@
 net::Awaitable<void>
 IngressDaemon::Tick()
 {
-  net::asio::steady_timer timer(mTrafficContext);
   while (true) {
-    timer.expires_after(kTick);
-    net::error_code ignored; // nothing cancels the timer
-    co_await timer.async_wait(
-      net::asio::redirect_error(net::asio::use_awaitable, ignored));
+    co_await net::Sleep(kTick);
     mTraffic->OnTick();
     log::Flush();
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -1,5 +1,6 @@
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <xxhash.h>
@@ -160,7 +161,7 @@
       const bool mayWait =
         reason != placement::NoChoice::NoUpstream && now < mWaitUntil;
       if (mayWait) {
-        co_await WaitForRoom(kRoomPoll);
+        co_await net::Sleep(kRoomPoll);
         continue;
       }
       if (mSends == 0) {
@@ -285,17 +286,6 @@
          mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion);
 }
 
-net::Awaitable<void>
-RequestFlow::WaitForRoom(Duration aTime)
-{
-  net::asio::steady_timer timer(
-    co_await net::asio::this_coro::executor,
-    std::chrono::duration_cast<net::asio::steady_timer::duration>(aTime));
-  net::error_code ignored; // nothing cancels the timer
-  co_await timer.async_wait(
-    net::asio::redirect_error(net::asio::use_awaitable, ignored));
-}
-
 net::Awaitable<void>
 RequestFlow::Refuse(RequestEnd aEnd)
 {
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -1,3 +1,4 @@
+#include <figslip/net/sleep.hpp>
 #include <figslip/store/object_follower.hpp>
 #include <figslip/time/wall_clock.hpp>
 
@@ -17,17 +18,6 @@
 constexpr auto kFirstPause = std::chrono::milliseconds(80);
 constexpr auto kLongestPause = std::chrono::milliseconds(640);
 
-net::Awaitable<void>
-Sleep(Duration aTime)
-{
-  net::asio::steady_timer timer(
-    co_await net::asio::this_coro::executor,
-    std::chrono::duration_cast<net::asio::steady_timer::duration>(aTime));
-  net::error_code ignored; // nothing cancels the timer
-  co_await timer.async_wait(
-    net::asio::redirect_error(net::asio::use_awaitable, ignored));
-}
-
 std::string
 Unexpected(const CallResult& aResult)
 {
@@ -64,12 +54,12 @@
     if (step.mHistoryGone) {
       mRevision.reset();
     } else if (!step.mReason.empty()) {
-      co_await Sleep(pause);
+      co_await net::Sleep(pause);
       pause = std::min<Duration>(pause * 2, kLongestPause);
     } else {
       pause = kFirstPause;
       if (mOptions.mPause > Duration::zero()) {
-        co_await Sleep(mOptions.mPause);
+        co_await net::Sleep(mOptions.mPause);
       }
     }
   }
--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -1,5 +1,7 @@
 #include <harness/engine_stand_in.hpp>
 
+#include <figslip/net/sleep.hpp>
+
 #include <chrono>
 #include <cstdlib>
 
@@ -7,15 +9,6 @@
 
 namespace {
 
-net::Awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
-  net::error_code ignored;
-  co_await timer.async_wait(
-    net::asio::redirect_error(net::asio::use_awaitable, ignored));
-}
-
 std::string
 HeaderOf(const net::RequestMessage& aRequest, std::string_view aName)
 {
@@ -99,7 +92,7 @@
     co_return false;
   }
   if (behaviour == Behaviour::Hang) {
-    co_await Sleep(std::chrono::seconds(20));
+    co_await net::Sleep(std::chrono::seconds(20));
     co_return false;
   }
   const auto attempt = behaviour == Behaviour::WrongRequest
@@ -127,7 +120,7 @@
     { .mName = "Content-Type", .mValue = "text/event-stream" });
   bool isSent = co_await aConnection->BeginStream(200, aHeaders, "", false);
   for (int event = first; isSent && event <= kEvents; ++event) {
-    co_await Sleep(mPause.load());
+    co_await net::Sleep(mPause.load());
     std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
     const bool breaks =
       event == 3 && mBehaviour.load() == Behaviour::BreakMidway;
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -1,5 +1,7 @@
 #include <harness/store_stand_in.hpp>
 
+#include <figslip/net/sleep.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
@@ -25,15 +27,6 @@
            : std::atoll(aTarget.c_str() + place + aName.size() + 1);
 }
 
-net::Awaitable<void>
-Sleep(std::chrono::milliseconds aTime)
-{
-  net::asio::steady_timer timer(co_await net::asio::this_coro::executor, aTime);
-  net::error_code ignored;
-  co_await timer.async_wait(
-    net::asio::redirect_error(net::asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 StoreStandIn::StoreStandIn()
@@ -148,11 +141,11 @@
       std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
     auto answer = AnswerTo(aConnection->Request());
     while (answer.mMustWait && std::chrono::steady_clock::now() < until) {
-      co_await Sleep(kWatchPoll);
+      co_await net::Sleep(kWatchPoll);
       answer = AnswerTo(aConnection->Request());
     }
     while (mMode == Mode::Silent) {
-      co_await Sleep(kWatchPoll);
+      co_await net::Sleep(kWatchPoll);
     }
     const net::Headers headers;
     const auto body = answer.mBody.dump();
