--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -181,7 +181,9 @@
     std::this_thread::sleep_for(5s);
     for (std::size_t instance = 0; instance < kInstances; ++instance) {
       const auto name = "after-" + std::to_string(instance);
-      CHECK(world.Send(instance, "GET", "/look/1", name).mStatus == 200);
+      const auto answer = world.Send(instance, "GET", "/look/1", name);
+      INFO("answer: ", answer.mBody);
+      CHECK(answer.mStatus == 200);
     }
   }
 }
