--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -127,6 +127,7 @@
   std::atomic<bool> stop = false;
   std::vector<std::vector<Sent>> sent(kCallers);
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       const auto place = static_cast<std::size_t>(caller);
