--- a/Makefile
+++ b/Makefile
@@ -22,9 +22,10 @@
 lint: build
 	tools/lint.sh
 
-# only after a change of thrift/peer.thrift; needs the package thrift-compiler
+# only after a change in thrift/; needs the package thrift-compiler
 generate:
 	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/peer.thrift
+	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/relay.thrift
 
 # longer, with new seeds, each printed: make soak ROUNDS=20
 soak: build
--- a/include/figslip/error/error_kind.hpp
+++ b/include/figslip/error/error_kind.hpp
@@ -56,6 +56,7 @@
   ConnectFailed,
   ReadFailed,
   TimedOut,
+  MalformedMessage,
   // ledger and report
   MalformedRecord,
 };
--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -5,13 +5,15 @@
 #include <figslip/membership/lapse_guard.hpp>
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/asio.hpp>
+#include <figslip/quarantine/crash_records.hpp>
+#include <figslip/relay/relay_follower.hpp>
+#include <figslip/relay/relay_server.hpp>
 #include <figslip/settings/ingress_settings.hpp>
 #include <figslip/store/object_follower.hpp>
 #include <figslip/store/store_client.hpp>
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace figslip::gateway {
@@ -34,13 +36,15 @@
                Post aPost);
 
   /// @brief Starts to follow all kinds.
-  void Start();
+  /// @return a finding where the address for other instances cannot be used
+  [[nodiscard]] Result<void> Start();
 
   /// @brief Writes a status of a roll-out; on the control thread.
   void WriteStatus(const rollout::StatusChange& aChange);
 
-  /// @brief Tells all instances of a request that crashes upstreams.
-  void ReportCrashing(std::uint64_t aFingerprint);
+  /// @brief Tells all instances of a request that was running on an upstream
+  /// when it crashed.
+  void ReportCrash(const quarantine::CrashReport& aReport);
 
   /// @brief Takes this instance off the list of instances.
   [[nodiscard]] net::Awaitable<void> Deregister();
@@ -57,10 +61,17 @@
   void OnDrains(const store::ObjectFollower::Objects& aObjects);
   void OnShared(const store::ObjectFollower::Objects& aObjects);
   void PublishUpstreams();
-  [[nodiscard]] net::Awaitable<void> ExpireLapsed();
+  [[nodiscard]] net::Awaitable<void> Tick();
+  void ExpireLapsed();
+  void RemoveCrashRecords();
   [[nodiscard]] net::Awaitable<void> Register();
-  [[nodiscard]] net::Awaitable<void> Write(net::RequestMessage aRequest,
-                                           std::string aName);
+  [[nodiscard]] nlohmann::json Registration() const;
+  /// Writes until the store has answered.
+  /// @return the status of the answer; 0: none
+  [[nodiscard]] net::Awaitable<unsigned> Write(net::RequestMessage aRequest,
+                                               std::string aName);
+  /// Writes in the background.
+  void StartWrite(net::RequestMessage aRequest, std::string aName);
   void LogUnreadable(const store::Object& aObject,
                      std::string_view aKind,
                      const error::Findings& aFindings);
@@ -72,11 +83,13 @@
   Post mPost;
   store::StoreClient mClient;
   std::vector<std::unique_ptr<store::ObjectFollower>> mFollowers;
+  relay::RelayServer mRelayServer;
+  relay::RelayFollower mRelay;
   membership::LapseGuard mLapses;
   std::map<std::string, std::int64_t> mUnreadable; ///< revisions logged
   std::int64_t mVersion = -1;               ///< newest configuration seen
   std::int64_t mConfigurationRevision = -1; ///< read last
-  std::set<std::uint64_t> mReported;
+  quarantine::CrashRecords mCrashes{ {} };
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/frontend.hpp
+++ b/include/figslip/gateway/frontend.hpp
@@ -28,11 +28,6 @@
   using Connection = std::shared_ptr<net::CallerConnection>;
   using Serve = net::Awaitable<void> (Frontend::*)(Connection);
 
-  [[nodiscard]] Result<void> Listen(const net::Endpoint& aEndpoint,
-                                    Serve aServe);
-  [[nodiscard]] net::Awaitable<void> Accept(
-    std::shared_ptr<net::tcp::acceptor> aAcceptor,
-    Serve aServe);
   [[nodiscard]] net::Awaitable<void> ServeCaller(Connection aConnection);
   [[nodiscard]] net::Awaitable<void> ServeReadiness(Connection aConnection);
   [[nodiscard]] net::Awaitable<void> ServeMetrics(Connection aConnection);
@@ -42,7 +37,6 @@
   net::asio::io_context& mContext;
   TrafficState& mState;
   std::set<Connection> mCallers;
-  std::vector<std::shared_ptr<net::tcp::acceptor>> mAcceptors;
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -73,6 +73,8 @@
   [[nodiscard]] Next OnBroken(Attempt& aAttempt,
                               net::StepEnd aEnd,
                               TimePoint aNow);
+  /// Has it checked whether an upstream crashed, as its connection broke.
+  void SuspectCrash(const Attempt& aAttempt, TimePoint aNow);
   [[nodiscard]] Next AfterFailure() const;
   void OnHealth(Attempt& aAttempt, placement::AttemptHealth aHealth);
   void NoteFirstEvent(Attempt& aAttempt, TimePoint aNow);
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -17,7 +17,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 namespace figslip::gateway {
@@ -26,7 +25,7 @@
 struct TrafficReports
 {
   std::function<void(const rollout::StatusChange&)> mOnStatusChange;
-  std::function<void(std::uint64_t aFingerprint)> mOnCrashingRequest;
+  std::function<void(const quarantine::CrashReport&)> mOnCrash;
 };
 
 /// @brief Holds all state of the traffic thread; used by that thread only.
@@ -42,7 +41,7 @@
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries);
   void OnInstances(int aInstances);
-  void OnCrashingRequests(const std::set<std::uint64_t>& aFingerprints);
+  void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
   /// @brief Hands due status changes to the control thread; every 100 ms.
   void OnTick();
   /// @}
@@ -62,7 +61,7 @@
   /// how much later than expected the largest models answer, by service
   std::map<std::string, cascade::DelayScale> mLargestDelay;
   net::ConnectionPool mPool;
-  std::set<std::uint64_t> mCrashing; ///< fingerprints of requests to refuse
+  quarantine::Quarantine mQuarantine;
   TrafficReports mReports;
   bool mHasUpstreams = false;
   bool mIsStopping = false; ///< not ready any more; serves what comes
--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -68,6 +68,10 @@
   [[nodiscard]] const ResponseHead& Head() const { return mHead; }
   [[nodiscard]] const std::string& Piece() const { return mPiece; }
   [[nodiscard]] bool BodyIsWhole() const;
+  [[nodiscard]] asio::any_io_executor Executor()
+  {
+    return mSocket->get_executor();
+  }
   /// @brief Tells whether any byte of the request may have left.
   [[nodiscard]] bool HasSent() const { return mSendStarted; }
   /// @brief Tells whether another request may follow.
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -127,6 +127,8 @@
   /// @brief Returns the part of the places of a service that is taken.
   [[nodiscard]] double Occupancy(std::string_view aService,
                                  TimePoint aNow) const;
+  /// @brief Returns the requests of this instance on an upstream.
+  [[nodiscard]] int InFlight(std::string_view aUpstream) const;
   [[nodiscard]] std::size_t Size() const { return mStates.size(); }
 
 private:
--- a/include/figslip/quarantine/quarantine.hpp
+++ b/include/figslip/quarantine/quarantine.hpp
@@ -54,6 +54,9 @@
   /// @brief Notes a crash seen here or reported by a peer; may be repeated.
   void OnCrash(const CrashReport& aReport);
 
+  /// @brief Clears a request that an upstream has served to its end.
+  void OnServed(std::uint64_t aFingerprint) { mCrashes.erase(aFingerprint); }
+
   [[nodiscard]] bool IsQuarantined(std::uint64_t aFingerprint,
                                    TimePoint aNow) const;
 
--- /dev/null
+++ b/include/figslip/relay/relay_follower.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <figslip/metrics/registry.hpp>
+#include <figslip/net/asio.hpp>
+#include <figslip/relay/relay_messages.hpp>
+#include <figslip/relay/relay_server.hpp>
+#include <figslip/relay/source_choice.hpp>
+#include <figslip/store/store_client.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace figslip::relay {
+
+/// @brief Follows the store through another instance, or itself.
+///
+/// Lives on the control thread. The copies begin with the store itself. Once
+/// another instance has answered with a copy that is as new, the own calls to
+/// the store end; they begin again when no instance answers with a fresh copy.
+class RelayFollower
+{
+public:
+  using Followers = RelayServer::Followers;
+
+  RelayFollower(net::asio::io_context& aContext,
+                const Followers& aFollowers,
+                RelayServer& aServer,
+                metrics::Registry& aMetrics,
+                SourceChoice::Options aOptions);
+
+  /// @brief Starts to follow.
+  void Start();
+
+  /// @brief Takes the instances that are registered.
+  void OnPeers(const std::vector<Peer>& aPeers);
+
+  /// @brief Sends the followers of this instance elsewhere, as it will end.
+  void StopServing();
+
+private:
+  [[nodiscard]] net::Awaitable<void> Run();
+  /// Asks an instance for news and takes them.
+  /// @return why the answer could not be used
+  [[nodiscard]] net::Awaitable<std::optional<std::string>> Ask(Peer aPeer);
+  [[nodiscard]] std::optional<std::string> Take(const Peer& aPeer,
+                                                const PollAnswer& aAnswer,
+                                                TimePoint aSentAt);
+  [[nodiscard]] std::optional<std::string> Check(const PollAnswer& aAnswer,
+                                                 TimePoint aSentAt) const;
+  void FollowStore(const std::string& aReason);
+  void FollowPeer(const Peer& aPeer);
+  [[nodiscard]] bool HasCopy() const;
+  [[nodiscard]] bool HasLostStore() const;
+  /// Returns the time since the configuration was confirmed.
+  [[nodiscard]] Duration CopyAge() const;
+  [[nodiscard]] Duration WaitOf() const;
+
+  net::asio::io_context& mContext;
+  const Followers& mFollowers;
+  RelayServer& mServer;
+  SourceChoice mChoice;
+  store::StoreClient mClient;
+  std::string mClientPeer;            ///< where the client calls
+  std::optional<std::string> mSource; ///< instance followed; none: the store
+  std::uint64_t mEpoch = 0;           ///< of the process asked last
+  std::map<store::ObjectKind, std::uint64_t> mSequences; ///< in that epoch
+  bool mHasStarted = false;
+  bool mIsServing = true;
+};
+
+} // namespace figslip::relay
--- /dev/null
+++ b/include/figslip/relay/relay_server.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <figslip/net/asio.hpp>
+#include <figslip/net/caller_connection.hpp>
+#include <figslip/relay/change_log.hpp>
+#include <figslip/relay/relay_messages.hpp>
+#include <figslip/store/object_follower.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace figslip::relay {
+
+/// @brief Passes this instance's copy of the store on to others of its domain.
+///
+/// Lives on the control thread. A poll without news waits.
+class RelayServer
+{
+public:
+  using Followers = std::vector<std::unique_ptr<store::ObjectFollower>>;
+
+  /// @param[in] aEpoch names this process; not 0
+  RelayServer(net::asio::io_context& aContext,
+              const Followers& aFollowers,
+              std::uint64_t aEpoch);
+
+  /// @brief Opens the address for other instances.
+  [[nodiscard]] Result<void> Start(const net::Endpoint& aEndpoint);
+
+  /// @brief Sets whether the copy comes from the store itself.
+  void SetDirect(bool aIsDirect);
+
+  /// @brief Notes that a copy may have changed, or was confirmed.
+  void OnNews(const store::ObjectFollower& aFollower);
+
+private:
+  using Connection = std::shared_ptr<net::CallerConnection>;
+
+  [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
+  [[nodiscard]] net::Awaitable<PollAnswer> AwaitNews(Poll aPoll,
+                                                     TimePoint aArrivedAt);
+  [[nodiscard]] PollAnswer AnswerTo(const Poll& aPoll,
+                                    TimePoint aArrivedAt) const;
+  void Wake();
+
+  net::asio::io_context& mContext;
+  const Followers& mFollowers;
+  const std::uint64_t mEpoch;
+  std::map<store::ObjectKind, ChangeLog> mLogs;
+  std::uint64_t mNews = 0; ///< counts reasons to answer
+  std::vector<std::shared_ptr<net::asio::steady_timer>> mWaiting;
+  bool mIsDirect = false;
+};
+
+} // namespace figslip::relay
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -19,6 +19,7 @@
   net::Endpoint mCallers;                      ///< where callers are served
   net::Endpoint mReadiness; ///< where the balancer asks for readiness
   net::Endpoint mMetrics;   ///< where metrics are served
+  net::Endpoint mPeers;     ///< where other instances ask
   net::Endpoint mStore;     ///< the platform's store
   int mMemoryMb = 256;      ///< memory of the process, MB
   int mMaxDescriptors = 1024;
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -15,7 +15,8 @@
 /// @brief Keeps a copy of all objects of one kind.
 ///
 /// Lists the kind, then watches it. A lost history or a broken list begins
-/// anew; a call without an answer is made again on another connection.
+/// anew; a call without an answer is made again on another connection. While
+/// it is stopped, the copy of another instance may take the store's place.
 class ObjectFollower
 {
 public:
@@ -29,6 +30,8 @@
     /// lists again and again in place of watching; a list proves that the copy
     /// is as new as its sending, a watch only when the next one has returned
     bool mLists = false;
+    /// longest pause between attempts while the store does not answer
+    Duration mMaxRetryPause = std::chrono::milliseconds(640);
   };
 
   struct Callbacks
@@ -46,8 +49,37 @@
                  StoreClient& aClient,
                  Callbacks aCallbacks);
 
-  /// @brief Follows until the process ends.
-  [[nodiscard]] net::Awaitable<void> Run();
+  /// @brief Starts to follow the store.
+  void Start();
+
+  /// @brief Ends the pause after a call without an answer.
+  void RetryNow();
+
+  /// @brief Stops; answers that are still under way are ignored.
+  void Stop() { ++mGeneration; }
+
+  /// @name The copy
+  /// @{
+  [[nodiscard]] ObjectKind Kind() const { return mOptions.mKind; }
+  [[nodiscard]] const Objects& All() const { return mObjects; }
+  /// @brief Returns the store's revision of the copy; nothing before the first.
+  [[nodiscard]] std::optional<std::int64_t> Revision() const
+  {
+    return mRevision;
+  }
+  /// @brief Returns the time at which the copy was known to be current.
+  [[nodiscard]] TimePoint ConfirmedAt() const { return mConfirmedAt; }
+  /// @brief Tells whether the last call had no answer.
+  [[nodiscard]] bool IsLost() const { return mIsLost; }
+  /// @}
+
+  /// @brief Takes the copy that another instance has; while stopped.
+  /// @param[in] aRevision not below the revision of this copy
+  /// @param[in] aHasChanged whether the objects differ from the copy before
+  void Take(Objects aObjects,
+            std::int64_t aRevision,
+            TimePoint aConfirmedAt,
+            bool aHasChanged);
 
 private:
   /// Holds how a list or watch ended; no reason: it succeeded.
@@ -57,9 +89,15 @@
     bool mHistoryGone = false;
   };
 
-  [[nodiscard]] net::Awaitable<Step> List();
-  [[nodiscard]] net::Awaitable<Step> Watch(std::int64_t aRevision);
+  /// Numbers the starts and stops; a coroutine of an older one ends.
+  using Generation = std::uint64_t;
+
+  [[nodiscard]] net::Awaitable<void> Run(Generation aGeneration);
+  [[nodiscard]] net::Awaitable<Step> List(Generation aGeneration);
+  [[nodiscard]] net::Awaitable<Step> Watch(Generation aGeneration,
+                                           std::int64_t aRevision);
   void Apply(const Changes& aChanges);
+  void Confirm(TimePoint aSentAt);
   void Note(const Step& aStep);
 
   Options mOptions;
@@ -67,7 +105,11 @@
   StoreClient& mClient;
   Callbacks mCallbacks;
   Objects mObjects;
-  std::optional<std::int64_t> mRevision; ///< none: a list is needed
+  std::optional<std::int64_t> mRevision; ///< of the copy
+  bool mHistoryGone = false;             ///< a list is needed
+  TimePoint mConfirmedAt;
+  Generation mGeneration = 0;
+  std::shared_ptr<net::asio::steady_timer> mRetry; ///< null: not paused
   bool mIsLost = false;
 };
 
--- a/include/figslip/store/store_client.hpp
+++ b/include/figslip/store/store_client.hpp
@@ -27,15 +27,18 @@
   std::string mReason; ///< where there was no answer
 };
 
-/// @brief Calls the platform's store over kept connections.
+/// @brief Calls the platform's store, or another instance that passes its copy
+/// on, over kept connections.
 class StoreClient
 {
 public:
   using Milliseconds = std::chrono::milliseconds;
 
+  /// @param[in] aCounter name of the counter of calls
   StoreClient(const net::asio::any_io_executor& aExecutor,
               net::Endpoint aEndpoint,
-              metrics::Registry& aMetrics);
+              metrics::Registry& aMetrics,
+              std::string aCounter = "figslip_store_calls_total");
 
   /// @brief Makes one call.
   /// @param[in] aName of the call, for metrics
@@ -44,6 +47,11 @@
                                                 std::string aName,
                                                 Milliseconds aLimit);
 
+  [[nodiscard]] const net::asio::any_io_executor& Executor() const
+  {
+    return mExecutor;
+  }
+
   /// @brief Changes where the store is; kept connections are closed.
   void SetEndpoint(net::Endpoint aEndpoint);
 
@@ -54,6 +62,7 @@
   net::asio::any_io_executor mExecutor;
   net::Endpoint mEndpoint;
   metrics::Registry& mMetrics;
+  std::string mCounter;
   net::ConnectionPool mPool;
 };
 
--- a/include/figslip/store/store_dialect.hpp
+++ b/include/figslip/store/store_dialect.hpp
@@ -73,6 +73,9 @@
   std::function<net::RequestMessage(std::string_view aName,
                                     const nlohmann::json& aSpec)>
     mCreateShared;
+  std::function<net::RequestMessage(std::string_view aName,
+                                    const nlohmann::json& aSpec)>
+    mReplaceShared;
   std::function<net::RequestMessage(std::string_view aName)> mRemoveShared;
   /// writes the status if the order still has its revision
   std::function<net::RequestMessage(const rollout::StatusChange&)> mPutStatus;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -49,6 +49,7 @@
   { ErrorKind::ConnectFailed, 501, "transport", "connect_failed" },
   { ErrorKind::ReadFailed, 502, "transport", "read_failed" },
   { ErrorKind::TimedOut, 503, "transport", "timed_out" },
+  { ErrorKind::MalformedMessage, 504, "transport", "malformed_message" },
   { ErrorKind::MalformedRecord, 601, "ledger", "malformed_record" },
 });
 
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -333,6 +333,13 @@
   return found == mStates.end() ? nullptr : &found->second.mEntry;
 }
 
+int
+UpstreamBoard::InFlight(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end() ? 0 : found->second.mInFlight;
+}
+
 std::set<std::string>
 UpstreamBoard::VersionsOf(std::string_view aService) const
 {
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -1,10 +1,11 @@
 #include <figslip/gateway/control_plane.hpp>
+#include <figslip/json/field_or.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
-#include <charconv>
+#include <random>
 #include <ranges>
 
 namespace figslip::gateway {
@@ -21,33 +22,47 @@
 constexpr auto kWritePause = milliseconds(400);
 constexpr int kMaxWrites = 12;
 
-/// Time between looks for entries that did not come back.
-constexpr auto kLapsePoll = milliseconds(250);
+/// Interval of housekeeping.
+constexpr auto kTick = milliseconds(250);
 
 /// Time between two reads of the configuration. A lease of the usual 5 s that
 /// was confirmed this long ago outlasts an outage of 3 s.
 constexpr auto kConfigurationPause = milliseconds(1'450);
 
+/// Longest pause between attempts for the other kinds during an outage; they
+/// are asked for at once when the configuration is answered again.
+constexpr auto kOutagePause = milliseconds(2'500);
+
 constexpr std::string_view kInstancePrefix = "instance.";
-constexpr std::string_view kCrashPrefix = "crash.";
 
-constexpr int kHexadecimal = 16;
+/// Fields of an instance's registration.
+constexpr const char* kDomain = "failure_domain";
+constexpr const char* kPeers = "peers";
+
+/// Field of a crash record with the requests that ran on the upstream.
+constexpr const char* kInFlight = "in_flight";
+
+/// Most requests on a crashed upstream for which the crash is told to the other
+/// instances; with more it says little of each of them.
+constexpr int kMaxSharedInFlight = 4;
 
 constexpr unsigned kFirstClientError = 400;
 
 /// An object of this name exists already, which is as good as writing it.
 constexpr unsigned kConflict = 409;
 
+/// An object that is to be removed has gone already.
+constexpr unsigned kNotFound = 404;
+
 /// Bytes of an answer that a log line has.
 constexpr std::size_t kMaxLoggedAnswer = 200;
 
-std::string
-ToHex(std::uint64_t aNumber)
+/// Returns a number that no other process is likely to have.
+std::uint64_t
+NewEpoch()
 {
-  std::array<char, 17> text{};
-  const auto end = std::to_chars(
-    text.data(), text.data() + text.size(), aNumber, kHexadecimal);
-  return { text.data(), end.ptr };
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>(1)(device);
 }
 
 } // namespace
@@ -64,11 +79,18 @@
   , mLease(aLease)
   , mPost(std::move(aPost))
   , mClient(aContext.get_executor(), aSettings.mStore, aMetrics)
+  , mRelayServer(aContext, mFollowers, NewEpoch())
+  , mRelay(aContext,
+           mFollowers,
+           mRelayServer,
+           aMetrics,
+           { .mInstance = aSettings.mInstance,
+             .mFailureDomain = aSettings.mFailureDomain })
   , mLapses({})
 {
 }
 
-void
+Result<void>
 ControlPlane::Start()
 {
   // calls without news return early enough to find a connection that went
@@ -81,6 +103,12 @@
       mLease.Confirm(aSentAt);
     }
   };
+  configuration.mOnRegained = [this, onRegained = configuration.mOnRegained] {
+    onRegained();
+    for (const auto& follower : mFollowers) {
+      follower->RetryNow();
+    }
+  };
   Follow({ .mKind = ObjectKind::Configuration,
            .mPause = kConfigurationPause,
            .mLists = true },
@@ -100,21 +128,33 @@
   };
   Follow({ .mKind = ObjectKind::Upstreams,
            .mWait = milliseconds(2'000),
-           .mPause = milliseconds(650) },
+           .mPause = milliseconds(650),
+           .mMaxRetryPause = kOutagePause },
          std::move(upstreams));
-  Follow({ .mKind = ObjectKind::Rollouts, .mWait = milliseconds(3'000) },
+  Follow({ .mKind = ObjectKind::Rollouts,
+           .mWait = milliseconds(3'000),
+           .mMaxRetryPause = kOutagePause },
          CallbacksOf(ObjectKind::Rollouts,
                      [this](const auto& aObjects) { OnRollouts(aObjects); }));
-  Follow({ .mKind = ObjectKind::Drains, .mWait = milliseconds(3'000) },
+  Follow({ .mKind = ObjectKind::Drains,
+           .mWait = milliseconds(3'000),
+           .mMaxRetryPause = kOutagePause },
          CallbacksOf(ObjectKind::Drains,
                      [this](const auto& aObjects) { OnDrains(aObjects); }));
   Follow({ .mKind = ObjectKind::Shared,
            .mWait = milliseconds(8'000),
-           .mPause = milliseconds(300) },
+           .mPause = milliseconds(300),
+           .mMaxRetryPause = kOutagePause },
          CallbacksOf(ObjectKind::Shared,
                      [this](const auto& aObjects) { OnShared(aObjects); }));
-  net::asio::co_spawn(mContext, ExpireLapsed(), net::asio::detached);
+  auto started = mRelayServer.Start(mSettings.mPeers);
+  if (!started) {
+    return started;
+  }
+  mRelay.Start();
+  net::asio::co_spawn(mContext, Tick(), net::asio::detached);
   net::asio::co_spawn(mContext, Register(), net::asio::detached);
+  return outcome::success();
 }
 
 store::ObjectFollower::Callbacks
@@ -142,9 +182,17 @@
 ControlPlane::Follow(store::ObjectFollower::Options aOptions,
                      store::ObjectFollower::Callbacks aCallbacks)
 {
+  const auto place = mFollowers.size();
+  const auto relays = [&](auto aCallback) {
+    return [this, place, callback = std::move(aCallback)](auto aValue) {
+      callback(aValue);
+      mRelayServer.OnNews(*mFollowers.at(place));
+    };
+  };
+  aCallbacks.mOnConfirmed = relays(std::move(aCallbacks.mOnConfirmed));
+  aCallbacks.mOnLost = relays(std::move(aCallbacks.mOnLost));
   mFollowers.push_back(std::make_unique<store::ObjectFollower>(
     aOptions, mDialect, mClient, std::move(aCallbacks)));
-  net::asio::co_spawn(mContext, mFollowers.back()->Run(), net::asio::detached);
 }
 
 void
@@ -201,17 +249,32 @@
 }
 
 net::Awaitable<void>
-ControlPlane::ExpireLapsed()
+ControlPlane::Tick()
 {
   while (true) {
-    co_await net::Sleep(kLapsePoll);
-    const auto kept = mLapses.Kept();
-    if (kept > 0 && mLapses.Expire(ReadBootClock())) {
-      log::Write(log::Level::Info,
-                 "lapsed_upstreams_dropped",
-                 { { "upstreams", std::to_string(kept) } });
-      PublishUpstreams();
-    }
+    co_await net::Sleep(kTick);
+    ExpireLapsed();
+    RemoveCrashRecords();
+  }
+}
+
+void
+ControlPlane::ExpireLapsed()
+{
+  const auto kept = mLapses.Kept();
+  if (kept > 0 && mLapses.Expire(ReadBootClock())) {
+    log::Write(log::Level::Info,
+               "lapsed_upstreams_dropped",
+               { { "upstreams", std::to_string(kept) } });
+    PublishUpstreams();
+  }
+}
+
+void
+ControlPlane::RemoveCrashRecords()
+{
+  for (const auto& name : mCrashes.TakeDue(ReadBootClock())) {
+    StartWrite(mDialect.mRemoveShared(name), "remove crash record");
   }
 }
 
@@ -255,31 +318,28 @@
 void
 ControlPlane::OnShared(const store::ObjectFollower::Objects& aObjects)
 {
-  int instances = 0;
-  std::set<std::uint64_t> crashing;
-  for (const auto& name : aObjects | std::views::keys) {
+  std::vector<relay::Peer> peers;
+  std::map<std::string, int> crashes;
+  for (const auto& [name, object] : aObjects) {
     if (name.starts_with(kInstancePrefix)) {
-      ++instances;
-    } else if (name.starts_with(kCrashPrefix)) {
-      const auto digits = std::string_view(name).substr(kCrashPrefix.size());
-      std::uint64_t fingerprint = 0;
-      const auto read = std::from_chars(digits.data(),
-                                        digits.data() + digits.size(),
-                                        fingerprint,
-                                        kHexadecimal);
-      if (read.ec == std::errc{}) {
-        crashing.insert(fingerprint);
-      }
+      peers.push_back(
+        { .mInstance = name.substr(kInstancePrefix.size()),
+          .mFailureDomain = json::TextOr(object.mSpec, kDomain, ""),
+          .mAddress = json::TextOr(object.mSpec, kPeers, "") });
+    } else if (quarantine::CrashRecords::IsRecord(name)) {
+      crashes.emplace(name, json::NumberOr(object.mSpec, kInFlight, 1));
     }
   }
-  mReported.insert(crashing.begin(), crashing.end());
+  mRelay.OnPeers(peers);
+  const auto instances = static_cast<int>(peers.size());
+  const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   log::Write(log::Level::Info,
              "instances_known",
              { { "instances", std::to_string(instances) },
-               { "quarantined", std::to_string(crashing.size()) } });
-  mPost([instances, crashing](TrafficState& aState) {
+               { "crash_records", std::to_string(crashes.size()) } });
+  mPost([instances, reports](TrafficState& aState) {
     aState.OnInstances(std::max(1, instances));
-    aState.OnCrashingRequests(crashing);
+    aState.OnCrashReports(reports);
   });
 }
 
@@ -309,34 +369,44 @@
 }
 
 void
-ControlPlane::ReportCrashing(std::uint64_t aFingerprint)
+ControlPlane::ReportCrash(const quarantine::CrashReport& aReport)
 {
-  if (!mReported.insert(aFingerprint).second) {
-    return;
+  const auto name = quarantine::CrashRecords::NameOf(aReport);
+  const bool isTold = aReport.mInFlight <= kMaxSharedInFlight &&
+                      mCrashes.OnOwn(name, ReadBootClock());
+  if (isTold) {
+    StartWrite(
+      mDialect.mCreateShared(name, { { kInFlight, aReport.mInFlight } }),
+      "create crash record");
   }
-  const auto name = std::string(kCrashPrefix) + ToHex(aFingerprint);
-  log::Write(log::Level::Warning, "request_quarantined", { { "name", name } });
-  mPost([aFingerprint](TrafficState& aState) {
-    aState.OnCrashingRequests({ aFingerprint });
-  });
-  auto request = mDialect.mCreateShared(name, nlohmann::json::object());
-  net::asio::co_spawn(mContext,
-                      Write(std::move(request), "create quarantine"),
-                      net::asio::detached);
+}
+
+nlohmann::json
+ControlPlane::Registration() const
+{
+  return { { kDomain, mSettings.mFailureDomain },
+           { kPeers,
+             mSettings.mPeers.mAddress + ":" +
+               std::to_string(mSettings.mPeers.mPort) } };
 }
 
 net::Awaitable<void>
 ControlPlane::Register()
 {
   const auto name = std::string(kInstancePrefix) + mSettings.mInstance;
-  auto request = mDialect.mCreateShared(
-    name, { { "failure_domain", mSettings.mFailureDomain } });
-  co_await Write(std::move(request), "register instance");
+  auto request = mDialect.mCreateShared(name, Registration());
+  const auto status = co_await Write(std::move(request), "register instance");
+  if (status == kConflict) {
+    // an earlier process of this name may have had another address
+    request = mDialect.mReplaceShared(name, Registration());
+    co_await Write(std::move(request), "register instance again");
+  }
 }
 
 net::Awaitable<void>
 ControlPlane::Deregister()
 {
+  mRelay.StopServing();
   auto request =
     mDialect.mRemoveShared(std::string(kInstancePrefix) + mSettings.mInstance);
   const std::string call = "deregister instance";
@@ -349,7 +419,7 @@
   }
 }
 
-net::Awaitable<void>
+net::Awaitable<unsigned>
 ControlPlane::Write(net::RequestMessage aRequest, std::string aName)
 {
   for (int tries = 0; tries < kMaxWrites; ++tries) {
@@ -358,9 +428,10 @@
       co_await mClient.Call(std::move(request), aName, kWriteLimit);
     const bool isWritten =
       result.mEnd == store::CallEnd::Answered &&
-      (result.mStatus < kFirstClientError || result.mStatus == kConflict);
+      (result.mStatus < kFirstClientError || result.mStatus == kConflict ||
+       result.mStatus == kNotFound);
     if (isWritten) {
-      co_return;
+      co_return result.mStatus;
     }
     log::Write(log::Level::Warning,
                "write_failed",
@@ -370,6 +441,15 @@
                  { "answer", result.mBody.substr(0, kMaxLoggedAnswer) } });
     co_await net::Sleep(kWritePause * (tries + 1));
   }
+  co_return 0;
+}
+
+void
+ControlPlane::StartWrite(net::RequestMessage aRequest, std::string aName)
+{
+  net::asio::co_spawn(mContext,
+                      Write(std::move(aRequest), std::move(aName)),
+                      [](const std::exception_ptr&, unsigned) {});
 }
 
 void
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -1,6 +1,7 @@
 #include <figslip/gateway/frontend.hpp>
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/listener.hpp>
 #include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
@@ -12,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kBacklog = 4'096;
-
 /// Time in which the balancer notices twice that an instance is not ready.
 constexpr auto kNoticeTime = milliseconds(2'600);
 
@@ -22,9 +21,6 @@
 
 constexpr auto kDrainPoll = milliseconds(50);
 
-/// Pause after a failed accept, as when descriptors have run out.
-constexpr auto kAcceptPause = milliseconds(20);
-
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kBadRequest = 400;
@@ -70,7 +66,10 @@
 {
   error::Findings findings;
   const auto listen = [&](const net::Endpoint& aEndpoint, Serve aServe) {
-    auto started = Listen(aEndpoint, aServe);
+    auto started =
+      net::Listen(mContext, aEndpoint, [this, aServe](Connection aConnection) {
+        return (this->*aServe)(std::move(aConnection));
+      });
     if (!started) {
       std::ranges::move(started.assume_error(), std::back_inserter(findings));
     }
@@ -84,55 +83,6 @@
   return outcome::success();
 }
 
-Result<void>
-Frontend::Listen(const net::Endpoint& aEndpoint, Serve aServe)
-{
-  const auto place = aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
-  net::error_code error;
-  const auto address = net::asio::ip::make_address(aEndpoint.mAddress, error);
-  auto acceptor = std::make_shared<net::tcp::acceptor>(mContext);
-  const net::tcp::endpoint endpoint(address, aEndpoint.mPort);
-  if (!error) {
-    error = acceptor->open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    error =
-      acceptor->set_option(net::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    error = acceptor->bind(endpoint, error);
-  }
-  if (!error) {
-    error = acceptor->listen(kBacklog, error);
-  }
-  if (error) {
-    return Failure(error::ErrorKind::ConnectFailed, place, error.message());
-  }
-  mAcceptors.push_back(acceptor);
-  net::asio::co_spawn(
-    mContext, Accept(std::move(acceptor), aServe), net::asio::detached);
-  return outcome::success();
-}
-
-net::Awaitable<void>
-Frontend::Accept(std::shared_ptr<net::tcp::acceptor> aAcceptor, Serve aServe)
-{
-  while (aAcceptor->is_open()) {
-    net::error_code error;
-    net::tcp::socket socket(mContext);
-    co_await aAcceptor->async_accept(
-      socket, net::asio::redirect_error(net::asio::use_awaitable, error));
-    if (error) {
-      co_await net::Sleep(kAcceptPause);
-      continue;
-    }
-    auto connection =
-      std::make_shared<net::CallerConnection>(std::move(socket));
-    net::asio::co_spawn(
-      mContext, (this->*aServe)(std::move(connection)), net::asio::detached);
-  }
-}
-
 net::Awaitable<void>
 Frontend::ServeCaller(Connection aConnection)
 {
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -43,20 +43,20 @@
       }))
   , mFrontend(std::make_shared<Frontend>(mTrafficContext, *mTraffic))
 {
-  mTraffic->mReports = {
-    .mOnStatusChange =
-      [this](const rollout::StatusChange& aChange) {
-        net::asio::post(mControlContext, [control = mControl, aChange] {
-          control->WriteStatus(aChange);
-        });
-      },
-    .mOnCrashingRequest =
-      [this](std::uint64_t aFingerprint) {
-        net::asio::post(mControlContext, [control = mControl, aFingerprint] {
-          control->ReportCrashing(aFingerprint);
-        });
-      }
-  };
+  mTraffic->mReports = { .mOnStatusChange =
+                           [this](const rollout::StatusChange& aChange) {
+                             net::asio::post(mControlContext,
+                                             [control = mControl, aChange] {
+                                               control->WriteStatus(aChange);
+                                             });
+                           },
+                         .mOnCrash =
+                           [this](const quarantine::CrashReport& aReport) {
+                             net::asio::post(mControlContext,
+                                             [control = mControl, aReport] {
+                                               control->ReportCrash(aReport);
+                                             });
+                           } };
   RegisterServices();
 }
 
@@ -65,11 +65,7 @@
 {
   mKernel.Register({ .mName = "control",
                      .mDependsOn = { "frontend" },
-                     .mStart =
-                       [this] {
-                         mControl->Start();
-                         return Result<void>(outcome::success());
-                       } },
+                     .mStart = [this] { return mControl->Start(); } },
                    mControl);
   mKernel.Register(
     { .mName = "frontend", .mStart = [this] { return mFrontend->Start(); } },
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -1,3 +1,4 @@
+#include <figslip/gateway/crash_check.hpp>
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/time/wall_clock.hpp>
@@ -270,6 +271,7 @@
   const auto status = connection.Head().mStatus;
   if (status < kFirstServerError) {
     OnHealth(aAttempt, AttemptHealth::Good);
+    mState.mQuarantine.OnServed(mFingerprint);
     NoteFirstEvent(aAttempt, now);
   }
   if (mHeadSent) {
@@ -322,6 +324,7 @@
     co_return OnBroken(aAttempt, net::StepEnd::Closed, now);
   }
   OnHealth(aAttempt, AttemptHealth::Good);
+  mState.mQuarantine.OnServed(mFingerprint);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
                     aAttempt.mConnection);
@@ -374,15 +377,30 @@
   mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort });
   if (aEnd == net::StepEnd::Closed && !aAttempt.mHadEvent) {
-    ++mCrashes;
-    if (mCrashes >= kMaxCrashes) {
-      mState.mReports.mOnCrashingRequest(mFingerprint);
-    }
+    SuspectCrash(aAttempt, aNow);
   }
   mLastFailure = RequestEnd::UpstreamFailed;
   return AfterFailure();
 }
 
+void
+RequestFlow::SuspectCrash(const Attempt& aAttempt, TimePoint aNow)
+{
+  ++mCrashes;
+  // two upstreams in a row are blamed on the request, whatever else ran there
+  const bool isRepeated = mCrashes >= kMaxCrashes;
+  const auto inFlight = mState.mBoard.InFlight(aAttempt.mUpstream.mId);
+  net::asio::co_spawn(aAttempt.mConnection->Executor(),
+                      CheckCrash(mState,
+                                 { .mAddress = aAttempt.mUpstream.mAddress,
+                                   .mPort = aAttempt.mUpstream.mPort },
+                                 { .mFingerprint = mFingerprint,
+                                   .mUpstream = aAttempt.mUpstream.mId,
+                                   .mSeenAt = aNow,
+                                   .mInFlight = isRepeated ? 1 : inFlight }),
+                      net::asio::detached);
+}
+
 RequestFlow::Next
 RequestFlow::AfterFailure() const
 {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -120,7 +120,7 @@
   if (mAccount != nullptr) {
     mFingerprint = HashOf(mAccount->mName, mFingerprint);
   }
-  if (mState.mCrashing.contains(mFingerprint)) {
+  if (mState.mQuarantine.IsQuarantined(mFingerprint, mArrivedAt)) {
     return RequestEnd::CrashesUpstreams;
   }
   mSession = SessionOf(mFacts);
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -19,8 +19,9 @@
 /// Longest delay before an instance writes a status that any could write.
 constexpr std::uint64_t kMaxWriteDelayMs = 600;
 
-/// Requests that crash upstreams and are remembered.
-constexpr std::size_t kMaxCrashing = 10'000;
+/// Time for which a crash counts against a request; also the longest time for
+/// which a request that was blamed wrongly is refused.
+constexpr auto kCrashMemory = std::chrono::seconds(60);
 
 } // namespace
 
@@ -45,6 +46,7 @@
           kMaxWriteDelayMs) })
   , mSizes({})
   , mPool({})
+  , mQuarantine({ .mMemory = kCrashMemory })
 {
 }
 
@@ -71,12 +73,12 @@
 }
 
 void
-TrafficState::OnCrashingRequests(const std::set<std::uint64_t>& aFingerprints)
+TrafficState::OnCrashReports(
+  const std::vector<quarantine::CrashReport>& aReports)
 {
-  if (mCrashing.size() > kMaxCrashing) {
-    mCrashing.clear();
+  for (const auto& report : aReports) {
+    mQuarantine.OnCrash(report);
   }
-  mCrashing.insert(aFingerprints.begin(), aFingerprints.end());
 }
 
 void
@@ -86,6 +88,7 @@
     mReports.mOnStatusChange(change);
   }
   mPool.Expire();
+  mQuarantine.Expire(ReadBootClock());
 }
 
 bool
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -68,6 +68,7 @@
   settings.mCallers = ReadEndpoint(aReader, "callers");
   settings.mReadiness = ReadEndpoint(aReader, "readiness");
   settings.mMetrics = ReadEndpoint(aReader, "metrics");
+  settings.mPeers = ReadEndpoint(aReader, "peers");
   settings.mStore = ReadEndpoint(aReader, "store");
   settings.mMemoryMb = static_cast<int>(aReader.Whole("memory_mb", kMegabytes));
   settings.mMaxDescriptors =
--- /dev/null
+++ b/src/shell/relay/relay_follower.cpp
@@ -0,0 +1,291 @@
+#include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
+#include <figslip/relay/relay_follower.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <ranges>
+
+namespace figslip::relay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using store::ObjectKind;
+
+/// Time between looks for an instance to follow, while the store is followed.
+constexpr auto kLook = milliseconds(200);
+
+/// Longest wait of a poll without news.
+constexpr Duration kLongestWait = milliseconds(500);
+constexpr Duration kShortestWait = milliseconds(40);
+
+/// Time for the answer of a poll beyond its wait.
+constexpr auto kAnswerLimit = milliseconds(300);
+
+/// Oldest confirmation of the configuration with which another instance is
+/// followed. The store's own follower confirms it each 1.45 s; a source that
+/// has lost the store shows by this before a change is due everywhere, 2 s
+/// after it was made.
+constexpr Duration kMaxAge = milliseconds(1'750);
+
+constexpr unsigned kOk = 200;
+
+std::optional<net::Endpoint>
+ParseEndpoint(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  net::Endpoint endpoint{ .mAddress = aAddress.substr(0, colon) };
+  const auto* const end = aAddress.data() + aAddress.size();
+  const auto read =
+    std::from_chars(aAddress.data() + colon + 1, end, endpoint.mPort);
+  return read.ec == std::errc{} && read.ptr == end ? std::optional(endpoint)
+                                                   : std::nullopt;
+}
+
+/// Applies the changes to a copy of the objects.
+store::ObjectFollower::Objects
+Merge(const store::ObjectFollower::Objects& aKnown, const Delta& aDelta)
+{
+  auto objects = aDelta.mIsWhole ? store::ObjectFollower::Objects() : aKnown;
+  for (const auto& name : aDelta.mRemoved) {
+    objects.erase(name);
+  }
+  for (const auto& object : aDelta.mObjects) {
+    objects.insert_or_assign(object.mName, object);
+  }
+  return objects;
+}
+
+} // namespace
+
+RelayFollower::RelayFollower(net::asio::io_context& aContext,
+                             const Followers& aFollowers,
+                             RelayServer& aServer,
+                             metrics::Registry& aMetrics,
+                             SourceChoice::Options aOptions)
+  : mContext(aContext)
+  , mFollowers(aFollowers)
+  , mServer(aServer)
+  , mChoice(std::move(aOptions))
+  , mClient(aContext.get_executor(), {}, aMetrics, "figslip_relay_calls_total")
+{
+}
+
+void
+RelayFollower::Start()
+{
+  FollowStore("started");
+  net::asio::co_spawn(mContext, Run(), net::asio::detached);
+}
+
+void
+RelayFollower::OnPeers(const std::vector<Peer>& aPeers)
+{
+  mChoice.OnPeers(aPeers);
+}
+
+void
+RelayFollower::StopServing()
+{
+  mIsServing = false;
+  mServer.SetDirect(false);
+}
+
+net::Awaitable<void>
+RelayFollower::Run()
+{
+  while (true) {
+    const auto peer = HasCopy() ? mChoice.Next(HasLostStore(), ReadBootClock())
+                                : std::optional<Peer>();
+    if (!peer) {
+      FollowStore("no instance before this one answers");
+      co_await net::Sleep(kLook);
+      continue;
+    }
+    const auto failure = co_await Ask(*peer);
+    if (!failure) {
+      mChoice.OnAnswered(peer->mInstance);
+      continue;
+    }
+    log::Write(
+      log::Level::Info,
+      "source_failed",
+      { { "source", peer->mInstance },
+        { "reason", *failure },
+        { "copy_age_ms", std::to_string(CopyAge() / milliseconds(1)) } });
+    mChoice.OnFailed(peer->mInstance, ReadBootClock());
+    if (CopyAge() > kMaxAge) {
+      FollowStore(*failure);
+    }
+  }
+}
+
+net::Awaitable<std::optional<std::string>>
+RelayFollower::Ask(Peer aPeer)
+{
+  const auto endpoint = ParseEndpoint(aPeer.mAddress);
+  if (!endpoint) {
+    auto reason = "no address: " + aPeer.mAddress;
+    co_return reason;
+  }
+  if (mClientPeer != aPeer.mInstance + "@" + aPeer.mAddress) {
+    mClientPeer = aPeer.mInstance + "@" + aPeer.mAddress;
+    mClient.SetEndpoint(*endpoint);
+    mEpoch = 0;
+    mSequences.clear();
+  }
+  // the first answer of a process comes at once
+  const Poll poll{ .mEpoch = mEpoch,
+                   .mSequences = mSequences,
+                   .mWait = mSequences.empty() ? Duration::zero() : WaitOf() };
+  net::RequestMessage request{ .mMethod = "POST",
+                               .mTarget = "/v1/relay",
+                               .mHeaders = {},
+                               .mBody = EncodePoll(poll) };
+  const auto limit =
+    std::chrono::duration_cast<milliseconds>(poll.mWait) + kAnswerLimit;
+  const auto sentAt = ReadBootClock();
+  const auto result = co_await mClient.Call(std::move(request), "poll", limit);
+  if (result.mEnd != store::CallEnd::Answered) {
+    co_return result.mReason;
+  }
+  if (result.mStatus != kOk) {
+    auto reason = "status " + std::to_string(result.mStatus);
+    co_return reason;
+  }
+  const auto answer = DecodeAnswer(result.mBody);
+  if (!answer) {
+    auto reason = error::JoinMessages(answer.assume_error());
+    co_return reason;
+  }
+  auto failure = Take(aPeer, answer.assume_value(), sentAt);
+  co_return failure;
+}
+
+std::optional<std::string>
+RelayFollower::Check(const PollAnswer& aAnswer, TimePoint aSentAt) const
+{
+  if (!aAnswer.mIsDirect) {
+    return "it does not follow the store itself";
+  }
+  const auto now = ReadBootClock();
+  for (const auto& follower : mFollowers) {
+    const auto news =
+      std::ranges::find(aAnswer.mKinds, follower->Kind(), &KindNews::mKind);
+    if (news == aAnswer.mKinds.end()) {
+      return "a kind is missing";
+    }
+    if (news->mStoreRevision < follower->Revision().value_or(0)) {
+      return "its copy is older";
+    }
+    const bool isLease = follower->Kind() == ObjectKind::Configuration;
+    if (isLease && now - (aSentAt + news->mConfirmed) > kMaxAge) {
+      return "its copy was confirmed too long ago";
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+RelayFollower::Take(const Peer& aPeer,
+                    const PollAnswer& aAnswer,
+                    TimePoint aSentAt)
+{
+  if (auto failure = Check(aAnswer, aSentAt)) {
+    return failure;
+  }
+  FollowPeer(aPeer);
+  mEpoch = aAnswer.mEpoch;
+  const auto now = ReadBootClock();
+  for (const auto& follower : mFollowers) {
+    const auto news =
+      std::ranges::find(aAnswer.mKinds, follower->Kind(), &KindNews::mKind);
+    mSequences[news->mKind] = news->mDelta.mSequence;
+    const bool hasNews = news->mDelta.HasNews();
+    follower->Take(hasNews ? Merge(follower->All(), news->mDelta)
+                           : store::ObjectFollower::Objects(),
+                   news->mStoreRevision,
+                   std::min(now, aSentAt + news->mConfirmed),
+                   hasNews);
+  }
+  return std::nullopt;
+}
+
+void
+RelayFollower::FollowStore(const std::string& aReason)
+{
+  const bool isFollowed = mHasStarted && !mSource;
+  if (isFollowed) {
+    return;
+  }
+  log::Write(log::Level::Info,
+             "source_changed",
+             { { "source", "store" },
+               { "before", mSource.value_or("") },
+               { "reason", aReason } });
+  mHasStarted = true;
+  mSource.reset();
+  mSequences.clear(); // the own copy goes on from here
+  for (const auto& follower : mFollowers) {
+    follower->Start();
+  }
+  mServer.SetDirect(mIsServing);
+}
+
+void
+RelayFollower::FollowPeer(const Peer& aPeer)
+{
+  if (mSource == aPeer.mInstance) {
+    return;
+  }
+  log::Write(log::Level::Info,
+             "source_changed",
+             { { "source", aPeer.mInstance },
+               { "before", mSource.value_or("store") },
+               { "reason", "it follows the store and is up to date" } });
+  mSource = aPeer.mInstance;
+  for (const auto& follower : mFollowers) {
+    follower->Stop();
+  }
+  mServer.SetDirect(false);
+}
+
+bool
+RelayFollower::HasCopy() const
+{
+  return std::ranges::all_of(mFollowers, [](const auto& aFollower) {
+    return aFollower->Revision().has_value();
+  });
+}
+
+bool
+RelayFollower::HasLostStore() const
+{
+  return !mSource && std::ranges::any_of(mFollowers, [](const auto& aFollower) {
+    return aFollower->IsLost();
+  });
+}
+
+Duration
+RelayFollower::CopyAge() const
+{
+  const auto configuration =
+    std::ranges::find_if(mFollowers, [](const auto& aFollower) {
+      return aFollower->Kind() == ObjectKind::Configuration;
+    });
+  return ReadBootClock() - (*configuration)->ConfirmedAt();
+}
+
+Duration
+RelayFollower::WaitOf() const
+{
+  // an answer is due before the copy is too old
+  return std::clamp(kMaxAge - CopyAge(), kShortestWait, kLongestWait);
+}
+
+} // namespace figslip::relay
--- /dev/null
+++ b/src/shell/relay/relay_server.cpp
@@ -0,0 +1,157 @@
+#include <figslip/log/log.hpp>
+#include <figslip/net/listener.hpp>
+#include <figslip/relay/relay_server.hpp>
+#include <figslip/time/wall_clock.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace figslip::relay {
+
+namespace {
+
+/// Longest time that a poll may ask to wait.
+constexpr Duration kMaxWait = std::chrono::seconds(5);
+
+/// Longest poll of another instance, bytes.
+constexpr std::size_t kMaxPollBytes = 16 * 1024;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+
+} // namespace
+
+RelayServer::RelayServer(net::asio::io_context& aContext,
+                         const Followers& aFollowers,
+                         std::uint64_t aEpoch)
+  : mContext(aContext)
+  , mFollowers(aFollowers)
+  , mEpoch(aEpoch)
+{
+  for (const auto kind : kRelayedKinds) {
+    mLogs.emplace(kind, ChangeLog({}));
+  }
+}
+
+Result<void>
+RelayServer::Start(const net::Endpoint& aEndpoint)
+{
+  return net::Listen(mContext, aEndpoint, [this](Connection aConnection) {
+    return Serve(std::move(aConnection));
+  });
+}
+
+void
+RelayServer::SetDirect(bool aIsDirect)
+{
+  if (aIsDirect != mIsDirect) {
+    mIsDirect = aIsDirect;
+    Wake();
+  }
+}
+
+void
+RelayServer::OnNews(const store::ObjectFollower& aFollower)
+{
+  const bool hasChanged =
+    aFollower.Revision() && mLogs.at(aFollower.Kind()).Update(aFollower.All());
+  // the lease on keys of the others follows from the configuration's
+  const bool isLease = aFollower.Kind() == store::ObjectKind::Configuration;
+  if (hasChanged || isLease || aFollower.IsLost()) {
+    Wake();
+  }
+}
+
+void
+RelayServer::Wake()
+{
+  ++mNews;
+  for (const auto& timer : std::exchange(mWaiting, {})) {
+    timer->cancel();
+  }
+}
+
+net::Awaitable<void>
+RelayServer::Serve(Connection aConnection)
+{
+  ingress::CallerLimits limits;
+  limits.mMaxBodyBytes = kMaxPollBytes;
+  bool goesOn = true;
+  while (goesOn) {
+    const auto end = co_await aConnection->Read(limits);
+    if (end != net::ReadEnd::Whole) {
+      break;
+    }
+    const auto arrivedAt = ReadBootClock();
+    const auto poll = DecodePoll(aConnection->Request().mBody);
+    unsigned status = kBadRequest;
+    std::string body;
+    if (poll) {
+      const auto answer = co_await AwaitNews(poll.assume_value(), arrivedAt);
+      status = kOk;
+      body = EncodeAnswer(answer);
+    } else {
+      log::Write(log::Level::Warning,
+                 "relay_poll_unreadable",
+                 { { "findings", error::JoinMessages(poll.assume_error()) } });
+    }
+    const net::Headers headers = {
+      { .mName = "Content-Type",
+        .mValue = "application/vnd.apache.thrift.compact" }
+    };
+    goesOn = co_await aConnection->Respond(status, headers, body, false);
+  }
+  aConnection->Abort();
+}
+
+net::Awaitable<PollAnswer>
+RelayServer::AwaitNews(Poll aPoll, TimePoint aArrivedAt)
+{
+  const auto news = mNews;
+  const auto until = aArrivedAt + std::min(aPoll.mWait, kMaxWait);
+  const auto isKnown = [&](const PollAnswer& aAnswer) {
+    return aAnswer.mIsDirect &&
+           std::ranges::none_of(aAnswer.mKinds, [](const KindNews& aNews) {
+             return aNews.mDelta.HasNews();
+           });
+  };
+  auto answer = AnswerTo(aPoll, aArrivedAt);
+  auto now = ReadBootClock();
+  while (isKnown(answer) && news == mNews && now < until) {
+    const auto timer =
+      std::make_shared<net::asio::steady_timer>(mContext, until - now);
+    mWaiting.push_back(timer);
+    net::error_code ignored; // news cancel the timer
+    co_await timer->async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, ignored));
+    now = ReadBootClock();
+  }
+  answer = AnswerTo(aPoll, aArrivedAt);
+  co_return answer;
+}
+
+PollAnswer
+RelayServer::AnswerTo(const Poll& aPoll, TimePoint aArrivedAt) const
+{
+  PollAnswer answer{ .mEpoch = mEpoch, .mIsDirect = mIsDirect, .mKinds = {} };
+  answer.mIsDirect =
+    mIsDirect && std::ranges::all_of(mFollowers, [](const auto& aFollower) {
+      return aFollower->Revision() && !aFollower->IsLost();
+    });
+  if (!answer.mIsDirect) {
+    return answer;
+  }
+  for (const auto& follower : mFollowers) {
+    const auto known = aPoll.mSequences.find(follower->Kind());
+    const bool isKnown =
+      aPoll.mEpoch == mEpoch && known != aPoll.mSequences.end();
+    answer.mKinds.push_back(
+      { .mKind = follower->Kind(),
+        .mDelta = mLogs.at(follower->Kind()).Since(isKnown ? known->second : 0),
+        .mStoreRevision = *follower->Revision(),
+        .mConfirmed = follower->ConfirmedAt() - aArrivedAt });
+  }
+  return answer;
+}
+
+} // namespace figslip::relay
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -3,6 +3,7 @@
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
+#include <cassert>
 
 namespace figslip::store {
 
@@ -14,9 +15,8 @@
 /// Time for the answer of a call that does not wait.
 constexpr auto kCallLimit = std::chrono::milliseconds(1'200);
 
-/// Pauses between attempts while the store does not answer.
-constexpr auto kFirstPause = std::chrono::milliseconds(80);
-constexpr auto kLongestPause = std::chrono::milliseconds(640);
+/// First pause between attempts while the store does not answer.
+constexpr Duration kFirstPause = std::chrono::milliseconds(80);
 
 std::string
 Unexpected(const CallResult& aResult)
@@ -39,23 +39,72 @@
 {
 }
 
+void
+ObjectFollower::Start()
+{
+  ++mGeneration;
+  net::asio::co_spawn(
+    mClient.Executor(), Run(mGeneration), net::asio::detached);
+}
+
+void
+ObjectFollower::RetryNow()
+{
+  if (mRetry) {
+    mRetry->cancel();
+  }
+}
+
+void
+ObjectFollower::Take(Objects aObjects,
+                     std::int64_t aRevision,
+                     TimePoint aConfirmedAt,
+                     bool aHasChanged)
+{
+  assert(aRevision >= mRevision.value_or(0));
+  Note({});
+  mRevision = aRevision;
+  mHistoryGone = false;
+  if (aHasChanged) {
+    mObjects = std::move(aObjects);
+    mCallbacks.mOnObjects(mObjects);
+  }
+  Confirm(aConfirmedAt);
+}
+
+void
+ObjectFollower::Confirm(TimePoint aSentAt)
+{
+  mConfirmedAt = std::max(mConfirmedAt, aSentAt);
+  mCallbacks.mOnConfirmed(mConfirmedAt);
+}
+
 net::Awaitable<void>
-ObjectFollower::Run()
+ObjectFollower::Run(Generation aGeneration)
 {
   Duration pause = kFirstPause;
-  while (true) {
+  while (aGeneration == mGeneration) {
     Step step;
-    if (const auto revision = mRevision; revision && !mOptions.mLists) {
-      step = co_await Watch(*revision);
+    const bool lists = !mRevision || mHistoryGone || mOptions.mLists;
+    if (lists) {
+      step = co_await List(aGeneration);
     } else {
-      step = co_await List();
+      step = co_await Watch(aGeneration, *mRevision);
+    }
+    if (aGeneration != mGeneration) {
+      break;
     }
     Note(step);
     if (step.mHistoryGone) {
-      mRevision.reset();
+      mHistoryGone = true;
     } else if (!step.mReason.empty()) {
-      co_await net::Sleep(pause);
-      pause = std::min<Duration>(pause * 2, kLongestPause);
+      const auto timer =
+        std::make_shared<net::asio::steady_timer>(mClient.Executor(), pause);
+      mRetry = timer;
+      net::error_code ignored; // a cancelled pause is over
+      co_await timer->async_wait(
+        net::asio::redirect_error(net::asio::use_awaitable, ignored));
+      pause = std::min(pause * 2, mOptions.mMaxRetryPause);
     } else {
       pause = kFirstPause;
       if (mOptions.mPause > Duration::zero()) {
@@ -78,7 +127,7 @@
 }
 
 net::Awaitable<ObjectFollower::Step>
-ObjectFollower::List()
+ObjectFollower::List(Generation aGeneration)
 {
   const auto sentAt = ReadBootClock();
   const std::string name = "list " + std::string(NameOf(mOptions.mKind));
@@ -90,6 +139,9 @@
     auto request = mDialect.mList(mOptions.mKind, after);
     const auto answer =
       co_await mClient.Call(std::move(request), name, kCallLimit);
+    if (aGeneration != mGeneration) {
+      co_return Step{};
+    }
     if (answer.mEnd != CallEnd::Answered || answer.mStatus != kOk) {
       co_return Step{ .mReason = Unexpected(answer) };
     }
@@ -106,15 +158,19 @@
       objects.insert_or_assign(object.mName, std::move(object));
     }
   }
+  if (revision < mRevision.value_or(0)) {
+    co_return Step{ .mReason = "a list older than the copy" };
+  }
   mObjects = std::move(objects);
   mRevision = revision;
+  mHistoryGone = false;
   mCallbacks.mOnObjects(mObjects);
-  mCallbacks.mOnConfirmed(sentAt);
+  Confirm(sentAt);
   co_return Step{};
 }
 
 net::Awaitable<ObjectFollower::Step>
-ObjectFollower::Watch(std::int64_t aRevision)
+ObjectFollower::Watch(Generation aGeneration, std::int64_t aRevision)
 {
   const auto sentAt = ReadBootClock();
   const std::string name = "watch " + std::string(NameOf(mOptions.mKind));
@@ -123,6 +179,9 @@
     std::chrono::duration_cast<StoreClient::Milliseconds>(mOptions.mWait) +
     kCallLimit;
   const auto answer = co_await mClient.Call(std::move(request), name, limit);
+  if (aGeneration != mGeneration) {
+    co_return Step{};
+  }
   if (answer.mEnd == CallEnd::Answered && answer.mStatus == kGone) {
     co_return Step{ .mHistoryGone = true };
   }
@@ -131,11 +190,11 @@
   }
   const auto changes = mDialect.mReadChanges(answer.mBody);
   if (!changes) {
-    mRevision.reset();
+    mHistoryGone = true;
     co_return Step{ .mReason = error::JoinMessages(changes.assume_error()) };
   }
   Apply(changes.assume_value());
-  mCallbacks.mOnConfirmed(sentAt);
+  Confirm(sentAt);
   co_return Step{};
 }
 
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -35,10 +35,12 @@
 
 StoreClient::StoreClient(const net::asio::any_io_executor& aExecutor,
                          net::Endpoint aEndpoint,
-                         metrics::Registry& aMetrics)
+                         metrics::Registry& aMetrics,
+                         std::string aCounter)
   : mExecutor(aExecutor)
   , mEndpoint(std::move(aEndpoint))
   , mMetrics(aMetrics)
+  , mCounter(std::move(aCounter))
   , mPool(net::ConnectionPool::Options{})
 {
 }
@@ -62,9 +64,7 @@
   const std::string outcome = result.mEnd == CallEnd::Answered
                                 ? std::to_string(result.mStatus)
                                 : result.mReason;
-  mMetrics
-    .CounterOf("figslip_store_calls_total",
-               { { "call", aName }, { "outcome", outcome } })
+  mMetrics.CounterOf(mCounter, { { "call", aName }, { "outcome", outcome } })
     .Add();
   co_return result;
 }
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -144,6 +144,7 @@
                             { "callers", address(running.mCallerPort) },
                             { "readiness", address(running.mReadinessPort) },
                             { "metrics", address(FreePort()) },
+                            { "peers", address(FreePort()) },
                             { "store", address(mStore.Port()) },
                             { "memory_mb", 256 },
                             { "max_descriptors", 1024 },
@@ -295,18 +296,23 @@
                    "\r\n\r\n" + body);
 }
 
-int
-IngressWorld::RunsOf(const std::string& aAttempt)
+std::map<std::string, int>
+IngressWorld::CountRuns()
 {
-  int runs = 0;
+  std::map<std::string, int> counts;
   for (const auto& engine : mEngines) {
-    const auto all = engine->Runs();
-    runs += static_cast<int>(
-      std::ranges::count_if(all, [&](const net::RequestMessage& aRun) {
-        return net::FindHeader(aRun.mHeaders, "X-Attempt-Id") == aAttempt;
-      }));
+    for (const auto& run : engine->Runs()) {
+      const auto attempt = net::FindHeader(run.mHeaders, "X-Attempt-Id");
+      ++counts[std::string(attempt.value_or(""))];
+    }
   }
-  return runs;
+  return counts;
+}
+
+int
+IngressWorld::RunsOf(const std::string& aAttempt)
+{
+  return CountRuns()[aAttempt];
 }
 
 } // namespace figslip::test
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -60,6 +60,8 @@
                                   const std::string& aAttempt,
                                   const std::string& aKey = "key-1");
 
+  /// Counts the runs on both engines by request.
+  [[nodiscard]] std::map<std::string, int> CountRuns();
   /// Counts the runs of a request on both engines.
   [[nodiscard]] int RunsOf(const std::string& aAttempt);
 
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -136,6 +136,7 @@
     if (end != net::ReadEnd::Whole) {
       co_return;
     }
+    ++mCalls;
     const auto wait = Parameter(aConnection->Request().mTarget, "wait_ms", 0);
     const auto until =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
@@ -209,7 +210,12 @@
 {
   auto& objects = mObjects[aKind];
   if (aRequest.mMethod == "DELETE") {
-    objects.erase(aName);
+    if (objects.contains(aName)) {
+      auto object = objects[aName];
+      objects.erase(aName);
+      object["metadata"]["revision"] = mRevision + 1;
+      Note(aKind, object, true);
+    }
     return { .mBody = json::object() };
   }
   const auto body = json::parse(aRequest.mBody);
@@ -223,11 +229,14 @@
     Note(aKind, objects[name], false);
     return { .mBody = objects[name] };
   }
-  auto& object = objects[aName.substr(0, aName.find('/'))];
-  if (body["metadata"]["revision"] != object["metadata"]["revision"]) {
+  const auto slash = aName.find('/');
+  auto& object = objects[aName.substr(0, slash)];
+  const auto& wanted = body["metadata"].value("revision", json());
+  if (!wanted.is_null() && wanted != object["metadata"]["revision"]) {
     return { .mStatus = 409, .mBody = object };
   }
-  object["status"] = body["status"];
+  const auto* const part = slash == std::string::npos ? "spec" : "status";
+  object[part] = body.at(part);
   object["metadata"]["revision"] = mRevision + 1;
   Note(aKind, object, false);
   return { .mBody = object };
--- a/tests/harness/store_stand_in.hpp
+++ b/tests/harness/store_stand_in.hpp
@@ -34,6 +34,8 @@
   [[nodiscard]] int Port() const { return mPort; }
 
   void SetMode(Mode aMode) { mMode = aMode; }
+  /// Counts the calls so far.
+  [[nodiscard]] int Calls() const { return mCalls; }
 
   /// Writes an object as the operator or an upstream would.
   void Put(const std::string& aKind,
@@ -82,6 +84,7 @@
   net::tcp::acceptor mAcceptor;
   int mPort = 0;
   std::atomic<Mode> mMode{ Mode::Open };
+  std::atomic<int> mCalls = 0;
   std::mutex mMutex;
   std::int64_t mRevision = 5;
   std::int64_t mForgotten = 0; ///< revision up to which the history is gone
--- a/tests/src/history-ingress.cpp
+++ b/tests/src/history-ingress.cpp
@@ -318,3 +318,79 @@
     CHECK(world.Send(0, "GET", "/look/1", "good").mStatus == 200);
   }
 }
+
+TEST_CASE("the instances of a failure domain on the platform")
+{
+  constexpr std::size_t kInstances = 3;
+  // a change is in force everywhere this long after it
+  constexpr auto kInForce = 2'000ms;
+  IngressWorld world(kInstances);
+  int sent = 0;
+  const auto accepts = [&](std::size_t aInstance, const std::string& aKey) {
+    const auto attempt = "r-" + std::to_string(++sent);
+    return world.Send(aInstance, "GET", "/look/1", attempt, aKey).mStatus ==
+           200;
+  };
+  // one that did not answer yet, as it was starting, is asked again after 3 s
+  std::this_thread::sleep_for(4s);
+
+  SUBCASE("call the store little more often than one alone")
+  {
+    // the lists of the configuration, and watches of up to 3 s of the others
+    constexpr int kCallsOfOne = 5 * 3;
+    const auto before = world.Store().Calls();
+    std::this_thread::sleep_for(5s);
+    CHECK(world.Store().Calls() - before <= kCallsOfOne);
+  }
+
+  SUBCASE("follow a change in time, whichever of them was killed just before")
+  {
+    for (std::size_t killed = 0; killed < kInstances; ++killed) {
+      const auto key = "key-after-" + std::to_string(killed);
+      world.Instance(killed).Kill();
+      world.PutConfiguration({ "key-1", key });
+      std::this_thread::sleep_for(kInForce);
+      for (std::size_t other = 0; other < kInstances; ++other) {
+        CHECK((other == killed || accepts(other, key)));
+      }
+      world.Restart(killed);
+    }
+  }
+
+  SUBCASE("refuse a key taken away in time, whichever of them is frozen")
+  {
+    for (std::size_t frozen = 0; frozen < kInstances; ++frozen) {
+      const auto key = "key-before-" + std::to_string(frozen);
+      world.PutConfiguration({ "key-1", key });
+      std::this_thread::sleep_for(kInForce);
+      world.Instance(frozen).Freeze();
+      world.PutConfiguration({ "key-1" });
+      std::this_thread::sleep_for(kInForce);
+      for (std::size_t other = 0; other < kInstances; ++other) {
+        CHECK((other == frozen || !accepts(other, key)));
+        CHECK((other == frozen || accepts(other, "key-1")));
+      }
+      world.Instance(frozen).Resume();
+      CHECK(world.WaitForReady(frozen));
+      std::this_thread::sleep_for(kInForce);
+      CHECK_FALSE(accepts(frozen, key));
+    }
+  }
+
+  SUBCASE("go on after an outage of the store, in which an engine left")
+  {
+    world.Store().SetMode(test::StoreStandIn::Mode::Busy);
+    std::this_thread::sleep_for(1s);
+    world.Store().Remove("servers", "e-2");
+    world.Store().SetMode(test::StoreStandIn::Mode::Open);
+    std::this_thread::sleep_for(5s);
+    for (std::size_t instance = 0; instance < kInstances; ++instance) {
+      CHECK(accepts(instance, "key-1"));
+    }
+    const auto runs = world.Engine(1).Runs().size();
+    for (int request = 0; request < 20; ++request) {
+      CHECK(accepts(static_cast<std::size_t>(request) % kInstances, "key-1"));
+    }
+    CHECK(world.Engine(1).Runs().size() == runs);
+  }
+}
--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -149,10 +149,11 @@
   }
 
   int served = 0;
+  auto runsOf = world.CountRuns();
   for (const auto& request : sent | std::views::join) {
     INFO("request ", request.mAttempt, " ", request.mPath);
     const auto& answer = request.mAnswer;
-    const auto runs = world.RunsOf(request.mAttempt);
+    const auto runs = runsOf[request.mAttempt];
     const bool isRefused =
       std::ranges::find(kNotRun, answer.mStatus) != kNotRun.end();
     if (request.mPath == "/book/1") {
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -1,3 +1,4 @@
+#include <figslip/quarantine/crash_records.hpp>
 #include <figslip/quarantine/quarantine.hpp>
 
 #include <doctest/doctest.h>
@@ -7,6 +8,7 @@
 
 using namespace figslip;
 using namespace std::chrono_literals;
+using quarantine::CrashRecords;
 using quarantine::Quarantine;
 
 namespace {
@@ -37,6 +39,13 @@
     CHECK_FALSE(quarantine.IsQuarantined(kPoison, kStart + 20min));
   }
 
+  SUBCASE("is cleared once an upstream has served it")
+  {
+    quarantine.OnServed(kPoison);
+    quarantine.OnBroken(kPoison, "b", 1, kStart + 1s);
+    CHECK_FALSE(quarantine.IsQuarantined(kPoison, kStart + 1s));
+  }
+
   SUBCASE("is quarantined by the report of a peer as well, told twice or not")
   {
     quarantine.OnCrash({ kPoison, "b", kStart + 1s, 4 });
@@ -86,3 +95,56 @@
   quarantine.Expire(kStart + 20min);
   CHECK(quarantine.Reports(kStart + 20min).empty());
 }
+
+TEST_CASE("records of crashes in the store")
+{
+  CrashRecords records({ .mKeep = 60s });
+  const quarantine::CrashReport report{ .mFingerprint = 0xabc,
+                                        .mUpstream = "i-1.x",
+                                        .mInFlight = 3 };
+  const auto name = CrashRecords::NameOf(report);
+  CHECK(name == "crash.abc.i-1.x");
+  CHECK(CrashRecords::IsRecord(name));
+
+  SUBCASE("are read as the reports that they were, once")
+  {
+    const auto reports = records.OnRecords({ { name, 3 } }, kStart);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].mFingerprint == 0xabc);
+    CHECK(reports[0].mUpstream == "i-1.x");
+    CHECK(reports[0].mInFlight == 3);
+    CHECK(reports[0].mSeenAt == kStart);
+    CHECK(records.OnRecords({ { name, 3 } }, kStart + 1s).empty());
+  }
+
+  SUBCASE("of this instance are removed by it after their time, once")
+  {
+    CHECK(records.OnOwn(name, kStart));
+    CHECK_FALSE(records.OnOwn(name, kStart + 1s));
+    CHECK(records.OnRecords({ { name, 3 } }, kStart + 1s).empty());
+    CHECK(records.TakeDue(kStart + 59s).empty());
+    CHECK(records.TakeDue(kStart + 60s).size() == 1);
+    CHECK(records.TakeDue(kStart + 61s).empty());
+  }
+
+  SUBCASE("of a lost instance are removed by others, later")
+  {
+    CHECK(records.OnRecords({ { name, 3 } }, kStart).size() == 1);
+    CHECK(records.TakeDue(kStart + 119s).empty());
+    CHECK(records.TakeDue(kStart + 120s).size() == 1);
+    CHECK(records.OnRecords({}, kStart + 121s).empty());
+    CHECK(records.Size() == 0);
+  }
+
+  SUBCASE("are told from other names")
+  {
+    for (const auto* const other : { "",
+                                     "crash.",
+                                     "crash.abc",
+                                     "crash.abc.",
+                                     "crash.x.i-1",
+                                     "instance.a" }) {
+      CHECK_FALSE(CrashRecords::IsRecord(other));
+    }
+  }
+}
--- /dev/null
+++ b/tests/src/unit-relay.cpp
@@ -0,0 +1,230 @@
+#include <figslip/relay/change_log.hpp>
+#include <figslip/relay/relay_messages.hpp>
+#include <figslip/relay/source_choice.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using relay::ChangeLog;
+using relay::Peer;
+using relay::SourceChoice;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+store::Object
+MakeObject(const std::string& aName, std::int64_t aRevision)
+{
+  return { .mName = aName,
+           .mRevision = aRevision,
+           .mCreated = 1,
+           .mSpec = { { "a", aRevision } },
+           .mStatus = nullptr };
+}
+
+ChangeLog::Objects
+MakeObjects(const std::vector<std::pair<std::string, std::int64_t>>& aObjects)
+{
+  ChangeLog::Objects objects;
+  for (const auto& [name, revision] : aObjects) {
+    objects.emplace(name, MakeObject(name, revision));
+  }
+  return objects;
+}
+
+std::vector<std::string>
+NamesOf(const relay::Delta& aDelta)
+{
+  std::vector<std::string> names;
+  std::ranges::transform(
+    aDelta.mObjects, std::back_inserter(names), &store::Object::mName);
+  return names;
+}
+
+SourceChoice
+MakeChoice(const std::string& aInstance, const std::vector<Peer>& aPeers)
+{
+  SourceChoice choice({ .mInstance = aInstance,
+                        .mFailureDomain = "a",
+                        .mAvoid = 3s,
+                        .mMaxAvoid = 24s });
+  choice.OnPeers(aPeers);
+  return choice;
+}
+
+} // namespace
+
+TEST_CASE("changes of a copy")
+{
+  using Names = std::vector<std::string>;
+  ChangeLog log({ .mMaxRemovals = 2 });
+  CHECK(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } })));
+  const auto first = log.Sequence();
+
+  SUBCASE("are everything for one who knows nothing")
+  {
+    const auto delta = log.Since(0);
+    CHECK(delta.mIsWhole);
+    CHECK(NamesOf(delta) == Names{ "x", "y" });
+    CHECK(delta.HasNews());
+  }
+
+  SUBCASE("are nothing for one who knows all")
+  {
+    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } })));
+    CHECK_FALSE(log.Since(first).HasNews());
+  }
+
+  SUBCASE("name what changed, came and went")
+  {
+    CHECK(log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } })));
+    const auto delta = log.Since(first);
+    CHECK_FALSE(delta.mIsWhole);
+    CHECK(NamesOf(delta) == Names{ "y", "z" });
+    CHECK(delta.mRemoved == Names{ "x" });
+  }
+
+  SUBCASE("do not remove what came back")
+  {
+    log.Update(MakeObjects({ { "y", 2 } }));
+    log.Update(MakeObjects({ { "x", 5 }, { "y", 2 } }));
+    const auto delta = log.Since(first);
+    CHECK(NamesOf(delta) == Names{ "x" });
+    CHECK(delta.mRemoved.empty());
+  }
+
+  SUBCASE("are everything once removals are forgotten")
+  {
+    log.Update(MakeObjects({ { "a", 6 }, { "b", 6 }, { "c", 6 } }));
+    log.Update({});
+    CHECK(log.Since(first).mIsWhole);
+    CHECK_FALSE(log.Since(log.Sequence()).HasNews());
+  }
+
+  SUBCASE("are everything for a number of another process")
+  {
+    CHECK(log.Since(first + 100).mIsWhole);
+  }
+
+  SUBCASE("begin with an empty copy, too")
+  {
+    ChangeLog empty({});
+    CHECK(empty.Update({}));
+    CHECK(empty.Since(0).mIsWhole);
+    CHECK_FALSE(empty.Since(empty.Sequence()).HasNews());
+  }
+}
+
+TEST_CASE("the instances of a failure domain")
+{
+  const std::vector<Peer> peers = { { "i-1", "a", "10.0.0.1:1" },
+                                    { "i-2", "a", "10.0.0.2:1" },
+                                    { "i-3", "a", "10.0.0.3:1" },
+                                    { "i-4", "b", "10.0.0.4:1" } };
+  std::vector<SourceChoice> choices;
+  for (const auto* const name : { "i-1", "i-2", "i-3" }) {
+    choices.push_back(MakeChoice(name, peers));
+  }
+  const auto isDirect = [&](const SourceChoice& aChoice) {
+    return !aChoice.Next(false, kStart);
+  };
+  REQUIRE(std::ranges::count_if(choices, isDirect) == 1);
+  const auto follower = std::ranges::find_if_not(choices, isDirect);
+  const auto source = follower->Next(false, kStart)->mInstance;
+
+  SUBCASE("follow the same one of them, which follows the store")
+  {
+    for (const auto& choice : choices) {
+      const auto next = choice.Next(false, kStart);
+      CHECK((!next || next->mInstance == source));
+    }
+  }
+
+  SUBCASE("turn to the next one, or the store, when it fails")
+  {
+    for (auto& choice : choices) {
+      choice.OnFailed(source, kStart);
+    }
+    CHECK(std::ranges::count_if(choices, isDirect) == 2);
+    CHECK(follower->Next(false, kStart + 3s)->mInstance == source);
+  }
+
+  SUBCASE("ask one that fails again and again less often")
+  {
+    follower->OnFailed(source, kStart);
+    follower->OnFailed(source, kStart + 3s);
+    const auto next = follower->Next(false, kStart + 8s);
+    CHECK((!next || next->mInstance != source));
+    CHECK(follower->Next(false, kStart + 9s)->mInstance == source);
+    follower->OnAnswered(source);
+    follower->OnFailed(source, kStart + 10s);
+    CHECK(follower->Next(false, kStart + 13s)->mInstance == source);
+  }
+
+  SUBCASE("ask those of other domains once the store is lost")
+  {
+    auto alone = MakeChoice("i-9", { { "i-4", "b", "10.0.0.4:1" } });
+    CHECK_FALSE(alone.Next(false, kStart));
+    CHECK(alone.Next(true, kStart)->mInstance == "i-4");
+    alone.OnFailed("i-4", kStart);
+    CHECK_FALSE(alone.Next(true, kStart));
+  }
+}
+
+TEST_CASE("messages between instances")
+{
+  const relay::Poll poll{ .mEpoch = 0xffff'ffff'ffff'fff1,
+                          .mSequences = { { store::ObjectKind::Drains, 7 } },
+                          .mWait = 500ms };
+  relay::PollAnswer answer{ .mEpoch = 5, .mIsDirect = true, .mKinds = {} };
+  answer.mKinds.push_back({ .mKind = store::ObjectKind::Upstreams,
+                            .mDelta = { .mSequence = 9,
+                                        .mIsWhole = true,
+                                        .mObjects = { MakeObject("x", 3) },
+                                        .mRemoved = { "y" } },
+                            .mStoreRevision = 44,
+                            .mConfirmed = -3ms });
+
+  SUBCASE("are read as they were written")
+  {
+    const auto read = relay::DecodePoll(relay::EncodePoll(poll));
+    REQUIRE(read.has_value());
+    CHECK(read.assume_value().mEpoch == poll.mEpoch);
+    CHECK(read.assume_value().mSequences == poll.mSequences);
+    CHECK(read.assume_value().mWait == poll.mWait);
+    const auto told = relay::DecodeAnswer(relay::EncodeAnswer(answer));
+    REQUIRE(told.has_value());
+    CHECK(told.assume_value().mEpoch == 5);
+    CHECK(told.assume_value().mIsDirect);
+    REQUIRE(told.assume_value().mKinds.size() == 1);
+    const auto& news = told.assume_value().mKinds[0];
+    CHECK(news.mKind == store::ObjectKind::Upstreams);
+    CHECK(news.mStoreRevision == 44);
+    CHECK(news.mConfirmed == -3ms);
+    CHECK(news.mDelta.mSequence == 9);
+    CHECK(news.mDelta.mIsWhole);
+    CHECK(news.mDelta.mObjects[0].mSpec == MakeObject("x", 3).mSpec);
+    CHECK(news.mDelta.mRemoved == std::vector<std::string>{ "y" });
+  }
+
+  SUBCASE("are refused when cut short, at any place")
+  {
+    const auto bytes = relay::EncodeAnswer(answer);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      CHECK_FALSE(relay::DecodeAnswer(std::string_view(bytes).substr(0, size)));
+    }
+  }
+
+  SUBCASE("are refused when they are something else")
+  {
+    CHECK_FALSE(relay::DecodePoll("GET / HTTP/1.1"));
+    CHECK_FALSE(relay::DecodePoll("\xff\xff\xff\xff\xff\xff\xff\xff"));
+  }
+}
