--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,9 @@
 # The usual commands; CMake does the work.
+# make test PRESET=ci builds quicker
+PRESET ?= default
+# a regular expression of tests to leave out
+WITHOUT ?= ^$$
+
 .PHONY: all packages build test demo format lint soak generate
 
 all: build
@@ -7,11 +12,11 @@
 	tools/install-packages.sh
 
 build:
-	cmake --preset default
-	cmake --build --preset default
+	cmake --preset $(PRESET)
+	cmake --build --preset $(PRESET)
 
 test: build
-	ctest --preset default -j 4
+	ctest --preset $(PRESET) -j 4 -E "$(WITHOUT)"
 
 demo: build
 	build/bin/figslip-demo
