Suspect a failure domain that is silent; call the store less at starts

Now three silent upstreams without an answer of their domain in between make the domain suspected; it is tried each 500 ms by a request that may be repeated.

Calls: an instance that starts asks the others for their copy first, and the other kinds wait for the configuration in an outage.

--- a/include/figslip/placement/health.hpp
+++ b/include/figslip/placement/health.hpp
@@ -9,8 +9,10 @@
 {
   Good,
   Error,       ///< a failure that the upstream reported
-  Broken,      ///< reset, cut short, garbled, or silent for too long
-  Unreachable, ///< no connection
+  Broken,      ///< reset, cut short or garbled
+  Silent,      ///< no answer in time
+  Unreachable, ///< no connection was opened in time
+  Refused,     ///< the connection was refused
   Rejected     ///< full or leaving; says nothing of its health
 };
 
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -3,6 +3,7 @@
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/upstream_entry.hpp>
+#include <figslip/placement/domain_health.hpp>
 #include <figslip/placement/health.hpp>
 #include <figslip/placement/prefix_cache.hpp>
 #include <figslip/time/time_point.hpp>
@@ -30,6 +31,8 @@
   std::function<bool(std::string_view)> mAllowsVersion;
   const std::set<std::string>* mAvoid = nullptr; ///< upstreams that failed it
   const std::vector<std::string>* mRegions = nullptr; ///< null or empty: all
+  /// the request may be sent again, so it may try a suspected failure domain
+  bool mMayRepeat = false;
 };
 
 /// @brief Names the upstream chosen and what to expect there.
@@ -154,6 +157,11 @@
   [[nodiscard]] double RunningOf(const State& aState, TimePoint aNow) const;
   [[nodiscard]] bool HasStated(const State& aState, TimePoint aNow) const;
   [[nodiscard]] bool HasRoom(const State& aState, TimePoint aNow) const;
+  /// Tells whether its failure domain seems to be cut off, and is not due to be
+  /// tried by this request.
+  [[nodiscard]] bool IsCutOff(const State& aState,
+                              const PlacementQuery& aQuery,
+                              TimePoint aNow) const;
   [[nodiscard]] bool HasColdRate(const State& aState, TimePoint aNow) const;
   [[nodiscard]] double PaceOf(std::string_view aService,
                               std::string_view aModel) const;
@@ -182,6 +190,7 @@
   ingress::ConfigurationPtr mConfiguration;
   std::map<std::string, State, std::less<>> mStates;
   std::set<std::string, std::less<>> mDrained;
+  DomainHealth mDomains{ {} };
   std::mt19937_64 mRandom;
   int mInstances = 1;
   bool mHasList = false;
--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -16,9 +16,9 @@
 
 /// @brief Follows the store through another instance, or itself.
 ///
-/// Lives on the control thread. The copies begin with the store itself. Once
-/// another instance has answered with a copy that is as new, the own calls to
-/// the store end; they begin again when no instance answers with a fresh copy.
+/// Lives on the control thread. Once another instance has answered with a copy
+/// that is as new as the own one, the own calls to the store end; they begin
+/// again when no instance answers with a fresh copy.
 class RelayFollower
 {
 public:
@@ -41,6 +41,8 @@
 
 private:
   [[nodiscard]] net::Awaitable<void> Run();
+  /// Reads which instances there are; nothing else of the store.
+  [[nodiscard]] net::Awaitable<void> FindInstances();
   /// Asks an instance for news and takes them.
   /// @return why the answer could not be used
   [[nodiscard]] net::Awaitable<std::optional<std::string>> Ask(Peer aPeer);
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -30,7 +30,8 @@
     /// lists again and again in place of watching; a list proves that the copy
     /// is as new as its sending, a watch only when the next one has returned
     bool mLists = false;
-    /// longest pause between attempts while the store does not answer
+    /// pauses between attempts while the store does not answer; they double
+    Duration mRetryPause = std::chrono::milliseconds(80);
     Duration mMaxRetryPause = std::chrono::milliseconds(640);
   };
 
--- a/src/core/placement/health.cpp
+++ b/src/core/placement/health.cpp
@@ -36,7 +36,8 @@
     return;
   }
   ++mFailuresInRow;
-  const bool isUnreachable = aHealth == AttemptHealth::Unreachable;
+  const bool isUnreachable =
+    aHealth == AttemptHealth::Unreachable || aHealth == AttemptHealth::Refused;
   if (isUnreachable || (mFailureRate > kAvoidRate && mFailuresInRow > 1)) {
     const auto doublings = std::min(mFailuresInRow - 1, 4);
     const auto pause = kShortestPause * (1 << doublings);
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -169,7 +169,9 @@
     const bool isOpen = IsCandidate(state, aQuery) && HasRoom(state, aNow) &&
                         HasColdRate(state, aNow);
     if (isOpen) {
-      (state.mHealth.IsAvoided(aNow) ? avoided : open).push_back(&state);
+      const bool isAvoided =
+        state.mHealth.IsAvoided(aNow) || IsCutOff(state, aQuery, aNow);
+      (isAvoided ? avoided : open).push_back(&state);
     }
   }
   // rather an upstream that failed lately than none
@@ -246,6 +248,7 @@
                            mOptions.mTokensPerMs * pace,
              .mDecodeWeight = pace,
              .mSentAt = aNow };
+  mDomains.OnSent(state.mEntry.mDomain, aNow);
   ++state.mInFlight;
   state.mReadingMs += load.mReadingMs;
   state.mDecodeWeight += load.mDecodeWeight;
@@ -314,9 +317,16 @@
   }
   auto& state = found->second;
   state.mHealth.OnOutcome(aHealth, aNow);
+  const bool isSilent =
+    aHealth == AttemptHealth::Silent || aHealth == AttemptHealth::Unreachable;
+  if (isSilent) {
+    mDomains.OnSilent(state.mEntry.mDomain, aUpstream, aNow);
+  } else {
+    mDomains.OnAnswer(state.mEntry.mDomain);
+  }
   // it may have crashed, and be back before its new entry is known here
-  const bool mayRestart =
-    aHealth == AttemptHealth::Broken || aHealth == AttemptHealth::Unreachable;
+  const bool mayRestart = isSilent || aHealth == AttemptHealth::Broken ||
+                          aHealth == AttemptHealth::Refused;
   const auto* const service =
     mConfiguration ? mConfiguration->FindService(state.mEntry.mService)
                    : nullptr;
@@ -432,6 +442,16 @@
   return RunningOf(aState, aNow) < aState.mEntry.mSlots;
 }
 
+bool
+UpstreamBoard::IsCutOff(const State& aState,
+                        const PlacementQuery& aQuery,
+                        TimePoint aNow) const
+{
+  const auto& domain = aState.mEntry.mDomain;
+  return mDomains.IsSuspected(domain) &&
+         !(aQuery.mMayRepeat && mDomains.IsProbeDue(domain, aNow));
+}
+
 bool
 UpstreamBoard::HasColdRate(const State& aState, TimePoint aNow) const
 {
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -29,8 +29,8 @@
 /// was confirmed this long ago outlasts an outage of 3 s.
 constexpr auto kConfigurationPause = milliseconds(1'450);
 
-/// Longest pause between attempts for the other kinds during an outage; they
-/// are asked for at once when the configuration is answered again.
+/// Pause between attempts for the other kinds during an outage; they are asked
+/// for at once when the configuration is answered again.
 constexpr auto kOutagePause = milliseconds(2'500);
 
 constexpr std::string_view kInstancePrefix = "instance.";
@@ -129,21 +129,25 @@
   Follow({ .mKind = ObjectKind::Upstreams,
            .mWait = milliseconds(2'000),
            .mPause = milliseconds(650),
+           .mRetryPause = kOutagePause,
            .mMaxRetryPause = kOutagePause },
          std::move(upstreams));
   Follow({ .mKind = ObjectKind::Rollouts,
            .mWait = milliseconds(3'000),
+           .mRetryPause = kOutagePause,
            .mMaxRetryPause = kOutagePause },
          CallbacksOf(ObjectKind::Rollouts,
                      [this](const auto& aObjects) { OnRollouts(aObjects); }));
   Follow({ .mKind = ObjectKind::Drains,
            .mWait = milliseconds(3'000),
+           .mRetryPause = kOutagePause,
            .mMaxRetryPause = kOutagePause },
          CallbacksOf(ObjectKind::Drains,
                      [this](const auto& aObjects) { OnDrains(aObjects); }));
   Follow({ .mKind = ObjectKind::Shared,
            .mWait = milliseconds(8'000),
-           .mPause = milliseconds(300),
+           .mPause = milliseconds(900),
+           .mRetryPause = kOutagePause,
            .mMaxRetryPause = kOutagePause },
          CallbacksOf(ObjectKind::Shared,
                      [this](const auto& aObjects) { OnShared(aObjects); }));
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -91,7 +91,9 @@
     co_return true;
   }
   if (opened != net::StepEnd::Aborted) {
-    OnHealth(aAttempt, AttemptHealth::Unreachable);
+    OnHealth(aAttempt,
+             opened == net::StepEnd::TimedOut ? AttemptHealth::Unreachable
+                                              : AttemptHealth::Refused);
     mLastFailure =
       mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
   }
@@ -366,12 +368,13 @@
       { "reason", std::string(net::NameOf(aEnd)) },
       { "after_ms", std::to_string(ToMs(aNow - aAttempt.mSentAt).count()) },
       { "events", std::to_string(mEvents.Events()) } });
+  OnHealth(aAttempt,
+           aEnd == net::StepEnd::TimedOut ? AttemptHealth::Silent
+                                          : AttemptHealth::Broken);
   if (aNow >= mDeadline) {
     mLastFailure = RequestEnd::RouteTimeout;
-    OnHealth(aAttempt, AttemptHealth::Broken);
     return Next::Failed;
   }
-  OnHealth(aAttempt, AttemptHealth::Broken);
   SampleFailure(aAttempt, true);
   mAvoid.insert(aAttempt.mUpstream.mId);
   mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -219,7 +219,8 @@
                  mService, aVersion, mSession, ReadBootClock());
              },
            .mAvoid = &mAvoid,
-           .mRegions = &mRoute->mAllowedRegions };
+           .mRegions = &mRoute->mAllowedRegions,
+           .mMayRepeat = mRoute->MayRepeat() };
 }
 
 cascade::SizeQuestion
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -17,6 +17,10 @@
 /// Time between looks for an instance to follow, while the store is followed.
 constexpr auto kLook = milliseconds(200);
 
+/// Time at the start to find an instance that has a copy.
+constexpr Duration kFindLimit = milliseconds(300);
+constexpr auto kFindPoll = milliseconds(5);
+
 /// Longest wait of a poll without news.
 constexpr Duration kLongestWait = milliseconds(500);
 constexpr Duration kShortestWait = milliseconds(40);
@@ -79,7 +83,6 @@
 void
 RelayFollower::Start()
 {
-  FollowStore("started");
   net::asio::co_spawn(mContext, Run(), net::asio::detached);
 }
 
@@ -96,14 +99,35 @@
   mServer.SetDirect(false);
 }
 
+net::Awaitable<void>
+RelayFollower::FindInstances()
+{
+  const auto shared =
+    std::ranges::find_if(mFollowers, [](const auto& aFollower) {
+      return aFollower->Kind() == ObjectKind::Shared;
+    });
+  (*shared)->Start();
+  const auto until = ReadBootClock() + kFindLimit;
+  while (!(*shared)->Revision() && ReadBootClock() < until) {
+    co_await net::Sleep(kFindPoll);
+  }
+}
+
 net::Awaitable<void>
 RelayFollower::Run()
 {
+  co_await FindInstances();
+  const auto mayFindUntil = ReadBootClock() + kFindLimit;
   while (true) {
-    const auto peer = HasCopy() ? mChoice.Next(HasLostStore(), ReadBootClock())
-                                : std::optional<Peer>();
+    const auto now = ReadBootClock();
+    // without a copy yet, other instances are asked for a short time only
+    const bool mayAsk = HasCopy() || now < mayFindUntil;
+    auto peer = std::optional<Peer>();
+    if (mayAsk) {
+      peer = mChoice.Next(HasLostStore(), now);
+    }
     if (!peer) {
-      FollowStore("no instance before this one answers");
+      FollowStore("no instance is to be asked");
       co_await net::Sleep(kLook);
       continue;
     }
@@ -119,7 +143,7 @@
         { "reason", *failure },
         { "copy_age_ms", std::to_string(CopyAge() / milliseconds(1)) } });
     mChoice.OnFailed(peer->mInstance, ReadBootClock());
-    if (CopyAge() > kMaxAge) {
+    if (HasCopy() && CopyAge() > kMaxAge) {
       FollowStore(*failure);
     }
   }
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -15,9 +15,6 @@
 /// Time for the answer of a call that does not wait.
 constexpr auto kCallLimit = std::chrono::milliseconds(1'200);
 
-/// First pause between attempts while the store does not answer.
-constexpr Duration kFirstPause = std::chrono::milliseconds(80);
-
 std::string
 Unexpected(const CallResult& aResult)
 {
@@ -82,7 +79,7 @@
 net::Awaitable<void>
 ObjectFollower::Run(Generation aGeneration)
 {
-  Duration pause = kFirstPause;
+  Duration pause = mOptions.mRetryPause;
   while (aGeneration == mGeneration) {
     Step step;
     const bool lists = !mRevision || mHistoryGone || mOptions.mLists;
@@ -106,7 +103,7 @@
         net::asio::redirect_error(net::asio::use_awaitable, ignored));
       pause = std::min(pause * 2, mOptions.mMaxRetryPause);
     } else {
-      pause = kFirstPause;
+      pause = mOptions.mRetryPause;
       if (mOptions.mPause > Duration::zero()) {
         co_await net::Sleep(mOptions.mPause);
       }
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -7,12 +7,14 @@
 #include <map>
 #include <memory>
 #include <ranges>
+#include <set>
 #include <string>
 #include <vector>
 
 using namespace figslip;
 using namespace std::chrono_literals;
 using placement::AttemptHealth;
+using placement::DomainHealth;
 using placement::NoChoice;
 using placement::UpstreamBoard;
 
@@ -257,3 +259,96 @@
   }
   CHECK(sent["e0"] <= 5);
 }
+
+TEST_CASE("a failure domain behind a partition")
+{
+  DomainHealth domains({});
+  domains.OnSilent("b", "b1", kStart);
+  domains.OnSilent("b", "b2", kStart + 300ms);
+  CHECK_FALSE(domains.IsSuspected("b"));
+
+  SUBCASE("is suspected once three of its upstreams are silent")
+  {
+    domains.OnSilent("b", "b3", kStart + 400ms);
+    CHECK(domains.IsSuspected("b"));
+    CHECK_FALSE(domains.IsSuspected("a"));
+    CHECK_FALSE(domains.IsProbeDue("b", kStart + 800ms));
+    CHECK(domains.IsProbeDue("b", kStart + 900ms));
+    domains.OnSent("b", kStart + 900ms);
+    CHECK_FALSE(domains.IsProbeDue("b", kStart + 1'000ms));
+
+    SUBCASE("and no longer with the first answer")
+    {
+      domains.OnAnswer("b");
+      CHECK_FALSE(domains.IsSuspected("b"));
+    }
+  }
+
+  SUBCASE("is not suspected for one upstream, however often it is silent")
+  {
+    domains.OnSilent("b", "b2", kStart + 500ms);
+    domains.OnSilent("b", "b2", kStart + 600ms);
+    CHECK_FALSE(domains.IsSuspected("b"));
+  }
+
+  SUBCASE("is not suspected while others of it answer")
+  {
+    domains.OnAnswer("b");
+    domains.OnSilent("b", "b3", kStart + 400ms);
+    CHECK_FALSE(domains.IsSuspected("b"));
+  }
+
+  SUBCASE("is not suspected for silences far apart")
+  {
+    domains.OnSilent("b", "b3", kStart + 5s);
+    CHECK_FALSE(domains.IsSuspected("b"));
+  }
+}
+
+TEST_CASE("a steady load of requests while a failure domain is cut off")
+{
+  auto board = MakeBoard();
+  std::vector<ingress::UpstreamEntry> entries;
+  for (int number = 0; number < 20; ++number) {
+    entries.push_back(MakeEntry("a" + std::to_string(number), "a"));
+    entries.push_back(MakeEntry("b" + std::to_string(number), "b"));
+  }
+  board.OnUpstreams(entries, kStart);
+  // 50 requests a second for 4 s; those sent to domain b get no answer and are
+  // given up after 600 ms
+  int lost = 0;
+  int lostOnce = 0;
+  std::vector<std::pair<TimePoint, std::string>> silent;
+  std::set<std::string> seenSilent;
+  for (int number = 0; number < 200; ++number) {
+    const auto now = kStart + number * 20ms;
+    std::erase_if(silent, [&](const auto& aSilent) {
+      const bool isOver = now >= aSilent.first;
+      if (isOver) {
+        board.OnOutcome(aSilent.second, AttemptHealth::Silent, now);
+        seenSilent.insert(aSilent.second);
+      }
+      return isOver;
+    });
+    const bool mayRepeat = number % 2 == 0;
+    const placement::PlacementQuery query{ .mService = "engines",
+                                           .mModel = "small",
+                                           .mPromptTokens = 100,
+                                           .mMayRepeat = mayRepeat };
+    const auto choice = board.Choose(query, now);
+    REQUIRE(choice);
+    auto load = board.Reserve(*choice, query, now);
+    const std::string upstream = choice->mUpstream->mId;
+    if (choice->mUpstream->mDomain == "b") {
+      ++lost;
+      lostOnce += !mayRepeat && seenSilent.size() >= 3 ? 1 : 0;
+      silent.emplace_back(now + 600ms, upstream);
+    } else {
+      board.OnOutcome(upstream, AttemptHealth::Good, now);
+    }
+    board.Release(load);
+  }
+  // those sent before the first silence shows, and a probe each 500 ms after it
+  CHECK(lost <= 32 + 8);
+  CHECK(lostOnce == 0);
+}
