Put changed settings into force, also those that change without a signal

Cause: settings were read again on SIGHUP only, and then only checked; had the store's address changed, instances would have lost the store for good. Now they are read each second; the store's address, grace, time of revocation and share of repeats are put into force, anything else is logged as needing a restart. history-ingress has the two cases; before, nothing noticed a changed file.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -46,6 +46,9 @@
   /// when it crashed.
   void ReportCrash(const quarantine::CrashReport& aReport);
 
+  /// @brief Calls the store at another address from now on.
+  void SetStore(const net::Endpoint& aStore);
+
   /// @brief Takes this instance off the list of instances.
   [[nodiscard]] net::Awaitable<void> Deregister();
 
@@ -77,7 +80,7 @@
                      const error::Findings& aFindings);
 
   net::asio::io_context& mContext;
-  const settings::IngressSettings& mSettings;
+  const settings::IngressSettings mSettings; ///< as at the start
   const store::StoreDialect& mDialect;
   ingress::FreshnessLease& mLease;
   Post mPost;
--- a/include/figslip/gateway/ingress_daemon.hpp
+++ b/include/figslip/gateway/ingress_daemon.hpp
@@ -34,9 +34,15 @@
   void RegisterServices();
   [[nodiscard]] net::Awaitable<void> Tick();
   [[nodiscard]] net::Awaitable<void> AwaitStop();
-  void Reload();
+  /// Reads the settings again, as a signal asked for or as they may change
+  /// without one.
+  void Reload(bool aIsAsked);
+  /// Puts into force what can change while the process runs.
+  void Apply(const settings::IngressSettings& aSettings);
 
   Options mOptions;
+  settings::IngressSettings mLastRead; ///< in force, but for a restart
+  std::string mRejected;               ///< findings of the last read
   // the contexts outlive all sockets and timers, those of the kernel's too
   net::asio::io_context mTrafficContext{ 1 };
   net::asio::io_context mControlContext{ 1 };
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -41,6 +41,8 @@
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries);
   void OnInstances(int aInstances);
+  /// @brief Takes settings that were changed in place.
+  void OnSettings();
   void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
   /// @brief Hands due status changes to the control thread; every 100 ms.
   void OnTick();
@@ -63,6 +65,7 @@
   net::ConnectionPool mPool;
   quarantine::Quarantine mQuarantine;
   TrafficReports mReports;
+  int mInstances = 1; ///< registered
   bool mHasUpstreams = false;
   bool mIsStopping = false; ///< not ready any more; serves what comes
   bool mRefusesNew = false; ///< what came now would be cut off
--- a/include/figslip/ingress/freshness_lease.hpp
+++ b/include/figslip/ingress/freshness_lease.hpp
@@ -29,9 +29,12 @@
                      std::memory_order_release);
   }
 
+  /// @brief Changes the time for which a confirmation is good.
+  void SetLength(Duration aDuration) { mDuration = aDuration; }
+
   [[nodiscard]] bool IsHeld(TimePoint aNow) const
   {
-    return aNow < ConfirmedAt() + mDuration;
+    return aNow < ConfirmedAt() + Length();
   }
 
   [[nodiscard]] TimePoint ConfirmedAt() const
@@ -42,7 +45,7 @@
   [[nodiscard]] Duration Length() const { return mDuration; }
 
 private:
-  Duration mDuration;
+  std::atomic<Duration> mDuration;
   std::atomic<Duration::rep> mConfirmed{ 0 };
 };
 
--- a/include/figslip/retry/retry_budget.hpp
+++ b/include/figslip/retry/retry_budget.hpp
@@ -28,6 +28,9 @@
   {
   }
 
+  /// @brief Changes the repeats per first send.
+  void SetShare(double aShare) { mOptions.mShare = aShare; }
+
   /// @brief Changes the part of the allowance that this instance may use.
   void SetAllowance(double aAllowance) { mOptions.mAllowance = aAllowance; }
 
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -29,6 +29,8 @@
   double mRetrySlack = 0.0; ///< repeats beyond, of all instances together
   Duration mRetryWindow{};  ///< over which both count
   Duration mSessionTtl{};   ///< pause that ends a session
+
+  bool operator==(const IngressSettings&) const = default;
 };
 
 /// @brief Parses and checks the settings.
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -407,6 +407,12 @@
   }
 }
 
+void
+ControlPlane::SetStore(const net::Endpoint& aStore)
+{
+  mClient.SetEndpoint(aStore);
+}
+
 net::Awaitable<void>
 ControlPlane::Deregister()
 {
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -17,6 +17,10 @@
 /// Interval of housekeeping.
 constexpr auto kTick = milliseconds(100);
 
+/// Housekeeping between two looks at the settings, which may change without a
+/// signal.
+constexpr int kTicksPerReload = 10;
+
 /// Taken off the time for which a key taken away may still work, for the error
 /// of the clocks; the lease is checked when a request is sent on, later than
 /// the caller has sent it.
@@ -26,6 +30,7 @@
 
 IngressDaemon::IngressDaemon(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mLastRead(mOptions.mSettings)
   , mLease(mOptions.mSettings.mRevocation - kLeaseMargin)
   , mTraffic(std::make_shared<TrafficState>(mOptions.mSettings,
                                             mOptions.mHttp,
@@ -97,10 +102,14 @@
 net::Awaitable<void>
 IngressDaemon::Tick()
 {
+  int ticks = 0;
   while (true) {
     co_await net::Sleep(kTick);
     mTraffic->OnTick();
     log::Flush();
+    if (++ticks % kTicksPerReload == 0) {
+      Reload(false);
+    }
   }
 }
 
@@ -115,7 +124,7 @@
     if (!error && signal != SIGHUP) {
       break;
     }
-    Reload();
+    Reload(true);
   }
   net::asio::co_spawn(
     mControlContext, mControl->Deregister(), net::asio::detached);
@@ -123,17 +132,55 @@
 }
 
 void
-IngressDaemon::Reload()
+IngressDaemon::Reload(bool aIsAsked)
 {
-  const auto settings = mOptions.mReadSettings();
-  if (!settings) {
-    log::Write(
-      log::Level::Error,
-      "settings_rejected",
-      { { "findings", error::JoinMessages(settings.assume_error(), "; ") } });
+  const auto read = mOptions.mReadSettings();
+  if (!read) {
+    const auto findings = error::JoinMessages(read.assume_error(), "; ");
+    if (aIsAsked || findings != mRejected) {
+      log::Write(
+        log::Level::Error, "settings_rejected", { { "findings", findings } });
+    }
+    mRejected = findings;
     return;
   }
-  log::Write(log::Level::Info, "settings_reloaded");
+  mRejected.clear();
+  const auto& settings = read.assume_value();
+  const bool hasChanged = !(settings == mLastRead);
+  mLastRead = settings;
+  if (hasChanged) {
+    Apply(settings);
+  } else if (aIsAsked) {
+    log::Write(log::Level::Info, "settings_reloaded", { { "changed", "no" } });
+  }
+}
+
+void
+IngressDaemon::Apply(const settings::IngressSettings& aSettings)
+{
+  auto& current = mOptions.mSettings;
+  const bool hasMoved = current.mStore != aSettings.mStore;
+  current.mStore = aSettings.mStore;
+  current.mGrace = aSettings.mGrace;
+  current.mRevocation = aSettings.mRevocation;
+  current.mRetryShare = aSettings.mRetryShare;
+  current.mRetrySlack = aSettings.mRetrySlack;
+  mLease.SetLength(current.mRevocation - kLeaseMargin);
+  mTraffic->OnSettings();
+  if (hasMoved) {
+    net::asio::post(mControlContext,
+                    [control = mControl, store = current.mStore] {
+                      control->SetStore(store);
+                    });
+  }
+  const bool needsRestart = !(current == aSettings);
+  log::Write(
+    needsRestart ? log::Level::Warning : log::Level::Info,
+    "settings_reloaded",
+    { { "changed", "yes" },
+      { "store",
+        current.mStore.mAddress + ":" + std::to_string(current.mStore.mPort) },
+      { "needs_restart", needsRestart ? "yes" : "no" } });
 }
 
 } // namespace figslip::gateway
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -67,11 +67,19 @@
 void
 TrafficState::OnInstances(int aInstances)
 {
+  mInstances = aInstances;
   mBoard.SetInstances(aInstances);
   mRollouts.SetInstances(aInstances);
   mRetries.SetAllowance(mSettings.mRetrySlack * kUsedAllowance / aInstances);
 }
 
+void
+TrafficState::OnSettings()
+{
+  mRetries.SetShare(mSettings.mRetryShare * kUsedShare);
+  OnInstances(mInstances);
+}
+
 void
 TrafficState::OnCrashReports(
   const std::vector<quarantine::CrashReport>& aReports)
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <stdexcept>
 #include <thread>
@@ -173,7 +175,23 @@
 }
 
 void
-IngressWorld::PutConfiguration(const std::vector<std::string>& aKeys)
+IngressWorld::ChangeSetting(std::size_t aIndex,
+                            const std::string& aField,
+                            const json& aValue)
+{
+  const auto& path = mInstances.at(aIndex).mSettings;
+  std::ifstream file(path);
+  auto settings = json::parse(file);
+  settings[aField] = aValue;
+  // a reader never sees half of it
+  const auto next = path + ".next";
+  std::ofstream(next) << settings.dump();
+  std::filesystem::rename(next, path);
+}
+
+void
+IngressWorld::PutConfiguration(const std::vector<std::string>& aKeys,
+                               StoreStandIn& aStore)
 {
   const auto route = [](const char* aName,
                         const char* aPrefix,
@@ -191,7 +209,7 @@
                  { "resumable", std::string(aType) == "streaming" } };
   };
   ++mVersion;
-  mStore.Put(
+  aStore.Put(
     "config",
     "main",
     { { "version", mVersion },
@@ -211,10 +229,11 @@
 void
 IngressWorld::PutEngine(std::size_t aIndex,
                         const std::string& aState,
-                        const std::string& aVersion)
+                        const std::string& aVersion,
+                        StoreStandIn& aStore)
 {
   const auto& engine = *mEngines.at(aIndex);
-  mStore.Put("servers",
+  aStore.Put("servers",
              engine.Id(),
              { { "service", "engines" },
                { "address", "127.0.0.1:" + std::to_string(engine.Port()) },
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -40,10 +40,26 @@
   void Restart(std::size_t aIndex);
 
   /// Writes the configuration; each one has a higher version.
-  void PutConfiguration(const std::vector<std::string>& aKeys);
+  void PutConfiguration(const std::vector<std::string>& aKeys)
+  {
+    PutConfiguration(aKeys, mStore);
+  }
+  void PutConfiguration(const std::vector<std::string>& aKeys,
+                        StoreStandIn& aStore);
+  /// Changes a field in the settings of an instance, without a signal.
+  void ChangeSetting(std::size_t aIndex,
+                     const std::string& aField,
+                     const nlohmann::json& aValue);
   void PutEngine(std::size_t aIndex,
                  const std::string& aState = "ready",
-                 const std::string& aVersion = "v1");
+                 const std::string& aVersion = "v1")
+  {
+    PutEngine(aIndex, aState, aVersion, mStore);
+  }
+  void PutEngine(std::size_t aIndex,
+                 const std::string& aState,
+                 const std::string& aVersion,
+                 StoreStandIn& aStore);
 
   /// Waits until an instance says that it is ready, or not.
   [[nodiscard]] bool WaitForReady(std::size_t aIndex, bool aReady = true);
--- a/tests/src/history-ingress.cpp
+++ b/tests/src/history-ingress.cpp
@@ -394,3 +394,33 @@
     CHECK(world.Engine(1).Runs().size() == runs);
   }
 }
+
+TEST_CASE("settings that change without a signal")
+{
+  IngressWorld world;
+  const auto answer = [&](const std::string& aKey, const char* aAttempt) {
+    return world.Send(0, "GET", "/look/1", aAttempt, aKey).mStatus;
+  };
+  REQUIRE(answer("key-1", "s-1") == 200);
+
+  SUBCASE("lead to the store's new address")
+  {
+    test::StoreStandIn moved;
+    for (int change = 0; change < 50; ++change) {
+      moved.Put("other", "x", { { "change", change } });
+    }
+    world.PutConfiguration({ "key-1", "key-9" }, moved);
+    world.PutEngine(0, "ready", "v1", moved);
+    world.ChangeSetting(
+      0, "store", "127.0.0.1:" + std::to_string(moved.Port()));
+    CHECK(Eventually([&] { return answer("key-9", "s-2") == 200; }));
+  }
+
+  SUBCASE("stay out of force where they are wrong")
+  {
+    world.ChangeSetting(0, "store", "nowhere");
+    std::this_thread::sleep_for(2s);
+    world.PutConfiguration({ "key-1", "key-9" });
+    CHECK(Eventually([&] { return answer("key-9", "s-3") == 200; }));
+  }
+}
