Never relay a peer's "not run" for a request that ran here

Cause: an attempt whose connection went silent was followed by a forward to the other domain. The entry there waited for a place until the deadline and refused with 504 and "not_run", which is true of itself. Only refusals for want of capacity (429, 503) were weighed against the own attempts; every other one was relayed as it came.

Ruled out: the HTTP client calling a broken connection "not connected" (its sending step ends as a read or write failure); the stand-in refusing after a run (it records runs after its refusals); clocks (the calls of the same requests were in order).

Change: a forward says whether an earlier attempt may have run; if so, a peer's "not run" is a failed forward, and the entry refuses in its own words.

Test: a new case of history-upstream plays it without chance.

--- a/include/figslip/routing/decision.hpp
+++ b/include/figslip/routing/decision.hpp
@@ -56,6 +56,7 @@
   std::string mInstance; ///< name of the peer
   std::string mAddress;  ///< IP number of its caller port
   int mPort = 0;
+  bool mMayHaveRun = false; ///< an earlier attempt may have run the request
 };
 
 /// @brief Orders to wait until woken, or until a time, and to ask again.
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -413,7 +413,8 @@
   aTicket.mAvoid.insert(peer.mName);
   return Forward{ .mInstance = peer.mName,
                   .mAddress = peer.mAddress,
-                  .mPort = peer.mCallerPort };
+                  .mPort = peer.mCallerPort,
+                  .mMayHaveRun = aTicket.mMayHaveRun || aTicket.mForwardTaken };
 }
 
 bool
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -153,10 +153,12 @@
                                // a pooled connection may have gone silent
                                .mFreshConnection = true };
     options.mOnHead = [&](const http::ClientResponse& aHead) {
-      // other refusals would be the same at every entry
-      refusedNotRun = IsOutOfCapacity(aHead.mStatus) &&
-                      http::FindHeader(aHead.mHeaders, "Figslip-Run") ==
-                        routing::NameOf(routing::RunState::NotRun);
+      // other refusals than for want of capacity would be the same at every
+      // entry; but a peer that did not run the request knows of no other run
+      const bool saysNotRun = http::FindHeader(aHead.mHeaders, "Figslip-Run") ==
+                              routing::NameOf(routing::RunState::NotRun);
+      refusedNotRun =
+        saysNotRun && (aStep.mMayHaveRun || IsOutOfCapacity(aHead.mStatus));
       if (!refusedNotRun) {
         begun = true;
         mSink.mOnRelayHead(aHead);
--- a/tests/src/history-upstream.cpp
+++ b/tests/src/history-upstream.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <thread>
 
 using namespace figslip::test;
 
@@ -129,3 +130,49 @@
 
   CHECK(traffic.Idempotent().Share() >= kIdempotentShare);
 }
+
+TEST_CASE("a request that one domain ran without an answer")
+{
+  constexpr int kDeadlineMs = 5'000;
+  constexpr auto kBusy = "sul-b-small-1";
+  auto plan = SmallPlan();
+  for (auto& upstream : plan.mUpstreams) {
+    if (upstream.mUpstream.mName == kBusy) {
+      upstream.mUpstream.mConcurrency = 1;
+      upstream.mUpstream.mColdConcurrency = 1;
+    }
+  }
+  for (auto& entry : plan.mEntries) {
+    entry.mSettings["first_token_timeout_ms"] =
+      entry.mFailureDomain == "sul-a" ? 300 : 10'000;
+  }
+  Cluster cluster(plan);
+  cluster.Start();
+  const CallerWork work{ .mAccount = "salon", .mTarget = "small" };
+  Traffic traffic(cluster, { .mTries = 1, .mDeadlineMs = kDeadlineMs });
+  for (std::size_t entry = 0; entry < plan.mEntries.size(); ++entry) {
+    CallerEnd end = CallerEnd::Refused;
+    for (int tries = 0; tries < 10 && end != CallerEnd::Answered; ++tries) {
+      const auto name =
+        "warm-" + std::to_string(entry) + "-" + std::to_string(tries);
+      end = traffic.Send(work, name, entry).mEnd;
+    }
+    REQUIRE(end == CallerEnd::Answered);
+  }
+  cluster.SetUpstreamFault(kEngine, { { "silent", true } });
+  cluster.SetUpstreamFault(kBusy, { { "silent", true } });
+
+  SUBCASE("is not said to be not run when another domain had no place for it")
+  {
+    std::jthread occupant([&] { traffic.Send(work, "occupant", 1); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDeadlineMs / 4));
+    const auto last = traffic.Send(work, "silent", 0);
+    occupant.join();
+    CHECK(last.mEnd == CallerEnd::Refused);
+    CHECK(last.mRun == "unknown");
+    const auto history = traffic.Finish();
+    CHECK(std::ranges::count(
+            history.mRuns, "silent", &UpstreamRun::mRequestId) > 0);
+    CheckKept(history);
+  }
+}
--- a/tests/src/unit-retry.cpp
+++ b/tests/src/unit-retry.cpp
@@ -92,10 +92,20 @@
     const auto forward =
       As<Forward>(router.OnOutcome(kTicket, unreached, fixture.mNow));
     CHECK(forward.mInstance == "entry-b");
+    CHECK_FALSE(forward.mMayHaveRun);
     const auto refusal =
       As<Refuse>(router.OnForwardFailed(kTicket, false, fixture.mNow));
     CHECK(refusal.mRun == RunState::NotRun);
   }
+
+  SUBCASE("that may have run is marked so when another entry gets it")
+  {
+    const AttemptOutcome silent{ .mEnd = AttemptEnd::TimedOut };
+    (void)router.OnOutcome(kTicket, silent, fixture.mNow);
+    const auto forward =
+      As<Forward>(router.OnOutcome(kTicket, silent, fixture.mNow));
+    CHECK(forward.mMayHaveRun);
+  }
 }
 
 TEST_CASE("a request that may not be repeated")
