Log why a repeat, a place or an attempt was refused; end a call in time as 504

Cause: a repeat that the budget refused, a refused connection, an upstream's own refusal or error status, and the want of a place left no line. The age of a configuration that was never confirmed was the time since the boot.

Change: lines repeat_refused, no_place and attempt_failed with their inputs; a step that timed out with no time for another attempt ends as route_timeout (504), after its failure has been counted for roll-outs as before; the age is empty where nothing was confirmed. The tests read the standard output of the instances that they run.

Test: "the log of an instance" in history-ingress. Before the change of the timer the slow call got 502 and no route_timeout; the other lines did not exist.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -23,6 +23,9 @@
   [[nodiscard]] net::Awaitable<bool> Run();
 
 private:
+  /// Time that must be left for another attempt to make sense.
+  static constexpr Duration kLeastTime = std::chrono::milliseconds(20);
+
   /// Lists what becomes of the request after an attempt.
   enum class Next
   {
@@ -66,6 +69,10 @@
   [[nodiscard]] bool MaySendNow(const Attempt& aAttempt, TimePoint aNow) const;
   [[nodiscard]] bool MayTryAgain(TimePoint aNow);
   void LogAttempt(const Attempt& aAttempt) const;
+  /// Tells why an attempt ended without an answer that can be passed on.
+  void LogFailure(const Attempt& aAttempt, std::string_view aReason) const;
+  void LogRepeatRefused() const;
+  void LogNoPlace(placement::NoChoice aReason, TimePoint aNow) const;
   [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
                                           TimePoint aNow) const;
   [[nodiscard]] std::chrono::milliseconds FirstLimit(const Attempt& aAttempt,
--- a/include/figslip/ingress/freshness_lease.hpp
+++ b/include/figslip/ingress/freshness_lease.hpp
@@ -37,6 +37,12 @@
     return aNow < ConfirmedAt() + Length();
   }
 
+  /// @brief Tells whether a confirmation was ever noted.
+  [[nodiscard]] bool WasConfirmed() const
+  {
+    return ConfirmedAt() != TimePoint{};
+  }
+
   [[nodiscard]] TimePoint ConfirmedAt() const
   {
     return TimePoint(Duration(mConfirmed.load(std::memory_order_acquire)));
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -52,6 +52,21 @@
   AllFull     ///< all places are taken
 };
 
+/// @brief Returns the name that logs use.
+[[nodiscard]] constexpr std::string_view
+NameOf(NoChoice aReason)
+{
+  switch (aReason) {
+    case NoChoice::NoUpstream:
+      return "no_upstream";
+    case NoChoice::AllCold:
+      return "all_cold";
+    case NoChoice::AllFull:
+      return "all_full";
+  }
+  return "unknown";
+}
+
 /// @brief Counts one request on an upstream until it ends.
 struct Load
 {
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -91,6 +91,9 @@
     co_return true;
   }
   if (opened != net::StepEnd::Aborted) {
+    LogFailure(aAttempt,
+               opened == net::StepEnd::TimedOut ? "connection_timed_out"
+                                                : "connection_refused");
     OnHealth(aAttempt,
              opened == net::StepEnd::TimedOut ? AttemptHealth::Unreachable
                                               : AttemptHealth::Refused);
@@ -116,9 +119,10 @@
     co_return Next::Ended;
   }
   if (!MaySendNow(aAttempt, now)) {
-    mLastFailure = mAccount != nullptr && !mState.mLease.IsHeld(now)
-                     ? RequestEnd::StaleKeys
-                     : RequestEnd::NoUpstream;
+    const bool isStale = mAccount != nullptr && !mState.mLease.IsHeld(now);
+    mLastFailure = isStale ? RequestEnd::StaleKeys : RequestEnd::NoUpstream;
+    LogFailure(aAttempt,
+               isStale ? "keys_stale_before_send" : "closed_before_send");
     ++mSends;
     co_return Next::Again;
   }
@@ -159,6 +163,17 @@
         std::to_string(ToMs(mDeadline - aAttempt.mSentAt).count()) } });
 }
 
+void
+RequestFlow::LogFailure(const Attempt& aAttempt, std::string_view aReason) const
+{
+  log::Write(log::Level::Info,
+             "attempt_failed",
+             { { "request", mFacts.mAttemptId },
+               { "upstream", aAttempt.mUpstream.mId },
+               { "version", aAttempt.mUpstream.mVersion },
+               { "reason", std::string(aReason) } });
+}
+
 std::string
 RequestFlow::FormatAttempt(const Attempt& aAttempt, TimePoint aNow) const
 {
@@ -208,6 +223,7 @@
     co_return OnBroken(aAttempt, net::StepEnd::Malformed, now);
   }
   if (facts.mNotExecuted || head.mStatus == kMisdirected) {
+    LogFailure(aAttempt, "rejected");
     --mAttempts;
     OnHealth(aAttempt, AttemptHealth::Rejected);
     mAvoid.insert(aAttempt.mUpstream.mId);
@@ -222,6 +238,7 @@
   }
   const bool isFailure = head.mStatus >= kFirstServerError;
   if (isFailure) {
+    LogFailure(aAttempt, "status_" + std::to_string(head.mStatus));
     OnHealth(aAttempt, AttemptHealth::Error);
     SampleFailure(aAttempt, false);
     if (mRoute->MayRepeat() && MayTryAgain(now)) {
@@ -371,14 +388,18 @@
   OnHealth(aAttempt,
            aEnd == net::StepEnd::TimedOut ? AttemptHealth::Silent
                                           : AttemptHealth::Broken);
-  if (aNow >= mDeadline) {
-    mLastFailure = RequestEnd::RouteTimeout;
-    return Next::Failed;
-  }
   SampleFailure(aAttempt, true);
   mAvoid.insert(aAttempt.mUpstream.mId);
   mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort });
+  // the timer of a step may fire a little before the deadline that set it
+  const bool isOutOfTime =
+    aNow >= mDeadline ||
+    (aEnd == net::StepEnd::TimedOut && aNow + kLeastTime >= mDeadline);
+  if (isOutOfTime) {
+    mLastFailure = RequestEnd::RouteTimeout;
+    return Next::Failed;
+  }
   if (aEnd == net::StepEnd::Closed && !aAttempt.mHadEvent) {
     SuspectCrash(aAttempt, aNow);
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -22,9 +22,6 @@
 /// Sends that upstreams may reject, beyond the attempts that may run.
 constexpr int kMaxRejections = 3;
 
-/// Time that must be left for another attempt to make sense.
-constexpr Duration kLeastTime = milliseconds(20);
-
 std::uint64_t
 HashOf(std::string_view aText, std::uint64_t aSeed = 0)
 {
@@ -164,6 +161,7 @@
         co_await net::Sleep(kRoomPoll);
         continue;
       }
+      LogNoPlace(reason, now);
       if (mSends == 0) {
         mLastFailure = reason == placement::NoChoice::NoUpstream
                          ? RequestEnd::NoUpstream
@@ -198,10 +196,40 @@
   const bool isPossible = mAttempts < limit &&
                           mSends < limit + kMaxRejections &&
                           aNow + kLeastTime < mDeadline;
+  if (!isPossible) {
+    return false;
+  }
   // a repeat is taken out of the budget once, however often it is asked for
-  mHasRetry =
-    mHasRetry || (isPossible && mState.mRetries.TryRepeat(mService, aNow));
-  return isPossible && mHasRetry;
+  mHasRetry = mHasRetry || mState.mRetries.TryRepeat(mService, aNow);
+  if (!mHasRetry) {
+    LogRepeatRefused();
+  }
+  return mHasRetry;
+}
+
+void
+RequestFlow::LogRepeatRefused() const
+{
+  log::Write(log::Level::Info,
+             "repeat_refused",
+             { { "request", mFacts.mAttemptId },
+               { "service", mService },
+               { "attempts", std::to_string(mAttempts) },
+               { "instances", std::to_string(mState.mInstances) },
+               { "reason", "budget" } });
+}
+
+void
+RequestFlow::LogNoPlace(placement::NoChoice aReason, TimePoint aNow) const
+{
+  log::Write(
+    log::Level::Info,
+    "no_place",
+    { { "request", mFacts.mAttemptId },
+      { "service", mService },
+      { "reason", std::string(placement::NameOf(aReason)) },
+      { "occupancy", std::to_string(mState.mBoard.Occupancy(mService, aNow)) },
+      { "waited_ms", MillisText(aNow - mArrivedAt) } });
 }
 
 placement::PlacementQuery
@@ -351,8 +379,11 @@
       { "session", mFacts.mSession },
       { "configuration",
         mConfiguration ? std::to_string(mConfiguration->Version()) : "" },
+      // empty: none has been confirmed since the start
       { "configuration_age_ms",
-        MillisText(now - mState.mLease.ConfirmedAt()) } });
+        mState.mLease.WasConfirmed()
+          ? MillisText(now - mState.mLease.ConfirmedAt())
+          : "" } });
 }
 
 } // namespace figslip::gateway
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -169,6 +169,7 @@
   running.mProcess = std::make_unique<Process>(
     "figslip-ingress",
     std::vector<std::string>{ "--settings", running.mSettings });
+  running.mProcess->DrainOutput();
   if (!WaitForReady(aIndex)) {
     throw std::runtime_error("the instance did not become ready");
   }
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -116,7 +116,13 @@
   return line.is_object() ? json::NumberOr(line, aField, 0) : 0;
 }
 
-/// Keeps the pipe from filling up, since nobody reads the log.
+std::string
+Process::Log() const
+{
+  const std::lock_guard lock(mLog->mMutex);
+  return mLog->mText;
+}
+
 void
 Process::DrainOutput()
 {
@@ -125,10 +131,15 @@
     logFile == nullptr
       ? -1
       : open(logFile, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  std::thread([output = std::exchange(mOutput, -1), log] {
+  mLog->mText = std::exchange(mPending, {});
+  std::thread([output = std::exchange(mOutput, -1), log, kept = mLog] {
     char buffer[4096];
     auto count = read(output, buffer, sizeof(buffer));
     while (count > 0) {
+      {
+        const std::lock_guard lock(kept->mMutex);
+        kept->mText.append(buffer, static_cast<std::size_t>(count));
+      }
       if (log >= 0 && write(log, buffer, static_cast<std::size_t>(count)) < 0) {
         break;
       }
--- a/tests/harness/process.hpp
+++ b/tests/harness/process.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -40,17 +42,30 @@
   /// Waits for the end of a process that was told to stop; see `Stop`.
   std::optional<int> Wait(std::chrono::milliseconds aPatience);
 
+  /// Starts to read standard output, so that the pipe does not fill up; done
+  /// once the program has told its port, or by the caller where it tells none.
+  void DrainOutput();
+
+  /// Returns what has been read of standard output.
+  [[nodiscard]] std::string Log() const;
+
   [[nodiscard]] pid_t Id() const { return mId; }
   [[nodiscard]] bool IsRunning() const { return mId > 0; }
 
 private:
+  struct Output
+  {
+    std::mutex mMutex;
+    std::string mText;
+  };
+
   [[nodiscard]] std::string ReadLine();
-  void DrainOutput();
 
   pid_t mId = -1;
   int mOutput = -1;
   std::string mPending;
   std::string mListening; ///< the line that told the port
+  std::shared_ptr<Output> mLog = std::make_shared<Output>();
 };
 
 /// Returns the folder of the built programs.
--- a/tests/src/history-ingress.cpp
+++ b/tests/src/history-ingress.cpp
@@ -2,9 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
+#include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace figslip;
 using namespace std::chrono_literals;
@@ -424,3 +427,64 @@
     CHECK(Eventually([&] { return answer("key-9", "s-3") == 200; }));
   }
 }
+
+TEST_CASE("the log of an instance")
+{
+  IngressWorld world;
+  const auto hasLine = [&](const std::vector<std::string>& aParts) {
+    std::istringstream lines(world.Instance(0).Log());
+    for (std::string line; std::getline(lines, line);) {
+      const bool isIt = std::ranges::all_of(aParts, [&](const auto& aPart) {
+        return line.find(aPart) != std::string::npos;
+      });
+      if (isIt) {
+        return true;
+      }
+    }
+    return false;
+  };
+  const auto tells = [&](const std::vector<std::string>& aParts) {
+    return Eventually([&] { return hasLine(aParts); }, 2s);
+  };
+
+  SUBCASE("tells that the budget refused a repeat")
+  {
+    world.Engine(0).SetBehaviour(Behaviour::RunAndVanish);
+    world.Engine(1).SetBehaviour(Behaviour::RunAndVanish);
+    world.ChangeSetting(0, "retry_share", 0.0);
+    world.ChangeSetting(0, "retry_slack", 0.0);
+    REQUIRE(tells({ "settings_reloaded" }));
+    CHECK(world.Send(0, "GET", "/look/1", "spent").mStatus == 502);
+    CHECK(tells({ "repeat_refused", "\"spent\"", "budget" }));
+    CHECK(tells({ "request_failed", "\"spent\"", "upstream_failed" }));
+  }
+
+  SUBCASE("tells that the time of a call ran out, and not that it failed")
+  {
+    world.Engine(0).SetBehaviour(Behaviour::Hang);
+    world.Engine(1).SetBehaviour(Behaviour::Hang);
+    CHECK(world.Send(0, "POST", "/book/1", "slow").mStatus == 504);
+    CHECK(tells({ "request_failed", "\"slow\"", "route_timeout" }));
+  }
+
+  SUBCASE("tells why an upstream did not serve")
+  {
+    world.Engine(0).SetBehaviour(Behaviour::Refuse);
+    world.Engine(1).SetBehaviour(Behaviour::Fail);
+    for (int number = 0; number < 4; ++number) {
+      const auto name = "w" + std::to_string(number);
+      CHECK(world.Send(0, "GET", "/look/1", name).mStatus == 500);
+    }
+    CHECK(tells({ "attempt_failed", "\"e-1\"", "rejected" }));
+    CHECK(tells({ "attempt_failed", "\"e-2\"", "status_500" }));
+  }
+
+  SUBCASE("tells why there was no place")
+  {
+    world.PutEngine(0, "draining");
+    world.PutEngine(1, "draining");
+    CHECK(Eventually(
+      [&] { return world.Send(0, "GET", "/look/1", "out").mStatus == 503; }));
+    CHECK(tells({ "no_place", "\"out\"", "no_upstream" }));
+  }
+}
