Count upstreams that break off together as one failure of a new version

Cause: five upstreams crash at 18.4 s, when all sessions are on the new version. Each crash counted as one failure of the version; with the answers of cold upstreams that timed out afterwards they made a fifth of the latest 24 attempts, or three of a route, against an old version that gets no requests any more ("failures", "failures on route ...", from the logs).

Change: breaks within 3 s of the last one that was counted have its cause in common and are not counted again. Failures that upstreams report count as before, so what a bad version is seen by does not change.

Test: the case of the logs in unit-staged_rollout fails without the change; upstreams that break off one after the other still stop the roll-out.

--- a/include/figslip/rollout/canary_evidence.hpp
+++ b/include/figslip/rollout/canary_evidence.hpp
@@ -19,6 +19,7 @@
   /// upstream that broke the attempt off, if it did not report a failure; its
   /// crash ends all attempts there at once and counts as one failure
   std::string mBrokenAt;
+  TimePoint mAt; ///< end of an attempt that was broken off
   /// time to the first event as a multiple of what was expected; none where
   /// there was no event
   std::optional<double> mSlowness;
@@ -58,8 +59,8 @@
     [[nodiscard]] double MedianSlowness() const;
   };
 
-  /// Tells whether the crash of this upstream was counted already.
-  [[nodiscard]] bool IsKnownCrash(const CanarySample& aSample);
+  /// Tells whether the break, or another with the same cause, was counted.
+  [[nodiscard]] bool IsCounted(const CanarySample& aSample);
   [[nodiscard]] static bool IsFailing(const Series& aTarget,
                                       const Series& aOthers);
 
@@ -67,7 +68,8 @@
   std::map<std::string, Series> mOthers;
   Series mAllTarget;
   Series mAllOthers;
-  std::set<std::string> mBroken; ///< upstreams whose crash was counted
+  std::set<std::string> mBroken;      ///< upstreams that broke attempts off
+  std::optional<TimePoint> mBrokenAt; ///< last break that was counted
   std::size_t mSamples = 0;
 };
 
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -22,6 +22,10 @@
 /// A version is slow from this multiple of the others' time.
 constexpr double kSlowFactor = 3.0;
 
+/// Upstreams that break attempts off within this time of each other have a
+/// cause in common, such as lost machines, which is not their version.
+constexpr Duration kSameCause = std::chrono::seconds(3);
+
 /// Added to both times, so that short ones do not count for much.
 constexpr Duration kTimeSlack = std::chrono::milliseconds(100);
 
@@ -79,16 +83,24 @@
 }
 
 bool
-CanaryEvidence::IsKnownCrash(const CanarySample& aSample)
+CanaryEvidence::IsCounted(const CanarySample& aSample)
 {
-  return !aSample.mBrokenAt.empty() &&
-         !mBroken.insert(aSample.mBrokenAt).second;
+  if (aSample.mBrokenAt.empty()) {
+    return false;
+  }
+  const bool isNew = mBroken.insert(aSample.mBrokenAt).second;
+  const bool hasSameCause = mBrokenAt && aSample.mAt < *mBrokenAt + kSameCause;
+  if (!isNew || hasSameCause) {
+    return true;
+  }
+  mBrokenAt = aSample.mAt;
+  return false;
 }
 
 void
 CanaryEvidence::OnTarget(const CanarySample& aSample)
 {
-  if (IsKnownCrash(aSample)) {
+  if (IsCounted(aSample)) {
     return;
   }
   ++mSamples;
@@ -99,7 +111,7 @@
 void
 CanaryEvidence::OnOthers(const CanarySample& aSample)
 {
-  if (IsKnownCrash(aSample)) {
+  if (IsCounted(aSample)) {
     return;
   }
   mAllOthers.Add(aSample);
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -470,6 +470,7 @@
     { .mRoute = mRoute->mName,
       .mFailed = true,
       .mBrokenAt = aIsBroken ? aAttempt.mUpstream.mId : std::string(),
+      .mAt = ReadBootClock(),
       .mSlowness = std::nullopt });
 }
 
--- a/tests/src/unit-staged_rollout.cpp
+++ b/tests/src/unit-staged_rollout.cpp
@@ -146,6 +146,37 @@
       CHECK(rollout.IsOpen("engines", "v2"));
     }
 
+    SUBCASE("when several upstreams of the new version break off")
+    {
+      const auto breakOff = [&](int aEngine, TimePoint aAt) {
+        auto broken = Failure();
+        broken.mBrokenAt = "engine-" + std::to_string(aEngine);
+        broken.mAt = aAt;
+        rollout.OnSample("engines", "v2", broken);
+      };
+      for (int count = 0; count < 19; ++count) {
+        rollout.OnSample("engines", "v2", Success());
+      }
+
+      SUBCASE("goes on if they were lost together and come back slowly")
+      {
+        for (int engine = 0; engine < 5; ++engine) {
+          breakOff(engine, kStart + 18'400ms);
+        }
+        breakOff(5, kStart + 19'300ms);
+        breakOff(6, kStart + 20'100ms);
+        CHECK(rollout.IsOpen("engines", "v2"));
+      }
+
+      SUBCASE("is stopped if one after the other does")
+      {
+        for (int engine = 0; engine < 8; ++engine) {
+          breakOff(engine, kStart + engine * 3s);
+        }
+        CHECK_FALSE(rollout.IsOpen("engines", "v2"));
+      }
+    }
+
     SUBCASE("goes on while the old version fails just as often")
     {
       for (int count = 0; count < 20; ++count) {
