Take no repeat out of the budget for what reached no upstream

Cause: each further send was taken for a repeat, also where the one before had not left. A request whose first connection failed was not counted among the first sends either, so that the budget was smaller than its share.

Change: the first send that leaves on a connection is the first one; those before it cost nothing and are bounded by the number of sends alone.

Test: history-ingress, an upstream that accepts no connection and a budget of nothing; one of ten bookings was refused before.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -112,7 +112,8 @@
   std::shared_ptr<net::ClientConnection> mCurrent; ///< attempt that runs
   stream::EventSplitter mEvents;
   int mAttempts = 0;      ///< sends that may have run
-  int mSends = 0;         ///< sends, those rejected too
+  int mArrivals = 0;      ///< sends that left on a connection
+  int mSends = 0;         ///< sends, those rejected or not connected too
   int mCrashes = 0;       ///< connections that broke while it ran
   bool mHasRetry = false; ///< a repeat was taken out of the budget
   bool mMayHaveRun = false;
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -126,9 +126,10 @@
     ++mSends;
     co_return Next::Again;
   }
-  if (mSends == 0) {
+  if (mArrivals == 0) {
     mState.mRetries.OnFirstSend(mService, now);
   }
+  ++mArrivals;
   ++mSends;
   ++mAttempts;
   aAttempt.mSentAt = now;
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -199,8 +199,10 @@
   if (!isPossible) {
     return false;
   }
-  // a repeat is taken out of the budget once, however often it is asked for
-  mHasRetry = mHasRetry || mState.mRetries.TryRepeat(mService, aNow);
+  // what has reached no upstream yet is no repeat; a repeat is taken out of the
+  // budget once, however often it is asked for
+  mHasRetry =
+    mHasRetry || mArrivals == 0 || mState.mRetries.TryRepeat(mService, aNow);
   if (!mHasRetry) {
     LogRepeatRefused();
   }
--- a/tests/src/history-ingress.cpp
+++ b/tests/src/history-ingress.cpp
@@ -154,6 +154,35 @@
     CHECK(world.Send(0, "GET", "/look/1", "mine-too").mStatus == 502);
   }
 
+  SUBCASE("when an upstream accepts no connection and all repeats are used up")
+  {
+    world.ChangeSetting(0, "retry_share", 0.0);
+    world.ChangeSetting(0, "retry_slack", 0.0);
+    world.Store().Put("servers",
+                      "e-3",
+                      { { "service", "engines" },
+                        { "address", "127.0.0.1:1" },
+                        { "zone", "a" },
+                        { "version", "v1" },
+                        { "slots", 8 },
+                        { "state", "ready" },
+                        { "cold_remaining_ms", 0 },
+                        { "born", 1 },
+                        { "seq", 1 } });
+    std::this_thread::sleep_for(2s);
+
+    SUBCASE("tries the next, as nothing has reached the first")
+    {
+      int served = 0;
+      for (int number = 0; number < 10; ++number) {
+        const auto name = "n" + std::to_string(number);
+        served += world.Send(0, "POST", "/book/1", name).mStatus == 200 ? 1 : 0;
+        CHECK(world.RunsOf(name) == 1);
+      }
+      CHECK(served == 10);
+    }
+  }
+
   SUBCASE("repeats a failed look-up, and passes the last failure on")
   {
     world.Engine(0).SetBehaviour(Behaviour::Fail);
