Name the time of the last counted break apart from the upstream that broke off

Cause: CanarySample::mBrokenAt is an upstream and CanaryEvidence::mBrokenAt was a time. The comment on the sample still spoke of crashes alone, and the warm-up in history-upstream did not say what it waits for.

Change: names and comments only. unit-staged_rollout passes; formatter clean; no finding of the linter in the files touched.

--- a/include/figslip/rollout/canary_evidence.hpp
+++ b/include/figslip/rollout/canary_evidence.hpp
@@ -16,8 +16,8 @@
 {
   std::string mRoute;
   bool mFailed = false;
-  /// upstream that broke the attempt off, if it did not report a failure; its
-  /// crash ends all attempts there at once and counts as one failure
+  /// upstream that broke the attempt off, if it did not report a failure; what
+  /// breaks off there, or elsewhere soon after, counts as one failure
   std::string mBrokenAt;
   TimePoint mAt; ///< end of an attempt that was broken off
   /// time to the first event as a multiple of what was expected; none where
@@ -68,8 +68,8 @@
   std::map<std::string, Series> mOthers;
   Series mAllTarget;
   Series mAllOthers;
-  std::set<std::string> mBroken;      ///< upstreams that broke attempts off
-  std::optional<TimePoint> mBrokenAt; ///< last break that was counted
+  std::set<std::string> mBroken;       ///< upstreams that broke attempts off
+  std::optional<TimePoint> mLastBreak; ///< that was counted
   std::size_t mSamples = 0;
 };
 
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -89,11 +89,12 @@
     return false;
   }
   const bool isNew = mBroken.insert(aSample.mBrokenAt).second;
-  const bool hasSameCause = mBrokenAt && aSample.mAt < *mBrokenAt + kSameCause;
+  const bool hasSameCause =
+    mLastBreak && aSample.mAt < *mLastBreak + kSameCause;
   if (!isNew || hasSameCause) {
     return true;
   }
-  mBrokenAt = aSample.mAt;
+  mLastBreak = aSample.mAt;
   return false;
 }
 
--- a/tests/src/history-upstream.cpp
+++ b/tests/src/history-upstream.cpp
@@ -150,6 +150,7 @@
   cluster.Start();
   const CallerWork work{ .mAccount = "salon", .mTarget = "small" };
   Traffic traffic(cluster, { .mTries = 1, .mDeadlineMs = kDeadlineMs });
+  // an entry sends to an upstream once it may take cold ones on
   for (std::size_t entry = 0; entry < plan.mEntries.size(); ++entry) {
     CallerEnd end = CallerEnd::Refused;
     for (int tries = 0; tries < 10 && end != CallerEnd::Answered; ++tries) {
