Divide the upstreams of a failure domain among its instances

A request expected after 85 ms waited for more than a second behind prompts of other instances.

Cause: no answer tells how long the prompts are that others have queued, and an instance of 35 hears of each of 90 engines about every 5 s. So a choice among four random engines was close to blind: at 0.45 of the time spent on reading and prompts as unlike as these, a blind choice waits 0.9 s on average.

Ruled out: pauses within streams (1 in 1,000 over 600 ms without a fault); too few engines (0.25 to 0.45 of their time is taken).

Change: the instances of a failure domain divide its upstreams by a hash, by service and version, and each leaves those of the others alone until its own are loaded. What an instance knows of its own is complete, without any message. A partition touches fewer streams, as most stay in their domain. One upstream of all is the home of a prompt's subject (two before, with half of any prompt taken as kept); homes within the domain spared no more reading. The board knows its instance's name, which it needs for turns at cold upstreams and never had.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -6,6 +6,7 @@
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/freshness_lease.hpp>
+#include <figslip/membership/instance_place.hpp>
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/connection_pool.hpp>
 #include <figslip/placement/upstream_board.hpp>
@@ -40,7 +41,7 @@
   /// @{
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries);
-  void OnInstances(int aInstances);
+  void OnInstances(const std::vector<membership::InstancePlace>& aInstances);
   /// @brief Takes settings that were changed in place.
   void OnSettings();
   void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
@@ -70,6 +71,11 @@
   bool mIsStopping = false; ///< not ready any more; serves what comes
   bool mRefusesNew = false; ///< what came now would be cut off
   int mOpenRequests = 0;
+  TimePoint mStartedAt; ///< start of the process
+
+private:
+  /// Takes this instance's part of the allowance of repeats.
+  void DivideAllowance();
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -3,6 +3,7 @@
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/upstream_entry.hpp>
+#include <figslip/membership/instance_place.hpp>
 #include <figslip/placement/domain_health.hpp>
 #include <figslip/placement/health.hpp>
 #include <figslip/placement/prefix_cache.hpp>
@@ -85,6 +86,10 @@
 /// to the first event decides: prompts queued for reading, what the prefix
 /// cache spares, and the requests that run. The load that answers state counts
 /// for what other instances send.
+///
+/// No answer tells how long the prompts are that others have queued. So the
+/// instances of a failure domain divide its upstreams, and each leaves those of
+/// the others alone until its own are loaded.
 class UpstreamBoard
 {
 public:
@@ -95,8 +100,10 @@
     std::map<std::string, std::string> mRegions; ///< by failure domain
     /// prompt tokens read in a millisecond by a model of pace 1
     double mTokensPerMs = 60.0;
-    /// upstreams compared for a request, beside the homes of its prompt; a
-    /// random few, as all instances would choose the same best of all
+    /// upstreams of the own subset and of other instances compared for a
+    /// request; a random few, as instances that do not know of each other yet
+    /// would choose the same best of all
+    std::size_t mOwnCompared = 8;
     std::size_t mCompared = 4;
     std::uint64_t mSeed = 1; ///< of the generator of random choices
   };
@@ -109,8 +116,8 @@
                    TimePoint aNow);
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   void SetDrained(const std::set<std::string>& aDomains);
-  /// @brief Sets the number of instances that share the cold rates.
-  void SetInstances(int aInstances);
+  /// @brief Sets the instances that share the upstreams and their cold rates.
+  void SetInstances(const std::vector<membership::InstancePlace>& aInstances);
   /// @}
 
   /// @brief Chooses the upstream that is expected to answer first.
@@ -163,6 +170,7 @@
     PrefixCache mCache;
     TimePoint mColdUntil;
     TimePoint mNextCold; ///< earliest time of the next request while cold
+    bool mIsOwn = false; ///< in the subset of this instance
   };
 
   [[nodiscard]] bool IsCandidate(const State& aState,
@@ -182,19 +190,26 @@
                               std::string_view aModel) const;
   [[nodiscard]] Choice Estimate(const State& aState,
                                 const PlacementQuery& aQuery,
-                                bool aIsHome,
                                 double aUsualRunning,
                                 TimePoint aNow) const;
-  /// Returns the upstreams where requests with the same subject go first.
-  [[nodiscard]] std::vector<const State*> HomesOf(
+  /// Returns where requests with the same subject go first, whichever instance
+  /// they come to; null where the prompt has no subject.
+  [[nodiscard]] static const State* HomeOf(
     const PlacementQuery& aQuery,
-    const std::vector<const State*>& aOpen) const;
+    const std::vector<const State*>& aOpen);
+  /// Estimates the home, which is likely to keep the subject of the prompt.
+  [[nodiscard]] Choice EstimateHome(const State& aHome,
+                                    const PlacementQuery& aQuery,
+                                    double aUsualRunning,
+                                    TimePoint aNow) const;
   [[nodiscard]] std::vector<const State*> OpenFor(const PlacementQuery& aQuery,
                                                   TimePoint aNow) const;
   /// Returns the running requests of an upstream that has stated none lately.
   [[nodiscard]] double UsualRunning(std::string_view aService,
                                     TimePoint aNow) const;
   [[nodiscard]] Duration ColdInterval(std::string_view aService) const;
+  /// Divides the upstreams anew, by service and version.
+  void Divide();
   void BeginCold(State& aState, Duration aTime, TimePoint aNow) const;
   void Admit(State& aState,
              const ingress::UpstreamEntry& aEntry,
@@ -208,6 +223,7 @@
   DomainHealth mDomains{ {} };
   std::mt19937_64 mRandom;
   int mInstances = 1;
+  std::set<std::string> mNeighbours; ///< instances of the failure domain
   bool mHasList = false;
 };
 
--- /dev/null
+++ b/src/core/placement/subset.cpp
@@ -0,0 +1,60 @@
+#include <figslip/placement/subset.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <ranges>
+#include <utility>
+
+namespace figslip::placement {
+
+namespace {
+
+std::uint64_t
+HashOf(std::string_view aText, std::uint64_t aSeed = 0)
+{
+  return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
+}
+
+} // namespace
+
+std::set<std::string>
+SubsetOf(std::string_view aInstance,
+         const std::set<std::string>& aInstances,
+         const std::vector<std::string>& aUpstreams)
+{
+  if (aUpstreams.size() < aInstances.size()) {
+    return { aUpstreams.begin(), aUpstreams.end() };
+  }
+  // the upstreams choose in an order by hash; an instance that has its share is
+  // passed over
+  std::vector<std::pair<std::uint64_t, std::string_view>> order;
+  for (const auto& upstream : aUpstreams) {
+    order.emplace_back(HashOf(upstream), upstream);
+  }
+  std::ranges::sort(order);
+  std::vector<std::pair<std::string_view, std::size_t>> counts;
+  for (const auto& instance : aInstances) {
+    counts.emplace_back(instance, 0);
+  }
+  const auto share = order.size() / counts.size();
+  auto extras = order.size() % counts.size();
+  std::set<std::string> subset;
+  for (const auto& [hash, upstream] : order) {
+    auto open =
+      counts | std::views::filter([&](const auto& aCount) {
+        return aCount.second < share || (aCount.second == share && extras > 0);
+      });
+    const auto chosen = std::ranges::max_element(
+      open, {}, [&](const auto& aCount) { return HashOf(aCount.first, hash); });
+    extras -= chosen->second == share ? 1 : 0;
+    ++chosen->second;
+    if (chosen->first == aInstance) {
+      subset.emplace(upstream);
+    }
+  }
+  return subset;
+}
+
+} // namespace figslip::placement
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -1,10 +1,12 @@
+#include <figslip/placement/subset.hpp>
 #include <figslip/placement/upstream_board.hpp>
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <functional>
+#include <iterator>
 #include <ranges>
+#include <span>
 #include <utility>
 
 namespace figslip::placement {
@@ -29,12 +31,12 @@
 /// Expected loss by a failed attempt, ms, times the failure rate.
 constexpr double kFailureMs = 2'000.0;
 
-/// Part of an uncached prompt that its home is assumed to keep, as other
-/// instances send there too.
-constexpr double kHomePart = 0.5;
+/// Part of the subject of a prompt that its home is expected to keep.
+constexpr double kHomePart = 0.7;
 
-/// Upstreams where the prompts of a subject go first.
-constexpr std::size_t kHomes = 2;
+/// Expected wait for the prompts that another instance has queued at one of its
+/// engines, ms.
+constexpr double kOthersReadingMs = 120.0;
 
 /// Reported running requests that a plain service counts as one slot.
 constexpr double kPlainSlotMs = 30.0;
@@ -51,6 +53,7 @@
 UpstreamBoard::UpstreamBoard(Options aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
+  , mNeighbours({ mOptions.mInstance })
 {
 }
 
@@ -67,6 +70,30 @@
     return !present.contains(aState.first);
   });
   mHasList = true;
+  Divide();
+}
+
+void
+UpstreamBoard::Divide()
+{
+  std::map<std::pair<std::string_view, std::string_view>,
+           std::vector<std::string>>
+    groups;
+  for (auto& state : mStates | std::views::values) {
+    const auto& entry = state.mEntry;
+    state.mIsOwn = false;
+    const bool isShared = entry.mDomain == mOptions.mDomain &&
+                          entry.mState == ingress::UpstreamState::Ready;
+    if (isShared) {
+      groups[{ entry.mService, entry.mVersion }].push_back(entry.mId);
+    }
+  }
+  for (const auto& upstreams : groups | std::views::values) {
+    for (const auto& id :
+         SubsetOf(mOptions.mInstance, mNeighbours, upstreams)) {
+      mStates.find(id)->second.mIsOwn = true;
+    }
+  }
 }
 
 void
@@ -155,9 +182,18 @@
 }
 
 void
-UpstreamBoard::SetInstances(int aInstances)
-{
-  mInstances = std::max(aInstances, 1);
+UpstreamBoard::SetInstances(
+  const std::vector<membership::InstancePlace>& aInstances)
+{
+  mInstances = std::max(static_cast<int>(aInstances.size()), 1);
+  // it may not be registered yet
+  mNeighbours = { mOptions.mInstance };
+  for (const auto& instance : aInstances) {
+    if (instance.mFailureDomain == mOptions.mDomain) {
+      mNeighbours.insert(instance.mName);
+    }
+  }
+  Divide();
 }
 
 std::vector<const UpstreamBoard::State*>
@@ -185,26 +221,24 @@
   if (open.empty()) {
     return std::nullopt;
   }
-  const auto homes = HomesOf(aQuery, open);
-  const auto compared = std::min(open.size(), mOptions.mCompared);
-  for (std::size_t place = 0; place < compared; ++place) {
-    std::uniform_int_distribution<std::size_t> any(place, open.size() - 1);
-    std::swap(open[place], open[any(mRandom)]);
-  }
-  open.resize(compared);
+  const auto others = std::ranges::partition(
+    open, [](const State* aState) { return aState->mIsOwn; });
+  const auto own = std::span(open).first(open.size() - others.size());
+  std::vector<const State*> compared;
+  std::ranges::sample(
+    own, std::back_inserter(compared), mOptions.mOwnCompared, mRandom);
+  std::ranges::sample(
+    others, std::back_inserter(compared), mOptions.mCompared, mRandom);
   const auto usual = UsualRunning(aQuery.mService, aNow);
   std::optional<Choice> best;
-  const auto compare = [&](const State* aState, bool aIsHome) {
-    auto choice = Estimate(*aState, aQuery, aIsHome, usual, aNow);
+  if (const auto* const home = HomeOf(aQuery, open)) {
+    best = EstimateHome(*home, aQuery, usual, aNow);
+  }
+  for (const auto* const state : compared) {
+    auto choice = Estimate(*state, aQuery, usual, aNow);
     if (!best || choice.mFirstEvent < best->mFirstEvent) {
       best = choice;
     }
-  };
-  for (const auto* const home : homes) {
-    compare(home, true);
-  }
-  for (const auto* const other : open) {
-    compare(other, false);
   }
   return best;
 }
@@ -483,7 +517,6 @@
 Choice
 UpstreamBoard::Estimate(const State& aState,
                         const PlacementQuery& aQuery,
-                        bool aIsHome,
                         double aUsualRunning,
                         TimePoint aNow) const
 {
@@ -498,12 +531,11 @@
       aState.mCache.CachedTokens(ChainOf(*aQuery.mPrompt, aQuery.mModel));
     choice.mCachedTokens = std::min(cached, aQuery.mPromptTokens);
     choice.mNewTokens = aQuery.mPromptTokens - choice.mCachedTokens;
-    const double spared = aIsHome ? kHomePart : 0.0;
     const double reading = static_cast<double>(choice.mNewTokens) /
                            mOptions.mTokensPerMs *
                            PaceOf(aQuery.mService, aQuery.mModel);
-    ms = kBaseMs + reading * (1.0 - spared) + aState.mReadingMs +
-         running * kRunningMs;
+    ms = kBaseMs + reading + aState.mReadingMs + running * kRunningMs +
+         (aState.mIsOwn ? 0.0 : kOthersReadingMs);
   } else {
     const double perSlot = running / std::max(1, entry.mSlots);
     ms = kPlainSlotMs * (1.0 + perSlot);
@@ -514,23 +546,34 @@
   return choice;
 }
 
-std::vector<const UpstreamBoard::State*>
-UpstreamBoard::HomesOf(const PlacementQuery& aQuery,
-                       const std::vector<const State*>& aOpen) const
+const UpstreamBoard::State*
+UpstreamBoard::HomeOf(const PlacementQuery& aQuery,
+                      const std::vector<const State*>& aOpen)
 {
   if (aQuery.mPrompt == nullptr || aQuery.mPrompt->size() < 2) {
-    return {};
+    return nullptr;
   }
   // the last part is the request's own; the one before is its subject
   const auto subject = aQuery.mPrompt->rbegin()[1].mId;
-  const auto weight = [&](const State* aState) {
+  return std::ranges::max(aOpen, {}, [&](const State* aState) {
     return XXH3_64bits_withSeed(
       aState->mEntry.mId.data(), aState->mEntry.mId.size(), subject);
-  };
-  std::vector<const State*> homes(std::min(kHomes, aOpen.size()));
-  std::ranges::partial_sort_copy(
-    aOpen, homes, std::greater<>{}, weight, weight);
-  return homes;
+  });
+}
+
+Choice
+UpstreamBoard::EstimateHome(const State& aHome,
+                            const PlacementQuery& aQuery,
+                            double aUsualRunning,
+                            TimePoint aNow) const
+{
+  auto choice = Estimate(aHome, aQuery, aUsualRunning, aNow);
+  const auto subject =
+    std::min(choice.mNewTokens, aQuery.mPrompt->rbegin()[1].mTokens);
+  const double reading = static_cast<double>(subject) / mOptions.mTokensPerMs *
+                         PaceOf(aQuery.mService, aQuery.mModel);
+  choice.mFirstEvent -= FromMs(reading * kHomePart);
+  return choice;
 }
 
 } // namespace figslip::placement
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -323,6 +323,7 @@
 ControlPlane::OnShared(const store::ObjectFollower::Objects& aObjects)
 {
   std::vector<relay::Peer> peers;
+  std::vector<membership::InstancePlace> places;
   std::map<std::string, int> crashes;
   for (const auto& [name, object] : aObjects) {
     if (name.starts_with(kInstancePrefix)) {
@@ -330,19 +331,20 @@
         { .mInstance = name.substr(kInstancePrefix.size()),
           .mFailureDomain = json::TextOr(object.mSpec, kDomain, ""),
           .mAddress = json::TextOr(object.mSpec, kPeers, "") });
+      places.push_back({ .mName = peers.back().mInstance,
+                         .mFailureDomain = peers.back().mFailureDomain });
     } else if (quarantine::CrashRecords::IsRecord(name)) {
       crashes.emplace(name, json::NumberOr(object.mSpec, kInFlight, 1));
     }
   }
   mRelay.OnPeers(peers);
-  const auto instances = static_cast<int>(peers.size());
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   log::Write(log::Level::Info,
              "instances_known",
-             { { "instances", std::to_string(instances) },
+             { { "instances", std::to_string(places.size()) },
                { "crash_records", std::to_string(crashes.size()) } });
-  mPost([instances, reports](TrafficState& aState) {
-    aState.OnInstances(std::max(1, instances));
+  mPost([places, reports](TrafficState& aState) {
+    aState.OnInstances(places);
     aState.OnCrashReports(reports);
   });
 }
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -33,7 +33,8 @@
   , mDialect(aDialect)
   , mLease(aLease)
   , mMetrics(aMetrics)
-  , mBoard({ .mDomain = aSettings.mFailureDomain,
+  , mBoard({ .mInstance = aSettings.mInstance,
+             .mDomain = aSettings.mFailureDomain,
              .mRegions = aSettings.mRegions,
              .mSeed = std::random_device{}() })
   , mRetries({ .mShare = aSettings.mRetryShare * kUsedShare,
@@ -47,6 +48,7 @@
   , mSizes({})
   , mPool({})
   , mQuarantine({ .mMemory = kCrashMemory })
+  , mStartedAt(ReadBootClock())
 {
 }
 
@@ -65,19 +67,26 @@
 }
 
 void
-TrafficState::OnInstances(int aInstances)
+TrafficState::OnInstances(
+  const std::vector<membership::InstancePlace>& aInstances)
 {
-  mInstances = aInstances;
+  mInstances = std::max(static_cast<int>(aInstances.size()), 1);
   mBoard.SetInstances(aInstances);
-  mRollouts.SetInstances(aInstances);
-  mRetries.SetAllowance(mSettings.mRetrySlack * kUsedAllowance / aInstances);
+  mRollouts.SetInstances(mInstances);
+  DivideAllowance();
 }
 
 void
 TrafficState::OnSettings()
 {
   mRetries.SetShare(mSettings.mRetryShare * kUsedShare);
-  OnInstances(mInstances);
+  DivideAllowance();
+}
+
+void
+TrafficState::DivideAllowance()
+{
+  mRetries.SetAllowance(mSettings.mRetrySlack * kUsedAllowance / mInstances);
 }
 
 void
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -1,11 +1,15 @@
+#include <figslip/placement/subset.hpp>
 #include <figslip/placement/upstream_board.hpp>
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <map>
 #include <memory>
+#include <queue>
+#include <random>
 #include <ranges>
 #include <set>
 #include <string>
@@ -62,6 +66,17 @@
   return entries;
 }
 
+std::vector<membership::InstancePlace>
+MakeInstances(int aCount)
+{
+  std::vector<membership::InstancePlace> instances;
+  for (int number = 0; number < aCount; ++number) {
+    instances.push_back(
+      { .mName = "entry-" + std::to_string(number), .mFailureDomain = "a" });
+  }
+  return instances;
+}
+
 UpstreamBoard
 MakeBoard(const std::string& aInstance = "self", std::uint64_t aSeed = 1)
 {
@@ -203,7 +218,7 @@
                           .mDomain = "a",
                           .mSeed = static_cast<std::uint64_t>(number) });
     board.OnConfiguration(MakeConfiguration(kColdPerSecond));
-    board.SetInstances(kInstances);
+    board.SetInstances(MakeInstances(kInstances));
     board.OnUpstreams({}, kStart);
     board.OnUpstreams({ MakeEntry("returned") }, kStart);
     boards.push_back(std::move(board));
@@ -260,6 +275,135 @@
   CHECK(sent["e0"] <= 5);
 }
 
+TEST_CASE("the upstreams of a failure domain")
+{
+  std::set<std::string> instances;
+  for (const auto& instance : MakeInstances(8)) {
+    instances.insert(instance.mName);
+  }
+  std::vector<std::string> upstreams;
+  for (int number = 0; number < 23; ++number) {
+    upstreams.push_back("e" + std::to_string(number));
+  }
+  std::map<std::string, std::string> owners;
+  for (const auto& instance : instances) {
+    const auto subset = placement::SubsetOf(instance, instances, upstreams);
+    CHECK(subset.size() >= 2);
+    CHECK(subset.size() <= 3);
+    for (const auto& upstream : subset) {
+      CHECK(owners.emplace(upstream, instance).second);
+    }
+  }
+
+  SUBCASE("are divided among its instances, each to one")
+  {
+    CHECK(owners.size() == upstreams.size());
+  }
+
+  SUBCASE("mostly stay where they are when an upstream leaves")
+  {
+    upstreams.pop_back();
+    int moved = 0;
+    for (const auto& instance : instances) {
+      for (const auto& id :
+           placement::SubsetOf(instance, instances, upstreams)) {
+        moved += owners.at(id) == instance ? 0 : 1;
+      }
+    }
+    CHECK(moved <= 11);
+  }
+
+  SUBCASE("are shared by all where they are fewer than the instances")
+  {
+    upstreams.resize(7);
+    for (const auto& instance : instances) {
+      CHECK(placement::SubsetOf(instance, instances, upstreams).size() == 7);
+    }
+  }
+
+  SUBCASE("are none where none is registered")
+  {
+    CHECK(placement::SubsetOf("entry-0", instances, {}).empty());
+  }
+}
+
+TEST_CASE("prompts of very unlike length at the engines of a failure domain")
+{
+  // plays 8 instances before 24 engines that read prompts one after the other,
+  // 0.45 of the time, as with the largest model after a third of the engines
+  // has left; no answer tells how long the prompts are that others have queued
+  constexpr int kInstances = 8;
+  constexpr int kEngines = 24;
+  constexpr double kUtilisation = 0.45;
+  constexpr double kTokensPerMs = 20.0;
+  constexpr double kMeanTokens = 6'610.0;
+  constexpr double kSpread = 1.1; // of the logarithm
+  constexpr double kMaxTokens = 54'600.0;
+  constexpr int kRequests = 20'000;
+  constexpr auto kTarget = 1'700ms; // for 95 in 100
+
+  std::vector<UpstreamBoard> boards;
+  for (int number = 0; number < kInstances; ++number) {
+    boards.push_back(MakeBoard("entry-" + std::to_string(number),
+                               static_cast<std::uint64_t>(number) + 1));
+    boards.back().OnUpstreams(MakeEntries(kEngines), kStart);
+    boards.back().SetInstances(MakeInstances(kInstances));
+  }
+  struct Reading
+  {
+    TimePoint mDone;
+    std::size_t mBoard = 0;
+    placement::Load mLoad;
+  };
+  const auto isLater = [](const Reading& aLeft, const Reading& aRight) {
+    return aLeft.mDone > aRight.mDone;
+  };
+  std::priority_queue<Reading, std::vector<Reading>, decltype(isLater)>
+    readings(isLater);
+  std::map<std::string, TimePoint> busyUntil;
+  std::mt19937_64 random(20261204);
+  std::lognormal_distribution<double> tokensOf(
+    std::log(kMeanTokens) - kSpread * kSpread / 2.0, kSpread);
+  std::exponential_distribution<double> pauseMs(kEngines * kUtilisation /
+                                                (kMeanTokens / kTokensPerMs));
+  std::uniform_int_distribution<std::size_t> anyBoard(0, kInstances - 1);
+  auto now = kStart;
+  int inTime = 0;
+  for (int number = 0; number < kRequests; ++number) {
+    now += std::chrono::microseconds(
+      static_cast<std::int64_t>(pauseMs(random) * 1'000.0));
+    while (!readings.empty() && readings.top().mDone <= now) {
+      auto done = readings.top();
+      readings.pop();
+      boards[done.mBoard].OnFirstEvent(done.mLoad, done.mDone);
+      boards[done.mBoard].Release(done.mLoad);
+    }
+    const auto tokens =
+      static_cast<std::int64_t>(std::min(tokensOf(random), kMaxTokens));
+    const std::vector<ingress::PromptPart> prompt = {
+      { static_cast<std::uint64_t>(number) + 1, tokens }
+    };
+    const placement::PlacementQuery query{ .mService = "engines",
+                                           .mModel = "large",
+                                           .mPrompt = &prompt,
+                                           .mPromptTokens = tokens };
+    const auto board = anyBoard(random);
+    const auto choice = boards[board].Choose(query, now);
+    REQUIRE(choice);
+    auto& until = busyUntil[choice->mUpstream->mId];
+    until = std::max(until, now) +
+            std::chrono::microseconds(static_cast<std::int64_t>(
+              static_cast<double>(tokens) / kTokensPerMs * 1'000.0));
+    inTime += until - now <= kTarget ? 1 : 0;
+    readings.push({ .mDone = until,
+                    .mBoard = board,
+                    .mLoad = boards[board].Reserve(*choice, query, now) });
+  }
+  const double share = static_cast<double>(inTime) / kRequests;
+  MESSAGE("first event in time: ", share);
+  CHECK(share >= 0.95);
+}
+
 TEST_CASE("a failure domain behind a partition")
 {
   DomainHealth domains({});
