Call the store for one kind in an outage; find each other at the start

Cause: followers that turn to the store asked for all five kinds at once, and each of them again in the outage. An instance that answered "no copy yet" was avoided like a dead one, up to 16 s: at a common start all followed the store, and after an outage they went on doing so. After a loss of power an instance waited 0.3 s for each instance that was not back yet (0.4 s until it served).

Change: the configuration is asked for first, the other kinds with its answer, and not at all while it is lost. Its retries spread by chance, and their longest pause grows with the instances, as the first that has the store back passes the copy on. An instance without a copy is asked again after 0.5 s; an unreachable one still less and less often. At the start an instance registers first, so that those that start together see each other, asks for 50 ms each and 150 ms in all. An instance that lost the store asks at most six beyond its rank, so that polls do not grow with the square of the instances. The log has no age where there is no copy.

What upstream entries lapse in an outage is now told by the configuration's calls, too, as the others are not made then.

--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -36,16 +36,27 @@
   /// @brief Takes the instances that are registered.
   void OnPeers(const std::vector<Peer>& aPeers);
 
+  /// @brief Notes that the store has answered for the configuration.
+  void OnStoreAnswered();
+
   /// @brief Sends the followers of this instance elsewhere, as it will end.
   void StopServing();
 
 private:
+  /// Tells why an instance could not be followed.
+  struct Failure
+  {
+    SourceFailure mKind = SourceFailure::Unreachable;
+    std::string mReason;
+  };
+
   [[nodiscard]] net::Awaitable<void> Run();
   /// Reads which instances there are; nothing else of the store.
   [[nodiscard]] net::Awaitable<void> FindInstances();
   /// Asks an instance for news and takes them.
+  [[nodiscard]] net::Awaitable<std::optional<Failure>> Ask(Peer aPeer);
+  void OnFailed(const Peer& aPeer, const Failure& aFailure);
   /// @return why the answer could not be used
-  [[nodiscard]] net::Awaitable<std::optional<std::string>> Ask(Peer aPeer);
   [[nodiscard]] std::optional<std::string> Take(const Peer& aPeer,
                                                 const PollAnswer& aAnswer,
                                                 TimePoint aSentAt);
@@ -53,6 +64,7 @@
                                                  TimePoint aSentAt) const;
   void FollowStore(const std::string& aReason);
   void FollowPeer(const Peer& aPeer);
+  [[nodiscard]] store::ObjectFollower& ConfigurationFollower() const;
   [[nodiscard]] bool HasCopy() const;
   [[nodiscard]] bool HasLostStore() const;
   /// Returns the time since the configuration was confirmed.
@@ -69,6 +81,7 @@
   std::uint64_t mEpoch = 0;           ///< of the process asked last
   std::map<store::ObjectKind, std::uint64_t> mSequences; ///< in that epoch
   bool mHasStarted = false;
+  bool mAwaitsStore = false; ///< the other kinds wait for the configuration
   bool mIsServing = true;
 };
 
--- a/include/figslip/relay/source_choice.hpp
+++ b/include/figslip/relay/source_choice.hpp
@@ -20,6 +20,13 @@
   auto operator<=>(const Peer&) const = default;
 };
 
+/// @brief Lists how an instance can fail to be a source.
+enum class SourceFailure
+{
+  Unreachable, ///< it gave no answer
+  NoCopy       ///< it answered, and has no copy that is new enough
+};
+
 /// @brief Chooses from where an instance follows the store.
 ///
 /// All instances of a failure domain rank its instances alike; each follows the
@@ -34,9 +41,14 @@
   {
     std::string mInstance;
     std::string mFailureDomain;
-    /// time for which an instance that failed is not asked; doubles each time
+    /// time for which an unreachable instance is not asked; doubles each time
     Duration mAvoid = std::chrono::seconds(1);
     Duration mMaxAvoid = std::chrono::seconds(16);
+    /// time for which an instance without a copy is not asked
+    Duration mNoCopyAvoid = std::chrono::milliseconds(500);
+    /// instances beyond those ranked before this one that are asked while the
+    /// store is lost, so that the polls of all do not grow with their square
+    std::size_t mMaxOthers = 6;
   };
 
   explicit SourceChoice(Options aOptions);
@@ -50,7 +62,9 @@
                                          TimePoint aNow) const;
 
   void OnAnswered(std::string_view aInstance);
-  void OnFailed(std::string_view aInstance, TimePoint aNow);
+  void OnFailed(std::string_view aInstance,
+                SourceFailure aFailure,
+                TimePoint aNow);
 
 private:
   struct Failure
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,9 @@
     /// lists again and again in place of watching; a list proves that the copy
     /// is as new as its sending, a watch only when the next one has returned
     bool mLists = false;
-    /// pauses between attempts while the store does not answer; they double
+    /// pauses between attempts while the store does not answer; they double,
+    /// and are by chance up to half shorter, as all instances lose the store at
+    /// the same moment
     Duration mRetryPause = std::chrono::milliseconds(80);
     Duration mMaxRetryPause = std::chrono::milliseconds(640);
   };
@@ -43,6 +46,9 @@
     std::function<void(TimePoint aSentAt)> mOnConfirmed;
     std::function<void(const std::string& aReason)> mOnLost;
     std::function<void()> mOnRegained;
+    /// tells whether a call without an answer is worth making again; else it
+    /// waits for `RetryNow`; empty: always
+    std::function<bool()> mMayRetry;
   };
 
   ObjectFollower(Options aOptions,
@@ -53,6 +59,9 @@
   /// @brief Starts to follow the store.
   void Start();
 
+  /// @brief Changes the longest pause between attempts.
+  void SetMaxRetryPause(Duration aPause) { mOptions.mMaxRetryPause = aPause; }
+
   /// @brief Ends the pause after a call without an answer.
   void RetryNow();
 
@@ -100,6 +109,9 @@
   void Apply(const Changes& aChanges);
   void Confirm(TimePoint aSentAt);
   void Note(const Step& aStep);
+  [[nodiscard]] net::Awaitable<void> AwaitRetry(Generation aGeneration,
+                                                Duration aPause);
+  [[nodiscard]] Duration Shortened(Duration aPause);
 
   Options mOptions;
   const StoreDialect& mDialect;
@@ -112,6 +124,7 @@
   Generation mGeneration = 0;
   std::shared_ptr<net::asio::steady_timer> mRetry; ///< null: not paused
   bool mIsLost = false;
+  std::minstd_rand mRandom{ std::random_device{}() };
 };
 
 } // namespace figslip::store
--- a/src/core/relay/source_choice.cpp
+++ b/src/core/relay/source_choice.cpp
@@ -49,6 +49,7 @@
   std::ranges::sort(mOthers, {}, [&](const Peer& aPeer) {
     return HashOf(aPeer.mInstance, mine);
   });
+  mOthers.resize(std::min(mOthers.size(), mOptions.mMaxOthers));
   std::erase_if(mFailures, [&](const auto& aFailure) {
     return std::ranges::find(aPeers, aFailure.first, &Peer::mInstance) ==
            aPeers.end();
@@ -82,9 +83,15 @@
 }
 
 void
-SourceChoice::OnFailed(std::string_view aInstance, TimePoint aNow)
+SourceChoice::OnFailed(std::string_view aInstance,
+                       SourceFailure aFailure,
+                       TimePoint aNow)
 {
   auto& failure = mFailures[std::string(aInstance)];
+  if (aFailure == SourceFailure::NoCopy) {
+    failure = { .mInRow = 0, .mUntil = aNow + mOptions.mNoCopyAvoid };
+    return;
+  }
   const auto time = mOptions.mAvoid * (1 << std::min(failure.mInRow, 10));
   ++failure.mInRow;
   failure.mUntil = aNow + std::min<Duration>(time, mOptions.mMaxAvoid);
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -22,6 +22,9 @@
 constexpr auto kWritePause = milliseconds(400);
 constexpr int kMaxWrites = 12;
 
+/// Time for the first try to register, for which the start waits.
+constexpr auto kFirstWriteLimit = milliseconds(150);
+
 /// Interval of housekeeping.
 constexpr auto kTick = milliseconds(250);
 
@@ -29,9 +32,12 @@
 /// was confirmed this long ago outlasts an outage of 3 s.
 constexpr auto kConfigurationPause = milliseconds(1'450);
 
-/// Pause between attempts for the other kinds during an outage; they are asked
-/// for at once when the configuration is answered again.
-constexpr auto kOutagePause = milliseconds(2'500);
+/// Longest pause between attempts for the configuration, an instance. The
+/// first instance that has the store back passes the copy on, so that the
+/// pauses may grow with the instances.
+constexpr auto kRetryPausePerInstance = milliseconds(70);
+constexpr Duration kShortestMaxRetryPause = milliseconds(640);
+constexpr Duration kLongestMaxRetryPause = milliseconds(2'500);
 
 constexpr std::string_view kInstancePrefix = "instance.";
 
@@ -102,8 +108,16 @@
     if (mVersion >= 0) {
       mLease.Confirm(aSentAt);
     }
+    mRelay.OnStoreAnswered();
   };
+  // the other kinds are not asked for while the configuration is lost
+  configuration.mOnLost =
+    [this, onLost = configuration.mOnLost](const std::string& aReason) {
+      mLapses.OnStoreLost();
+      onLost(aReason);
+    };
   configuration.mOnRegained = [this, onRegained = configuration.mOnRegained] {
+    mLapses.OnStoreRegained(ReadBootClock());
     onRegained();
     for (const auto& follower : mFollowers) {
       follower->RetryNow();
@@ -128,34 +142,23 @@
   };
   Follow({ .mKind = ObjectKind::Upstreams,
            .mWait = milliseconds(2'000),
-           .mPause = milliseconds(650),
-           .mRetryPause = kOutagePause,
-           .mMaxRetryPause = kOutagePause },
+           .mPause = milliseconds(650) },
          std::move(upstreams));
-  Follow({ .mKind = ObjectKind::Rollouts,
-           .mWait = milliseconds(3'000),
-           .mRetryPause = kOutagePause,
-           .mMaxRetryPause = kOutagePause },
+  Follow({ .mKind = ObjectKind::Rollouts, .mWait = milliseconds(3'000) },
          CallbacksOf(ObjectKind::Rollouts,
                      [this](const auto& aObjects) { OnRollouts(aObjects); }));
-  Follow({ .mKind = ObjectKind::Drains,
-           .mWait = milliseconds(3'000),
-           .mRetryPause = kOutagePause,
-           .mMaxRetryPause = kOutagePause },
+  Follow({ .mKind = ObjectKind::Drains, .mWait = milliseconds(3'000) },
          CallbacksOf(ObjectKind::Drains,
                      [this](const auto& aObjects) { OnDrains(aObjects); }));
   Follow({ .mKind = ObjectKind::Shared,
            .mWait = milliseconds(8'000),
-           .mPause = milliseconds(900),
-           .mRetryPause = kOutagePause,
-           .mMaxRetryPause = kOutagePause },
+           .mPause = milliseconds(900) },
          CallbacksOf(ObjectKind::Shared,
                      [this](const auto& aObjects) { OnShared(aObjects); }));
   auto started = mRelayServer.Start(mSettings.mPeers);
   if (!started) {
     return started;
   }
-  mRelay.Start();
   net::asio::co_spawn(mContext, Tick(), net::asio::detached);
   net::asio::co_spawn(mContext, Register(), net::asio::detached);
   return outcome::success();
@@ -179,6 +182,12 @@
              [kind] {
                log::Write(
                  log::Level::Info, "store_regained", { { "kind", kind } });
+             },
+           // an outage costs the calls of one kind
+           .mMayRetry =
+             [this, aKind] {
+               return aKind == ObjectKind::Configuration ||
+                      !mFollowers.front()->IsLost();
              } };
 }
 
@@ -338,6 +347,10 @@
     }
   }
   mRelay.OnPeers(peers);
+  mFollowers.front()->SetMaxRetryPause(
+    std::clamp<Duration>(kRetryPausePerInstance * places.size(),
+                         kShortestMaxRetryPause,
+                         kLongestMaxRetryPause));
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   log::Write(log::Level::Info,
              "instances_known",
@@ -401,7 +414,18 @@
 {
   const auto name = std::string(kInstancePrefix) + mSettings.mInstance;
   auto request = mDialect.mCreateShared(name, Registration());
-  const auto status = co_await Write(std::move(request), "register instance");
+  const std::string call = "register instance";
+  auto first = request;
+  const auto result =
+    co_await mClient.Call(std::move(first), call, kFirstWriteLimit);
+  // instances that start together find each other, as the list of the instances
+  // is read afterwards
+  mRelay.Start();
+  auto status = result.mStatus;
+  const bool isDone = result.mEnd == store::CallEnd::Answered;
+  if (!isDone) {
+    status = co_await Write(std::move(request), call);
+  }
   if (status == kConflict) {
     // an earlier process of this name may have had another address
     request = mDialect.mReplaceShared(name, Registration());
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -17,9 +17,15 @@
 /// Time between looks for an instance to follow, while the store is followed.
 constexpr auto kLook = milliseconds(200);
 
-/// Time at the start to find an instance that has a copy.
-constexpr Duration kFindLimit = milliseconds(300);
-constexpr auto kFindPoll = milliseconds(5);
+/// Time at the start for the list of the instances.
+constexpr Duration kListLimit = milliseconds(300);
+constexpr auto kListPoll = milliseconds(5);
+
+/// Time at the start to find an instance that has a copy. Those that start
+/// together have none yet; the first in rank has it after some ms.
+constexpr Duration kFindLimit = milliseconds(150);
+constexpr auto kFindPoll = milliseconds(15);
+constexpr auto kFindAnswerLimit = milliseconds(50);
 
 /// Longest wait of a poll without news.
 constexpr Duration kLongestWait = milliseconds(500);
@@ -107,9 +113,9 @@
       return aFollower->Kind() == ObjectKind::Shared;
     });
   (*shared)->Start();
-  const auto until = ReadBootClock() + kFindLimit;
+  const auto until = ReadBootClock() + kListLimit;
   while (!(*shared)->Revision() && ReadBootClock() < until) {
-    co_await net::Sleep(kFindPoll);
+    co_await net::Sleep(kListPoll);
   }
 }
 
@@ -136,26 +142,41 @@
       mChoice.OnAnswered(peer->mInstance);
       continue;
     }
-    log::Write(
-      log::Level::Info,
-      "source_failed",
-      { { "source", peer->mInstance },
-        { "reason", *failure },
-        { "copy_age_ms", std::to_string(CopyAge() / milliseconds(1)) } });
-    mChoice.OnFailed(peer->mInstance, ReadBootClock());
-    if (HasCopy() && CopyAge() > kMaxAge) {
-      FollowStore(*failure);
+    const bool isStarting =
+      !HasCopy() && failure->mKind == SourceFailure::NoCopy;
+    if (isStarting) {
+      co_await net::Sleep(kFindPoll);
+      continue;
     }
+    OnFailed(*peer, *failure);
+  }
+}
+
+void
+RelayFollower::OnFailed(const Peer& aPeer, const Failure& aFailure)
+{
+  const auto age =
+    HasCopy() ? std::to_string(CopyAge() / milliseconds(1)) : std::string();
+  log::Write(log::Level::Info,
+             "source_failed",
+             { { "source", aPeer.mInstance },
+               { "reason", aFailure.mReason },
+               // empty: no copy yet
+               { "copy_age_ms", age } });
+  mChoice.OnFailed(aPeer.mInstance, aFailure.mKind, ReadBootClock());
+  if (HasCopy() && CopyAge() > kMaxAge) {
+    FollowStore(aFailure.mReason);
   }
 }
 
-net::Awaitable<std::optional<std::string>>
+net::Awaitable<std::optional<RelayFollower::Failure>>
 RelayFollower::Ask(Peer aPeer)
 {
   const auto endpoint = ParseEndpoint(aPeer.mAddress);
   if (!endpoint) {
-    auto reason = "no address: " + aPeer.mAddress;
-    co_return reason;
+    Failure failure{ .mKind = SourceFailure::Unreachable,
+                     .mReason = "no address: " + aPeer.mAddress };
+    co_return failure;
   }
   if (mClientPeer != aPeer.mInstance + "@" + aPeer.mAddress) {
     mClientPeer = aPeer.mInstance + "@" + aPeer.mAddress;
@@ -172,22 +193,30 @@
                                .mHeaders = {},
                                .mBody = EncodePoll(poll) };
   const auto limit =
-    std::chrono::duration_cast<milliseconds>(poll.mWait) + kAnswerLimit;
+    HasCopy()
+      ? std::chrono::duration_cast<milliseconds>(poll.mWait) + kAnswerLimit
+      : kFindAnswerLimit;
   const auto sentAt = ReadBootClock();
   const auto result = co_await mClient.Call(std::move(request), "poll", limit);
+  Failure failure{ .mKind = SourceFailure::Unreachable, .mReason = {} };
   if (result.mEnd != store::CallEnd::Answered) {
-    co_return result.mReason;
+    failure.mReason = result.mReason;
+    co_return failure;
   }
   if (result.mStatus != kOk) {
-    auto reason = "status " + std::to_string(result.mStatus);
-    co_return reason;
+    failure.mReason = "status " + std::to_string(result.mStatus);
+    co_return failure;
   }
   const auto answer = DecodeAnswer(result.mBody);
   if (!answer) {
-    auto reason = error::JoinMessages(answer.assume_error());
-    co_return reason;
+    failure.mReason = error::JoinMessages(answer.assume_error());
+    co_return failure;
+  }
+  const auto refusal = Take(aPeer, answer.assume_value(), sentAt);
+  if (!refusal) {
+    co_return std::nullopt;
   }
-  auto failure = Take(aPeer, answer.assume_value(), sentAt);
+  failure = { .mKind = SourceFailure::NoCopy, .mReason = *refusal };
   co_return failure;
 }
 
@@ -255,8 +284,23 @@
   mHasStarted = true;
   mSource.reset();
   mSequences.clear(); // the own copy goes on from here
+  // the other kinds follow with its first answer, so that an outage costs the
+  // calls of one kind
+  mAwaitsStore = true;
+  ConfigurationFollower().Start();
+}
+
+void
+RelayFollower::OnStoreAnswered()
+{
+  if (!mAwaitsStore || mSource) {
+    return;
+  }
+  mAwaitsStore = false;
   for (const auto& follower : mFollowers) {
-    follower->Start();
+    if (follower->Kind() != ObjectKind::Configuration) {
+      follower->Start();
+    }
   }
   mServer.SetDirect(mIsServing);
 }
@@ -273,6 +317,7 @@
                { "before", mSource.value_or("store") },
                { "reason", "it follows the store and is up to date" } });
   mSource = aPeer.mInstance;
+  mAwaitsStore = false;
   for (const auto& follower : mFollowers) {
     follower->Stop();
   }
@@ -297,12 +342,18 @@
 
 Duration
 RelayFollower::CopyAge() const
+{
+  return ReadBootClock() - ConfigurationFollower().ConfirmedAt();
+}
+
+store::ObjectFollower&
+RelayFollower::ConfigurationFollower() const
 {
   const auto configuration =
     std::ranges::find_if(mFollowers, [](const auto& aFollower) {
       return aFollower->Kind() == ObjectKind::Configuration;
     });
-  return ReadBootClock() - (*configuration)->ConfirmedAt();
+  return **configuration;
 }
 
 Duration
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -95,12 +95,7 @@
     if (step.mHistoryGone) {
       mHistoryGone = true;
     } else if (!step.mReason.empty()) {
-      const auto timer =
-        std::make_shared<net::asio::steady_timer>(mClient.Executor(), pause);
-      mRetry = timer;
-      net::error_code ignored; // a cancelled pause is over
-      co_await timer->async_wait(
-        net::asio::redirect_error(net::asio::use_awaitable, ignored));
+      co_await AwaitRetry(aGeneration, pause);
       pause = std::min(pause * 2, mOptions.mMaxRetryPause);
     } else {
       pause = mOptions.mRetryPause;
@@ -111,6 +106,29 @@
   }
 }
 
+net::Awaitable<void>
+ObjectFollower::AwaitRetry(Generation aGeneration, Duration aPause)
+{
+  bool mayRetry = false;
+  while (!mayRetry && aGeneration == mGeneration) {
+    const auto timer = std::make_shared<net::asio::steady_timer>(
+      mClient.Executor(), Shortened(aPause));
+    mRetry = timer;
+    net::error_code ignored; // a cancelled pause is over
+    co_await timer->async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, ignored));
+    mayRetry = !mCallbacks.mMayRetry || mCallbacks.mMayRetry();
+  }
+}
+
+Duration
+ObjectFollower::Shortened(Duration aPause)
+{
+  std::uniform_int_distribution<Duration::rep> any(aPause.count() / 2,
+                                                   aPause.count());
+  return Duration(any(mRandom));
+}
+
 void
 ObjectFollower::Note(const Step& aStep)
 {
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -77,7 +77,8 @@
   const auto endpoint = mEndpoint;
   if (!connection) {
     connection = std::make_shared<net::ClientConnection>(mExecutor);
-    const auto opened = co_await connection->Connect(endpoint, kConnectLimit);
+    const auto opened = co_await connection->Connect(
+      endpoint, std::min(Milliseconds(kConnectLimit), aLimit));
     if (opened != net::StepEnd::Done) {
       result.mReason = "connect: " + std::string(net::NameOf(opened));
       co_return result;
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <numeric>
+#include <utility>
 
 namespace figslip::test {
 
@@ -27,6 +29,18 @@
            : std::atoll(aTarget.c_str() + place + aName.size() + 1);
 }
 
+/// Returns the kind and the name in the target of a call; the name may be
+/// empty.
+std::pair<std::string, std::string>
+Split(const std::string& aTarget)
+{
+  auto path = aTarget.substr(0, aTarget.find('?'));
+  path.erase(0, kRoot.size());
+  const auto slash = path.find('/');
+  return { path.substr(0, slash),
+           slash == std::string::npos ? "" : path.substr(slash + 1) };
+}
+
 } // namespace
 
 StoreStandIn::StoreStandIn()
@@ -109,6 +123,23 @@
       .mBody = { { "object", aObject }, { "deleted", aDeleted } } });
 }
 
+int
+StoreStandIn::Calls()
+{
+  const std::scoped_lock lock(mMutex);
+  return std::accumulate(
+    mCalls.begin(), mCalls.end(), 0, [](int aSum, const auto& aEntry) {
+      return aSum + aEntry.second;
+    });
+}
+
+int
+StoreStandIn::CallsOf(const std::string& aKind)
+{
+  const std::scoped_lock lock(mMutex);
+  return mCalls[aKind];
+}
+
 net::Awaitable<void>
 StoreStandIn::Accept()
 {
@@ -136,7 +167,10 @@
     if (end != net::ReadEnd::Whole) {
       co_return;
     }
-    ++mCalls;
+    {
+      const std::scoped_lock lock(mMutex);
+      ++mCalls[Split(aConnection->Request().mTarget).first];
+    }
     const auto wait = Parameter(aConnection->Request().mTarget, "wait_ms", 0);
     const auto until =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
@@ -165,12 +199,7 @@
     return { .mStatus = 503, .mBody = json::object() };
   }
   const std::scoped_lock lock(mMutex);
-  auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
-  path.erase(0, kRoot.size());
-  const auto slash = path.find('/');
-  const auto kind = path.substr(0, slash);
-  const auto name =
-    slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  const auto [kind, name] = Split(aRequest.mTarget);
   return aRequest.mMethod == "GET"
            ? Read(kind, Parameter(aRequest.mTarget, "watch", -1))
            : Write(aRequest, kind, name);
--- a/tests/harness/store_stand_in.hpp
+++ b/tests/harness/store_stand_in.hpp
@@ -35,7 +35,9 @@
 
   void SetMode(Mode aMode) { mMode = aMode; }
   /// Counts the calls so far.
-  [[nodiscard]] int Calls() const { return mCalls; }
+  [[nodiscard]] int Calls();
+  /// Counts the calls so far for objects of a kind.
+  [[nodiscard]] int CallsOf(const std::string& aKind);
 
   /// Writes an object as the operator or an upstream would.
   void Put(const std::string& aKind,
@@ -84,8 +86,8 @@
   net::tcp::acceptor mAcceptor;
   int mPort = 0;
   std::atomic<Mode> mMode{ Mode::Open };
-  std::atomic<int> mCalls = 0;
   std::mutex mMutex;
+  std::map<std::string, int> mCalls; ///< by kind
   std::int64_t mRevision = 5;
   std::int64_t mForgotten = 0; ///< revision up to which the history is gone
   std::map<std::string, std::map<std::string, nlohmann::json>> mObjects;
--- a/tests/src/unit-relay.cpp
+++ b/tests/src/unit-relay.cpp
@@ -14,6 +14,7 @@
 using relay::ChangeLog;
 using relay::Peer;
 using relay::SourceChoice;
+using relay::SourceFailure;
 
 namespace {
 
@@ -150,7 +151,7 @@
   SUBCASE("turn to the next one, or the store, when it fails")
   {
     for (auto& choice : choices) {
-      choice.OnFailed(source, kStart);
+      choice.OnFailed(source, SourceFailure::Unreachable, kStart);
     }
     CHECK(std::ranges::count_if(choices, isDirect) == 2);
     CHECK(follower->Next(false, kStart + 3s)->mInstance == source);
@@ -158,23 +159,50 @@
 
   SUBCASE("ask one that fails again and again less often")
   {
-    follower->OnFailed(source, kStart);
-    follower->OnFailed(source, kStart + 3s);
+    follower->OnFailed(source, SourceFailure::Unreachable, kStart);
+    follower->OnFailed(source, SourceFailure::Unreachable, kStart + 3s);
     const auto next = follower->Next(false, kStart + 8s);
     CHECK((!next || next->mInstance != source));
     CHECK(follower->Next(false, kStart + 9s)->mInstance == source);
     follower->OnAnswered(source);
-    follower->OnFailed(source, kStart + 10s);
+    follower->OnFailed(source, SourceFailure::Unreachable, kStart + 10s);
     CHECK(follower->Next(false, kStart + 13s)->mInstance == source);
   }
 
+  SUBCASE("ask one without a copy again soon, however often it had none")
+  {
+    for (auto now = kStart; now < kStart + 10s; now += 500ms) {
+      CHECK(follower->Next(false, now)->mInstance == source);
+      follower->OnFailed(source, SourceFailure::NoCopy, now);
+      const auto next = follower->Next(false, now + 499ms);
+      CHECK((!next || next->mInstance != source));
+    }
+  }
+
   SUBCASE("ask those of other domains once the store is lost")
   {
     auto alone = MakeChoice("i-9", { { "i-4", "b", "10.0.0.4:1" } });
     CHECK_FALSE(alone.Next(false, kStart));
     CHECK(alone.Next(true, kStart)->mInstance == "i-4");
-    alone.OnFailed("i-4", kStart);
+    alone.OnFailed("i-4", SourceFailure::Unreachable, kStart);
     CHECK_FALSE(alone.Next(true, kStart));
+
+    SUBCASE("a few of them, however many there are")
+    {
+      constexpr int kOthers = 340;
+      constexpr int kMostAsked = 6;
+      std::vector<Peer> many;
+      for (int number = 0; number < kOthers; ++number) {
+        many.push_back({ "j-" + std::to_string(number), "b", "10.0.1.1:1" });
+      }
+      alone.OnPeers(many);
+      int asked = 0;
+      while (const auto next = alone.Next(true, kStart)) {
+        alone.OnFailed(next->mInstance, SourceFailure::NoCopy, kStart);
+        ++asked;
+      }
+      CHECK(asked == kMostAsked);
+    }
   }
 }
 
