Let requests wait for the first configuration; ask again in time; log lateness

While a domain was cut off, plain calls waited 300 ms for a connection or 375 ms for an answer where 150 ms are due, and streams were silent for 2 s before another upstream was asked, where 1 s is on time.

Cause: an instance that knew the configuration 50 to 450 ms later refused at once. The limits were multiples of the targets, so what was asked again was late by then.

Ruled out: false alarms by the shorter limits.

Change: in the first 0.8 s of a process a request waits for the configuration, for a quarter of what its caller allows; after that it is refused at once, as before. Another upstream is asked at 0.33 of the target for a connection (40 to 300 ms), 0.6 for a plain answer, 0.72 of the target gap in a stream. The log of a served request has the time to its first event, its longest pause and in what way it was late, and a counter counts late answers.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -3,6 +3,7 @@
 #include <figslip/gateway/traffic_state.hpp>
 #include <figslip/net/caller_connection.hpp>
 #include <figslip/net/client_connection.hpp>
+#include <figslip/stream/event_pace.hpp>
 #include <figslip/stream/event_splitter.hpp>
 
 #include <memory>
@@ -49,6 +50,8 @@
     bool mHadEvent = false;
   };
 
+  /// Waits for the first configuration of an instance that has just started.
+  [[nodiscard]] net::Awaitable<void> AwaitStart();
   [[nodiscard]] std::optional<RequestEnd> Admit();
   [[nodiscard]] std::optional<RequestEnd> AdmitAccount();
   [[nodiscard]] net::Awaitable<void> Serve();
@@ -75,6 +78,7 @@
   void LogNoPlace(placement::NoChoice aReason, TimePoint aNow) const;
   [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
                                           TimePoint aNow) const;
+  [[nodiscard]] std::chrono::milliseconds ConnectLimit() const;
   [[nodiscard]] std::chrono::milliseconds FirstLimit(const Attempt& aAttempt,
                                                      TimePoint aNow) const;
   [[nodiscard]] Next OnBroken(Attempt& aAttempt,
@@ -111,6 +115,7 @@
   std::set<std::string> mAvoid;
   std::shared_ptr<net::ClientConnection> mCurrent; ///< attempt that runs
   stream::EventSplitter mEvents;
+  stream::EventPace mPace;
   int mAttempts = 0;      ///< sends that may have run
   int mArrivals = 0;      ///< sends that left on a connection
   int mSends = 0;         ///< sends, those rejected or not connected too
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -16,8 +16,11 @@
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kFirstServerError = 500;
 
-/// Time to open a connection to an upstream.
-constexpr auto kConnectLimit = milliseconds(300);
+/// Bounds on the time to open a connection to an upstream, and the part of the
+/// target latency that it may take, so that another upstream can answer in time.
+constexpr Duration kShortestConnectLimit = milliseconds(40);
+constexpr Duration kLongestConnectLimit = milliseconds(300);
+constexpr double kConnectPart = 0.33;
 
 /// Idle time after which a kept connection is not used for a request that may
 /// run only once, as a reset leaves open whether it ran.
@@ -32,11 +35,10 @@
 constexpr int kFirstEventFactor = 5;
 constexpr auto kFirstEventSlack = milliseconds(600);
 
-/// A plain answer is late after this multiple of the target.
-constexpr double kPlainLateFactor = 2.5;
-
-/// A pause of a stream is too long after this multiple of the target.
-constexpr double kPauseFactor = 2.0;
+/// Parts of the target latency and the target gap after which another upstream
+/// is asked; what is left is to be enough for its answer to be in time.
+constexpr double kPlainLatePart = 0.6;
+constexpr double kPausePart = 0.72;
 
 /// Crashes after which a request is kept from all upstreams.
 constexpr int kMaxCrashes = 2;
@@ -69,6 +71,14 @@
   co_return next;
 }
 
+milliseconds
+RequestFlow::ConnectLimit() const
+{
+  return ToMs(std::clamp(Times(mRoute->mTargetLatency, kConnectPart),
+                         kShortestConnectLimit,
+                         kLongestConnectLimit));
+}
+
 net::Awaitable<bool>
 RequestFlow::Open(Attempt& aAttempt)
 {
@@ -86,7 +96,7 @@
   aAttempt.mConnection = std::make_shared<net::ClientConnection>(executor);
   mCurrent = aAttempt.mConnection;
   const auto opened =
-    co_await aAttempt.mConnection->Connect(endpoint, kConnectLimit);
+    co_await aAttempt.mConnection->Connect(endpoint, ConnectLimit());
   if (opened == net::StepEnd::Done) {
     co_return true;
   }
@@ -205,7 +215,7 @@
   const Duration late =
     IsStream()
       ? aAttempt.mChoice.mFirstEvent * kFirstEventFactor + kFirstEventSlack
-      : Times(mRoute->mTargetLatency, kPlainLateFactor);
+      : Times(mRoute->mTargetLatency, kPlainLatePart);
   return ToMs(std::min(left, late));
 }
 
@@ -288,6 +298,7 @@
     }
   }
   const auto now = ReadBootClock();
+  mPace.OnEvents(now);
   const auto status = connection.Head().mStatus;
   if (status < kFirstServerError) {
     OnHealth(aAttempt, AttemptHealth::Good);
@@ -321,12 +332,13 @@
                          mAttempts < mRoute->mMaxAttempts &&
                          mRoute->mTargetGap > Duration::zero();
     if (mayMove) {
-      limit = std::min(limit, Times(mRoute->mTargetGap, kPauseFactor));
+      limit = std::min(limit, Times(mRoute->mTargetGap, kPausePart));
     }
     const auto end = co_await connection.ReadBody(ToMs(limit));
     now = ReadBootClock();
     const auto events = mEvents.Push(connection.Piece());
     if (!events.empty()) {
+      mPace.OnEvents(now);
       NoteFirstEvent(aAttempt, now);
       const bool isSent = co_await SendEvents(aAttempt, events);
       if (!isSent) {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -19,6 +19,11 @@
 /// Pause between looks for a place, while all are taken.
 constexpr auto kRoomPoll = milliseconds(10);
 
+/// Time after its start in which an instance is expected to know the
+/// configuration; requests wait for it for a part of what their callers allow.
+constexpr auto kStartTime = milliseconds(800);
+constexpr int kStartPart = 4;
+
 /// Sends that upstreams may reject, beyond the attempts that may run.
 constexpr int kMaxRejections = 3;
 
@@ -71,38 +76,55 @@
 RequestFlow::Run()
 {
   ++mState.mOpenRequests;
-  const auto refusal = Admit();
-  if (refusal) {
-    co_await Refuse(*refusal);
+  auto facts = mState.mDialect.mReadRequest(mCaller.Request());
+  if (!facts) {
+    co_await Refuse(RequestEnd::Malformed);
   } else {
+    mFacts = std::move(facts).assume_value();
     mCaller.WatchLeaving([this] {
       if (mCurrent) {
         mCurrent->Abort();
       }
     });
-    co_await Serve();
-    mCaller.StopWatching();
+    co_await AwaitStart();
+    const auto refusal = Admit();
+    if (refusal) {
+      mCaller.StopWatching();
+      co_await Refuse(*refusal);
+    } else {
+      co_await Serve();
+      mCaller.StopWatching();
+    }
   }
   --mState.mOpenRequests;
   co_return !mCaller.HasLeft() && !ClosesAfterwards() &&
     mLastFailure != RequestEnd::BrokenMidway;
 }
 
+net::Awaitable<void>
+RequestFlow::AwaitStart()
+{
+  const Duration patience = mFacts.mPatience.value_or(kStartTime);
+  const auto until = std::min(mArrivedAt + patience / kStartPart,
+                              mState.mStartedAt + kStartTime);
+  while (!mState.IsReady() && !mState.mIsStopping && !mCaller.HasLeft() &&
+         ReadBootClock() < until) {
+    co_await net::Sleep(kRoomPoll);
+  }
+  mConfiguration = mState.mConfiguration;
+}
+
 std::optional<RequestEnd>
 RequestFlow::Admit()
 {
-  auto facts = mState.mDialect.mReadRequest(mCaller.Request());
-  if (!facts) {
-    return RequestEnd::Malformed;
-  }
-  mFacts = std::move(facts).assume_value();
   if (mState.mRefusesNew) {
     return RequestEnd::Stopping;
   }
   if (!mConfiguration || !mState.mHasUpstreams) {
     return RequestEnd::NotReady;
   }
-  const bool isFresh = mState.mLease.IsHeld(mArrivedAt);
+  const auto now = ReadBootClock();
+  const bool isFresh = mState.mLease.IsHeld(now);
   const auto host = net::FindHeader(mCaller.Request().mHeaders, "host");
   const auto path = PathOf(mCaller.Request().mTarget);
   mRoute = mConfiguration->Match(host.value_or(""), path);
@@ -135,7 +157,7 @@
   if (mRoute->mPublic || mConfiguration->All().mAccounts.empty()) {
     return std::nullopt;
   }
-  if (!mState.mLease.IsHeld(mArrivedAt)) {
+  if (!mState.mLease.IsHeld(ReadBootClock())) {
     return RequestEnd::StaleKeys;
   }
   mAccount = mConfiguration->AccountOf(mFacts.mApiKey);
@@ -367,6 +389,18 @@
   mState.mMetrics.HistogramOf("figslip_request_ms", { { "route", route } })
     .Observe(static_cast<double>((now - mArrivedAt).count()) / kMicros);
   const bool isServed = aEnd == RequestEnd::Served;
+  auto lateness = stream::Lateness::OnTime;
+  if (isServed) {
+    lateness =
+      mPace.Judge(mArrivedAt + mRoute->mTargetLatency, mRoute->mTargetGap);
+  }
+  if (lateness != stream::Lateness::OnTime) {
+    mState.mMetrics
+      .CounterOf(
+        "figslip_late_answers_total",
+        { { "route", route }, { "late", std::string(NameOf(lateness)) } })
+      .Add();
+  }
   log::Write(
     log::Level::Info,
     isServed ? "request_served" : "request_failed",
@@ -374,6 +408,11 @@
       { "end", std::string(description.mName) },
       { "route", route },
       { "took_ms", MillisText(now - mArrivedAt) },
+      // empty: no event reached the caller
+      { "first_event_ms",
+        mPace.First() ? MillisText(*mPace.First() - mArrivedAt) : "" },
+      { "longest_pause_ms", MillisText(mPace.LongestPause()) },
+      { "late", std::string(NameOf(lateness)) },
       { "attempts", std::to_string(mAttempts) },
       { "sends", std::to_string(mSends) },
       { "upstreams", mUpstreams },
--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -121,6 +121,10 @@
   bool isSent = co_await aConnection->BeginStream(200, aHeaders, "", false);
   for (int event = first; isSent && event <= kEvents; ++event) {
     co_await net::Sleep(mPause.load());
+    if (event == 3 && mBehaviour.load() == Behaviour::SilentMidway) {
+      co_await net::Sleep(std::chrono::seconds(20));
+      co_return false;
+    }
     std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
     const bool breaks =
       event == 3 && mBehaviour.load() == Behaviour::BreakMidway;
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -20,6 +20,7 @@
   {
     Good,
     BreakMidway,  ///< closes a stream in the middle of its third event
+    SilentMidway, ///< sends nothing after the second event of a stream
     RunAndVanish, ///< runs the request and closes without an answer
     Refuse,       ///< vouches that it did not run the request
     WrongRequest, ///< answers with the id of another request
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -164,15 +164,40 @@
 
 void
 IngressWorld::Restart(std::size_t aIndex)
+{
+  Start(aIndex);
+  if (!WaitForReady(aIndex)) {
+    throw std::runtime_error("the instance did not become ready");
+  }
+}
+
+void
+IngressWorld::Start(std::size_t aIndex)
 {
   auto& running = mInstances.at(aIndex);
   running.mProcess = std::make_unique<Process>(
     "figslip-ingress",
     std::vector<std::string>{ "--settings", running.mSettings });
   running.mProcess->DrainOutput();
-  if (!WaitForReady(aIndex)) {
-    throw std::runtime_error("the instance did not become ready");
+}
+
+bool
+IngressWorld::WaitForListener(std::size_t aIndex)
+{
+  const auto until = Clock::now() + kReadyPatience;
+  while (Clock::now() < until) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto address = Loopback(mInstances.at(aIndex).mCallerPort);
+    const bool isOpen = ::connect(descriptor,
+                                  reinterpret_cast<const sockaddr*>(&address),
+                                  sizeof(address)) == 0;
+    ::close(descriptor);
+    if (isOpen) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPoll);
   }
+  return false;
 }
 
 void
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -38,6 +38,10 @@
     return *mInstances.at(aIndex).mProcess;
   }
   void Restart(std::size_t aIndex);
+  /// Starts an instance without waiting until it is ready.
+  void Start(std::size_t aIndex);
+  /// Waits until an instance accepts connections of callers.
+  [[nodiscard]] bool WaitForListener(std::size_t aIndex);
 
   /// Writes the configuration; each one has a higher version.
   void PutConfiguration(const std::vector<std::string>& aKeys)
--- a/tests/src/history-ingress.cpp
+++ b/tests/src/history-ingress.cpp
@@ -117,6 +117,25 @@
     }
   }
 
+  SUBCASE("when a stream goes silent midway")
+  {
+    for (std::size_t engine = 0; engine < 2; ++engine) {
+      world.Engine(engine).SetBehaviour(Behaviour::SilentMidway);
+    }
+    // the next one goes on within the pause that is on time, 500 ms
+    std::thread mended([&] {
+      std::this_thread::sleep_for(200ms);
+      for (std::size_t engine = 0; engine < 2; ++engine) {
+        world.Engine(engine).SetBehaviour(Behaviour::Good);
+      }
+    });
+    const auto begun = std::chrono::steady_clock::now();
+    const auto answer = world.Send(0, "POST", "/chat/1", "silent");
+    mended.join();
+    CHECK(IsWholeStream(answer));
+    CHECK(std::chrono::steady_clock::now() - begun < 500ms);
+  }
+
   SUBCASE("when an upstream runs a booking and its answer is lost")
   {
     world.Engine(0).SetBehaviour(Behaviour::RunAndVanish);
@@ -375,6 +394,23 @@
     CHECK(world.Store().Calls() - before <= kCallsOfOne);
   }
 
+  SUBCASE("ask for one kind of object in an outage of the store")
+  {
+    world.Store().SetMode(test::StoreStandIn::Mode::Busy);
+    // until all have noticed it by themselves
+    std::this_thread::sleep_for(3s);
+    const auto callsOfOthers = [&] {
+      return world.Store().Calls() - world.Store().CallsOf("config");
+    };
+    const auto before = callsOfOthers();
+    std::this_thread::sleep_for(6s);
+    CHECK(callsOfOthers() == before);
+    world.Store().SetMode(test::StoreStandIn::Mode::Open);
+    for (std::size_t instance = 0; instance < kInstances; ++instance) {
+      CHECK(Eventually([&] { return accepts(instance, "key-1"); }, 1s));
+    }
+  }
+
   SUBCASE("follow a change in time, whichever of them was killed just before")
   {
     for (std::size_t killed = 0; killed < kInstances; ++killed) {
@@ -427,6 +463,37 @@
   }
 }
 
+TEST_CASE("an instance that has just started")
+{
+  IngressWorld world;
+  world.Instance(0).Kill();
+  world.Store().SetMode(test::StoreStandIn::Mode::Busy);
+  world.Start(0);
+  REQUIRE(world.WaitForListener(0));
+
+  SUBCASE("lets a request wait for the first configuration")
+  {
+    std::thread opened([&] {
+      std::this_thread::sleep_for(100ms);
+      world.Store().SetMode(test::StoreStandIn::Mode::Open);
+    });
+    const auto answer = world.Send(0, "GET", "/look/1", "waits");
+    opened.join();
+    INFO("answer: ", answer.mHead);
+    CHECK(answer.mStatus == 200);
+  }
+
+  SUBCASE("refuses at once when the store has not answered for long")
+  {
+    std::this_thread::sleep_for(1s);
+    const auto begun = std::chrono::steady_clock::now();
+    const auto answer = world.Send(0, "GET", "/look/1", "refused");
+    CHECK(answer.mStatus == 503);
+    CHECK(answer.mHead.find("Retry-After") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - begun < 100ms);
+  }
+}
+
 TEST_CASE("settings that change without a signal")
 {
   IngressWorld world;
