Hold signals off before callers can connect; soak through loopback relays

Cause: SIGHUP came before its handler, which was installed after the listeners, and a signal without a handler ends the process. On the platform a change of the settings may meet a start.

Ruled out: a port that another process had taken (nothing was said on standard error); a crash (the log would have begun).

--- a/include/figslip/gateway/ingress_daemon.hpp
+++ b/include/figslip/gateway/ingress_daemon.hpp
@@ -5,6 +5,8 @@
 #include <figslip/gateway/traffic_state.hpp>
 #include <figslip/kernel/kernel.hpp>
 
+#include <boost/asio/signal_set.hpp>
+
 #include <functional>
 #include <memory>
 
@@ -46,6 +48,7 @@
   // the contexts outlive all sockets and timers, those of the kernel's too
   net::asio::io_context mTrafficContext{ 1 };
   net::asio::io_context mControlContext{ 1 };
+  net::asio::signal_set mSignals{ mTrafficContext };
   metrics::Registry mMetrics;
   ingress::FreshnessLease mLease;
   std::shared_ptr<TrafficState> mTraffic;
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -3,8 +3,6 @@
 #include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
-#include <boost/asio/signal_set.hpp>
-
 #include <csignal>
 #include <thread>
 
@@ -81,6 +79,10 @@
 IngressDaemon::Run()
 {
   std::signal(SIGPIPE, SIG_IGN);
+  // before callers can connect, as a signal without a handler ends the process
+  mSignals.add(SIGTERM);
+  mSignals.add(SIGINT);
+  mSignals.add(SIGHUP);
   auto started = mKernel.Start();
   if (!started) {
     return started;
@@ -116,10 +118,9 @@
 net::Awaitable<void>
 IngressDaemon::AwaitStop()
 {
-  net::asio::signal_set signals(mTrafficContext, SIGTERM, SIGINT, SIGHUP);
   while (true) {
     net::error_code error;
-    const int signal = co_await signals.async_wait(
+    const int signal = co_await mSignals.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, error));
     if (!error && signal != SIGHUP) {
       break;
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -23,7 +23,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr auto kReadyPatience = std::chrono::seconds(10);
-constexpr auto kPoll = std::chrono::milliseconds(10);
+constexpr auto kPoll = std::chrono::milliseconds(1);
 
 sockaddr_in
 Loopback(int aPort)
@@ -75,8 +75,9 @@
 }
 
 /// Decodes chunks; tells whether the last one was there.
+/// @param[in,out] aText what comes after the chunks is left
 bool
-Unchunk(std::string_view aText, std::string& aBody)
+Unchunk(std::string_view& aText, std::string& aBody)
 {
   while (true) {
     const auto end = aText.find("\r\n");
@@ -87,7 +88,9 @@
       std::strtoul(std::string(aText.substr(0, end)).c_str(), nullptr, 16);
     aText.remove_prefix(end + 2);
     if (size == 0) {
-      return aText.starts_with("\r\n");
+      const bool isWhole = aText.starts_with("\r\n");
+      aText.remove_prefix(isWhole ? 2 : 0);
+      return isWhole;
     }
     if (aText.size() < size + 2) {
       return false;
@@ -110,7 +113,9 @@
   aAnswer.mBody.clear();
   const auto rest = aText.substr(end + 4);
   if (aAnswer.mHead.find("chunked") != std::string::npos) {
-    aAnswer.mIsWhole = Unchunk(rest, aAnswer.mBody);
+    std::string_view left = rest;
+    aAnswer.mIsWhole = Unchunk(left, aAnswer.mBody);
+    aAnswer.mHasExtra = aAnswer.mIsWhole && !left.empty();
     return;
   }
   const auto length = aAnswer.mHead.find("Content-Length: ");
@@ -120,20 +125,29 @@
       : std::strtoul(aAnswer.mHead.c_str() + length + 16, nullptr, 10);
   aAnswer.mBody = rest.substr(0, size);
   aAnswer.mIsWhole = rest.size() >= size;
+  aAnswer.mHasExtra = rest.size() > size;
 }
 
 } // namespace
 
-IngressWorld::IngressWorld(int aInstances)
+IngressWorld::IngressWorld(Options aOptions)
 {
   for (const auto* const id : { "e-1", "e-2" }) {
     mEngines.push_back(std::make_unique<EngineStandIn>(id));
+    if (aOptions.mIsRelayed) {
+      mEngineRelays.push_back(std::make_unique<Relay>(mEngines.back()->Port()));
+    }
   }
   for (std::size_t index = 0; index < mEngines.size(); ++index) {
     PutEngine(index);
   }
   PutConfiguration({ "key-1" });
-  for (int number = 0; number < aInstances; ++number) {
+  for (int number = 0; number < aOptions.mInstances; ++number) {
+    if (aOptions.mIsRelayed) {
+      mStoreRelays.push_back(std::make_unique<Relay>(mStore.Port()));
+    }
+    const int storePort =
+      aOptions.mIsRelayed ? mStoreRelays.back()->Port() : mStore.Port();
     Running running{ .mCallerPort = FreePort(), .mReadinessPort = FreePort() };
     const auto address = [](int aPort) {
       return "127.0.0.1:" + std::to_string(aPort);
@@ -147,7 +161,7 @@
                             { "readiness", address(running.mReadinessPort) },
                             { "metrics", address(FreePort()) },
                             { "peers", address(FreePort()) },
-                            { "store", address(mStore.Port()) },
+                            { "store", address(storePort) },
                             { "memory_mb", 256 },
                             { "max_descriptors", 1024 },
                             { "grace_s", 8 },
@@ -259,10 +273,12 @@
                         StoreStandIn& aStore)
 {
   const auto& engine = *mEngines.at(aIndex);
+  const int port =
+    mEngineRelays.empty() ? engine.Port() : mEngineRelays.at(aIndex)->Port();
   aStore.Put("servers",
              engine.Id(),
              { { "service", "engines" },
-               { "address", "127.0.0.1:" + std::to_string(engine.Port()) },
+               { "address", "127.0.0.1:" + std::to_string(port) },
                { "zone", "a" },
                { "version", aVersion },
                { "slots", 8 },
@@ -306,23 +322,22 @@
                       const std::string& aBytes,
                       std::chrono::milliseconds aPatience)
 {
-  CallerAnswer answer;
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-  const auto address = Loopback(mInstances.at(aIndex).mCallerPort);
-  std::string text;
-  const bool isOpen = ::connect(descriptor,
-                                reinterpret_cast<const sockaddr*>(&address),
-                                sizeof(address)) == 0;
-  if (isOpen) {
-    ::send(descriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
-    answer.mCloses = ReadUntil(descriptor, Clock::now() + aPatience, text, [&] {
-      Decode(text, answer);
-      return answer.mIsWhole;
-    });
-    Decode(text, answer);
-  }
-  ::close(descriptor);
-  return answer;
+  CallerLink link(CallerPort(aIndex));
+  return link.IsOpen() ? link.Exchange(aBytes, aPatience) : CallerAnswer{};
+}
+
+std::string
+IngressWorld::FormatCall(const std::string& aMethod,
+                         const std::string& aPath,
+                         const std::string& aAttempt,
+                         const std::string& aKey)
+{
+  const std::string body = aMethod == "POST" ? "body" : "";
+  return aMethod + " " + aPath +
+         " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + aAttempt +
+         "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: " + aKey +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 CallerAnswer
@@ -332,13 +347,38 @@
                    const std::string& aAttempt,
                    const std::string& aKey)
 {
-  const std::string body = aMethod == "POST" ? "body" : "";
-  return SendRaw(aIndex,
-                 aMethod + " " + aPath +
-                   " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + aAttempt +
-                   "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: " + aKey +
-                   "\r\nContent-Length: " + std::to_string(body.size()) +
-                   "\r\n\r\n" + body);
+  return SendRaw(aIndex, FormatCall(aMethod, aPath, aAttempt, aKey));
+}
+
+CallerLink::CallerLink(int aPort)
+  : mDescriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  const auto address = Loopback(aPort);
+  mIsOpen = ::connect(mDescriptor,
+                      reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)) == 0;
+}
+
+CallerLink::~CallerLink()
+{
+  ::close(mDescriptor);
+}
+
+CallerAnswer
+CallerLink::Exchange(const std::string& aBytes,
+                     std::chrono::milliseconds aPatience)
+{
+  CallerAnswer answer;
+  std::string text;
+  ::send(mDescriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  answer.mCloses = ReadUntil(mDescriptor, Clock::now() + aPatience, text, [&] {
+    Decode(text, answer);
+    return answer.mIsWhole;
+  });
+  Decode(text, answer);
+  answer.mCloses = answer.mCloses ||
+                   answer.mHead.find("Connection: close") != std::string::npos;
+  return answer;
 }
 
 std::map<std::string, int>
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -2,6 +2,7 @@
 
 #include <harness/engine_stand_in.hpp>
 #include <harness/process.hpp>
+#include <harness/relay.hpp>
 #include <harness/store_stand_in.hpp>
 
 #include <chrono>
@@ -19,14 +20,47 @@
   std::string mHead; ///< status line and headers
   std::string mBody; ///< decoded
   bool mIsWhole = false;
-  bool mCloses = false; ///< the connection ended after it
+  bool mCloses = false;   ///< the connection ended after it
+  bool mHasExtra = false; ///< bytes came after its end
+};
+
+/// Holds one caller's connection to an instance.
+class CallerLink
+{
+public:
+  /// @param[in] aPort port of the instance; see `IsOpen`
+  explicit CallerLink(int aPort);
+  CallerLink(const CallerLink&) = delete;
+  CallerLink& operator=(const CallerLink&) = delete;
+  ~CallerLink();
+
+  [[nodiscard]] bool IsOpen() const { return mIsOpen; }
+
+  /// Sends bytes and reads one answer.
+  [[nodiscard]] CallerAnswer Exchange(const std::string& aBytes,
+                                      std::chrono::milliseconds aPatience);
+
+private:
+  int mDescriptor = -1;
+  bool mIsOpen = false;
 };
 
 /// Runs instances of figslip before stand-ins of the store and two engines.
 class IngressWorld
 {
 public:
-  explicit IngressWorld(int aInstances = 1);
+  struct Options
+  {
+    int mInstances = 1;
+    /// puts relays before the engines, and before the store of each instance
+    bool mIsRelayed = false;
+  };
+
+  IngressWorld()
+    : IngressWorld(Options{})
+  {
+  }
+  explicit IngressWorld(Options aOptions);
 
   [[nodiscard]] StoreStandIn& Store() { return mStore; }
   [[nodiscard]] EngineStandIn& Engine(std::size_t aIndex)
@@ -37,6 +71,20 @@
   {
     return *mInstances.at(aIndex).mProcess;
   }
+  /// Returns the relay before an engine.
+  [[nodiscard]] Relay& EngineRelay(std::size_t aIndex)
+  {
+    return *mEngineRelays.at(aIndex);
+  }
+  /// Returns the relay between an instance and the store.
+  [[nodiscard]] Relay& StoreRelay(std::size_t aIndex)
+  {
+    return *mStoreRelays.at(aIndex);
+  }
+  [[nodiscard]] int CallerPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mCallerPort;
+  }
   void Restart(std::size_t aIndex);
   /// Starts an instance without waiting until it is ready.
   void Start(std::size_t aIndex);
@@ -73,6 +121,11 @@
     std::size_t aIndex,
     const std::string& aBytes,
     std::chrono::milliseconds aPatience = std::chrono::seconds(8));
+  /// Returns the bytes of a proper request.
+  [[nodiscard]] static std::string FormatCall(const std::string& aMethod,
+                                              const std::string& aPath,
+                                              const std::string& aAttempt,
+                                              const std::string& aKey);
   /// Sends a proper request.
   [[nodiscard]] CallerAnswer Send(std::size_t aIndex,
                                   const std::string& aMethod,
@@ -96,6 +149,8 @@
 
   StoreStandIn mStore;
   std::vector<std::unique_ptr<EngineStandIn>> mEngines;
+  std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
+  std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
   int mVersion = 0;
 };
--- a/tests/harness/relay.cpp
+++ b/tests/harness/relay.cpp
@@ -66,6 +66,7 @@
   int mClient = -1;
   int mServer = -1;
   std::atomic<bool> mSilent{ false };
+  int mPumps = 2; ///< directions that still pass bytes
 
   void Shutdown() const
   {
@@ -101,13 +102,8 @@
   shutdown(mListener, SHUT_RDWR);
   mAcceptor.join();
   close(mListener);
-  for (auto& pump : mPumps) {
-    pump.join();
-  }
-  for (const auto& link : mLinks) {
-    close(link->mClient);
-    close(link->mServer);
-  }
+  std::unique_lock lock(mMutex);
+  mAllEnded.wait(lock, [this] { return mLinks.empty(); });
 }
 
 Relay::Mode
@@ -161,8 +157,9 @@
     auto& link = *mLinks.emplace_back(std::make_unique<Link>());
     link.mClient = client;
     link.mServer = server;
-    mPumps.emplace_back([this, &link] { Pump(link, true); });
-    mPumps.emplace_back([this, &link] { Pump(link, false); });
+    // the destructor waits for the links to end
+    std::thread([this, &link] { Pump(link, true); }).detach();
+    std::thread([this, &link] { Pump(link, false); }).detach();
   }
 }
 
@@ -177,8 +174,11 @@
     if (count <= 0) {
       break;
     }
-    const bool swallow =
-      aLink.mSilent || (!aToServer && CurrentMode() == Mode::OneWay);
+    const auto mode = CurrentMode();
+    const bool swallow = aLink.mSilent || (!aToServer && mode == Mode::OneWay);
+    if (mode == Mode::Slow) {
+      std::this_thread::sleep_for(kDelay);
+    }
     if (!swallow && !SendAll(to, buffer, count)) {
       break;
     }
@@ -187,6 +187,15 @@
   if (!aLink.mSilent) {
     shutdown(to, SHUT_WR);
   }
+  // a relay may see thousands of connections in its life
+  const std::lock_guard lock(mMutex);
+  if (--aLink.mPumps == 0) {
+    close(aLink.mClient);
+    close(aLink.mServer);
+    mLinks.remove_if(
+      [&](const auto& aEntry) { return aEntry.get() == &aLink; });
+    mAllEnded.notify_all();
+  }
 }
 
 } // namespace figslip::test
--- a/tests/harness/relay.hpp
+++ b/tests/harness/relay.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <chrono>
+#include <condition_variable>
 #include <list>
 #include <memory>
 #include <mutex>
 #include <thread>
-#include <vector>
 
 namespace figslip::test {
 
@@ -15,10 +16,14 @@
   enum class Mode
   {
     Open,
-    Cut,   ///< open connections are reset, new ones closed at once
-    OneWay ///< bytes towards the server pass, bytes from it are swallowed
+    Cut,    ///< open connections are reset, new ones closed at once
+    OneWay, ///< bytes towards the server pass, bytes from it are swallowed
+    Slow    ///< bytes pass late, in both directions
   };
 
+  /// How late bytes pass in the mode `Slow`.
+  static constexpr std::chrono::milliseconds kDelay{ 80 };
+
   explicit Relay(int aTargetPort);
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
@@ -45,7 +50,7 @@
   Mode mMode = Mode::Open;
   bool mStopping = false;
   std::list<std::unique_ptr<Link>> mLinks;
-  std::vector<std::thread> mPumps;
+  std::condition_variable mAllEnded;
   std::thread mAcceptor;
 };
 
--- a/tests/src/history-ingress.cpp
+++ b/tests/src/history-ingress.cpp
@@ -372,10 +372,10 @@
 
 TEST_CASE("the instances of a failure domain on the platform")
 {
-  constexpr std::size_t kInstances = 3;
+  constexpr int kInstances = 3;
   // a change is in force everywhere this long after it
   constexpr auto kInForce = 2'000ms;
-  IngressWorld world(kInstances);
+  IngressWorld world({ .mInstances = kInstances });
   int sent = 0;
   const auto accepts = [&](std::size_t aInstance, const std::string& aKey) {
     const auto attempt = "r-" + std::to_string(++sent);
@@ -483,6 +483,19 @@
     CHECK(answer.mStatus == 200);
   }
 
+  SUBCASE("is not ended by a change of its settings")
+  {
+    world.Store().SetMode(test::StoreStandIn::Mode::Open);
+    REQUIRE(world.WaitForReady(0));
+    for (int start = 0; start < 20; ++start) {
+      world.Instance(0).Kill();
+      world.Start(0);
+      REQUIRE(world.WaitForListener(0));
+      world.Instance(0).Signal(SIGHUP);
+      REQUIRE(world.WaitForReady(0));
+    }
+  }
+
   SUBCASE("refuses at once when the store has not answered for long")
   {
     std::this_thread::sleep_for(1s);
