Ask for less confidence the more of their time engines read prompts

Cause: one bar of confidence, 45, for engines with time to spare and engines that are short. The largest model reads a prompt ten times longer than the smallest and holds up all others.

Ruled out: the share of late answers as the measure. Outside of faults it is 0 to 2 in 100 since the upstreams were divided; most late answers were lost by a fault, where asking for less helps nobody.

Change: an instance knows how long its own engines read what it sends. Up to a quarter of their time the bar is 52, from 0.65 on it is 25, evenly in between. The line of a dropped answer has the share.

--- a/include/figslip/cascade/size_policy.hpp
+++ b/include/figslip/cascade/size_policy.hpp
@@ -10,23 +10,35 @@
 /// @brief Holds what is known when the model of an attempt is chosen.
 struct SizeQuestion
 {
-  std::size_t mModels = 1;  ///< sizes to choose from, >= 1
-  int mAttemptsLeft = 1;    ///< this one included
-  Duration mTimeToTarget{}; ///< until the first event would be late
-  Duration mLargestFirst{}; ///< expected first event of the largest model
-  bool mIsDropped = false;  ///< a smaller model's answer was dropped
+  std::size_t mModels = 1;    ///< sizes to choose from, >= 1
+  int mAttemptsLeft = 1;      ///< this one included
+  Duration mTimeToTarget{};   ///< until the first event would be late
+  Duration mLargestFirst{};   ///< expected first event of the largest model
+  bool mIsDropped = false;    ///< a smaller model's answer was dropped
+  double mReadingShare = 0.0; ///< part of their time that engines read prompts
 };
 
 /// @brief Chooses models by size and judges answers of small ones.
 ///
 /// A small model answers first where there is time to ask the largest model
 /// afterwards; its own confidence decides whether its answer is taken.
+///
+/// Answers engines that are short for the load, too: the largest model reads a
+/// prompt ten times longer than the smallest, and holds up all other requests
+/// of its engine. The more of their time engines read, the less confidence is
+/// asked for.
 class SizePolicy
 {
 public:
   struct Options
   {
-    int mAcceptConfidence = 45; ///< least confidence of an answer taken, 0-100
+    /// least confidence of an answer taken, 0-100, on engines with time to
+    /// spare and on engines that are short for the load; between the two shares
+    /// of reading it falls evenly
+    double mSpareConfidence = 52.0;
+    double mShortConfidence = 25.0;
+    double mSpareShare = 0.25;
+    double mShortShare = 0.65;
     Duration mSmallFirst =
       std::chrono::milliseconds(60); ///< small model's time
     double mSafety = 1.5;            ///< factor on expected times
@@ -46,6 +58,10 @@
                              std::optional<int> aConfidence,
                              const SizeQuestion& aQuestion) const;
 
+  /// @brief Returns the least confidence of an answer taken, 0-100.
+  /// @param[in] aReadingShare part of their time that engines read prompts
+  [[nodiscard]] double LeastConfidence(double aReadingShare) const;
+
 private:
   Options mOptions;
 };
--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -7,6 +7,7 @@
 #include <figslip/placement/domain_health.hpp>
 #include <figslip/placement/health.hpp>
 #include <figslip/placement/prefix_cache.hpp>
+#include <figslip/placement/reading_load.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <functional>
@@ -152,6 +153,10 @@
   /// @brief Returns the part of the places of a service that is taken.
   [[nodiscard]] double Occupancy(std::string_view aService,
                                  TimePoint aNow) const;
+  /// @brief Returns the part of their time for which this instance has its
+  /// engines of a service read prompts; may exceed 1 while it queues more.
+  [[nodiscard]] double ReadingShare(std::string_view aService,
+                                    TimePoint aNow) const;
   /// @brief Returns the requests of this instance on an upstream.
   [[nodiscard]] int InFlight(std::string_view aUpstream) const;
   [[nodiscard]] std::size_t Size() const { return mStates.size(); }
@@ -220,6 +225,7 @@
   ingress::ConfigurationPtr mConfiguration;
   std::map<std::string, State, std::less<>> mStates;
   std::set<std::string, std::less<>> mDrained;
+  std::map<std::string, ReadingLoad, std::less<>> mReading; ///< by service
   DomainHealth mDomains{ {} };
   std::mt19937_64 mRandom;
   int mInstances = 1;
--- a/src/core/cascade/size_policy.cpp
+++ b/src/core/cascade/size_policy.cpp
@@ -1,5 +1,8 @@
 #include <figslip/cascade/size_policy.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace figslip::cascade {
 
 namespace {
@@ -30,13 +33,25 @@
   return largestFits ? largest : 0;
 }
 
+double
+SizePolicy::LeastConfidence(double aReadingShare) const
+{
+  const double part =
+    std::clamp((aReadingShare - mOptions.mSpareShare) /
+                 (mOptions.mShortShare - mOptions.mSpareShare),
+               0.0,
+               1.0);
+  return std::lerp(mOptions.mSpareConfidence, mOptions.mShortConfidence, part);
+}
+
 bool
 SizePolicy::Accepts(std::size_t aModel,
                     std::optional<int> aConfidence,
                     const SizeQuestion& aQuestion) const
 {
   return aModel + 1 >= aQuestion.mModels || aQuestion.mAttemptsLeft < 1 ||
-         !aConfidence || *aConfidence >= mOptions.mAcceptConfidence ||
+         !aConfidence ||
+         *aConfidence >= LeastConfidence(aQuestion.mReadingShare) ||
          Scaled(aQuestion.mLargestFirst, mOptions.mSafety) >=
            aQuestion.mTimeToTarget;
 }
--- a/src/core/placement/upstream_board.cpp
+++ b/src/core/placement/upstream_board.cpp
@@ -287,6 +287,7 @@
   state.mReadingMs += load.mReadingMs;
   state.mDecodeWeight += load.mDecodeWeight;
   if (aQuery.mPrompt != nullptr) {
+    mReading[state.mEntry.mService].OnSent(load.mReadingMs, aNow);
     state.mCache.Touch(ChainOf(*aQuery.mPrompt, aQuery.mModel));
   }
   if (aNow < state.mColdUntil) {
@@ -413,6 +414,29 @@
   return slots > 0.0 ? taken / slots : 1.0;
 }
 
+double
+UpstreamBoard::ReadingShare(std::string_view aService, TimePoint aNow) const
+{
+  const auto reading = mReading.find(aService);
+  if (reading == mReading.end()) {
+    return 0.0;
+  }
+  int own = 0;
+  int all = 0;
+  for (const auto& state : mStates | std::views::values) {
+    const bool serves = state.mEntry.mService == aService &&
+                        state.mEntry.mState == ingress::UpstreamState::Ready &&
+                        !mDrained.contains(state.mEntry.mDomain) &&
+                        !state.mHealth.IsAvoided(aNow);
+    all += serves ? 1 : 0;
+    own += serves && state.mIsOwn ? 1 : 0;
+  }
+  // without engines of its own it takes its part of all
+  const double engines =
+    own > 0 ? own : std::max(1.0, static_cast<double>(all) / mInstances);
+  return reading->second.BusyEngines(aNow) / engines;
+}
+
 bool
 UpstreamBoard::IsCandidate(const State& aState,
                            const PlacementQuery& aQuery) const
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -17,7 +17,8 @@
 constexpr unsigned kFirstServerError = 500;
 
 /// Bounds on the time to open a connection to an upstream, and the part of the
-/// target latency that it may take, so that another upstream can answer in time.
+/// target latency that it may take, so that another upstream can answer in
+/// time.
 constexpr Duration kShortestConnectLimit = milliseconds(40);
 constexpr Duration kLongestConnectLimit = milliseconds(300);
 constexpr double kConnectPart = 0.33;
@@ -260,11 +261,12 @@
     }
   }
   const auto& models = mRoute->mModels;
-  const bool wantsLarger = !isFailure && !models.empty() && !mHeadSent &&
-                           !mState.mSizes.Accepts(aAttempt.mSize,
-                                                  facts.mConfidence,
-                                                  SizeQuestionOf(now)) &&
-                           MayTryAgain(now);
+  const auto question =
+    models.empty() ? cascade::SizeQuestion{} : SizeQuestionOf(now);
+  const bool wantsLarger =
+    !isFailure && !models.empty() && !mHeadSent &&
+    !mState.mSizes.Accepts(aAttempt.mSize, facts.mConfidence, question) &&
+    MayTryAgain(now);
   if (wantsLarger) {
     OnHealth(aAttempt, AttemptHealth::Good);
     NoteFirstEvent(aAttempt, now);
@@ -275,7 +277,8 @@
       "answer_dropped",
       { { "request", mFacts.mAttemptId },
         { "model", aAttempt.mModel },
-        { "confidence", std::to_string(facts.mConfidence.value_or(-1)) } });
+        { "confidence", std::to_string(facts.mConfidence.value_or(-1)) },
+        { "reading_share", std::to_string(question.mReadingShare) } });
     co_return Next::Larger;
   }
   if (IsStream() && !isFailure) {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -287,7 +287,8 @@
            .mTimeToTarget = mArrivedAt + mRoute->mTargetLatency - aNow,
            .mLargestFirst =
              mState.mLargestDelay[mService].Apply(expected, aNow),
-           .mIsDropped = mDropped };
+           .mIsDropped = mDropped,
+           .mReadingShare = mState.mBoard.ReadingShare(mService, aNow) };
 }
 
 std::optional<RequestFlow::Attempt>
--- a/tests/src/unit-ingress.cpp
+++ b/tests/src/unit-ingress.cpp
@@ -144,7 +144,7 @@
 TEST_CASE("a cascade of sizes")
 {
   const cascade::SizePolicy policy(
-    { .mAcceptConfidence = 60, .mSmallFirst = 50ms, .mSafety = 1.5 });
+    { .mSpareConfidence = 60, .mSmallFirst = 50ms, .mSafety = 1.5 });
   cascade::SizeQuestion question{ .mModels = 3,
                                   .mAttemptsLeft = 3,
                                   .mTimeToTarget = 1s,
@@ -177,6 +177,22 @@
     CHECK(policy.Accepts(0, 1, question));
   }
 
+  SUBCASE("asks for less confidence the more of their time engines read")
+  {
+    const cascade::SizePolicy falling({ .mSpareConfidence = 60,
+                                        .mShortConfidence = 20,
+                                        .mSpareShare = 0.2,
+                                        .mShortShare = 0.6 });
+    CHECK(falling.LeastConfidence(0.0) == doctest::Approx(60.0));
+    CHECK(falling.LeastConfidence(0.2) == doctest::Approx(60.0));
+    CHECK(falling.LeastConfidence(0.4) == doctest::Approx(40.0));
+    CHECK(falling.LeastConfidence(0.6) == doctest::Approx(20.0));
+    CHECK(falling.LeastConfidence(3.0) == doctest::Approx(20.0));
+    question.mReadingShare = 0.4;
+    CHECK(falling.Accepts(0, 40, question));
+    CHECK_FALSE(falling.Accepts(0, 39, question));
+  }
+
   SUBCASE("takes an answer without an opinion")
   {
     CHECK(policy.Accepts(0, std::nullopt, question));
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -1,3 +1,4 @@
+#include <figslip/cascade/size_policy.hpp>
 #include <figslip/placement/subset.hpp>
 #include <figslip/placement/upstream_board.hpp>
 
@@ -86,6 +87,173 @@
   return board;
 }
 
+/// Part of the first events that is to be in time, and when that is.
+constexpr double kInTime = 0.95;
+constexpr auto kTarget = 1'700ms;
+
+/// Plays 8 instances before engines that read prompts one after the other.
+class EnginePlay
+{
+public:
+  struct Options
+  {
+    int mEngines = 24;
+    /// part of their time for which the engines would read if the largest model
+    /// answered every request, or every doubtful one where there is a policy
+    double mReadingShare = 0.5;
+    const cascade::SizePolicy* mPolicy = nullptr; ///< null: the largest model
+  };
+
+  explicit EnginePlay(Options aOptions)
+    : mOptions(aOptions)
+  {
+    for (int number = 0; number < kInstances; ++number) {
+      mBoards.push_back(MakeBoard("entry-" + std::to_string(number),
+                                  static_cast<std::uint64_t>(number) + 1));
+      mBoards.back().OnUpstreams(MakeEntries(mOptions.mEngines), kStart);
+      mBoards.back().SetInstances(MakeInstances(kInstances));
+    }
+  }
+
+  void Run()
+  {
+    constexpr int kRequests = 20'000;
+    const double largeMs = kMeanTokens / kLargeTokensPerMs;
+    const double meanMs =
+      mOptions.mPolicy == nullptr
+        ? largeMs
+        : largeMs * kDoubtful / 100.0 + kMeanTokens / kSmallTokensPerMs;
+    std::exponential_distribution<double> pauseMs(
+      mOptions.mEngines * mOptions.mReadingShare / meanMs);
+    std::lognormal_distribution<double> tokensOf(
+      std::log(kMeanTokens) - kSpread * kSpread / 2.0, kSpread);
+    std::uniform_int_distribution<std::size_t> anyBoard(0, kInstances - 1);
+    auto now = kStart;
+    for (mRequests = 0; mRequests < kRequests; ++mRequests) {
+      now += std::chrono::microseconds(
+        static_cast<std::int64_t>(pauseMs(mRandom) * 1'000.0));
+      EndReadings(now);
+      const auto tokens = std::min(tokensOf(mRandom), kMaxTokens);
+      Send({ .mArrivedAt = now,
+             .mBoard = anyBoard(mRandom),
+             .mTokens = static_cast<std::int64_t>(tokens),
+             .mId = static_cast<std::uint64_t>(mRequests) + 1 },
+           mOptions.mPolicy != nullptr,
+           now);
+    }
+    EndReadings(now + 60s);
+  }
+
+  [[nodiscard]] double ShareInTime() const
+  {
+    return static_cast<double>(mInTime) / mRequests;
+  }
+  /// Returns the part of the answers under the bar that were replaced.
+  [[nodiscard]] double ShareReplaced() const
+  {
+    return static_cast<double>(mReplaced) / mDoubtful;
+  }
+
+private:
+  static constexpr int kInstances = 8;
+  static constexpr double kLargeTokensPerMs = 20.0;
+  static constexpr double kSmallTokensPerMs = 200.0;
+  static constexpr double kMeanTokens = 6'610.0;
+  static constexpr double kSpread = 1.1; ///< of the logarithm
+  static constexpr double kMaxTokens = 54'600.0;
+  /// confidence under which an answer is doubtful; all are alike often
+  static constexpr int kDoubtful = 45;
+
+  struct Request
+  {
+    TimePoint mArrivedAt;
+    std::size_t mBoard = 0;
+    std::int64_t mTokens = 0;
+    std::uint64_t mId = 0;
+  };
+
+  struct Reading
+  {
+    TimePoint mDone;
+    Request mRequest;
+    placement::Load mLoad;
+    bool mIsSmall = false;
+  };
+
+  void Send(const Request& aRequest, bool aIsSmall, TimePoint aNow)
+  {
+    const std::vector<ingress::PromptPart> prompt = { { aRequest.mId,
+                                                        aRequest.mTokens } };
+    const placement::PlacementQuery query{ .mService = "engines",
+                                           .mModel =
+                                             aIsSmall ? "small" : "large",
+                                           .mPrompt = &prompt,
+                                           .mPromptTokens = aRequest.mTokens };
+    auto& board = mBoards[aRequest.mBoard];
+    const auto choice = board.Choose(query, aNow);
+    if (!choice) {
+      return; // all places are taken: not in time
+    }
+    const double perMs = aIsSmall ? kSmallTokensPerMs : kLargeTokensPerMs;
+    auto& until = mBusyUntil[choice->mUpstream->mId];
+    until = std::max(until, aNow) +
+            std::chrono::microseconds(static_cast<std::int64_t>(
+              static_cast<double>(aRequest.mTokens) / perMs * 1'000.0));
+    mReadings.push({ .mDone = until,
+                     .mRequest = aRequest,
+                     .mLoad = board.Reserve(*choice, query, aNow),
+                     .mIsSmall = aIsSmall });
+  }
+
+  void EndReadings(TimePoint aUntil)
+  {
+    while (!mReadings.empty() && mReadings.top().mDone <= aUntil) {
+      auto reading = mReadings.top();
+      mReadings.pop();
+      auto& board = mBoards[reading.mRequest.mBoard];
+      board.OnFirstEvent(reading.mLoad, reading.mDone);
+      board.Release(reading.mLoad);
+      if (reading.mIsSmall && IsReplaced(reading)) {
+        Send(reading.mRequest, false, reading.mDone);
+      } else {
+        mInTime += reading.mDone - reading.mRequest.mArrivedAt <= kTarget;
+      }
+    }
+  }
+
+  [[nodiscard]] bool IsReplaced(const Reading& aReading)
+  {
+    const int confidence = std::uniform_int_distribution(0, 99)(mRandom);
+    const auto& board = mBoards[aReading.mRequest.mBoard];
+    const cascade::SizeQuestion question{
+      .mModels = 2,
+      .mTimeToTarget = aReading.mRequest.mArrivedAt + kTarget - aReading.mDone,
+      .mLargestFirst = Duration::zero(),
+      .mReadingShare = board.ReadingShare("engines", aReading.mDone)
+    };
+    const bool isReplaced = !mOptions.mPolicy->Accepts(0, confidence, question);
+    mDoubtful += confidence < kDoubtful ? 1 : 0;
+    mReplaced += confidence < kDoubtful && isReplaced ? 1 : 0;
+    return isReplaced;
+  }
+
+  static bool IsLater(const Reading& aLeft, const Reading& aRight)
+  {
+    return aLeft.mDone > aRight.mDone;
+  }
+
+  Options mOptions;
+  std::vector<UpstreamBoard> mBoards;
+  std::priority_queue<Reading, std::vector<Reading>, decltype(&IsLater)>
+    mReadings{ &IsLater };
+  std::map<std::string, TimePoint> mBusyUntil;
+  std::mt19937_64 mRandom{ 20261204 };
+  int mRequests = 0;
+  int mInTime = 0;
+  int mDoubtful = 0;
+  int mReplaced = 0;
+};
+
 } // namespace
 
 TEST_CASE("an instance that chooses an upstream")
@@ -329,79 +497,39 @@
 
 TEST_CASE("prompts of very unlike length at the engines of a failure domain")
 {
-  // plays 8 instances before 24 engines that read prompts one after the other,
-  // 0.45 of the time, as with the largest model after a third of the engines
-  // has left; no answer tells how long the prompts are that others have queued
-  constexpr int kInstances = 8;
-  constexpr int kEngines = 24;
-  constexpr double kUtilisation = 0.45;
-  constexpr double kTokensPerMs = 20.0;
-  constexpr double kMeanTokens = 6'610.0;
-  constexpr double kSpread = 1.1; // of the logarithm
-  constexpr double kMaxTokens = 54'600.0;
-  constexpr int kRequests = 20'000;
-  constexpr auto kTarget = 1'700ms; // for 95 in 100
+  // with the largest model after a third of the engines has left; no answer
+  // tells how long the prompts are that others have queued
+  EnginePlay play({ .mEngines = 24, .mReadingShare = 0.45 });
+  play.Run();
+  MESSAGE("first event in time: ", play.ShareInTime());
+  CHECK(play.ShareInTime() >= kInTime);
+}
 
-  std::vector<UpstreamBoard> boards;
-  for (int number = 0; number < kInstances; ++number) {
-    boards.push_back(MakeBoard("entry-" + std::to_string(number),
-                               static_cast<std::uint64_t>(number) + 1));
-    boards.back().OnUpstreams(MakeEntries(kEngines), kStart);
-    boards.back().SetInstances(MakeInstances(kInstances));
+TEST_CASE("a cascade at the engines of a failure domain")
+{
+  const cascade::SizePolicy policy({});
+
+  SUBCASE("asks the largest model for all doubtful answers while there is time")
+  {
+    EnginePlay play(
+      { .mEngines = 24, .mReadingShare = 0.3, .mPolicy = &policy });
+    play.Run();
+    MESSAGE("doubtful answers replaced: ", play.ShareReplaced());
+    CHECK(play.ShareReplaced() >= 0.9);
+    CHECK(play.ShareInTime() >= kInTime);
   }
-  struct Reading
+
+  SUBCASE("answers in time when engines are lost and the load is too much")
   {
-    TimePoint mDone;
-    std::size_t mBoard = 0;
-    placement::Load mLoad;
-  };
-  const auto isLater = [](const Reading& aLeft, const Reading& aRight) {
-    return aLeft.mDone > aRight.mDone;
-  };
-  std::priority_queue<Reading, std::vector<Reading>, decltype(isLater)>
-    readings(isLater);
-  std::map<std::string, TimePoint> busyUntil;
-  std::mt19937_64 random(20261204);
-  std::lognormal_distribution<double> tokensOf(
-    std::log(kMeanTokens) - kSpread * kSpread / 2.0, kSpread);
-  std::exponential_distribution<double> pauseMs(kEngines * kUtilisation /
-                                                (kMeanTokens / kTokensPerMs));
-  std::uniform_int_distribution<std::size_t> anyBoard(0, kInstances - 1);
-  auto now = kStart;
-  int inTime = 0;
-  for (int number = 0; number < kRequests; ++number) {
-    now += std::chrono::microseconds(
-      static_cast<std::int64_t>(pauseMs(random) * 1'000.0));
-    while (!readings.empty() && readings.top().mDone <= now) {
-      auto done = readings.top();
-      readings.pop();
-      boards[done.mBoard].OnFirstEvent(done.mLoad, done.mDone);
-      boards[done.mBoard].Release(done.mLoad);
-    }
-    const auto tokens =
-      static_cast<std::int64_t>(std::min(tokensOf(random), kMaxTokens));
-    const std::vector<ingress::PromptPart> prompt = {
-      { static_cast<std::uint64_t>(number) + 1, tokens }
-    };
-    const placement::PlacementQuery query{ .mService = "engines",
-                                           .mModel = "large",
-                                           .mPrompt = &prompt,
-                                           .mPromptTokens = tokens };
-    const auto board = anyBoard(random);
-    const auto choice = boards[board].Choose(query, now);
-    REQUIRE(choice);
-    auto& until = busyUntil[choice->mUpstream->mId];
-    until = std::max(until, now) +
-            std::chrono::microseconds(static_cast<std::int64_t>(
-              static_cast<double>(tokens) / kTokensPerMs * 1'000.0));
-    inTime += until - now <= kTarget ? 1 : 0;
-    readings.push({ .mDone = until,
-                    .mBoard = board,
-                    .mLoad = boards[board].Reserve(*choice, query, now) });
-  }
-  const double share = static_cast<double>(inTime) / kRequests;
-  MESSAGE("first event in time: ", share);
-  CHECK(share >= 0.95);
+    // if the largest model answered all that are doubtful, the engines would
+    // read all of their time
+    EnginePlay play(
+      { .mEngines = 8, .mReadingShare = 1.0, .mPolicy = &policy });
+    play.Run();
+    MESSAGE("first event in time: ", play.ShareInTime());
+    MESSAGE("doubtful answers replaced: ", play.ShareReplaced());
+    CHECK(play.ShareInTime() >= kInTime);
+  }
 }
 
 TEST_CASE("a failure domain behind a partition")
