Mend lint findings of the last commits

Cause: reserved sizes, signed counts for std::ranges::sample, and an optional that was read twice. No behaviour changes; unit-placement and unit-relay pass.

--- a/include/figslip/placement/upstream_board.hpp
+++ b/include/figslip/placement/upstream_board.hpp
@@ -10,6 +10,7 @@
 #include <figslip/placement/reading_load.hpp>
 #include <figslip/time/time_point.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -104,8 +105,8 @@
     /// upstreams of the own subset and of other instances compared for a
     /// request; a random few, as instances that do not know of each other yet
     /// would choose the same best of all
-    std::size_t mOwnCompared = 8;
-    std::size_t mCompared = 4;
+    std::ptrdiff_t mOwnCompared = 8;
+    std::ptrdiff_t mCompared = 4;
     std::uint64_t mSeed = 1; ///< of the generator of random choices
   };
 
--- a/src/core/placement/subset.cpp
+++ b/src/core/placement/subset.cpp
@@ -30,11 +30,13 @@
   // the upstreams choose in an order by hash; an instance that has its share is
   // passed over
   std::vector<std::pair<std::uint64_t, std::string_view>> order;
+  order.reserve(aUpstreams.size());
   for (const auto& upstream : aUpstreams) {
     order.emplace_back(HashOf(upstream), upstream);
   }
   std::ranges::sort(order);
   std::vector<std::pair<std::string_view, std::size_t>> counts;
+  counts.reserve(aInstances.size());
   for (const auto& instance : aInstances) {
     counts.emplace_back(instance, 0);
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -390,6 +390,7 @@
   mState.mMetrics.HistogramOf("figslip_request_ms", { { "route", route } })
     .Observe(static_cast<double>((now - mArrivedAt).count()) / kMicros);
   const bool isServed = aEnd == RequestEnd::Served;
+  const auto first = mPace.First();
   auto lateness = stream::Lateness::OnTime;
   if (isServed) {
     lateness =
@@ -410,8 +411,7 @@
       { "route", route },
       { "took_ms", MillisText(now - mArrivedAt) },
       // empty: no event reached the caller
-      { "first_event_ms",
-        mPace.First() ? MillisText(*mPace.First() - mArrivedAt) : "" },
+      { "first_event_ms", first ? MillisText(*first - mArrivedAt) : "" },
       { "longest_pause_ms", MillisText(mPace.LongestPause()) },
       { "late", std::string(NameOf(lateness)) },
       { "attempts", std::to_string(mAttempts) },
--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -89,6 +89,7 @@
   {
     const auto until = Clock::now() + aLength;
     std::vector<std::thread> threads;
+    threads.reserve(kCallers + kDisturbers + 1);
     for (int caller = 0; caller < kCallers; ++caller) {
       threads.emplace_back([this, caller, until] { Call(caller, until); });
     }
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -71,6 +71,7 @@
 MakeInstances(int aCount)
 {
   std::vector<membership::InstancePlace> instances;
+  instances.reserve(static_cast<std::size_t>(aCount));
   for (int number = 0; number < aCount; ++number) {
     instances.push_back(
       { .mName = "entry-" + std::to_string(number), .mFailureDomain = "a" });
@@ -450,6 +451,7 @@
     instances.insert(instance.mName);
   }
   std::vector<std::string> upstreams;
+  upstreams.reserve(23);
   for (int number = 0; number < 23; ++number) {
     upstreams.push_back("e" + std::to_string(number));
   }
--- a/tests/src/unit-relay.cpp
+++ b/tests/src/unit-relay.cpp
@@ -192,6 +192,7 @@
       constexpr int kOthers = 340;
       constexpr int kMostAsked = 6;
       std::vector<Peer> many;
+      many.reserve(kOthers);
       for (int number = 0; number < kOthers; ++number) {
         many.push_back({ "j-" + std::to_string(number), "b", "10.0.1.1:1" });
       }
