Find followers by their kind in one place; test the pace of an answer

Cause: read as a newcomer, the control plane knew that the first follower is the configuration's, and the relay searched for it twice. The measure of lateness had no test of its own. No behaviour changes.

--- a/include/figslip/placement/subset.hpp
+++ b/include/figslip/placement/subset.hpp
@@ -14,7 +14,7 @@
 /// or goes, most upstreams stay where they are.
 ///
 /// @param[in] aInstance one of the instances
-/// @param[in] aInstances names of all instances of the failure domain
+/// @param[in] aInstances names of all instances of the failure domain, >= 1
 /// @param[in] aUpstreams ids of the upstreams of the failure domain
 /// @return the upstreams of this instance; all where there are fewer upstreams
 ///         than instances, as some would get none
--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -54,6 +54,7 @@
   /// Reads which instances there are; nothing else of the store.
   [[nodiscard]] net::Awaitable<void> FindInstances();
   /// Asks an instance for news and takes them.
+  /// @return why it cannot be followed; nothing: it is
   [[nodiscard]] net::Awaitable<std::optional<Failure>> Ask(Peer aPeer);
   void OnFailed(const Peer& aPeer, const Failure& aFailure);
   /// @return why the answer could not be used
@@ -64,7 +65,6 @@
                                                  TimePoint aSentAt) const;
   void FollowStore(const std::string& aReason);
   void FollowPeer(const Peer& aPeer);
-  [[nodiscard]] store::ObjectFollower& ConfigurationFollower() const;
   [[nodiscard]] bool HasCopy() const;
   [[nodiscard]] bool HasLostStore() const;
   /// Returns the time since the configuration was confirmed.
--- a/include/figslip/relay/relay_server.hpp
+++ b/include/figslip/relay/relay_server.hpp
@@ -53,4 +53,8 @@
   bool mIsDirect = false;
 };
 
+/// @brief Returns the follower of a kind, which has to be there.
+[[nodiscard]] store::ObjectFollower&
+FollowerOf(const RelayServer::Followers& aFollowers, store::ObjectKind aKind);
+
 } // namespace figslip::relay
--- a/src/core/placement/subset.cpp
+++ b/src/core/placement/subset.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 #include <cstdint>
 #include <ranges>
 #include <utility>
@@ -24,6 +25,7 @@
          const std::set<std::string>& aInstances,
          const std::vector<std::string>& aUpstreams)
 {
+  assert(!aInstances.empty());
   if (aUpstreams.size() < aInstances.size()) {
     return { aUpstreams.begin(), aUpstreams.end() };
   }
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -187,7 +187,8 @@
            .mMayRetry =
              [this, aKind] {
                return aKind == ObjectKind::Configuration ||
-                      !mFollowers.front()->IsLost();
+                      !relay::FollowerOf(mFollowers, ObjectKind::Configuration)
+                         .IsLost();
              } };
 }
 
@@ -347,10 +348,11 @@
     }
   }
   mRelay.OnPeers(peers);
-  mFollowers.front()->SetMaxRetryPause(
-    std::clamp<Duration>(kRetryPausePerInstance * places.size(),
-                         kShortestMaxRetryPause,
-                         kLongestMaxRetryPause));
+  relay::FollowerOf(mFollowers, ObjectKind::Configuration)
+    .SetMaxRetryPause(
+      std::clamp<Duration>(kRetryPausePerInstance * places.size(),
+                           kShortestMaxRetryPause,
+                           kLongestMaxRetryPause));
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   log::Write(log::Level::Info,
              "instances_known",
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -108,13 +108,10 @@
 net::Awaitable<void>
 RelayFollower::FindInstances()
 {
-  const auto shared =
-    std::ranges::find_if(mFollowers, [](const auto& aFollower) {
-      return aFollower->Kind() == ObjectKind::Shared;
-    });
-  (*shared)->Start();
+  auto& shared = FollowerOf(mFollowers, ObjectKind::Shared);
+  shared.Start();
   const auto until = ReadBootClock() + kListLimit;
-  while (!(*shared)->Revision() && ReadBootClock() < until) {
+  while (!shared.Revision() && ReadBootClock() < until) {
     co_await net::Sleep(kListPoll);
   }
 }
@@ -287,7 +284,7 @@
   // the other kinds follow with its first answer, so that an outage costs the
   // calls of one kind
   mAwaitsStore = true;
-  ConfigurationFollower().Start();
+  FollowerOf(mFollowers, ObjectKind::Configuration).Start();
 }
 
 void
@@ -343,17 +340,8 @@
 Duration
 RelayFollower::CopyAge() const
 {
-  return ReadBootClock() - ConfigurationFollower().ConfirmedAt();
-}
-
-store::ObjectFollower&
-RelayFollower::ConfigurationFollower() const
-{
-  const auto configuration =
-    std::ranges::find_if(mFollowers, [](const auto& aFollower) {
-      return aFollower->Kind() == ObjectKind::Configuration;
-    });
-  return **configuration;
+  return ReadBootClock() -
+         FollowerOf(mFollowers, ObjectKind::Configuration).ConfirmedAt();
 }
 
 Duration
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -4,6 +4,7 @@
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace figslip::relay {
@@ -21,6 +22,15 @@
 
 } // namespace
 
+store::ObjectFollower&
+FollowerOf(const RelayServer::Followers& aFollowers, store::ObjectKind aKind)
+{
+  const auto found = std::ranges::find(
+    aFollowers, aKind, [](const auto& aFollower) { return aFollower->Kind(); });
+  assert(found != aFollowers.end());
+  return **found;
+}
+
 RelayServer::RelayServer(net::asio::io_context& aContext,
                          const Followers& aFollowers,
                          std::uint64_t aEpoch)
--- a/tests/src/unit-ingress.cpp
+++ b/tests/src/unit-ingress.cpp
@@ -4,6 +4,7 @@
 #include <figslip/ingress/freshness_lease.hpp>
 #include <figslip/membership/lapse_guard.hpp>
 #include <figslip/retry/retry_budget.hpp>
+#include <figslip/stream/event_pace.hpp>
 #include <figslip/stream/event_splitter.hpp>
 
 #include <doctest/doctest.h>
@@ -199,6 +200,42 @@
   }
 }
 
+TEST_CASE("the pace of an answer")
+{
+  stream::EventPace pace;
+  const auto due = kStart + 1s;
+  CHECK(pace.Judge(due, 500ms) == stream::Lateness::FirstEvent);
+
+  SUBCASE("that begins in time and goes on")
+  {
+    pace.OnEvents(due);
+    pace.OnEvents(due + 500ms);
+    CHECK(pace.Judge(due, 500ms) == stream::Lateness::OnTime);
+    CHECK(pace.LongestPause() == 500ms);
+
+    SUBCASE("is late after one long pause")
+    {
+      pace.OnEvents(due + 1'001ms);
+      pace.OnEvents(due + 1'002ms);
+      CHECK(pace.Judge(due, 500ms) == stream::Lateness::Pause);
+      CHECK(stream::NameOf(stream::Lateness::Pause) == "pause");
+    }
+  }
+
+  SUBCASE("is late by its first event, whatever follows")
+  {
+    pace.OnEvents(due + 1us);
+    CHECK(pace.Judge(due, 500ms) == stream::Lateness::FirstEvent);
+  }
+
+  SUBCASE("has no pause that is too long where none is stated")
+  {
+    pace.OnEvents(kStart);
+    pace.OnEvents(kStart + 1h);
+    CHECK(pace.Judge(due, Duration::zero()) == stream::Lateness::OnTime);
+  }
+}
+
 TEST_CASE("largest models on engines that are short for the load")
 {
   // plays a load under which the largest model answers six times too late
