Tell apart in the log why an attempt is not sent

The log of the cut stream has closed_before_send four times, which stands for a revoked key, an upstream that must not be used and a version that the roll-out has closed. Each has its own reason now; what is sent does not change.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/gateway/send_refusal.hpp>
 #include <figslip/gateway/traffic_state.hpp>
 #include <figslip/net/caller_connection.hpp>
 #include <figslip/net/client_connection.hpp>
@@ -79,7 +80,9 @@
   [[nodiscard]] cascade::SizeQuery SizeQuestionOf(TimePoint aNow);
   /// Checks again, right before sending, that the key is valid and that the
   /// upstream and its version may receive requests.
-  [[nodiscard]] bool MaySendNow(const Attempt& aAttempt, TimePoint aNow) const;
+  [[nodiscard]] std::optional<SendRefusal> RefusalToSend(
+    const Attempt& aAttempt,
+    TimePoint aNow) const;
   /// Checks the limits on attempts and time and consumes a retry from the
   /// budget unless this attempt has one already.
   [[nodiscard]] bool TryAcquireRetry(TimePoint aNow);
--- /dev/null
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string_view>
+
+namespace figslip::gateway {
+
+/// @brief Lists why an attempt that was planned must not be sent.
+enum class SendRefusal
+{
+  KeysStale,      ///< the configuration is too old to accept a key
+  KeyRevoked,     ///< the key no longer belongs to the client account
+  UpstreamClosed, ///< the upstream has left, drains or is in a drained domain
+  VersionClosed   ///< the roll-out sends nothing to the version any more
+};
+
+/// @brief Returns the reason that logs have for a refusal.
+[[nodiscard]] constexpr std::string_view
+NameOf(SendRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case SendRefusal::KeysStale:
+      return "keys_stale_before_send";
+    case SendRefusal::KeyRevoked:
+      return "key_revoked_before_send";
+    case SendRefusal::UpstreamClosed:
+      return "upstream_closed_before_send";
+    case SendRefusal::VersionClosed:
+      return "version_closed_before_send";
+  }
+  return "unknown";
+}
+
+} // namespace figslip::gateway
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -131,11 +131,10 @@
   if (mCaller.HasLeft()) {
     co_return NextStep::Ended;
   }
-  if (!MaySendNow(aAttempt, now)) {
-    const bool isStale = mAccount != nullptr && !mState.mLease.IsHeld(now);
-    mLastFailure = isStale ? RequestEnd::StaleKeys : RequestEnd::NoUpstream;
-    LogFailure(aAttempt,
-               isStale ? "keys_stale_before_send" : "closed_before_send");
+  if (const auto refusal = RefusalToSend(aAttempt, now)) {
+    mLastFailure = *refusal == SendRefusal::KeysStale ? RequestEnd::StaleKeys
+                                                      : RequestEnd::NoUpstream;
+    LogFailure(aAttempt, NameOf(*refusal));
     ++mSends;
     co_return NextStep::Retry;
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -331,21 +331,26 @@
   return attempt;
 }
 
-bool
-RequestFlow::MaySendNow(const Attempt& aAttempt, TimePoint aNow) const
+std::optional<SendRefusal>
+RequestFlow::RefusalToSend(const Attempt& aAttempt, TimePoint aNow) const
 {
-  const bool needsKey = mAccount != nullptr;
-  if (needsKey) {
-    const auto current = mState.mConfiguration;
-    const auto* const account = current->FindAccount(mFacts.mApiKey);
-    const bool isHeld = account != nullptr && mState.mLease.IsHeld(aNow) &&
-                        account->mName == mAccount->mName;
-    if (!isHeld) {
-      return false;
+  if (mAccount != nullptr) {
+    if (!mState.mLease.IsHeld(aNow)) {
+      return SendRefusal::KeysStale;
+    }
+    const auto* const account =
+      mState.mConfiguration->FindAccount(mFacts.mApiKey);
+    if (account == nullptr || account->mName != mAccount->mName) {
+      return SendRefusal::KeyRevoked;
     }
   }
-  return mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow) &&
-         mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion);
+  if (!mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow)) {
+    return SendRefusal::UpstreamClosed;
+  }
+  if (!mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion)) {
+    return SendRefusal::VersionClosed;
+  }
+  return std::nullopt;
 }
 
 net::Awaitable<void>
