Show that an answer under way is abandoned without a replacement

Where the key was revoked meanwhile, the upstreams drain or the retry budget is used up, the caller loses an answer that was still being made.

--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -39,6 +39,20 @@
   return mRuns;
 }
 
+void
+EngineStandIn::HoldHeads(std::string aTargetPrefix)
+{
+  const std::scoped_lock lock(mMutex);
+  mHeldPrefix = std::move(aTargetPrefix);
+}
+
+bool
+EngineStandIn::IsHeld(const std::string& aTarget)
+{
+  const std::scoped_lock lock(mMutex);
+  return !mHeldPrefix.empty() && aTarget.starts_with(mHeldPrefix);
+}
+
 net::Awaitable<void>
 EngineStandIn::Accept()
 {
@@ -101,6 +115,13 @@
   net::Headers headers = { { .mName = "X-Attempt-Id", .mValue = attempt },
                            { .mName = "X-Response-Signature",
                              .mValue = "signed-by-" + mId } };
+  if (const int confidence = mConfidence; confidence >= 0) {
+    headers.push_back(
+      { .mName = "X-Confidence", .mValue = std::to_string(confidence) });
+  }
+  while (IsHeld(request.mTarget)) {
+    co_await net::Sleep(std::chrono::milliseconds(5));
+  }
   if (behaviour == Behaviour::Fail) {
     co_return co_await aConnection->Respond(500, headers, "failed", false);
   }
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -40,6 +40,10 @@
   void SetBehaviour(Behaviour aBehaviour) { mBehaviour = aBehaviour; }
   /// Sets the time between two events of a stream.
   void SetPause(std::chrono::milliseconds aPause) { mPause = aPause; }
+  /// Sets the targets, by prefix, whose answers do not begin yet; empty: none.
+  void HoldHeads(std::string aTargetPrefix);
+  /// Sets the confidence that answers state, 0-100; none if negative.
+  void SetConfidence(int aConfidence) { mConfidence = aConfidence; }
 
   /// Returns the requests that it has begun to run.
   [[nodiscard]] std::vector<net::RequestMessage> Runs();
@@ -47,6 +51,7 @@
 private:
   using Connection = std::shared_ptr<net::CallerConnection>;
 
+  [[nodiscard]] bool IsHeld(const std::string& aTarget);
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
   [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection);
@@ -59,7 +64,9 @@
   int mPort = 0;
   std::atomic<Behaviour> mBehaviour{ Behaviour::Good };
   std::atomic<std::chrono::milliseconds> mPause{ std::chrono::milliseconds(2) };
+  std::atomic<int> mConfidence{ -1 };
   std::mutex mMutex;
+  std::string mHeldPrefix;
   std::vector<net::RequestMessage> mRuns;
   std::thread mThread;
 };
--- /dev/null
+++ b/tests/src/history-abandoned_answer.cpp
@@ -0,0 +1,210 @@
+#include <harness/ingress_world.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using test::CallerAnswer;
+using test::IngressWorld;
+
+namespace {
+
+using nlohmann::json;
+
+/// Longer than the pause after which a stream or a look-up is retried.
+constexpr auto kLongPause = 500ms;
+
+/// Short enough for an event to come before any retry.
+constexpr auto kShortPause = 300ms;
+
+/// Look-up whose route only the configuration with two models has.
+const std::string kModelsLookup = "/models-look/1";
+
+/// Time in which an instance follows a change of its settings.
+constexpr auto kReloadTime = 1500ms;
+
+void
+UseUpRetries(IngressWorld& aWorld)
+{
+  aWorld.ChangeSetting(0, "retry_share", 0.0);
+  aWorld.ChangeSetting(0, "retry_slack", 0.0);
+  std::this_thread::sleep_for(kReloadTime);
+}
+
+bool
+IsServed(const CallerAnswer& aAnswer)
+{
+  return aAnswer.mStatus == 200 && aAnswer.mIsWhole;
+}
+
+/// Waits until look-ups of a path get a status.
+void
+AwaitStatus(IngressWorld& aWorld,
+            int aStatus,
+            const std::string& aPath = "/look/1")
+{
+  const auto until = std::chrono::steady_clock::now() + 3s;
+  while (aWorld.Send(0, "GET", aPath, "probe").mStatus != aStatus &&
+         std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
+void
+DrainEngines(IngressWorld& aWorld)
+{
+  aWorld.PutEngine(0, "draining");
+  aWorld.PutEngine(1, "draining");
+}
+
+void
+SetPauses(IngressWorld& aWorld, std::chrono::milliseconds aPause)
+{
+  for (std::size_t engine = 0; engine < 2; ++engine) {
+    aWorld.Engine(engine).SetPause(aPause);
+  }
+}
+
+void
+HoldHeads(IngressWorld& aWorld, const std::string& aTargetPrefix)
+{
+  for (std::size_t engine = 0; engine < 2; ++engine) {
+    aWorld.Engine(engine).HoldHeads(aTargetPrefix);
+  }
+}
+
+std::future<CallerAnswer>
+SendLater(IngressWorld& aWorld, std::string aMethod, std::string aPath)
+{
+  return std::async(
+    std::launch::async,
+    [&aWorld, method = std::move(aMethod), path = std::move(aPath)] {
+      return aWorld.Send(0, method, path, "open");
+    });
+}
+
+/// Lets the chat route choose between two models, with ample time for both.
+void
+PutModels(IngressWorld& aWorld, const std::vector<std::string>& aKeys)
+{
+  static int sVersion = 100;
+  aWorld.Store().Put(
+    "config",
+    "main",
+    { { "version", ++sVersion },
+      { "routes",
+        { { { "name", "chat" },
+            { "host", "a.example" },
+            { "path_prefix", "/chat/" },
+            { "type", "streaming" },
+            { "timeout_ms", 4000 },
+            { "target_latency_ms", 4000 },
+            { "target_gap_ms", 3000 },
+            { "service", "engines" },
+            { "sizes", { "small", "large" } },
+            { "max_attempts", 3 },
+            { "resumable", true } },
+          { { "name", "lookup" },
+            { "host", "a.example" },
+            { "path_prefix", "/models-look/" },
+            { "type", "idempotent" },
+            { "service", "engines" },
+            { "max_attempts", 3 } } } },
+      { "services", { { { "name", "engines" } } } },
+      { "limits",
+        { { "max_header_bytes", 4096 },
+          { "max_body_bytes", 2048 },
+          { "header_timeout_ms", 500 },
+          { "idle_timeout_ms", 2000 } } },
+      { "tenants", { { { "name", "studio" }, { "api_keys", aKeys } } } } });
+}
+
+} // namespace
+
+TEST_CASE("an answer under way is abandoned though nothing may replace it")
+{
+  IngressWorld world;
+
+  SUBCASE("when a stream pauses")
+  {
+    SetPauses(world, kShortPause);
+    auto open = SendLater(world, "POST", "/chat/1");
+    std::this_thread::sleep_for(kShortPause / 2);
+
+    SUBCASE("after its key was revoked")
+    {
+      world.PutConfiguration({ "key-2" });
+      AwaitStatus(world, 401);
+      SetPauses(world, kLongPause);
+      CHECK(IsServed(open.get()));
+    }
+
+    SUBCASE("after its key was revoked and the instance was asked to stop")
+    {
+      world.PutConfiguration({ "key-2" });
+      AwaitStatus(world, 401);
+      SetPauses(world, kLongPause);
+      world.Instance(0).Signal(SIGTERM);
+      CHECK(IsServed(open.get()));
+    }
+
+    SUBCASE("after all upstreams began to drain")
+    {
+      DrainEngines(world);
+      AwaitStatus(world, 503);
+      SetPauses(world, kLongPause);
+      CHECK(IsServed(open.get()));
+    }
+  }
+
+  SUBCASE("when a stream pauses and the retry budget is used up")
+  {
+    UseUpRetries(world);
+    SetPauses(world, kLongPause);
+    CHECK(IsServed(world.Send(0, "POST", "/chat/1", "open")));
+    CHECK(world.RunsOf("open") == 1);
+  }
+
+  SUBCASE("when a look-up is slow and the retry budget is used up")
+  {
+    UseUpRetries(world);
+    HoldHeads(world, "/look/");
+    auto open = SendLater(world, "GET", "/look/1");
+    std::this_thread::sleep_for(kLongPause);
+    HoldHeads(world, "");
+    CHECK(IsServed(open.get()));
+    CHECK(world.RunsOf("open") == 1);
+  }
+
+  SUBCASE("when a small model's answer has too little confidence")
+  {
+    PutModels(world, { "key-1" });
+    AwaitStatus(world, 200, kModelsLookup);
+    world.Engine(0).SetConfidence(5);
+    world.Engine(1).SetConfidence(5);
+    HoldHeads(world, "/chat/");
+    auto open = SendLater(world, "POST", "/chat/1");
+    std::this_thread::sleep_for(kShortPause / 2);
+
+    SUBCASE("and its key was revoked")
+    {
+      PutModels(world, { "key-2" });
+      AwaitStatus(world, 401, kModelsLookup);
+    }
+
+    SUBCASE("and all upstreams drain")
+    {
+      DrainEngines(world);
+      AwaitStatus(world, 503, kModelsLookup);
+    }
+    HoldHeads(world, "");
+    CHECK(IsServed(open.get()));
+  }
+}
