Give up an attempt only for another one that was sent

What callers saw: streams that ended in the middle, and look-ups that failed with 502, while their upstream was still at work.

Cause: a timeout on the silence of an upstream closed the attempt's connection, and only then the flow asked whether a retry was possible. A revoked key, the retry budget, draining upstreams or a closed version refused it, and nothing was left to relay. The answer of a small model was dropped in the same order, and so was an upstream's error response.

The flow now plans, connects, checks and sends the replacement first, while the running attempt can still be answered, and closes the old connection in the same step. What arrives before that cancels the replacement. Without a replacement the attempt goes on, and the next search follows after the same time. An attempt that was not sent keeps the retry it took from the budget.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -4,6 +4,7 @@
 #include <figslip/gateway/traffic_state.hpp>
 #include <figslip/net/caller_connection.hpp>
 #include <figslip/net/client_connection.hpp>
+#include <figslip/net/watchdog.hpp>
 #include <figslip/stream/event_splitter.hpp>
 #include <figslip/stream/event_timing.hpp>
 
@@ -15,10 +16,15 @@
 namespace figslip::gateway {
 
 /// @brief Serves one request: admission, placement, attempts and response.
-class RequestFlow
+///
+/// An attempt that is under way is given up only for another one that has been
+/// sent: a retry can be refused by the budget, by placement, by a revoked key
+/// or by a closed upstream, and the attempt may still be answered.
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>
 {
 public:
-  RequestFlow(TrafficState& aState, net::CallerConnection& aCaller);
+  RequestFlow(TrafficState& aState,
+              std::shared_ptr<net::CallerConnection> aCaller);
 
   /// @brief Serves the request that was read last from the connection.
   /// @return whether the connection can be used for another request
@@ -31,10 +37,10 @@
   /// Lists how the request continues after an attempt.
   enum class NextStep
   {
-    Ended,       ///< the answer was sent, or the caller has left
-    Retry,       ///< another attempt, if one is allowed
-    LargerModel, ///< the answer was dropped to ask a larger model
-    Failed       ///< no further attempt is possible
+    Ended,    ///< the answer was sent, or the caller has left
+    Retry,    ///< another attempt, if one is allowed
+    Replaced, ///< another attempt was sent in its place
+    Failed    ///< no further attempt is possible
   };
 
   /// Holds one attempt at an upstream.
@@ -49,6 +55,14 @@
     TimePoint mSentAt;
     bool mIsSent = false;
     bool mHadEvent = false;
+    bool mWasSilent = false; ///< counted against its upstream
+  };
+
+  /// Holds an attempt that takes the place of the running one once it is sent.
+  struct Replacement
+  {
+    Attempt mAttempt;
+    bool mIsCancelled = false;
   };
 
   /// Waits until an instance that has just started is ready.
@@ -61,6 +75,9 @@
   [[nodiscard]] net::Awaitable<NextStep> RunAttempt(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<NextStep> Exchange(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<bool> OpenConnection(Attempt& aAttempt);
+  /// Sends an attempt on its open connection.
+  /// @return false if it must not be sent any more
+  [[nodiscard]] bool Send(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<NextStep> OnResponseHead(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<NextStep> RelayBuffered(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<NextStep> RelayStream(Attempt& aAttempt);
@@ -75,6 +92,41 @@
   /// Chooses a model and an upstream and reserves a slot there.
   /// @return nothing if no upstream can accept the request now
   [[nodiscard]] std::optional<Attempt> PlanAttempt(TimePoint aNow);
+
+  /// @name Replacement of the running attempt
+  /// @{
+  /// Calls `OnSilence` when this time passes without `mSilence.Clear`.
+  void WatchSilence(Duration aPatience);
+  /// Starts to replace the running attempt, if a retry is allowed, and calls
+  /// itself again after the same time.
+  void OnSilence();
+  [[nodiscard]] net::Awaitable<void> ReplaceSilentAttempt(
+    std::shared_ptr<Replacement> aReplacement);
+  /// Plans a replacement of the running attempt.
+  /// @return null if no upstream can accept it now
+  [[nodiscard]] std::shared_ptr<Replacement> PlanReplacement();
+  /// Sends a replacement while the running attempt can still be answered.
+  /// @return false if it was cancelled or could not be sent
+  [[nodiscard]] net::Awaitable<bool> SendReplacement(
+    std::shared_ptr<Replacement> aReplacement);
+  /// Plans and sends a replacement.
+  [[nodiscard]] net::Awaitable<bool> Replace();
+  void CancelReplacement();
+  [[nodiscard]] bool IsReplaced() const
+  {
+    return mReplacement && mReplacement->mAttempt.mIsSent;
+  }
+  /// Ends the running attempt after its replacement was sent.
+  [[nodiscard]] NextStep OnReplaced(Attempt& aAttempt);
+  /// Returns whether the running attempt may be replaced when it is silent.
+  [[nodiscard]] bool MayReplace() const
+  {
+    return mRoute->IsRetryable() && mAttempts < mRoute->mMaxAttempts;
+  }
+  /// Returns the time without a response head after which an attempt is
+  /// replaced.
+  [[nodiscard]] Duration HeadPatience(const Attempt& aAttempt) const;
+  /// @}
   [[nodiscard]] placement::PlacementQuery MakePlacementQuery(
     std::string_view aModel);
   [[nodiscard]] cascade::SizeQuery SizeQuestionOf(TimePoint aNow);
@@ -87,6 +139,8 @@
   /// budget unless this attempt has one already.
   [[nodiscard]] bool TryAcquireRetry(TimePoint aNow);
   void LogAttempt(const Attempt& aAttempt) const;
+  /// Logs that an attempt ended without a whole answer.
+  void LogBroken(const Attempt& aAttempt, net::StepEnd aEnd) const;
   /// Logs why an attempt ended without an answer that can be relayed.
   void LogFailure(const Attempt& aAttempt, std::string_view aReason) const;
   void LogRetryRefused() const;
@@ -94,11 +148,6 @@
   [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
                                           TimePoint aNow) const;
   [[nodiscard]] std::chrono::milliseconds ConnectTimeout() const;
-  /// Returns the time to wait for the response head before a retry; without
-  /// retries, the time left until the deadline.
-  [[nodiscard]] std::chrono::milliseconds ResponseHeadTimeout(
-    const Attempt& aAttempt,
-    TimePoint aNow) const;
   [[nodiscard]] NextStep OnAttemptBroken(Attempt& aAttempt,
                                          net::StepEnd aEnd,
                                          TimePoint aNow);
@@ -120,6 +169,7 @@
   }
 
   TrafficState& mState;
+  std::shared_ptr<net::CallerConnection> mCallerConnection;
   net::CallerConnection& mCaller;
   ingress::ConfigurationPtr mConfiguration; ///< in force at the arrival
   const ingress::Route* mRoute = nullptr;
@@ -132,8 +182,10 @@
   TimePoint mDeadline;
   TimePoint mSlotDeadline; ///< end of the wait for a slot
   std::set<std::string> mAvoidedUpstreams;
-  /// connection of the running attempt
-  std::shared_ptr<net::ClientConnection> mCurrentConnection;
+  Attempt* mRunning = nullptr; ///< null between attempts
+  std::shared_ptr<Replacement> mReplacement;
+  net::Watchdog mSilence; ///< of the running attempt
+  Duration mSilencePatience{};
   stream::EventSplitter mEvents;
   stream::EventTiming mPace;
   int mAttempts = 0;      ///< attempts that may have run
--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -35,6 +35,10 @@
   /// @brief Returns the request read last.
   [[nodiscard]] RequestMessage& Request() { return mRequest; }
   [[nodiscard]] bool KeepsAlive() const { return mKeepsAlive; }
+  [[nodiscard]] asio::any_io_executor Executor()
+  {
+    return mSocket.get_executor();
+  }
 
   /// @brief Calls back once when the caller leaves before `StopWatching`.
   void WatchLeaving(std::function<void()> aOnLeft);
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -94,8 +94,8 @@
     const auto limits = CurrentLimits(mState);
     const auto end = co_await aConnection->Read(limits);
     if (end == net::ReadEnd::Whole) {
-      RequestFlow flow(mState, *aConnection);
-      goesOn = co_await flow.Run();
+      const auto flow = std::make_shared<RequestFlow>(mState, aConnection);
+      goesOn = co_await flow->Run();
       hasLeft = aConnection->HasLeft();
       continue;
     }
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -35,8 +36,9 @@
 constexpr int kFirstEventTimeoutFactor = 5;
 constexpr auto kFirstEventTimeoutSlack = milliseconds(600);
 
-/// Fractions of the target latency and the target gap after which the request
-/// is retried on another upstream. The rest leaves time for its answer.
+/// Fractions of the target latency and the target gap after which a silent
+/// attempt is replaced. The rest leaves time for the answer of another
+/// upstream.
 constexpr double kPlainTimeoutFraction = 0.6;
 constexpr double kGapTimeoutFraction = 0.72;
 
@@ -62,8 +64,9 @@
 net::Awaitable<RequestFlow::NextStep>
 RequestFlow::RunAttempt(Attempt& aAttempt)
 {
+  mRunning = &aAttempt;
   const auto next = co_await Exchange(aAttempt);
-  mCurrentConnection.reset();
+  mRunning = nullptr;
   mState.mBoard.Release(aAttempt.mLoad);
   if (aAttempt.mIsSent) {
     mState.mRollouts.OnEnded(mSessionHash, ReadBootClock());
@@ -83,6 +86,9 @@
 net::Awaitable<bool>
 RequestFlow::OpenConnection(Attempt& aAttempt)
 {
+  mTriedUpstreams +=
+    (mTriedUpstreams.empty() ? "" : ",") + aAttempt.mUpstream.mId;
+  mLastVersion = aAttempt.mUpstream.mVersion;
   const net::Endpoint endpoint{ .mAddress = aAttempt.mUpstream.mAddress,
                                 .mPort = aAttempt.mUpstream.mPort };
   const net::ConnectionPool::Clock::duration maxIdle =
@@ -91,73 +97,191 @@
       : net::ConnectionPool::Clock::duration(kNonRetryableMaxIdle);
   aAttempt.mConnection = mState.mPool.Take(endpoint, maxIdle);
   if (aAttempt.mConnection) {
-    mCurrentConnection = aAttempt.mConnection;
-    co_return true;
-  }
-  const auto executor = co_await net::asio::this_coro::executor;
-  aAttempt.mConnection = std::make_shared<net::ClientConnection>(executor);
-  mCurrentConnection = aAttempt.mConnection;
-  const auto opened =
-    co_await aAttempt.mConnection->Connect(endpoint, ConnectTimeout());
-  if (opened == net::StepEnd::Done) {
     co_return true;
   }
-  if (opened != net::StepEnd::Aborted) {
+  const auto connection =
+    std::make_shared<net::ClientConnection>(mCaller.Executor());
+  aAttempt.mConnection = connection;
+  const auto opened = co_await connection->Connect(endpoint, ConnectTimeout());
+  const bool isOpen = opened == net::StepEnd::Done;
+  if (!isOpen && opened != net::StepEnd::Aborted) {
+    const bool hasTimedOut = opened == net::StepEnd::TimedOut;
     LogFailure(aAttempt,
-               opened == net::StepEnd::TimedOut ? "connection_timed_out"
-                                                : "connection_refused");
+               hasTimedOut ? "connection_timed_out" : "connection_refused");
     RecordHealth(aAttempt,
-                 opened == net::StepEnd::TimedOut ? AttemptHealth::Unreachable
-                                                  : AttemptHealth::Refused);
+                 hasTimedOut ? AttemptHealth::Unreachable
+                             : AttemptHealth::Refused);
     mLastFailure =
       mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
+    mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+    ++mSends;
   }
-  co_return false;
+  co_return isOpen;
 }
 
-net::Awaitable<RequestFlow::NextStep>
-RequestFlow::Exchange(Attempt& aAttempt)
+bool
+RequestFlow::Send(Attempt& aAttempt)
 {
-  mTriedUpstreams +=
-    (mTriedUpstreams.empty() ? "" : ",") + aAttempt.mUpstream.mId;
-  mLastVersion = aAttempt.mUpstream.mVersion;
-  const bool isOpen = co_await OpenConnection(aAttempt);
-  auto now = ReadBootClock();
-  if (!isOpen) {
-    mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
-    ++mSends;
-    co_return NextStep::Retry;
-  }
-  if (mCaller.HasLeft()) {
-    co_return NextStep::Ended;
-  }
+  const auto now = ReadBootClock();
+  ++mSends;
   if (const auto refusal = RefusalToSend(aAttempt, now)) {
     mLastFailure = *refusal == SendRefusal::KeysStale ? RequestEnd::StaleKeys
                                                       : RequestEnd::NoUpstream;
     LogFailure(aAttempt, NameOf(*refusal));
-    ++mSends;
-    co_return NextStep::Retry;
+    return false;
   }
   if (mTransmissions == 0) {
     mState.mRetries.OnFirstAttempt(mService, now);
   }
   ++mTransmissions;
-  ++mSends;
   ++mAttempts;
+  mHasRetry = false;
   aAttempt.mSentAt = now;
   aAttempt.mIsSent = true;
   mState.mRollouts.OnSent(aAttempt.mUpstream.mVersion, mSessionHash, now);
   LogAttempt(aAttempt);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
-  const auto end =
-    co_await aAttempt.mConnection->ReadHead(ResponseHeadTimeout(aAttempt, now));
-  now = ReadBootClock();
+  return true;
+}
+
+net::Awaitable<RequestFlow::NextStep>
+RequestFlow::Exchange(Attempt& aAttempt)
+{
+  const bool isOpen = aAttempt.mIsSent || co_await OpenConnection(aAttempt);
+  if (mCaller.HasLeft()) {
+    aAttempt.mConnection->Abort();
+    co_return NextStep::Ended;
+  }
+  const bool isSent = aAttempt.mIsSent || (isOpen && Send(aAttempt));
+  if (!isSent) {
+    co_return NextStep::Retry;
+  }
+  if (MayReplace()) {
+    WatchSilence(HeadPatience(aAttempt));
+  }
+  const auto end = co_await aAttempt.mConnection->ReadHead(
+    ToMilliseconds(mDeadline - ReadBootClock()));
+  mSilence.Clear();
+  if (IsReplaced()) {
+    co_return OnReplaced(aAttempt);
+  }
+  CancelReplacement();
   if (end != net::StepEnd::Done) {
-    co_return OnAttemptBroken(aAttempt, end, now);
+    co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
   }
   co_return co_await OnResponseHead(aAttempt);
 }
 
+void
+RequestFlow::WatchSilence(Duration aPatience)
+{
+  mSilencePatience = aPatience;
+  mSilence.Set(aPatience);
+}
+
+void
+RequestFlow::OnSilence()
+{
+  mSilence.Set(mSilencePatience);
+  if (!mRunning->mWasSilent) {
+    mRunning->mWasSilent = true;
+    RecordHealth(*mRunning, AttemptHealth::TimedOut);
+    RecordFailure(*mRunning, true);
+    mAvoidedUpstreams.insert(mRunning->mUpstream.mId);
+    mState.mPool.Drop({ .mAddress = mRunning->mUpstream.mAddress,
+                        .mPort = mRunning->mUpstream.mPort });
+  }
+  if (mReplacement || !TryAcquireRetry(ReadBootClock())) {
+    return;
+  }
+  if (auto replacement = PlanReplacement()) {
+    net::asio::co_spawn(
+      mCaller.Executor(),
+      [self = shared_from_this(), replacement = std::move(replacement)] {
+        return self->ReplaceSilentAttempt(replacement);
+      },
+      net::asio::detached);
+  }
+}
+
+net::Awaitable<void>
+RequestFlow::ReplaceSilentAttempt(std::shared_ptr<Replacement> aReplacement)
+{
+  const bool isSent = co_await SendReplacement(std::move(aReplacement));
+  if (isSent) {
+    mRunning->mConnection->Abort();
+  }
+}
+
+std::shared_ptr<RequestFlow::Replacement>
+RequestFlow::PlanReplacement()
+{
+  const auto now = ReadBootClock();
+  auto planned = PlanAttempt(now);
+  if (!planned) {
+    LogNoSlot(mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now), now);
+    return nullptr;
+  }
+  mReplacement = std::make_shared<Replacement>();
+  mReplacement->mAttempt = std::move(*planned);
+  return mReplacement;
+}
+
+net::Awaitable<bool>
+RequestFlow::SendReplacement(std::shared_ptr<Replacement> aReplacement)
+{
+  if (aReplacement->mIsCancelled) {
+    co_return false;
+  }
+  const bool isOpen = co_await OpenConnection(aReplacement->mAttempt);
+  if (aReplacement->mIsCancelled) {
+    co_return false;
+  }
+  const bool isSent = isOpen && Send(aReplacement->mAttempt);
+  if (!isSent) {
+    CancelReplacement();
+  }
+  co_return isSent;
+}
+
+net::Awaitable<bool>
+RequestFlow::Replace()
+{
+  auto replacement = PlanReplacement();
+  if (!replacement) {
+    co_return false;
+  }
+  co_return co_await SendReplacement(std::move(replacement));
+}
+
+void
+RequestFlow::CancelReplacement()
+{
+  if (!mReplacement) {
+    return;
+  }
+  mReplacement->mIsCancelled = true;
+  auto& attempt = mReplacement->mAttempt;
+  if (attempt.mConnection) {
+    attempt.mConnection->Abort();
+  }
+  mState.mBoard.Release(attempt.mLoad);
+  if (attempt.mIsSent) {
+    mState.mRollouts.OnEnded(mSessionHash, ReadBootClock());
+  }
+  mReplacement.reset();
+}
+
+RequestFlow::NextStep
+RequestFlow::OnReplaced(Attempt& aAttempt)
+{
+  aAttempt.mConnection->Abort();
+  mMayHaveRun = true;
+  mLastFailure = RequestEnd::UpstreamFailed;
+  LogBroken(aAttempt, net::StepEnd::TimedOut);
+  return NextStep::Replaced;
+}
+
 void
 RequestFlow::LogAttempt(const Attempt& aAttempt) const
 {
@@ -189,6 +313,23 @@
                { "reason", std::string(aReason) } });
 }
 
+void
+RequestFlow::LogBroken(const Attempt& aAttempt, net::StepEnd aEnd) const
+{
+  log::Write(
+    log::Level::Info,
+    "attempt_broken",
+    { { "request", mFacts.mAttemptId },
+      { "upstream", aAttempt.mUpstream.mId },
+      { "version", aAttempt.mUpstream.mVersion },
+      { "model", aAttempt.mModel },
+      { "reason", std::string(net::NameOf(aEnd)) },
+      { "after_ms",
+        std::to_string(
+          ToMilliseconds(ReadBootClock() - aAttempt.mSentAt).count()) },
+      { "events", std::to_string(mEvents.EventCount()) } });
+}
+
 std::string
 RequestFlow::FormatAttempt(const Attempt& aAttempt, TimePoint aNow) const
 {
@@ -207,20 +348,13 @@
   return net::FormatRequest(message);
 }
 
-std::chrono::milliseconds
-RequestFlow::ResponseHeadTimeout(const Attempt& aAttempt, TimePoint aNow) const
+Duration
+RequestFlow::HeadPatience(const Attempt& aAttempt) const
 {
-  const Duration left = mDeadline - aNow;
-  const bool mayRepeat =
-    mRoute->IsRetryable() && mAttempts < mRoute->mMaxAttempts;
-  if (!mayRepeat) {
-    return ToMilliseconds(left);
-  }
-  const Duration late =
-    IsStream() ? aAttempt.mChoice.mTimeToFirstEvent * kFirstEventTimeoutFactor +
-                   kFirstEventTimeoutSlack
-               : Scale(mRoute->mTargetLatency, kPlainTimeoutFraction);
-  return ToMilliseconds(std::min(left, late));
+  return IsStream()
+           ? aAttempt.mChoice.mTimeToFirstEvent * kFirstEventTimeoutFactor +
+               kFirstEventTimeoutSlack
+           : Scale(mRoute->mTargetLatency, kPlainTimeoutFraction);
 }
 
 net::Awaitable<RequestFlow::NextStep>
@@ -258,9 +392,12 @@
     RecordFailure(aAttempt, false);
     if (mRoute->IsRetryable() && TryAcquireRetry(now)) {
       mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
-      mLastFailure = RequestEnd::UpstreamFailed;
-      aAttempt.mConnection->Abort();
-      co_return NextStep::Retry;
+      const bool isReplaced = co_await Replace();
+      if (isReplaced || mCaller.HasLeft()) {
+        mLastFailure = RequestEnd::UpstreamFailed;
+        aAttempt.mConnection->Abort();
+        co_return NextStep::Replaced;
+      }
     }
   }
   const auto& models = mRoute->mModels;
@@ -272,18 +409,21 @@
                                                        question) &&
                            TryAcquireRetry(now);
   if (wantsLarger) {
-    RecordHealth(aAttempt, AttemptHealth::Good);
-    RecordFirstEvent(aAttempt, now);
-    mAnswerDropped = true;
-    aAttempt.mConnection->Abort();
-    log::Write(
-      log::Level::Info,
-      "answer_dropped",
-      { { "request", mFacts.mAttemptId },
-        { "model", aAttempt.mModel },
-        { "confidence", std::to_string(facts.mConfidence.value_or(-1)) },
-        { "reading_share", std::to_string(question.mPrefillUtilization) } });
-    co_return NextStep::LargerModel;
+    mAnswerDropped = true; // the replacement is planned with a larger model
+    mAnswerDropped = co_await Replace();
+    if (mAnswerDropped || mCaller.HasLeft()) {
+      RecordHealth(aAttempt, AttemptHealth::Good);
+      RecordFirstEvent(aAttempt, now);
+      aAttempt.mConnection->Abort();
+      log::Write(
+        log::Level::Info,
+        "answer_dropped",
+        { { "request", mFacts.mAttemptId },
+          { "model", aAttempt.mModel },
+          { "confidence", std::to_string(facts.mConfidence.value_or(-1)) },
+          { "reading_share", std::to_string(question.mPrefillUtilization) } });
+      co_return NextStep::Replaced;
+    }
   }
   if (IsStream() && !isFailure) {
     co_return co_await RelayStream(aAttempt);
@@ -319,8 +459,7 @@
   net::RemoveConnectionHeaders(headers);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
-                    aAttempt.mConnection);
-  mCurrentConnection.reset();
+                    std::exchange(aAttempt.mConnection, nullptr));
   mCaller.StopWatching();
   RecordEnd(RequestEnd::Served);
   co_await mCaller.Respond(status, headers, body, ClosesConnection());
@@ -333,16 +472,18 @@
   auto& connection = *aAttempt.mConnection;
   mEvents.DiscardPartial();
   while (!connection.BodyIsWhole()) {
-    auto now = ReadBootClock();
-    Duration limit = mDeadline - now;
-    const bool mayRetry = mRoute->IsRetryable() &&
-                          mAttempts < mRoute->mMaxAttempts &&
-                          mRoute->mTargetGap > Duration::zero();
-    if (mayRetry) {
-      limit = std::min(limit, Scale(mRoute->mTargetGap, kGapTimeoutFraction));
+    if (MayReplace() && mRoute->mTargetGap > Duration::zero()) {
+      WatchSilence(Scale(mRoute->mTargetGap, kGapTimeoutFraction));
     }
-    const auto end = co_await connection.ReadBody(ToMilliseconds(limit));
-    now = ReadBootClock();
+    const auto end =
+      co_await connection.ReadBody(ToMilliseconds(mDeadline - ReadBootClock()));
+    mSilence.Clear();
+    if (IsReplaced()) {
+      // the replacement continues after the events relayed so far
+      co_return OnReplaced(aAttempt);
+    }
+    CancelReplacement();
+    const auto now = ReadBootClock();
     const auto events = mEvents.Append(connection.Piece());
     if (!events.empty()) {
       mPace.OnEvents(now);
@@ -366,8 +507,7 @@
   mState.mQuarantine.OnServed(mFingerprint);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
-                    aAttempt.mConnection);
-  mCurrentConnection.reset();
+                    std::exchange(aAttempt.mConnection, nullptr));
   RecordEnd(RequestEnd::Served);
   co_await mCaller.EndStream();
   co_return NextStep::Ended;
@@ -397,17 +537,7 @@
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
   }
-  log::Write(
-    log::Level::Info,
-    "attempt_broken",
-    { { "request", mFacts.mAttemptId },
-      { "upstream", aAttempt.mUpstream.mId },
-      { "version", aAttempt.mUpstream.mVersion },
-      { "model", aAttempt.mModel },
-      { "reason", std::string(net::NameOf(aEnd)) },
-      { "after_ms",
-        std::to_string(ToMilliseconds(aNow - aAttempt.mSentAt).count()) },
-      { "events", std::to_string(mEvents.EventCount()) } });
+  LogBroken(aAttempt, aEnd);
   RecordHealth(aAttempt,
                aEnd == net::StepEnd::TimedOut ? AttemptHealth::TimedOut
                                               : AttemptHealth::Broken);
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -65,11 +65,14 @@
 
 } // namespace
 
-RequestFlow::RequestFlow(TrafficState& aState, net::CallerConnection& aCaller)
+RequestFlow::RequestFlow(TrafficState& aState,
+                         std::shared_ptr<net::CallerConnection> aCaller)
   : mState(aState)
-  , mCaller(aCaller)
+  , mCallerConnection(std::move(aCaller))
+  , mCaller(*mCallerConnection)
   , mConfiguration(aState.mConfiguration)
   , mArrivedAt(ReadBootClock())
+  , mSilence(mCaller.Executor(), [this] { OnSilence(); })
   , mEvents(kMaxEventBytes)
 {
 }
@@ -84,9 +87,10 @@
   } else {
     mFacts = std::move(facts).assume_value();
     mCaller.WatchLeaving([this] {
-      if (mCurrentConnection) {
-        mCurrentConnection->Abort();
+      if (mRunning != nullptr && mRunning->mConnection) {
+        mRunning->mConnection->Abort();
       }
+      CancelReplacement();
     });
     co_await AwaitReadiness();
     const auto refusal = Admit();
@@ -172,11 +176,14 @@
 {
   while (!mEnded && !mCaller.HasLeft()) {
     const auto now = ReadBootClock();
-    if (now + kMinAttemptTime >= mDeadline) {
+    if (now + kMinAttemptTime >= mDeadline && !IsReplaced()) {
       mLastFailure = RequestEnd::RouteTimeout;
       break;
     }
-    auto attempt = PlanAttempt(now);
+    auto attempt = IsReplaced()
+                     ? std::optional(std::move(mReplacement->mAttempt))
+                     : PlanAttempt(now);
+    mReplacement.reset();
     if (!attempt) {
       const auto reason =
         mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
@@ -194,17 +201,18 @@
       }
       break;
     }
-    mHasRetry = false;
     const auto next = co_await RunAttempt(*attempt);
     if (next == NextStep::Ended) {
       co_return;
     }
     const bool mayGoOn =
-      next != NextStep::Failed && TryAcquireRetry(ReadBootClock());
+      next == NextStep::Replaced ||
+      (next == NextStep::Retry && TryAcquireRetry(ReadBootClock()));
     if (!mayGoOn) {
       break;
     }
   }
+  CancelReplacement();
   if (mCaller.HasLeft()) {
     RecordEnd(RequestEnd::CallerLeft);
   } else if (mHeadSent) {
