End the attempts of a request whose key no longer allows any

Cause: an attempt that must not be sent for its key was planned again like one whose upstream had closed, although no upstream can receive it.

The flow now stops planning attempts after such a refusal and answers 401, or 502 where the request may have run.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -191,8 +191,9 @@
   int mAttempts = 0;      ///< attempts that may have run
   int mTransmissions = 0; ///< attempts sent on an open connection
   int mSends = 0;         ///< all attempts, also rejected or unconnected ones
-  int mSuspectedCrashes = 0; ///< connections that broke during an attempt
-  bool mHasRetry = false;    ///< a retry was consumed from the budget
+  int mSuspectedCrashes = 0;  ///< connections that broke during an attempt
+  bool mHasRetry = false;     ///< a retry was consumed from the budget
+  bool mIsKeyRefused = false; ///< the key allows no further attempt
   bool mMayHaveRun = false;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
--- a/include/figslip/gateway/send_refusal.hpp
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -30,4 +30,12 @@
   return "unknown";
 }
 
+/// @brief Returns whether no other upstream could receive the attempt either.
+[[nodiscard]] constexpr bool
+AppliesToAllUpstreams(SendRefusal aRefusal)
+{
+  return aRefusal == SendRefusal::KeysStale ||
+         aRefusal == SendRefusal::KeyRevoked;
+}
+
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -45,6 +45,21 @@
 /// Suspected crashes after which a request is not retried.
 constexpr int kMaxCrashes = 2;
 
+RequestEnd
+EndOf(SendRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case SendRefusal::KeysStale:
+      return RequestEnd::StaleKeys;
+    case SendRefusal::KeyRevoked:
+      return RequestEnd::UnknownKey;
+    case SendRefusal::UpstreamClosed:
+    case SendRefusal::VersionClosed:
+      break;
+  }
+  return RequestEnd::NoUpstream;
+}
+
 milliseconds
 ToMilliseconds(Duration aTime)
 {
@@ -125,8 +140,8 @@
   const auto now = ReadBootClock();
   ++mSends;
   if (const auto refusal = RefusalToSend(aAttempt, now)) {
-    mLastFailure = *refusal == SendRefusal::KeysStale ? RequestEnd::StaleKeys
-                                                      : RequestEnd::NoUpstream;
+    mLastFailure = EndOf(*refusal);
+    mIsKeyRefused = AppliesToAllUpstreams(*refusal);
     LogFailure(aAttempt, NameOf(*refusal));
     return false;
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -227,7 +227,7 @@
 RequestFlow::TryAcquireRetry(TimePoint aNow)
 {
   const int limit = std::max(1, mRoute->mMaxAttempts);
-  const bool isPossible = mAttempts < limit &&
+  const bool isPossible = !mIsKeyRefused && mAttempts < limit &&
                           mSends < limit + kMaxRejections &&
                           aNow + kMinAttemptTime < mDeadline;
   if (!isPossible) {
@@ -365,7 +365,9 @@
 RequestFlow::Refuse(RequestEnd aEnd)
 {
   auto end = aEnd;
-  if (mMayHaveRun && Describe(end).PromisesNotRun()) {
+  const bool saysNotRun =
+    Describe(end).PromisesNotRun() || end == RequestEnd::UnknownKey;
+  if (mMayHaveRun && saysNotRun) {
     end = RequestEnd::UpstreamFailed;
   } else if (!mMayHaveRun && mSends == 0 && end == RequestEnd::RouteTimeout) {
     end = RequestEnd::NoCapacity;
--- a/tests/src/history-abandoned_answer.cpp
+++ b/tests/src/history-abandoned_answer.cpp
@@ -208,3 +208,21 @@
     CHECK(IsServed(open.get()));
   }
 }
+
+TEST_CASE("a revoked key is tried again at each silence")
+{
+  IngressWorld world;
+  SetPauses(world, kShortPause);
+  auto open = SendLater(world, "POST", "/chat/1");
+  std::this_thread::sleep_for(kShortPause / 2);
+  world.PutConfiguration({ "key-2" });
+  AwaitStatus(world, 401);
+  SetPauses(world, 2 * kLongPause);
+  CHECK(IsServed(open.get()));
+  world.Instance(0).Stop(9s);
+  const auto log = world.Instance(0).Log();
+  const std::string refusal = "key_revoked_before_send";
+  const auto first = log.find(refusal);
+  REQUIRE(first != std::string::npos);
+  CHECK(log.find(refusal, first + 1) == std::string::npos);
+}
