--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -65,11 +65,14 @@
 
 } // namespace
 
-RequestFlow::RequestFlow(TrafficState& aState, net::CallerConnection& aCaller)
+RequestFlow::RequestFlow(TrafficState& aState,
+                         std::shared_ptr<net::CallerConnection> aCaller)
   : mState(aState)
-  , mCaller(aCaller)
+  , mCallerConnection(std::move(aCaller))
+  , mCaller(*mCallerConnection)
   , mConfiguration(aState.mConfiguration)
   , mArrivedAt(ReadBootClock())
+  , mSilence(mCaller.Executor(), [this] { OnSilence(); })
   , mEvents(kMaxEventBytes)
 {
 }
@@ -84,9 +87,10 @@
   } else {
     mFacts = std::move(facts).assume_value();
     mCaller.WatchLeaving([this] {
-      if (mCurrentConnection) {
-        mCurrentConnection->Abort();
+      if (mRunning != nullptr && mRunning->mConnection) {
+        mRunning->mConnection->Abort();
       }
+      CancelReplacement();
     });
     co_await AwaitReadiness();
     const auto refusal = Admit();
@@ -172,11 +176,14 @@
 {
   while (!mEnded && !mCaller.HasLeft()) {
     const auto now = ReadBootClock();
-    if (now + kMinAttemptTime >= mDeadline) {
+    if (now + kMinAttemptTime >= mDeadline && !IsReplaced()) {
       mLastFailure = RequestEnd::RouteTimeout;
       break;
     }
-    auto attempt = PlanAttempt(now);
+    auto attempt = IsReplaced()
+                     ? std::optional(std::move(mReplacement->mAttempt))
+                     : PlanAttempt(now);
+    mReplacement.reset();
     if (!attempt) {
       const auto reason =
         mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
@@ -194,17 +201,18 @@
       }
       break;
     }
-    mHasRetry = false;
     const auto next = co_await RunAttempt(*attempt);
     if (next == NextStep::Ended) {
       co_return;
     }
     const bool mayGoOn =
-      next != NextStep::Failed && TryAcquireRetry(ReadBootClock());
+      next == NextStep::Replaced ||
+      (next == NextStep::Retry && TryAcquireRetry(ReadBootClock()));
     if (!mayGoOn) {
       break;
     }
   }
+  CancelReplacement();
   if (mCaller.HasLeft()) {
     RecordEnd(RequestEnd::CallerLeft);
   } else if (mHeadSent) {
@@ -219,7 +227,7 @@
 RequestFlow::TryAcquireRetry(TimePoint aNow)
 {
   const int limit = std::max(1, mRoute->mMaxAttempts);
-  const bool isPossible = mAttempts < limit &&
+  const bool isPossible = !mIsKeyRefused && mAttempts < limit &&
                           mSends < limit + kMaxRejections &&
                           aNow + kMinAttemptTime < mDeadline;
   if (!isPossible) {
@@ -331,28 +339,35 @@
   return attempt;
 }
 
-bool
-RequestFlow::MaySendNow(const Attempt& aAttempt, TimePoint aNow) const
+std::optional<SendRefusal>
+RequestFlow::RefusalToSend(const Attempt& aAttempt, TimePoint aNow) const
 {
-  const bool needsKey = mAccount != nullptr;
-  if (needsKey) {
-    const auto current = mState.mConfiguration;
-    const auto* const account = current->FindAccount(mFacts.mApiKey);
-    const bool isHeld = account != nullptr && mState.mLease.IsHeld(aNow) &&
-                        account->mName == mAccount->mName;
-    if (!isHeld) {
-      return false;
+  if (mAccount != nullptr) {
+    if (!mState.mLease.IsHeld(aNow)) {
+      return SendRefusal::KeysStale;
+    }
+    const auto* const account =
+      mState.mConfiguration->FindAccount(mFacts.mApiKey);
+    if (account == nullptr || account->mName != mAccount->mName) {
+      return SendRefusal::KeyRevoked;
     }
   }
-  return mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow) &&
-         mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion);
+  if (!mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow)) {
+    return SendRefusal::UpstreamClosed;
+  }
+  if (!mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion)) {
+    return SendRefusal::VersionClosed;
+  }
+  return std::nullopt;
 }
 
 net::Awaitable<void>
 RequestFlow::Refuse(RequestEnd aEnd)
 {
   auto end = aEnd;
-  if (mMayHaveRun && Describe(end).PromisesNotRun()) {
+  const bool saysNotRun =
+    Describe(end).PromisesNotRun() || end == RequestEnd::UnknownKey;
+  if (mMayHaveRun && saysNotRun) {
     end = RequestEnd::UpstreamFailed;
   } else if (!mMayHaveRun && mSends == 0 && end == RequestEnd::RouteTimeout) {
     end = RequestEnd::NoCapacity;
