Let a silent attempt of the own interface go on without a replacement

What callers saw: a stream whose upstream paused for longer than next_token_timeout_ms was cut, and an idempotent request whose upstream was silent got an error, also where no attempt could follow: tokens had reached the caller, the retry budget was used up, or no other upstream had a slot.

Cause: the HTTP client ended the call by a timeout, and the router was asked afterwards.

The client now asks before it gives a step up. The router agrees only if another attempt or a forward could follow at that moment; otherwise the step gets its time again, until the request's deadline.

--- a/include/figslip/http/http_client.hpp
+++ b/include/figslip/http/http_client.hpp
@@ -34,6 +34,13 @@
   std::function<void(const ClientResponse&)> mOnHead;
   /// is called right before bytes leave; returns false to cancel
   std::function<bool()> mBeforeSend;
+  /// is called when a step has taken its time, with whether the connection had
+  /// served calls before; returns false to give the step the same time again.
+  /// If empty, the call ends.
+  /// @note Runs on another thread.
+  std::function<bool(bool)> mMayGiveUp;
+  /// end of a call that `mMayGiveUp` has prolonged
+  TimePoint mDeadline = TimePoint::max();
 };
 
 /// @brief Calls HTTP servers over pooled keep-alive connections.
--- a/include/figslip/routing/router.hpp
+++ b/include/figslip/routing/router.hpp
@@ -135,6 +135,13 @@
   [[nodiscard]] std::optional<DispatchObstacle> RecheckDispatch(
     TicketId aTicket,
     TimePoint aNow) const;
+  /// @brief Returns whether another attempt or a forward could follow now if
+  /// the running attempt were given up.
+  /// @param[in] aIsReusedConnection the attempt runs on a connection that had
+  /// served calls before; then its upstream may answer on a new one
+  [[nodiscard]] bool CanReplaceAttempt(TicketId aTicket,
+                                       bool aIsReusedConnection,
+                                       TimePoint aNow) const;
   /// @brief Records the result of a `Dispatch` and returns the next step.
   [[nodiscard]] Decision OnOutcome(TicketId aTicket,
                                    const AttemptOutcome& aOutcome,
@@ -222,6 +229,10 @@
     TimePoint aNow) const;
   [[nodiscard]] std::optional<Dispatch> TryReserve(Ticket& aTicket,
                                                    TimePoint aNow);
+  /// Returns the instances of other failure domains that can serve a request.
+  [[nodiscard]] std::vector<const membership::EntryInstance*> ForwardTargets(
+    const Ticket& aTicket,
+    TimePoint aNow) const;
   [[nodiscard]] Decision ForwardOrRefuse(Ticket& aTicket, TimePoint aNow);
   [[nodiscard]] Decision AfterCompletion(Ticket& aTicket,
                                          const AttemptOutcome& aOutcome,
--- a/include/figslip/routing/upstream_table.hpp
+++ b/include/figslip/routing/upstream_table.hpp
@@ -60,6 +60,11 @@
     std::mt19937_64& aRandom,
     TimePoint aNow) const;
 
+  /// @brief Returns whether `Choose` would find an upstream.
+  [[nodiscard]] bool HasFreeSlot(
+    std::span<const manifest::Upstream* const> aCandidates,
+    TimePoint aNow) const;
+
   /// @brief Takes a slot of an upstream for one request.
   void Reserve(std::string_view aUpstream);
 
--- a/include/figslip/upstream/upstream_adapter.hpp
+++ b/include/figslip/upstream/upstream_adapter.hpp
@@ -51,12 +51,23 @@
 
   UpstreamAdapter(Options aOptions, std::shared_ptr<http::HttpClient> aClient);
 
+  /// @brief Holds the checks that an attempt asks for while it runs.
+  struct AttemptChecks
+  {
+    std::function<bool()> mBeforeSend; ///< last check before bytes leave
+    /// returns whether a silent attempt may end before its deadline; receives
+    /// whether its connection had served calls before. Runs on another thread.
+    std::function<bool(bool)> mMayGiveUp;
+  };
+
   /// @brief Makes one attempt and waits for its end.
-  /// @param[in] aBeforeSend last check, right before bytes leave
+  ///
+  /// An attempt whose upstream is silent for longer than the timeouts ends only
+  /// if no token has reached the caller and `mMayGiveUp` agrees.
   /// @param[in] aSink receives tokens if the dispatch delivers directly
   [[nodiscard]] AttemptResult Run(const routing::Dispatch& aDispatch,
                                   const UpstreamCall& aCall,
-                                  const std::function<bool()>& aBeforeSend,
+                                  const AttemptChecks& aChecks,
                                   const TokenSink& aSink) const;
 
   /// @brief Reads the load of an upstream.
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -385,9 +385,38 @@
   return EnqueueOrRefuse(aTicket, capacityClass, aNow);
 }
 
-Decision
-Router::ForwardOrRefuse(Ticket& aTicket, TimePoint aNow)
+bool
+Router::CanReplaceAttempt(TicketId aTicket,
+                          bool aIsReusedConnection,
+                          TimePoint aNow) const
 {
+  const auto& ticket = mTickets.at(aTicket);
+  const bool isAllowed =
+    IsIdempotent(ticket.mRequest) && mRetryTokens >= 1.0 &&
+    static_cast<int>(ticket.mAttempts.size()) < mOptions.mMaxAttempts &&
+    !CheckRequest(ticket, aNow);
+  if (!isAllowed) {
+    return false;
+  }
+  auto candidates = Candidates(ticket, aNow);
+  if (!aIsReusedConnection) {
+    std::erase_if(candidates, [&](const manifest::Upstream* aUpstream) {
+      return aUpstream->mName == ticket.mAttempts.back().mUpstream;
+    });
+  }
+  return candidates.empty() ? !ForwardTargets(ticket, aNow).empty()
+                            : mUpstreams.HasFreeSlot(candidates, aNow);
+}
+
+std::vector<const membership::EntryInstance*>
+Router::ForwardTargets(const Ticket& aTicket, TimePoint aNow) const
+{
+  std::vector<const membership::EntryInstance*> peers;
+  if (aTicket.mRequest.mForwarded ||
+      aTicket.mFailedForwards >= mOptions.mMaxForwards ||
+      aNow >= aTicket.mRequest.mDeadline) {
+    return peers;
+  }
   const auto& index = *mSnapshot->mManifest;
   const auto serves = [&](std::string_view aDomain) {
     return index.DomainTakesWork(aDomain) &&
@@ -397,7 +426,6 @@
                       Serves(aUpstream, aTicket.mRequest, aTicket.mVersion);
              });
   };
-  std::vector<const membership::EntryInstance*> peers;
   for (const auto& entry : mSnapshot->mInstances.mEntries) {
     if (entry.mFailureDomain != mOptions.mFailureDomain &&
         entry.mState == membership::InstanceState::Live &&
@@ -406,9 +434,14 @@
       peers.push_back(&entry);
     }
   }
-  if (aTicket.mRequest.mForwarded || peers.empty() ||
-      aTicket.mFailedForwards >= mOptions.mMaxForwards ||
-      aNow >= aTicket.mRequest.mDeadline) {
+  return peers;
+}
+
+Decision
+Router::ForwardOrRefuse(Ticket& aTicket, TimePoint aNow)
+{
+  const auto peers = ForwardTargets(aTicket, aNow);
+  if (peers.empty()) {
     return RefuseOrDeliver(
       aTicket,
       MakeRefusal(aTicket,
--- a/src/core/routing/upstream_table.cpp
+++ b/src/core/routing/upstream_table.cpp
@@ -113,6 +113,18 @@
   return available[pick(aRandom)].mUpstream;
 }
 
+bool
+UpstreamTable::HasFreeSlot(
+  std::span<const manifest::Upstream* const> aCandidates,
+  TimePoint aNow) const
+{
+  return std::ranges::any_of(aCandidates,
+                             [&](const manifest::Upstream* aUpstream) {
+                               return OccupiedSlots(aUpstream->mName) <
+                                      mColdStart.Limit(*aUpstream, aNow);
+                             });
+}
+
 void
 UpstreamTable::Reserve(std::string_view aUpstream)
 {
--- a/src/shell/entry/request_runner.cpp
+++ b/src/shell/entry/request_runner.cpp
@@ -101,8 +101,16 @@
     const auto sink = [&](std::string_view aToken) {
       return mSink.mOnToken(aStep.mVersion, aToken);
     };
-    auto result =
-      mRunner.mServices.mUpstreams->Run(aStep, call, beforeSend, sink);
+    const auto mayGiveUp = [&](bool aIsReused) {
+      return mRouter.With([&](const routing::Router& aRouter) {
+        return aRouter.CanReplaceAttempt(mTicket, aIsReused, ReadClock());
+      });
+    };
+    auto result = mRunner.mServices.mUpstreams->Run(
+      aStep,
+      call,
+      { .mBeforeSend = beforeSend, .mMayGiveUp = mayGiveUp },
+      sink);
     log::Write(
       log::Level::Debug,
       "attempt_ended",
--- a/src/shell/http/http_client.cpp
+++ b/src/shell/http/http_client.cpp
@@ -56,11 +56,22 @@
     mThread.join();
   }
 
-  void Arm(httplib::Client& aClient, Duration aTimeout)
+  /// Tells whether a step that has taken its time may be given up.
+  using MayGiveUp = std::function<bool()>;
+
+  /// Starts the time of a step anew.
+  /// @param[in] aGiveUpAt end of a step that `aMayGiveUp` has prolonged
+  void Arm(httplib::Client& aClient,
+           Duration aTimeout,
+           TimePoint aGiveUpAt,
+           MayGiveUp aMayGiveUp)
   {
     {
       const std::lock_guard lock(mMutex);
-      mSteps[&aClient] = { ReadClock() + aTimeout, false };
+      mSteps[&aClient] = { .mDeadline = ReadClock() + aTimeout,
+                           .mTimeout = aTimeout,
+                           .mGiveUpAt = aGiveUpAt,
+                           .mMayGiveUp = std::move(aMayGiveUp) };
     }
     mChanged.notify_one();
   }
@@ -77,7 +88,23 @@
   struct Step
   {
     TimePoint mDeadline;
+    Duration mTimeout{};
+    TimePoint mGiveUpAt;
+    MayGiveUp mMayGiveUp; ///< empty: always
     bool mExpired = false;
+
+    /// Checks whether the step is over, or gives it more time.
+    [[nodiscard]] bool Expires(TimePoint aNow)
+    {
+      if (aNow < mDeadline) {
+        return false;
+      }
+      if (aNow >= mGiveUpAt || !mMayGiveUp || mMayGiveUp()) {
+        return true;
+      }
+      mDeadline = std::min(aNow + mTimeout, mGiveUpAt);
+      return false;
+    }
   };
 
   static constexpr Duration kLongestSleep = std::chrono::seconds(1);
@@ -92,7 +119,7 @@
         if (step.mExpired) {
           continue;
         }
-        if (now >= step.mDeadline) {
+        if (step.Expires(now)) {
           step.mExpired = true;
           client->stop();
         } else {
@@ -167,9 +194,19 @@
     auto& client = connection->mClient;
     client.set_connection_timeout(aOptions.mConnectTimeout);
     // steps are timed by the step timer; this only has to be longer
-    client.set_read_timeout(aOptions.mFirstByteTimeout +
-                            aOptions.mNextByteTimeout +
-                            std::chrono::seconds(1));
+    const auto longestStep = std::max(
+      aOptions.mFirstByteTimeout + aOptions.mNextByteTimeout,
+      aOptions.mMayGiveUp ? aOptions.mDeadline - ReadClock() : Duration{});
+    client.set_read_timeout(longestStep + std::chrono::seconds(1));
+    StepTimer::MayGiveUp mayGiveUp;
+    if (aOptions.mMayGiveUp) {
+      mayGiveUp = [&aOptions, isReused = connection->mUsed] {
+        return aOptions.mMayGiveUp(isReused);
+      };
+    }
+    const auto arm = [&](Duration aTimeout) {
+      mTimer.Arm(client, aTimeout, aOptions.mDeadline, mayGiveUp);
+    };
     if (aOptions.mBeforeSend && !aOptions.mBeforeSend()) {
       Give(aEndpoint, std::move(connection));
       return CallFailure{ .mBytesMayHaveLeft = false };
@@ -182,14 +219,14 @@
       if (aOptions.mOnHead) {
         aOptions.mOnHead(MakeResponse(aResponse, {}));
       }
-      mTimer.Arm(client, aOptions.mNextByteTimeout);
+      arm(aOptions.mNextByteTimeout);
       return true;
     };
     request.content_receiver = [&](const char* aData,
                                    std::size_t aLength,
                                    std::uint64_t /*aOffset*/,
                                    std::uint64_t /*aTotal*/) {
-      mTimer.Arm(client, aOptions.mNextByteTimeout);
+      arm(aOptions.mNextByteTimeout);
       if (status == kStatusOk && aOptions.mReceiver) {
         return aOptions.mReceiver(std::string_view(aData, aLength));
       }
@@ -198,7 +235,7 @@
     };
     httplib::Response response;
     auto error = httplib::Error::Success;
-    mTimer.Arm(client, aOptions.mConnectTimeout + aOptions.mFirstByteTimeout);
+    arm(aOptions.mConnectTimeout + aOptions.mFirstByteTimeout);
     const bool whole = client.send(request, response, error);
     const bool timedOut = mTimer.Disarm(client);
     if (whole && !timedOut) {
--- a/src/shell/upstream/upstream_adapter.cpp
+++ b/src/shell/upstream/upstream_adapter.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace figslip::upstream {
@@ -83,6 +84,8 @@
   }
 
   [[nodiscard]] bool CallerGone() const { return mCallerGone; }
+  /// @note May be called from any thread.
+  [[nodiscard]] bool HasBytesAtCaller() const { return mBytesToCaller; }
 
 private:
   bool TakeEvent(const std::string& aText)
@@ -116,7 +119,7 @@
   std::string mAnswer;
   AttemptOutcome mOutcome;
   bool mDone = false;
-  bool mBytesToCaller = false;
+  std::atomic<bool> mBytesToCaller{ false };
   bool mCallerGone = false;
 };
 
@@ -197,7 +200,7 @@
 AttemptResult
 UpstreamAdapter::Run(const routing::Dispatch& aDispatch,
                      const UpstreamCall& aCall,
-                     const std::function<bool()>& aBeforeSend,
+                     const AttemptChecks& aChecks,
                      const TokenSink& aSink) const
 {
   const auto start = ReadClock();
@@ -208,9 +211,13 @@
   bool cancelled = false;
   auto options = OptionsOf(aDispatch, aCall, start);
   options.mBeforeSend = [&] {
-    cancelled = !aBeforeSend();
+    cancelled = !aChecks.mBeforeSend();
     return !cancelled;
   };
+  options.mMayGiveUp = [&](bool aIsReused) {
+    return !stream.HasBytesAtCaller() && aChecks.mMayGiveUp(aIsReused);
+  };
+  options.mDeadline = aDispatch.mDeadline;
   if (isChat) {
     options.mReceiver = [&](std::string_view aData) {
       return stream.Take(aData);
--- a/tests/src/history-upstream.cpp
+++ b/tests/src/history-upstream.cpp
@@ -177,3 +177,28 @@
     CheckKept(history);
   }
 }
+
+TEST_CASE("a stream that pauses is cut though nothing may replace it")
+{
+  constexpr int kTokenTimeoutMs = 300;
+  auto plan = SmallPlan();
+  for (auto& upstream : plan.mUpstreams) {
+    // the answer pauses for 20 tokens
+    upstream.mArguments.insert(upstream.mArguments.end(),
+                               { "--token-ms", "50" });
+  }
+  for (auto& entry : plan.mEntries) {
+    entry.mSettings["next_token_timeout_ms"] = kTokenTimeoutMs;
+  }
+  Cluster cluster(plan);
+  cluster.Start();
+  Traffic traffic(cluster, { .mTries = 1, .mDeadlineMs = 8'000 });
+  const CallerWork work{ .mAccount = "salon",
+                         .mTarget = "small",
+                         .mStream = true };
+  CHECK(traffic.Send(work, "pauses", 0).mEnd == CallerEnd::Answered);
+  const auto history = traffic.Finish();
+  CHECK(std::ranges::count(history.mRuns, "pauses", &UpstreamRun::mRequestId) ==
+        1);
+  CheckKept(history);
+}
