Show what an answer without end does to an instance

An upstream in trouble may send bytes that are no answer, in a head or a body, until its caller closes.

These and the other forms of bodies and streams leave no reason of their own in the log. Endless interim responses, chunk extensions, trailers, comments and empty lines hold the attempt until the deadline, so that the other upstream is not asked; so does any body that trickles.

Already right on this code: endless status line, header, headers and bytes that are no HTTP; answers and streams without length that end with their connection, are reset, or end inside an event; bytes without end after a whole answer.

--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -2,6 +2,9 @@
 
 #include <figslip/net/sleep.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <cstdlib>
 
@@ -53,6 +56,57 @@
   return !mHeldPrefix.empty() && aTarget.starts_with(mHeldPrefix);
 }
 
+void
+EngineStandIn::AnswerRaw(std::optional<RawAnswer> aAnswer)
+{
+  const std::scoped_lock lock(mMutex);
+  mRaw = std::move(aAnswer);
+}
+
+std::optional<RawAnswer>
+EngineStandIn::RawAnswerTo(const std::string& aTarget)
+{
+  const std::scoped_lock lock(mMutex);
+  const bool isMeant = mRaw && aTarget.starts_with(mRaw->mTargetPrefix);
+  return isMeant ? mRaw : std::nullopt;
+}
+
+net::Awaitable<void>
+EngineStandIn::SendRaw(RawAnswer aAnswer, std::string aAttempt, int aSocket)
+{
+  constexpr std::string_view kAttempt = "{id}";
+  constexpr std::size_t kBlockBytes = 64 * 1024;
+  if (const auto at = aAnswer.mBegin.find(kAttempt); at != std::string::npos) {
+    aAnswer.mBegin.replace(at, kAttempt.size(), aAttempt);
+  }
+  auto block = aAnswer.mRepeated;
+  const bool isPaused = aAnswer.mPause > std::chrono::milliseconds::zero();
+  while (!isPaused && !block.empty() && block.size() < kBlockBytes) {
+    block += aAnswer.mRepeated;
+  }
+  // the connection keeps its own descriptor of the socket
+  net::tcp::socket socket(mContext, net::tcp::v4(), ::dup(aSocket));
+  net::error_code error;
+  const auto begin = net::asio::buffer(aAnswer.mBegin);
+  co_await net::asio::async_write(
+    socket, begin, net::asio::redirect_error(net::asio::use_awaitable, error));
+  while (!error && !block.empty()) {
+    if (isPaused) {
+      co_await net::Sleep(aAnswer.mPause);
+    }
+    const auto next = net::asio::buffer(block);
+    co_await net::asio::async_write(
+      socket, next, net::asio::redirect_error(net::asio::use_awaitable, error));
+  }
+  if (aAnswer.mResets) {
+    // what was sent has arrived before the reset discards it
+    co_await net::Sleep(std::chrono::milliseconds(20));
+    // set without Asio, which clears its own linger option in the destructor
+    const linger reset{ .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+}
+
 net::Awaitable<void>
 EngineStandIn::Accept()
 {
@@ -62,16 +116,18 @@
     co_await mAcceptor.async_accept(
       socket, net::asio::redirect_error(net::asio::use_awaitable, error));
     if (!error) {
+      const int descriptor = socket.native_handle();
       auto connection =
         std::make_shared<net::CallerConnection>(std::move(socket));
-      net::asio::co_spawn(
-        mContext, Serve(std::move(connection)), net::asio::detached);
+      net::asio::co_spawn(mContext,
+                          Serve(std::move(connection), descriptor),
+                          net::asio::detached);
     }
   }
 }
 
 net::Awaitable<void>
-EngineStandIn::Serve(Connection aConnection)
+EngineStandIn::Serve(Connection aConnection, int aSocket)
 {
   ingress::CallerLimits limits;
   limits.mIdleTimeout = std::chrono::seconds(30);
@@ -81,13 +137,13 @@
     if (end != net::ReadEnd::Whole) {
       break;
     }
-    goesOn = co_await Answer(aConnection);
+    goesOn = co_await Answer(aConnection, aSocket);
   }
   aConnection->Abort();
 }
 
 net::Awaitable<bool>
-EngineStandIn::Answer(Connection aConnection)
+EngineStandIn::Answer(Connection aConnection, int aSocket)
 {
   const auto& request = aConnection->Request();
   const auto behaviour = mBehaviour.load();
@@ -102,6 +158,11 @@
     const std::scoped_lock lock(mMutex);
     mRuns.push_back(request);
   }
+  if (auto raw = RawAnswerTo(request.mTarget)) {
+    co_await SendRaw(
+      std::move(*raw), HeaderOf(request, "X-Attempt-Id"), aSocket);
+    co_return false;
+  }
   if (behaviour == Behaviour::RunAndVanish) {
     co_return false;
   }
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -4,14 +4,26 @@
 #include <figslip/net/caller_connection.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace figslip::test {
 
+/// Holds bytes that an engine sends as they are in place of an answer.
+struct RawAnswer
+{
+  std::string mTargetPrefix; ///< of the requests that get it
+  std::string mBegin;        ///< {id} stands for the id of the attempt
+  std::string mRepeated;     ///< follows until the caller closes; empty: none
+  std::chrono::milliseconds mPause{}; ///< before each repetition
+  bool mResets = false;               ///< the connection ends with a reset
+};
+
 /// Plays an upstream of the platform: streams of events and plain answers.
 class EngineStandIn
 {
@@ -45,6 +57,9 @@
   /// Sets the confidence that answers state, 0-100; none if negative.
   void SetConfidence(int aConfidence) { mConfidence = aConfidence; }
 
+  /// Sends raw bytes from now on to some requests; nothing: to none.
+  void AnswerRaw(std::optional<RawAnswer> aAnswer);
+
   /// Returns the requests that it has begun to run.
   [[nodiscard]] std::vector<net::RequestMessage> Runs();
 
@@ -53,8 +68,14 @@
 
   [[nodiscard]] bool IsHeld(const std::string& aTarget);
   [[nodiscard]] net::Awaitable<void> Accept();
-  [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
-  [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection);
+  [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection, int aSocket);
+  [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection,
+                                            int aSocket);
+  [[nodiscard]] std::optional<RawAnswer> RawAnswerTo(
+    const std::string& aTarget);
+  [[nodiscard]] net::Awaitable<void> SendRaw(RawAnswer aAnswer,
+                                             std::string aAttempt,
+                                             int aSocket);
   [[nodiscard]] net::Awaitable<bool> Stream(Connection aConnection,
                                             net::Headers aHeaders);
 
@@ -67,6 +88,7 @@
   std::atomic<int> mConfidence{ -1 };
   std::mutex mMutex;
   std::string mHeldPrefix;
+  std::optional<RawAnswer> mRaw;
   std::vector<net::RequestMessage> mRuns;
   std::thread mThread;
 };
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -162,7 +162,7 @@
                             { "metrics", address(FreePort()) },
                             { "peers", address(FreePort()) },
                             { "store", address(storePort) },
-                            { "memory_mb", 256 },
+                            { "memory_mb", aOptions.mMemoryMb },
                             { "max_descriptors", 1024 },
                             { "grace_s", 8 },
                             { "revocation_ms", 5000 },
@@ -176,6 +176,22 @@
   }
 }
 
+double
+IngressWorld::PeakMemoryMb(std::size_t aIndex)
+{
+  constexpr double kKilobytes = 1024.0;
+  constexpr std::string_view kPeak = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(Instance(aIndex).Id()) +
+                       "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with(kPeak)) {
+      return std::strtod(line.c_str() + kPeak.size(), nullptr) / kKilobytes;
+    }
+  }
+  throw std::runtime_error("the process of the instance has ended");
+}
+
 void
 IngressWorld::Restart(std::size_t aIndex)
 {
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -54,6 +54,7 @@
     int mInstances = 1;
     /// puts relays before the engines, and before the store of each instance
     bool mIsRelayed = false;
+    int mMemoryMb = 256; ///< in the settings of each instance
   };
 
   IngressWorld()
@@ -85,6 +86,8 @@
   {
     return mInstances.at(aIndex).mCallerPort;
   }
+  /// Returns the most memory that the process of an instance has held, MB.
+  [[nodiscard]] double PeakMemoryMb(std::size_t aIndex);
   void Restart(std::size_t aIndex);
   /// Starts an instance without waiting until it is ready.
   void Start(std::size_t aIndex);
