Bound what a response may hold besides its body

An upstream that sent a chunk extension or trailers without end made the process grow until it was killed, and interim responses or long chunk extensions without end kept it busy until the deadline of the request.

The parser needs a chunk's size line and the trailers as a whole, and the buffer in which it collects them had no bound; the limit of 64 KB held for the head of the final response alone. Now the buffer holds 128 KB, a response has 8 interim ones at most, and the framing of a chunked body is bounded by a constant and a multiple of its content. The kernel's receive buffer is bounded too, as bytes not read yet count as memory. Such an attempt ends at once as oversized, counts as broken against its upstream and may be retried.

--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -29,6 +29,7 @@
   TimedOut,  ///< the watchdog expired
   Closed,    ///< the other side closed or reset the connection
   Malformed, ///< bytes that are no HTTP/1.1 response
+  Oversized, ///< more bytes than a response may have
   Aborted    ///< `Abort` was called
 };
 
@@ -91,7 +92,10 @@
   };
 
   [[nodiscard]] StepEnd EndOf(const error_code& aError) const;
+  void BeginResponse();
   void TakeHead();
+  /// Ends a step that exceeded a limit.
+  StepEnd OnOversized();
 
   std::shared_ptr<tcp::socket> mSocket;
   Watchdog mWatchdog;
@@ -101,6 +105,8 @@
   std::array<char, 8192> mPieceBuffer{};
   ResponseHead mHead;
   std::string mPiece;
+  std::size_t mBodyBytes = 0;    ///< of the response so far
+  std::size_t mFramingBytes = 0; ///< chunk sizes, extensions and trailers
   bool mSendStarted = false;
   bool mBroken = false;
   bool mAborted = false;
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 
@@ -13,6 +14,22 @@
 /// Bound on the header of a response.
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 
+/// Bound on received bytes that are not parsed yet. A chunk's size with its
+/// extension and the trailers are parsed as a whole and have no other bound.
+constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
+
+/// Bound on interim responses before the final one.
+constexpr int kMaxInterimResponses = 8;
+
+/// Bounds on the bytes of a chunked body beyond its content: a constant and a
+/// multiple of the content.
+constexpr std::size_t kMaxFramingBytes = 64 * 1024;
+constexpr std::size_t kMaxFramingFactor = 16;
+
+/// Size of the kernel's receive buffer, bytes; bounds what an upstream can send
+/// while nothing is read.
+constexpr int kReceiveBufferBytes = 256 * 1024;
+
 /// Time after which unacknowledged bytes end a connection, milliseconds; a
 /// partition shows in no other way.
 constexpr int kUserTimeoutMs = 3'000;
@@ -20,8 +37,10 @@
 void
 SetOptions(tcp::socket& aSocket)
 {
-  error_code ignored; // both options only tune; the connection works without
+  error_code ignored; // the connection works without the options
   ignored = aSocket.set_option(tcp::no_delay(true), ignored);
+  ignored = aSocket.set_option(
+    asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
   setsockopt(aSocket.native_handle(),
              IPPROTO_TCP,
              TCP_USER_TIMEOUT,
@@ -43,6 +62,8 @@
       return "closed";
     case StepEnd::Malformed:
       return "malformed";
+    case StepEnd::Oversized:
+      return "oversized";
     case StepEnd::Aborted:
       return "aborted";
   }
@@ -58,6 +79,7 @@
                   ignored = open->close(ignored);
                 }
               })
+  , mBuffer(kMaxUnparsedBytes)
   , mSend(std::make_shared<SendState>())
 {
 }
@@ -92,10 +114,9 @@
   mSend->mDone = false;
   mHead = {};
   mPiece.clear();
-  mParser = std::make_unique<Parser>();
-  mParser->header_limit(kMaxHeaderBytes);
-  // a number is needed: Beast 1.74 refuses every length without a limit
-  mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  mBodyBytes = 0;
+  mFramingBytes = 0;
+  BeginResponse();
   asio::async_write(
     *mSocket,
     asio::buffer(mSend->mBytes),
@@ -105,6 +126,15 @@
     });
 }
 
+void
+ClientConnection::BeginResponse()
+{
+  mParser = std::make_unique<Parser>();
+  mParser->header_limit(kMaxHeaderBytes);
+  // a number is needed: Beast 1.74 refuses every length without a limit
+  mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
 Awaitable<StepEnd>
 ClientConnection::ReadHead(Milliseconds aLimit)
 {
@@ -116,10 +146,12 @@
     mBuffer,
     *mParser,
     asio::redirect_error(asio::use_awaitable, error));
+  int interimResponses = 0;
   while (!error && mParser->get().result_int() < kFirstFinalStatus) {
-    mParser = std::make_unique<Parser>();
-    mParser->header_limit(kMaxHeaderBytes);
-    mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (++interimResponses > kMaxInterimResponses) {
+      co_return OnOversized();
+    }
+    BeginResponse();
     co_await http::async_read_header(
       *mSocket,
       mBuffer,
@@ -161,7 +193,7 @@
     body.data = mPieceBuffer.data();
     body.size = mPieceBuffer.size();
     body.more = true;
-    co_await http::async_read_some(
+    const auto parsed = co_await http::async_read_some(
       *mSocket,
       mBuffer,
       *mParser,
@@ -171,6 +203,11 @@
     }
     const auto read = mPieceBuffer.size() - mParser->get().body().size;
     mPiece.assign(mPieceBuffer.data(), read);
+    mBodyBytes += read;
+    mFramingBytes += parsed - std::min(parsed, read);
+    if (mFramingBytes > kMaxFramingBytes + kMaxFramingFactor * mBodyBytes) {
+      co_return OnOversized();
+    }
   }
   mWatchdog.Clear();
   if (error) {
@@ -180,6 +217,14 @@
   co_return StepEnd::Done;
 }
 
+StepEnd
+ClientConnection::OnOversized()
+{
+  mWatchdog.Clear();
+  mBroken = true;
+  return StepEnd::Oversized;
+}
+
 void
 ClientConnection::Abort()
 {
@@ -220,6 +265,10 @@
   if (mWatchdog.HasExpired()) {
     return StepEnd::TimedOut;
   }
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return StepEnd::Oversized;
+  }
   const bool isProtocol =
     aError.category() ==
     http::make_error_code(http::error::bad_value).category();
