Share bounded memory among answers that are received

Answers without end, several at once, took more memory than the settings allow (242 MB of 110), though each was limited to 16 MB; and comments or empty lines without end were passed on until the deadline, as if they were events.

The limit held for each request, against one memory for all. All buffered bodies and incomplete events now share a quarter of memory_mb. When it is used up, the largest that still grows is given up: a sender without end loses its attempt, while small answers go on. A whole answer is sent without another copy of its body. Blocks without id or data count as no event, and are limited to the size of an event between two events. An attempt that goes beyond a limit is logged as oversized or memory_full instead of done, counts as broken and may be retried.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -14,6 +14,7 @@
 #include <figslip/retry/retry_budget.hpp>
 #include <figslip/rollout/staged_rollout.hpp>
 #include <figslip/settings/ingress_settings.hpp>
+#include <figslip/stream/buffer_budget.hpp>
 
 #include <functional>
 #include <map>
@@ -74,6 +75,7 @@
   /// service
   std::map<std::string, cascade::LatencyScale> mLargestModelDelay;
   net::ConnectionPool mPool;
+  stream::BufferBudget mAnswerMemory; ///< of answers that are received
   quarantine::Quarantine mQuarantine;
   TrafficReports mReports;
   int mInstanceCount = 1; ///< registered instances
--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -70,7 +70,10 @@
   void CloseIfIdle();
 
 private:
-  [[nodiscard]] Awaitable<bool> Write(std::string aBytes);
+  /// @param[in] aBytes are sent first
+  /// @param[in] aBody must stay valid until the end
+  [[nodiscard]] Awaitable<bool> Write(std::string aBytes,
+                                      std::string_view aBody = {});
   void Watch();
   [[nodiscard]] ReadEnd EndOf(const error_code& aError) const;
   void OnTooSlow();
--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -30,6 +30,7 @@
   Closed,    ///< the other side closed or reset the connection
   Malformed, ///< bytes that are no HTTP/1.1 response
   Oversized, ///< more bytes than a response may have
+  Evicted,   ///< received bytes were given up to free memory
   Aborted    ///< `Abort` was called
 };
 
--- a/include/figslip/stream/event_splitter.hpp
+++ b/include/figslip/stream/event_splitter.hpp
@@ -10,30 +10,42 @@
 /// @brief Splits the bytes of a server-sent event stream into complete events.
 ///
 /// Only complete events may be forwarded, so that a stream that breaks in the
-/// middle of an event can resume at another upstream.
+/// middle of an event can resume at another upstream. Comments and empty lines
+/// are forwarded too; without an event among them they are limited in size.
 class EventSplitter
 {
 public:
-  /// @param[in] aMaxEventBytes maximum size of an incomplete event
+  /// @param[in] aMaxEventBytes maximum size of an incomplete event, and of the
+  ///            bytes between two events
   explicit EventSplitter(std::size_t aMaxEventBytes)
     : mMaxEventBytes(aMaxEventBytes)
   {
   }
 
   /// @brief Appends received bytes and extracts the events that they complete.
-  /// @return the complete events, unchanged; may be empty
+  /// @return the complete events and what is between them, unchanged; may be
+  ///         empty
   [[nodiscard]] std::string Append(std::string_view aBytes);
 
-  /// @brief Discards the bytes of an incomplete event.
-  void DiscardPartial() { mPending.clear(); }
+  /// @brief Discards the bytes of an incomplete event, before bytes of another
+  /// stream follow.
+  void DiscardPartial()
+  {
+    mPending = {};
+    mFillerBytes = 0;
+  }
 
   /// @brief Returns whether bytes of an incomplete event are buffered.
   [[nodiscard]] bool HasPartial() const { return !mPending.empty(); }
 
-  /// @brief Returns whether the incomplete event exceeds the maximum size.
+  /// @brief Returns the memory of the incomplete event in bytes.
+  [[nodiscard]] std::size_t PendingBytes() const { return mPending.capacity(); }
+
+  /// @brief Returns whether the incomplete event, or the bytes since the last
+  /// event, exceed the maximum size.
   [[nodiscard]] bool IsOverlong() const
   {
-    return mPending.size() > mMaxEventBytes;
+    return mPending.size() > mMaxEventBytes || mFillerBytes > mMaxEventBytes;
   }
 
   /// @brief Returns the last id that a complete event carried; empty without
@@ -44,11 +56,14 @@
   [[nodiscard]] std::int64_t EventCount() const { return mEventCount; }
 
 private:
-  void ParseId(std::string_view aEvent);
+  /// Parses a block of lines up to an empty line.
+  /// @return whether it is an event, which has an id or data
+  bool ParseBlock(std::string_view aBlock);
 
   std::size_t mMaxEventBytes;
   std::string mPending;
   std::string mLastId;
+  std::size_t mFillerBytes = 0; ///< bytes since the last event
   std::int64_t mEventCount = 0;
 };
 
--- a/src/core/stream/event_splitter.cpp
+++ b/src/core/stream/event_splitter.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data";
 
 } // namespace
 
@@ -21,28 +22,37 @@
   for (auto end = mPending.find(kEventEnd, from); end != std::string::npos;
        end = mPending.find(kEventEnd, from)) {
     from = end + kEventEnd.size();
-    ParseId(std::string_view(mPending).substr(whole, from - whole));
+    const auto block = std::string_view(mPending).substr(whole, from - whole);
     whole = from;
-    ++mEventCount;
+    if (ParseBlock(block)) {
+      ++mEventCount;
+      mFillerBytes = 0;
+    } else {
+      mFillerBytes += block.size();
+    }
   }
   auto events = mPending.substr(0, whole);
   mPending.erase(0, whole);
   return events;
 }
 
-void
-EventSplitter::ParseId(std::string_view aEvent)
+bool
+EventSplitter::ParseBlock(std::string_view aBlock)
 {
-  while (!aEvent.empty()) {
-    const auto end = std::min(aEvent.find('\n'), aEvent.size());
-    auto line = aEvent.substr(0, end);
-    aEvent.remove_prefix(std::min(end + 1, aEvent.size()));
+  bool isEvent = false;
+  while (!aBlock.empty()) {
+    const auto end = std::min(aBlock.find('\n'), aBlock.size());
+    auto line = aBlock.substr(0, end);
+    aBlock.remove_prefix(std::min(end + 1, aBlock.size()));
+    isEvent = isEvent || line.starts_with(kDataField);
     if (line.starts_with(kIdField)) {
+      isEvent = true;
       line.remove_prefix(kIdField.size());
       line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
       mLastId = line;
     }
   }
+  return isEvent;
 }
 
 } // namespace figslip::stream
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -450,18 +450,29 @@
 RequestFlow::RelayBuffered(Attempt& aAttempt)
 {
   std::string body;
-  auto& connection = *aAttempt.mConnection;
-  while (!connection.BodyIsWhole()) {
+  const auto connection = aAttempt.mConnection;
+  stream::BufferBudget::Buffer memory(mState.mAnswerMemory,
+                                      [connection] { connection->Abort(); });
+  while (!connection->BodyIsWhole()) {
     const auto limit = ToMilliseconds(mDeadline - ReadBootClock());
-    const auto end = co_await connection.ReadBody(limit);
-    body += connection.Piece();
-    if (end != net::StepEnd::Done || body.size() > kMaxBufferedBytes) {
+    auto end = co_await connection->ReadBody(limit);
+    if (body.size() + connection->Piece().size() > kMaxBufferedBytes) {
+      end = net::StepEnd::Oversized;
+    } else {
+      body += connection->Piece();
+      memory.Resize(body.capacity());
+    }
+    if (memory.IsEvicted()) {
+      end = net::StepEnd::Evicted;
+    }
+    if (end != net::StepEnd::Done) {
       co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
     }
   }
+  memory.Retain();
   const auto now = ReadBootClock();
   mPace.OnEvents(now);
-  const auto status = connection.Head().mStatus;
+  const auto status = connection->Head().mStatus;
   if (status < kFirstServerError) {
     RecordHealth(aAttempt, AttemptHealth::Good);
     mState.mQuarantine.OnServed(mFingerprint);
@@ -470,7 +481,7 @@
   if (mHeadSent) {
     co_return NextStep::Failed; // an error response cannot continue a stream
   }
-  auto headers = connection.Head().mHeaders;
+  auto headers = connection->Head().mHeaders;
   net::RemoveConnectionHeaders(headers);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
@@ -484,14 +495,16 @@
 net::Awaitable<RequestFlow::NextStep>
 RequestFlow::RelayStream(Attempt& aAttempt)
 {
-  auto& connection = *aAttempt.mConnection;
+  const auto connection = aAttempt.mConnection;
+  stream::BufferBudget::Buffer memory(mState.mAnswerMemory,
+                                      [connection] { connection->Abort(); });
   mEvents.DiscardPartial();
-  while (!connection.BodyIsWhole()) {
+  while (!connection->BodyIsWhole()) {
     if (MayReplace() && mRoute->mTargetGap > Duration::zero()) {
       WatchSilence(Scale(mRoute->mTargetGap, kGapTimeoutFraction));
     }
-    const auto end =
-      co_await connection.ReadBody(ToMilliseconds(mDeadline - ReadBootClock()));
+    auto end = co_await connection->ReadBody(
+      ToMilliseconds(mDeadline - ReadBootClock()));
     mSilence.Clear();
     if (IsReplaced()) {
       // the replacement continues after the events relayed so far
@@ -499,18 +512,27 @@
     }
     CancelReplacement();
     const auto now = ReadBootClock();
-    const auto events = mEvents.Append(connection.Piece());
-    if (!events.empty()) {
+    const auto known = mEvents.EventCount();
+    const auto events = mEvents.Append(connection->Piece());
+    memory.Resize(mEvents.PendingBytes());
+    if (mEvents.EventCount() > known) {
       mPace.OnEvents(now);
       RecordFirstEvent(aAttempt, now);
+    }
+    if (!events.empty()) {
       const bool isSent = co_await SendEvents(aAttempt, events);
       if (!isSent) {
-        connection.Abort();
+        connection->Abort();
         RecordEnd(RequestEnd::CallerLeft);
         co_return NextStep::Ended;
       }
     }
-    if (end != net::StepEnd::Done || mEvents.IsOverlong()) {
+    if (memory.IsEvicted()) {
+      end = net::StepEnd::Evicted;
+    } else if (mEvents.IsOverlong()) {
+      end = net::StepEnd::Oversized;
+    }
+    if (end != net::StepEnd::Done) {
       co_return OnAttemptBroken(aAttempt, end, now);
     }
   }
@@ -548,6 +570,7 @@
                              TimePoint aNow)
 {
   aAttempt.mConnection->Abort();
+  mEvents.DiscardPartial();
   mMayHaveRun = true;
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -21,6 +21,11 @@
 /// write.
 constexpr std::uint64_t kMaxWriteDelayMs = 600;
 
+/// Fraction of the memory of the process that answers of upstreams may occupy.
+/// A buffer that grows holds its old bytes too until they are copied.
+constexpr double kAnswerMemoryFraction = 0.25;
+constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
+
 /// Time for which a crash counts against a request; also the maximum time for
 /// which a wrongly quarantined request is refused.
 constexpr auto kCrashRetention = std::chrono::seconds(60);
@@ -49,6 +54,8 @@
           kMaxWriteDelayMs) })
   , mSizePolicy({})
   , mPool({})
+  , mAnswerMemory(static_cast<std::size_t>(
+      aSettings.mMemoryMb * kBytesPerMegabyte * kAnswerMemoryFraction))
   , mQuarantine({ .mRetention = kCrashRetention })
   , mStartedAt(ReadBootClock())
 {
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -202,13 +202,14 @@
 }
 
 Awaitable<bool>
-CallerConnection::Write(std::string aBytes)
+CallerConnection::Write(std::string aBytes, std::string_view aBody)
 {
   error_code error;
   mWatchdog.Set(kWriteLimit);
-  const auto buffer = asio::buffer(aBytes);
+  const std::array<asio::const_buffer, 2> buffers = { asio::buffer(aBytes),
+                                                      asio::buffer(aBody) };
   co_await asio::async_write(
-    mSocket, buffer, asio::redirect_error(asio::use_awaitable, error));
+    mSocket, buffers, asio::redirect_error(asio::use_awaitable, error));
   mWatchdog.Clear();
   co_return !error;
 }
@@ -222,8 +223,7 @@
   std::string text;
   AppendHead(text, aStatus, aHeaders, aClose);
   text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
-  text += aBody;
-  co_return co_await Write(std::move(text));
+  co_return co_await Write(std::move(text), aBody);
 }
 
 Awaitable<bool>
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -64,6 +64,8 @@
       return "malformed";
     case StepEnd::Oversized:
       return "oversized";
+    case StepEnd::Evicted:
+      return "memory_full";
     case StepEnd::Aborted:
       return "aborted";
   }
--- a/tests/src/unit-ingress.cpp
+++ b/tests/src/unit-ingress.cpp
@@ -4,6 +4,7 @@
 #include <figslip/ingress/freshness_lease.hpp>
 #include <figslip/membership/upstream_entry_cache.hpp>
 #include <figslip/retry/retry_budget.hpp>
+#include <figslip/stream/buffer_budget.hpp>
 #include <figslip/stream/event_splitter.hpp>
 #include <figslip/stream/event_timing.hpp>
 
@@ -139,6 +140,86 @@
   {
     (void)events.Append(std::string(65, 'x'));
     CHECK(events.IsOverlong());
+
+    SUBCASE("each by itself")
+    {
+      events.DiscardPartial();
+      CHECK_FALSE(events.IsOverlong());
+    }
+  }
+
+  SUBCASE("are told from comments and empty lines")
+  {
+    const std::string filler = ": alive\n\n\n\n";
+    CHECK(events.Append(filler) == filler);
+    CHECK(events.EventCount() == 0);
+
+    SUBCASE("which are limited in length between events")
+    {
+      for (int number = 0; number < 5; ++number) {
+        CHECK_FALSE(events.IsOverlong());
+        (void)events.Append(filler);
+      }
+      CHECK(events.IsOverlong());
+    }
+
+    SUBCASE("which may be long in all")
+    {
+      for (int number = 0; number < 20; ++number) {
+        (void)events.Append("data: a\n\n" + filler);
+        CHECK_FALSE(events.IsOverlong());
+      }
+      CHECK(events.EventCount() == 20);
+    }
+  }
+}
+
+TEST_CASE("memory of buffers that grow")
+{
+  stream::BufferBudget budget(100);
+  int evicted = 0;
+  const auto onEvicted = [&] { ++evicted; };
+  stream::BufferBudget::Buffer small(budget, onEvicted);
+  stream::BufferBudget::Buffer large(budget, onEvicted);
+  small.Resize(10);
+  large.Resize(90);
+  CHECK(evicted == 0);
+  CHECK(budget.UsedBytes() == 100);
+
+  SUBCASE("is taken from the largest when it is exhausted")
+  {
+    small.Resize(11);
+    CHECK_FALSE(small.IsEvicted());
+    CHECK(large.IsEvicted());
+    CHECK(evicted == 1);
+    CHECK(budget.UsedBytes() == 11);
+
+    SUBCASE("which does not get it back")
+    {
+      large.Resize(50);
+      CHECK(large.IsEvicted());
+      CHECK(budget.UsedBytes() == 11);
+    }
+  }
+
+  SUBCASE("is kept by buffers that are complete")
+  {
+    large.Retain();
+    small.Resize(11);
+    CHECK(small.IsEvicted());
+    CHECK_FALSE(large.IsEvicted());
+    CHECK(budget.UsedBytes() == 90);
+  }
+
+  SUBCASE("returns with the end of a buffer")
+  {
+    {
+      stream::BufferBudget::Buffer next(budget, onEvicted);
+      large.Resize(10);
+      next.Resize(80);
+    }
+    CHECK(budget.UsedBytes() == 20);
+    CHECK(evicted == 0);
   }
 }
 
