Replace an attempt whose bytes bring no event and no whole body

A look-up whose body trickled, or a stream that trickled comments or half an event, held its caller until the deadline, though another upstream was free.

The watch on silent attempts ended with the head of an answer that is buffered, and any byte of a stream started it anew. Of both the caller gets nothing: a buffered body counts when it is whole, a stream by its events, and the pause that a route allows is one between events. So the watch now covers the body too, and only an event ends it. The attempt stays until another one is sent.

--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -453,9 +453,16 @@
   const auto connection = aAttempt.mConnection;
   stream::BufferBudget::Buffer memory(mState.mAnswerMemory,
                                       [connection] { connection->Abort(); });
+  if (MayReplace()) {
+    WatchSilence(HeadPatience(aAttempt)); // the caller sees no part of a body
+  }
   while (!connection->BodyIsWhole()) {
     const auto limit = ToMilliseconds(mDeadline - ReadBootClock());
     auto end = co_await connection->ReadBody(limit);
+    if (IsReplaced()) {
+      mSilence.Clear();
+      co_return OnReplaced(aAttempt);
+    }
     if (body.size() + connection->Piece().size() > kMaxBufferedBytes) {
       end = net::StepEnd::Oversized;
     } else {
@@ -466,10 +473,14 @@
       end = net::StepEnd::Evicted;
     }
     if (end != net::StepEnd::Done) {
+      mSilence.Clear();
+      CancelReplacement();
       co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
     }
   }
   memory.Retain();
+  mSilence.Clear();
+  CancelReplacement();
   const auto now = ReadBootClock();
   mPace.OnEvents(now);
   const auto status = connection->Head().mStatus;
@@ -499,29 +510,36 @@
   stream::BufferBudget::Buffer memory(mState.mAnswerMemory,
                                       [connection] { connection->Abort(); });
   mEvents.DiscardPartial();
+  bool isWatched = false;
   while (!connection->BodyIsWhole()) {
-    if (MayReplace() && mRoute->mTargetGap > Duration::zero()) {
+    if (!isWatched && MayReplace() && mRoute->mTargetGap > Duration::zero()) {
       WatchSilence(Scale(mRoute->mTargetGap, kGapTimeoutFraction));
+      isWatched = true;
     }
     auto end = co_await connection->ReadBody(
       ToMilliseconds(mDeadline - ReadBootClock()));
-    mSilence.Clear();
     if (IsReplaced()) {
+      mSilence.Clear();
       // the replacement continues after the events relayed so far
       co_return OnReplaced(aAttempt);
     }
-    CancelReplacement();
     const auto now = ReadBootClock();
     const auto known = mEvents.EventCount();
     const auto events = mEvents.Append(connection->Piece());
     memory.Resize(mEvents.PendingBytes());
     if (mEvents.EventCount() > known) {
+      // only an event ends a silence, other bytes do not
+      mSilence.Clear();
+      CancelReplacement();
+      isWatched = false;
       mPace.OnEvents(now);
       RecordFirstEvent(aAttempt, now);
     }
     if (!events.empty()) {
       const bool isSent = co_await SendEvents(aAttempt, events);
       if (!isSent) {
+        mSilence.Clear();
+        CancelReplacement();
         connection->Abort();
         RecordEnd(RequestEnd::CallerLeft);
         co_return NextStep::Ended;
@@ -533,9 +551,13 @@
       end = net::StepEnd::Oversized;
     }
     if (end != net::StepEnd::Done) {
+      mSilence.Clear();
+      CancelReplacement();
       co_return OnAttemptBroken(aAttempt, end, now);
     }
   }
+  mSilence.Clear();
+  CancelReplacement();
   const auto now = ReadBootClock();
   if (mEvents.HasPartial() || mEvents.EventCount() == 0) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Closed, now);
