Keep a silent attempt until its replacement was not rejected

What callers saw: a stream that paused was cut although its upstream went on, if the upstream of the replacement rejected it, refused the connection or broke off and no other retry was left. An error response was relayed though a free upstream would have answered, if the first one tried refused the connection; and after silence, a replacement that could not be sent cost another whole timeout.

Cause: a replacement counted as acquired once its bytes were queued, and the search ended with the first one that could not be sent. Replacements that were not sent also used up the rejections that a later break may have.

The silent attempt now goes on for 300 ms beside its replacement, and ends only if that was not rejected, broken off or answered with an error; if it breaks itself, the replacement takes its place. The search goes on with the next upstream while retries are left. Rejections count since the last event. A dropped answer of a small model waits 50 ms for a rejection.

Waits for a revocation or a reload are now required to succeed, and the stream begins later, so that its last pause follows the revocation.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -17,9 +17,9 @@
 
 /// @brief Serves one request: admission, placement, attempts and response.
 ///
-/// An attempt that is under way is given up only for another one that has been
-/// sent: a retry can be refused by the budget, by placement, by a revoked key
-/// or by a closed upstream, and the attempt may still be answered.
+/// An attempt that is under way is given up only for another one that was sent
+/// and not rejected: a retry can be refused by the budget, by placement, by a
+/// revoked key or by its upstream, and the attempt may still be answered.
 class RequestFlow : public std::enable_shared_from_this<RequestFlow>
 {
 public:
@@ -34,6 +34,10 @@
   /// Least time before the deadline with which an attempt is still started.
   static constexpr Duration kMinAttemptTime = std::chrono::milliseconds(20);
 
+  /// Interval at which a waiting request checks for a free slot or for the
+  /// start of the instance.
+  static constexpr auto kSlotPollInterval = std::chrono::milliseconds(10);
+
   /// Lists how the request continues after an attempt.
   enum class NextStep
   {
@@ -56,13 +60,25 @@
     bool mIsSent = false;
     bool mHadEvent = false;
     bool mWasSilent = false; ///< counted against its upstream
+    bool mIsReadingHead = false;
+    std::optional<net::StepEnd> mHeadEnd; ///< set once the head was read
   };
 
-  /// Holds an attempt that takes the place of the running one once it is sent.
+  /// Holds an attempt that may take the place of the running one.
   struct Replacement
   {
     Attempt mAttempt;
     bool mIsCancelled = false;
+    bool mIsAccepted = false; ///< the running attempt is given up for it
+  };
+
+  /// Settings of the search for a replacement.
+  struct ReplaceOptions
+  {
+    /// time in which the upstream may reject a replacement or break it off,
+    /// while the running attempt goes on
+    Duration mOverlap{};
+    bool mWaitsForSlot = false; ///< until the end of the wait for a slot
   };
 
   /// Waits until an instance that has just started is ready.
@@ -101,22 +117,36 @@
   /// itself again after the same time.
   void OnSilence();
   [[nodiscard]] net::Awaitable<void> ReplaceSilentAttempt(
-    std::shared_ptr<Replacement> aReplacement);
+    std::shared_ptr<Replacement> aFirst);
   /// Plans a replacement of the running attempt.
   /// @return null if no upstream can accept it now
   [[nodiscard]] std::shared_ptr<Replacement> PlanReplacement();
-  /// Sends a replacement while the running attempt can still be answered.
-  /// @return false if it was cancelled or could not be sent
-  [[nodiscard]] net::Awaitable<bool> SendReplacement(
-    std::shared_ptr<Replacement> aReplacement);
-  /// Plans and sends a replacement.
-  [[nodiscard]] net::Awaitable<bool> Replace();
+  /// Sends planned replacements, one after the other, until one is accepted.
+  /// @return false if none was, or the search was cancelled
+  [[nodiscard]] net::Awaitable<bool> Replace(
+    std::shared_ptr<Replacement> aFirst,
+    ReplaceOptions aOptions);
+  /// Plans and sends replacements of an answer that is not relayed.
+  [[nodiscard]] net::Awaitable<bool> ReplaceAnswer(ReplaceOptions aOptions);
+  /// Sends a replacement and accepts it unless it ends within the overlap.
+  /// @return false if it was not sent, ended, was cancelled, or took the place
+  /// of an attempt that broke meanwhile
+  [[nodiscard]] net::Awaitable<bool> TryReplacement(
+    std::shared_ptr<Replacement> aReplacement,
+    Duration aOverlap);
+  /// Reads the head of a replacement if it comes within the overlap.
+  [[nodiscard]] net::Awaitable<void> ReadEarlyHead(
+    std::shared_ptr<Replacement> aReplacement,
+    Duration aOverlap);
+  /// Records the outcome of a replacement whose head was read.
+  /// @return whether it is better than the running attempt
+  [[nodiscard]] bool AcceptsHead(Attempt& aAttempt);
   void CancelReplacement();
   [[nodiscard]] bool IsReplaced() const
   {
-    return mReplacement && mReplacement->mAttempt.mIsSent;
+    return mReplacement && mReplacement->mIsAccepted;
   }
-  /// Ends the running attempt after its replacement was sent.
+  /// Ends the running attempt after its replacement was accepted.
   [[nodiscard]] NextStep OnReplaced(Attempt& aAttempt);
   /// Returns whether the running attempt may be replaced when it is silent.
   [[nodiscard]] bool MayReplace() const
@@ -145,6 +175,14 @@
   void LogFailure(const Attempt& aAttempt, std::string_view aReason) const;
   void LogRetryRefused() const;
   void LogNoSlot(placement::NoChoiceReason aReason, TimePoint aNow) const;
+  /// Returns whether an upstream states that it did not run an attempt.
+  [[nodiscard]] static bool IsRejection(
+    const net::ResponseHead& aHead,
+    const ingress::ResponseMetadata& aMetadata);
+  /// Returns whether a response is signed and belongs to this request.
+  [[nodiscard]] bool IsOwnResponse(
+    const ingress::ResponseMetadata& aMetadata) const;
+  void OnRejected(Attempt& aAttempt);
   [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
                                           TimePoint aNow) const;
   [[nodiscard]] std::chrono::milliseconds ConnectTimeout() const;
@@ -191,6 +229,8 @@
   int mAttempts = 0;      ///< attempts that may have run
   int mTransmissions = 0; ///< attempts sent on an open connection
   int mSends = 0;         ///< all attempts, also rejected or unconnected ones
+  /// attempts without a run since the last event
+  int mRejections = 0;
   int mSuspectedCrashes = 0;  ///< connections that broke during an attempt
   bool mHasRetry = false;     ///< a retry was consumed from the budget
   bool mIsKeyRefused = false; ///< the key allows no further attempt
--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -78,6 +78,8 @@
   [[nodiscard]] bool HasSent() const { return mSendStarted; }
   /// @brief Tells whether another request may follow.
   [[nodiscard]] bool IsReusable() const;
+  /// @brief Returns whether bytes or the end of the connection can be read.
+  [[nodiscard]] bool HasInput();
   /// @brief Tells whether an idle connection has been closed or has got bytes
   /// that belong to no request.
   [[nodiscard]] bool IsStale();
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -1,6 +1,7 @@
 #include <figslip/gateway/crash_check.hpp>
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -42,6 +43,16 @@
 constexpr double kPlainTimeoutFraction = 0.6;
 constexpr double kGapTimeoutFraction = 0.72;
 
+/// Time for which a silent attempt goes on beside its replacement. Two runs of
+/// a request may overlap for 400 ms until both upstreams have noticed.
+constexpr Duration kMaxOverlap = milliseconds(300);
+
+/// Time in which an upstream that is full rejects a request.
+constexpr Duration kMaxRejectionTime = milliseconds(50);
+
+/// Interval at which a replacement is checked for a response.
+constexpr auto kHeadPollInterval = milliseconds(5);
+
 /// Suspected crashes after which a request is not retried.
 constexpr int kMaxCrashes = 2;
 
@@ -130,6 +141,7 @@
       mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
     mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
     ++mSends;
+    ++mRejections;
   }
   co_return isOpen;
 }
@@ -140,6 +152,7 @@
   const auto now = ReadBootClock();
   ++mSends;
   if (const auto refusal = RefusalToSend(aAttempt, now)) {
+    ++mRejections;
     mLastFailure = EndOf(*refusal);
     mIsKeyRefused = AppliesToAllUpstreams(*refusal);
     LogFailure(aAttempt, NameOf(*refusal));
@@ -174,16 +187,21 @@
   if (MayReplace()) {
     WatchSilence(HeadPatience(aAttempt));
   }
-  const auto end = co_await aAttempt.mConnection->ReadHead(
-    ToMilliseconds(mDeadline - ReadBootClock()));
+  while (aAttempt.mIsReadingHead) {
+    co_await net::Sleep(kHeadPollInterval);
+  }
+  if (!aAttempt.mHeadEnd) {
+    aAttempt.mHeadEnd = co_await aAttempt.mConnection->ReadHead(
+      ToMilliseconds(mDeadline - ReadBootClock()));
+  }
   mSilence.Clear();
   if (IsReplaced()) {
     co_return OnReplaced(aAttempt);
   }
-  CancelReplacement();
-  if (end != net::StepEnd::Done) {
-    co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
+  if (*aAttempt.mHeadEnd != net::StepEnd::Done) {
+    co_return OnAttemptBroken(aAttempt, *aAttempt.mHeadEnd, ReadBootClock());
   }
+  CancelReplacement();
   co_return co_await OnResponseHead(aAttempt);
 }
 
@@ -220,10 +238,11 @@
 }
 
 net::Awaitable<void>
-RequestFlow::ReplaceSilentAttempt(std::shared_ptr<Replacement> aReplacement)
+RequestFlow::ReplaceSilentAttempt(std::shared_ptr<Replacement> aFirst)
 {
-  const bool isSent = co_await SendReplacement(std::move(aReplacement));
-  if (isSent) {
+  const ReplaceOptions options{ .mOverlap = kMaxOverlap };
+  const bool isReplaced = co_await Replace(std::move(aFirst), options);
+  if (isReplaced) {
     mRunning->mConnection->Abort();
   }
 }
@@ -243,30 +262,139 @@
 }
 
 net::Awaitable<bool>
-RequestFlow::SendReplacement(std::shared_ptr<Replacement> aReplacement)
+RequestFlow::Replace(std::shared_ptr<Replacement> aFirst,
+                     ReplaceOptions aOptions)
 {
-  if (aReplacement->mIsCancelled) {
+  auto replacement = std::move(aFirst);
+  while (replacement) {
+    const bool isAccepted =
+      co_await TryReplacement(replacement, aOptions.mOverlap);
+    if (replacement->mIsCancelled || replacement->mIsAccepted) {
+      co_return isAccepted;
+    }
+    CancelReplacement();
+    const bool mayGoOn = !mCaller.HasLeft() && TryAcquireRetry(ReadBootClock());
+    replacement = mayGoOn ? PlanReplacement() : nullptr;
+  }
+  co_return false;
+}
+
+net::Awaitable<bool>
+RequestFlow::ReplaceAnswer(ReplaceOptions aOptions)
+{
+  auto first = PlanReplacement();
+  while (!first && aOptions.mWaitsForSlot && !mCaller.HasLeft() &&
+         ReadBootClock() < mSlotDeadline) {
+    co_await net::Sleep(kSlotPollInterval);
+    first = PlanReplacement();
+  }
+  if (!first) {
     co_return false;
   }
-  const bool isOpen = co_await OpenConnection(aReplacement->mAttempt);
+  co_return co_await Replace(std::move(first), aOptions);
+}
+
+net::Awaitable<bool>
+RequestFlow::TryReplacement(std::shared_ptr<Replacement> aReplacement,
+                            Duration aOverlap)
+{
+  auto& attempt = aReplacement->mAttempt;
   if (aReplacement->mIsCancelled) {
     co_return false;
   }
-  const bool isSent = isOpen && Send(aReplacement->mAttempt);
-  if (!isSent) {
-    CancelReplacement();
+  const bool isOpen = co_await OpenConnection(attempt);
+  if (aReplacement->mIsCancelled || !isOpen) {
+    co_return false;
+  }
+  const bool isInTime = ReadBootClock() + kMinAttemptTime < mDeadline;
+  if (!isInTime || !Send(attempt)) {
+    co_return false;
+  }
+  co_await ReadEarlyHead(aReplacement, aOverlap);
+  if (aReplacement->mIsCancelled || aReplacement->mIsAccepted) {
+    co_return false;
   }
-  co_return isSent;
+  aReplacement->mIsAccepted = !attempt.mHeadEnd || AcceptsHead(attempt);
+  co_return aReplacement->mIsAccepted;
 }
 
-net::Awaitable<bool>
-RequestFlow::Replace()
+net::Awaitable<void>
+RequestFlow::ReadEarlyHead(std::shared_ptr<Replacement> aReplacement,
+                           Duration aOverlap)
 {
-  auto replacement = PlanReplacement();
-  if (!replacement) {
-    co_return false;
+  auto& attempt = aReplacement->mAttempt;
+  const auto until = ReadBootClock() + aOverlap;
+  while (!attempt.mConnection->HasInput()) {
+    if (ReadBootClock() >= until) {
+      co_return;
+    }
+    co_await net::Sleep(kHeadPollInterval);
+    if (aReplacement->mIsCancelled || aReplacement->mIsAccepted) {
+      co_return;
+    }
+  }
+  attempt.mIsReadingHead = true;
+  attempt.mHeadEnd = co_await attempt.mConnection->ReadHead(
+    ToMilliseconds(until - ReadBootClock()));
+  attempt.mIsReadingHead = false;
+}
+
+bool
+RequestFlow::AcceptsHead(Attempt& aAttempt)
+{
+  auto end = *aAttempt.mHeadEnd;
+  const auto& head = aAttempt.mConnection->Head();
+  const auto metadata = mState.mDialect.mReadResponse(head);
+  if (end == net::StepEnd::Done && IsRejection(head, metadata)) {
+    OnRejected(aAttempt);
+    return false;
+  }
+  mMayHaveRun = true;
+  if (end == net::StepEnd::Done && !IsOwnResponse(metadata)) {
+    end = net::StepEnd::Malformed;
   }
-  co_return co_await SendReplacement(std::move(replacement));
+  const bool isBroken = end != net::StepEnd::Done;
+  if (!isBroken && head.mStatus < kFirstServerError) {
+    return true;
+  }
+  if (isBroken) {
+    LogBroken(aAttempt, end);
+  } else {
+    LogFailure(aAttempt, "status_" + std::to_string(head.mStatus));
+  }
+  RecordHealth(aAttempt,
+               isBroken ? AttemptHealth::Broken : AttemptHealth::Error);
+  RecordFailure(aAttempt, isBroken);
+  mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+  return false;
+}
+
+bool
+RequestFlow::IsRejection(const net::ResponseHead& aHead,
+                         const ingress::ResponseMetadata& aMetadata)
+{
+  return aMetadata.mNotExecuted || aHead.mStatus == kMisdirected;
+}
+
+bool
+RequestFlow::IsOwnResponse(const ingress::ResponseMetadata& aMetadata) const
+{
+  const bool isOtherRequest =
+    !aMetadata.mAttemptId.empty() && aMetadata.mAttemptId != mFacts.mAttemptId;
+  return !isOtherRequest && aMetadata.mHasSignature;
+}
+
+void
+RequestFlow::OnRejected(Attempt& aAttempt)
+{
+  LogFailure(aAttempt, "rejected");
+  --mAttempts;
+  ++mRejections;
+  RecordHealth(aAttempt, AttemptHealth::Rejected);
+  mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+  mLastFailure =
+    mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
+  aAttempt.mConnection->Abort();
 }
 
 void
@@ -386,14 +514,8 @@
   if (isOtherRequest) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Malformed, now);
   }
-  if (facts.mNotExecuted || head.mStatus == kMisdirected) {
-    LogFailure(aAttempt, "rejected");
-    --mAttempts;
-    RecordHealth(aAttempt, AttemptHealth::Rejected);
-    mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
-    mLastFailure =
-      mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
-    aAttempt.mConnection->Abort();
+  if (IsRejection(head, facts)) {
+    OnRejected(aAttempt);
     co_return NextStep::Retry;
   }
   mMayHaveRun = true;
@@ -407,7 +529,8 @@
     RecordFailure(aAttempt, false);
     if (mRoute->IsRetryable() && TryAcquireRetry(now)) {
       mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
-      const bool isReplaced = co_await Replace();
+      const bool isReplaced = co_await ReplaceAnswer(
+        { .mOverlap = kMaxOverlap, .mWaitsForSlot = true });
       if (isReplaced || mCaller.HasLeft()) {
         mLastFailure = RequestEnd::UpstreamFailed;
         aAttempt.mConnection->Abort();
@@ -424,9 +547,16 @@
                                                        question) &&
                            TryAcquireRetry(now);
   if (wantsLarger) {
+    const bool wasDropped = mAnswerDropped;
     mAnswerDropped = true; // the replacement is planned with a larger model
-    mAnswerDropped = co_await Replace();
-    if (mAnswerDropped || mCaller.HasLeft()) {
+    const bool isReplaced =
+      co_await ReplaceAnswer({ .mOverlap = kMaxRejectionTime });
+    if (mCaller.HasLeft()) {
+      aAttempt.mConnection->Abort();
+      co_return NextStep::Replaced;
+    }
+    mAnswerDropped = isReplaced || wasDropped;
+    if (isReplaced) {
       RecordHealth(aAttempt, AttemptHealth::Good);
       RecordFirstEvent(aAttempt, now);
       aAttempt.mConnection->Abort();
@@ -474,7 +604,6 @@
     }
     if (end != net::StepEnd::Done) {
       mSilence.Clear();
-      CancelReplacement();
       co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
     }
   }
@@ -532,6 +661,7 @@
       mSilence.Clear();
       CancelReplacement();
       isWatched = false;
+      mRejections = 0;
       mPace.OnEvents(now);
       RecordFirstEvent(aAttempt, now);
     }
@@ -552,7 +682,6 @@
     }
     if (end != net::StepEnd::Done) {
       mSilence.Clear();
-      CancelReplacement();
       co_return OnAttemptBroken(aAttempt, end, now);
     }
   }
@@ -610,6 +739,7 @@
     aNow >= mDeadline ||
     (aEnd == net::StepEnd::TimedOut && aNow + kMinAttemptTime >= mDeadline);
   if (hasTimedOut) {
+    CancelReplacement();
     mLastFailure = RequestEnd::RouteTimeout;
     return NextStep::Failed;
   }
@@ -617,6 +747,11 @@
     StartCrashCheck(aAttempt, aNow);
   }
   mLastFailure = RequestEnd::UpstreamFailed;
+  if (mReplacement && mReplacement->mAttempt.mIsSent) {
+    mReplacement->mIsAccepted = true;
+    return NextStep::Replaced;
+  }
+  CancelReplacement();
   return NextStepAfterFailure();
 }
 
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -16,10 +17,6 @@
 /// Maximum size of a buffered event of a stream.
 constexpr std::size_t kMaxEventBytes = 262'144;
 
-/// Interval at which a waiting request checks for a free slot or for the start
-/// of the instance.
-constexpr auto kSlotPollInterval = milliseconds(10);
-
 /// Time in which a started instance is expected to receive its configuration;
 /// requests wait for it for a fraction of their callers' timeout.
 constexpr auto kStartupTime = milliseconds(800);
@@ -180,11 +177,11 @@
       mLastFailure = RequestEnd::RouteTimeout;
       break;
     }
-    auto attempt = IsReplaced()
-                     ? std::optional(std::move(mReplacement->mAttempt))
-                     : PlanAttempt(now);
-    mReplacement.reset();
-    if (!attempt) {
+    // a search for a replacement may still hold the one that was accepted
+    const auto replacement =
+      IsReplaced() ? std::exchange(mReplacement, nullptr) : nullptr;
+    auto planned = replacement ? std::nullopt : PlanAttempt(now);
+    if (!replacement && !planned) {
       const auto reason =
         mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
       const bool mayWait =
@@ -201,7 +198,8 @@
       }
       break;
     }
-    const auto next = co_await RunAttempt(*attempt);
+    auto& attempt = replacement ? replacement->mAttempt : *planned;
+    const auto next = co_await RunAttempt(attempt);
     if (next == NextStep::Ended) {
       co_return;
     }
@@ -228,7 +226,7 @@
 {
   const int limit = std::max(1, mRoute->mMaxAttempts);
   const bool isPossible = !mIsKeyRefused && mAttempts < limit &&
-                          mSends < limit + kMaxRejections &&
+                          mAttempts + mRejections < limit + kMaxRejections &&
                           aNow + kMinAttemptTime < mDeadline;
   if (!isPossible) {
     return false;
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -251,6 +251,12 @@
 
 bool
 ClientConnection::IsStale()
+{
+  return HasInput();
+}
+
+bool
+ClientConnection::HasInput()
 {
   char byte = 0;
   const auto read =
--- a/tests/src/history-abandoned_answer.cpp
+++ b/tests/src/history-abandoned_answer.cpp
@@ -27,15 +27,35 @@
 /// Look-up whose route only the configuration with two models has.
 const std::string kModelsLookup = "/models-look/1";
 
-/// Time in which an instance follows a change of its settings.
-constexpr auto kReloadTime = 1500ms;
+/// Slack of all instances that leaves one retry.
+constexpr double kSlackOfOneRetry = 2.0;
 
+constexpr auto kReloadPatience = 10s;
+
+/// Before the first event of a stream, in which a change comes into force.
+constexpr auto kHeldHead = 400ms;
+
+/// Changes a setting and waits until the instance has applied it.
+void
+ChangeSetting(IngressWorld& aWorld, const std::string& aField, double aValue)
+{
+  const std::string reloaded = "settings_reloaded";
+  const auto known = aWorld.Instance(0).Log().rfind(reloaded);
+  aWorld.ChangeSetting(0, aField, aValue);
+  const auto until = std::chrono::steady_clock::now() + kReloadPatience;
+  while (aWorld.Instance(0).Log().rfind(reloaded) == known &&
+         std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(5ms);
+  }
+  REQUIRE(aWorld.Instance(0).Log().rfind(reloaded) != known);
+}
+
+/// Leaves this many retries for as long as a test lasts.
 void
-UseUpRetries(IngressWorld& aWorld)
+LeaveRetries(IngressWorld& aWorld, double aSlack)
 {
-  aWorld.ChangeSetting(0, "retry_share", 0.0);
-  aWorld.ChangeSetting(0, "retry_slack", 0.0);
-  std::this_thread::sleep_for(kReloadTime);
+  ChangeSetting(aWorld, "retry_share", 0.0);
+  ChangeSetting(aWorld, "retry_slack", aSlack);
 }
 
 bool
@@ -51,10 +71,12 @@
             const std::string& aPath = "/look/1")
 {
   const auto until = std::chrono::steady_clock::now() + 3s;
-  while (aWorld.Send(0, "GET", aPath, "probe").mStatus != aStatus &&
-         std::chrono::steady_clock::now() < until) {
+  int status = 0;
+  while (status != aStatus && std::chrono::steady_clock::now() < until) {
+    status = aWorld.Send(0, "GET", aPath, "probe").mStatus;
     std::this_thread::sleep_for(5ms);
   }
+  REQUIRE(status == aStatus);
 }
 
 void
@@ -135,12 +157,15 @@
   SUBCASE("when a stream pauses")
   {
     SetPauses(world, kShortPause);
+    HoldHeads(world, "/chat/");
     auto open = SendLater(world, "POST", "/chat/1");
     std::this_thread::sleep_for(kShortPause / 2);
 
     SUBCASE("after its key was revoked")
     {
       world.PutConfiguration({ "key-2" });
+      std::this_thread::sleep_for(kHeldHead);
+      HoldHeads(world, "");
       AwaitStatus(world, 401);
       SetPauses(world, kLongPause);
       CHECK(IsServed(open.get()));
@@ -149,6 +174,8 @@
     SUBCASE("after its key was revoked and the instance was asked to stop")
     {
       world.PutConfiguration({ "key-2" });
+      std::this_thread::sleep_for(kHeldHead);
+      HoldHeads(world, "");
       AwaitStatus(world, 401);
       SetPauses(world, kLongPause);
       world.Instance(0).Signal(SIGTERM);
@@ -158,6 +185,8 @@
     SUBCASE("after all upstreams began to drain")
     {
       DrainEngines(world);
+      std::this_thread::sleep_for(kHeldHead);
+      HoldHeads(world, "");
       AwaitStatus(world, 503);
       SetPauses(world, kLongPause);
       CHECK(IsServed(open.get()));
@@ -166,15 +195,30 @@
 
   SUBCASE("when a stream pauses and the retry budget is used up")
   {
-    UseUpRetries(world);
+    LeaveRetries(world, 0.0);
     SetPauses(world, kLongPause);
     CHECK(IsServed(world.Send(0, "POST", "/chat/1", "open")));
     CHECK(world.RunsOf("open") == 1);
   }
 
+  SUBCASE("when a stream pauses and its replacement is rejected")
+  {
+    LeaveRetries(world, kSlackOfOneRetry);
+    SetPauses(world, kShortPause);
+    auto open = SendLater(world, "POST", "/chat/1");
+    std::this_thread::sleep_for(kShortPause / 2);
+    const std::size_t running = world.Engine(0).Runs().empty() ? 1 : 0;
+    world.Engine(1 - running)
+      .SetBehaviour(test::EngineStandIn::Behaviour::Refuse);
+    std::this_thread::sleep_for(kShortPause);
+    SetPauses(world, kLongPause);
+    CHECK(IsServed(open.get()));
+    CHECK(world.RunsOf("open") == 1);
+  }
+
   SUBCASE("when a look-up is slow and the retry budget is used up")
   {
-    UseUpRetries(world);
+    LeaveRetries(world, 0.0);
     HoldHeads(world, "/look/");
     auto open = SendLater(world, "GET", "/look/1");
     std::this_thread::sleep_for(kLongPause);
@@ -213,9 +257,12 @@
 {
   IngressWorld world;
   SetPauses(world, kShortPause);
+  HoldHeads(world, "/chat/");
   auto open = SendLater(world, "POST", "/chat/1");
   std::this_thread::sleep_for(kShortPause / 2);
   world.PutConfiguration({ "key-2" });
+  std::this_thread::sleep_for(kHeldHead);
+  HoldHeads(world, "");
   AwaitStatus(world, 401);
   SetPauses(world, 2 * kLongPause);
   CHECK(IsServed(open.get()));
@@ -226,3 +273,24 @@
   REQUIRE(first != std::string::npos);
   CHECK(log.find(refusal, first + 1) == std::string::npos);
 }
+
+TEST_CASE("an error response is relayed though another upstream is free")
+{
+  IngressWorld world;
+  world.Engine(0).SetBehaviour(test::EngineStandIn::Behaviour::Fail);
+  // of equal upstreams the first by name is chosen: the one that fails, the
+  // one that refuses connections, the one that is free
+  world.Store().Put("servers",
+                    "e-1-closed",
+                    { { "service", "engines" },
+                      { "address", "127.0.0.1:1" },
+                      { "zone", "a" },
+                      { "version", "v1" },
+                      { "slots", 8 },
+                      { "state", "ready" },
+                      { "cold_remaining_ms", 0 },
+                      { "born", 1 },
+                      { "seq", 1 } });
+  std::this_thread::sleep_for(2s);
+  CHECK(IsServed(world.Send(0, "GET", "/look/1", "open")));
+}
