Answer 401 only to a key that no client account has

What callers saw: a request that waited while its key moved to another client account got 401, although the key was valid; a fresh request with it was served. A stream whose keys were too old at one search for a replacement was never retried again, also once they were confirmed.

Cause: the check before a send knew one refusal for a key that is gone and for one that moved, and every refusal for a key ended all retries.

A key that moved, or that is not needed any more, now ends as stale_keys, so the caller comes back and is admitted anew; stale keys count for one search only.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -183,6 +183,8 @@
   [[nodiscard]] bool IsOwnResponse(
     const ingress::ResponseMetadata& aMetadata) const;
   void OnRejected(Attempt& aAttempt);
+  /// Lets the request be retried if its keys were only too old.
+  void ForgetStaleKeys();
   [[nodiscard]] std::string FormatAttempt(const Attempt& aAttempt,
                                           TimePoint aNow) const;
   [[nodiscard]] std::chrono::milliseconds ConnectTimeout() const;
@@ -231,9 +233,10 @@
   int mSends = 0;         ///< all attempts, also rejected or unconnected ones
   /// attempts without a run since the last event
   int mRejections = 0;
-  int mSuspectedCrashes = 0;  ///< connections that broke during an attempt
-  bool mHasRetry = false;     ///< a retry was consumed from the budget
-  bool mIsKeyRefused = false; ///< the key allows no further attempt
+  int mSuspectedCrashes = 0; ///< connections that broke during an attempt
+  bool mHasRetry = false;    ///< a retry was consumed from the budget
+  /// why its key allows no further attempt
+  std::optional<SendRefusal> mKeyRefusal;
   bool mMayHaveRun = false;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
--- a/include/figslip/gateway/send_refusal.hpp
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -8,7 +8,9 @@
 enum class SendRefusal
 {
   KeysStale,      ///< the configuration is too old to accept a key
-  KeyRevoked,     ///< the key no longer belongs to the client account
+  KeyRevoked,     ///< no client account has the key any more
+  KeyReassigned,  ///< the key belongs to another client account, or none is
+                  ///< needed any more
   UpstreamClosed, ///< the upstream has left, drains or is in a drained domain
   VersionClosed   ///< the roll-out sends nothing to the version any more
 };
@@ -22,6 +24,8 @@
       return "keys_stale_before_send";
     case SendRefusal::KeyRevoked:
       return "key_revoked_before_send";
+    case SendRefusal::KeyReassigned:
+      return "key_reassigned_before_send";
     case SendRefusal::UpstreamClosed:
       return "upstream_closed_before_send";
     case SendRefusal::VersionClosed:
@@ -35,7 +39,8 @@
 AppliesToAllUpstreams(SendRefusal aRefusal)
 {
   return aRefusal == SendRefusal::KeysStale ||
-         aRefusal == SendRefusal::KeyRevoked;
+         aRefusal == SendRefusal::KeyRevoked ||
+         aRefusal == SendRefusal::KeyReassigned;
 }
 
 } // namespace figslip::gateway
--- a/include/figslip/ingress/configuration.hpp
+++ b/include/figslip/ingress/configuration.hpp
@@ -112,6 +112,14 @@
   CallerLimits mLimits;
 };
 
+/// @brief Lists what became of the key of a request since its admission.
+enum class KeyState
+{
+  Valid,
+  Revoked,   ///< no client account has the key
+  Reassigned ///< belongs to another client account, or no account is needed
+};
+
 /// @brief Indexes the routes, accounts and services of a configuration.
 class ConfigurationIndex
 {
@@ -132,6 +140,12 @@
   /// @return null if no account has the key
   [[nodiscard]] const ClientAccount* FindAccount(std::string_view aKey) const;
 
+  /// @brief Compares the account of a key with the account at the admission of
+  /// its request.
+  /// @param[in] aAccount name of the account at the admission
+  [[nodiscard]] KeyState StateOfKey(std::string_view aKey,
+                                    std::string_view aAccount) const;
+
   /// @return null if there is no such service
   [[nodiscard]] const Service* FindService(std::string_view aName) const;
 
--- a/src/core/ingress/configuration.cpp
+++ b/src/core/ingress/configuration.cpp
@@ -61,6 +61,20 @@
   return found == mAccountsByKey.end() ? nullptr : found->second;
 }
 
+KeyState
+ConfigurationIndex::StateOfKey(std::string_view aKey,
+                               std::string_view aAccount) const
+{
+  if (mConfiguration.mAccounts.empty()) {
+    return KeyState::Reassigned;
+  }
+  const auto* const account = FindAccount(aKey);
+  if (account == nullptr) {
+    return KeyState::Revoked;
+  }
+  return account->mName == aAccount ? KeyState::Valid : KeyState::Reassigned;
+}
+
 const Service*
 ConfigurationIndex::FindService(std::string_view aName) const
 {
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -61,6 +61,7 @@
 {
   switch (aRefusal) {
     case SendRefusal::KeysStale:
+    case SendRefusal::KeyReassigned:
       return RequestEnd::StaleKeys;
     case SendRefusal::KeyRevoked:
       return RequestEnd::UnknownKey;
@@ -154,7 +155,9 @@
   if (const auto refusal = RefusalToSend(aAttempt, now)) {
     ++mRejections;
     mLastFailure = EndOf(*refusal);
-    mIsKeyRefused = AppliesToAllUpstreams(*refusal);
+    if (AppliesToAllUpstreams(*refusal)) {
+      mKeyRefusal = refusal;
+    }
     LogFailure(aAttempt, NameOf(*refusal));
     return false;
   }
@@ -224,6 +227,7 @@
     mState.mPool.Drop({ .mAddress = mRunning->mUpstream.mAddress,
                         .mPort = mRunning->mUpstream.mPort });
   }
+  ForgetStaleKeys();
   if (mReplacement || !TryAcquireRetry(ReadBootClock())) {
     return;
   }
@@ -384,6 +388,14 @@
   return !isOtherRequest && aMetadata.mHasSignature;
 }
 
+void
+RequestFlow::ForgetStaleKeys()
+{
+  if (mKeyRefusal == SendRefusal::KeysStale) {
+    mKeyRefusal.reset();
+  }
+}
+
 void
 RequestFlow::OnRejected(Attempt& aAttempt)
 {
@@ -722,6 +734,7 @@
 {
   aAttempt.mConnection->Abort();
   mEvents.DiscardPartial();
+  ForgetStaleKeys();
   mMayHaveRun = true;
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -225,7 +225,7 @@
 RequestFlow::TryAcquireRetry(TimePoint aNow)
 {
   const int limit = std::max(1, mRoute->mMaxAttempts);
-  const bool isPossible = !mIsKeyRefused && mAttempts < limit &&
+  const bool isPossible = !mKeyRefusal && mAttempts < limit &&
                           mAttempts + mRejections < limit + kMaxRejections &&
                           aNow + kMinAttemptTime < mDeadline;
   if (!isPossible) {
@@ -344,10 +344,14 @@
     if (!mState.mLease.IsHeld(aNow)) {
       return SendRefusal::KeysStale;
     }
-    const auto* const account =
-      mState.mConfiguration->FindAccount(mFacts.mApiKey);
-    if (account == nullptr || account->mName != mAccount->mName) {
-      return SendRefusal::KeyRevoked;
+    switch (
+      mState.mConfiguration->StateOfKey(mFacts.mApiKey, mAccount->mName)) {
+      case ingress::KeyState::Revoked:
+        return SendRefusal::KeyRevoked;
+      case ingress::KeyState::Reassigned:
+        return SendRefusal::KeyReassigned;
+      case ingress::KeyState::Valid:
+        break;
     }
   }
   if (!mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow)) {
--- a/tests/src/unit-ingress.cpp
+++ b/tests/src/unit-ingress.cpp
@@ -51,6 +51,15 @@
   {
     CHECK(index.FindAccount("k2")->mName == "studio");
     CHECK(index.FindAccount("") == nullptr);
+    CHECK(index.StateOfKey("k2", "studio") == ingress::KeyState::Valid);
+    CHECK(index.StateOfKey("gone", "studio") == ingress::KeyState::Revoked);
+
+    SUBCASE("and one that moved to another account was not revoked")
+    {
+      CHECK(index.StateOfKey("k2", "other") == ingress::KeyState::Reassigned);
+      const ingress::ConfigurationIndex open(ingress::Configuration{});
+      CHECK(open.StateOfKey("k2", "studio") == ingress::KeyState::Reassigned);
+    }
   }
 
   SUBCASE("splits the traffic of a route by weight")
