--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -29,6 +29,8 @@
   TimedOut,  ///< the watchdog expired
   Closed,    ///< the other side closed or reset the connection
   Malformed, ///< bytes that are no HTTP/1.1 response
+  Oversized, ///< more bytes than a response may have
+  Evicted,   ///< received bytes were given up to free memory
   Aborted    ///< `Abort` was called
 };
 
@@ -76,6 +78,8 @@
   [[nodiscard]] bool HasSent() const { return mSendStarted; }
   /// @brief Tells whether another request may follow.
   [[nodiscard]] bool IsReusable() const;
+  /// @brief Returns whether bytes or the end of the connection can be read.
+  [[nodiscard]] bool HasInput();
   /// @brief Tells whether an idle connection has been closed or has got bytes
   /// that belong to no request.
   [[nodiscard]] bool IsStale();
@@ -91,7 +95,10 @@
   };
 
   [[nodiscard]] StepEnd EndOf(const error_code& aError) const;
+  void BeginResponse();
   void TakeHead();
+  /// Ends a step that exceeded a limit.
+  StepEnd OnOversized();
 
   std::shared_ptr<tcp::socket> mSocket;
   Watchdog mWatchdog;
@@ -101,6 +108,8 @@
   std::array<char, 8192> mPieceBuffer{};
   ResponseHead mHead;
   std::string mPiece;
+  std::size_t mBodyBytes = 0;    ///< of the response so far
+  std::size_t mFramingBytes = 0; ///< chunk sizes, extensions and trailers
   bool mSendStarted = false;
   bool mBroken = false;
   bool mAborted = false;
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -1,6 +1,7 @@
 #include <figslip/gateway/crash_check.hpp>
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
+#include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -42,6 +43,16 @@
 constexpr double kPlainTimeoutFraction = 0.6;
 constexpr double kGapTimeoutFraction = 0.72;
 
+/// Time for which a silent attempt goes on beside its replacement. Two runs of
+/// a request may overlap for 400 ms until both upstreams have noticed.
+constexpr Duration kMaxOverlap = milliseconds(300);
+
+/// Time in which an upstream that is full rejects a request.
+constexpr Duration kMaxRejectionTime = milliseconds(50);
+
+/// Interval at which a replacement is checked for a response.
+constexpr auto kHeadPollInterval = milliseconds(5);
+
 /// Suspected crashes after which a request is not retried.
 constexpr int kMaxCrashes = 2;
 
@@ -50,6 +61,7 @@
 {
   switch (aRefusal) {
     case SendRefusal::KeysStale:
+    case SendRefusal::KeyReassigned:
       return RequestEnd::StaleKeys;
     case SendRefusal::KeyRevoked:
       return RequestEnd::UnknownKey;
@@ -130,6 +142,7 @@
       mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
     mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
     ++mSends;
+    ++mRejections;
   }
   co_return isOpen;
 }
@@ -140,8 +153,11 @@
   const auto now = ReadBootClock();
   ++mSends;
   if (const auto refusal = RefusalToSend(aAttempt, now)) {
+    ++mRejections;
     mLastFailure = EndOf(*refusal);
-    mIsKeyRefused = AppliesToAllUpstreams(*refusal);
+    if (AppliesToAllUpstreams(*refusal)) {
+      mKeyRefusal = refusal;
+    }
     LogFailure(aAttempt, NameOf(*refusal));
     return false;
   }
@@ -174,16 +190,21 @@
   if (MayReplace()) {
     WatchSilence(HeadPatience(aAttempt));
   }
-  const auto end = co_await aAttempt.mConnection->ReadHead(
-    ToMilliseconds(mDeadline - ReadBootClock()));
+  while (aAttempt.mIsReadingHead) {
+    co_await net::Sleep(kHeadPollInterval);
+  }
+  if (!aAttempt.mHeadEnd) {
+    aAttempt.mHeadEnd = co_await aAttempt.mConnection->ReadHead(
+      ToMilliseconds(mDeadline - ReadBootClock()));
+  }
   mSilence.Clear();
   if (IsReplaced()) {
     co_return OnReplaced(aAttempt);
   }
-  CancelReplacement();
-  if (end != net::StepEnd::Done) {
-    co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
+  if (*aAttempt.mHeadEnd != net::StepEnd::Done) {
+    co_return OnAttemptBroken(aAttempt, *aAttempt.mHeadEnd, ReadBootClock());
   }
+  CancelReplacement();
   co_return co_await OnResponseHead(aAttempt);
 }
 
@@ -206,6 +227,7 @@
     mState.mPool.Drop({ .mAddress = mRunning->mUpstream.mAddress,
                         .mPort = mRunning->mUpstream.mPort });
   }
+  ForgetStaleKeys();
   if (mReplacement || !TryAcquireRetry(ReadBootClock())) {
     return;
   }
@@ -220,10 +242,11 @@
 }
 
 net::Awaitable<void>
-RequestFlow::ReplaceSilentAttempt(std::shared_ptr<Replacement> aReplacement)
+RequestFlow::ReplaceSilentAttempt(std::shared_ptr<Replacement> aFirst)
 {
-  const bool isSent = co_await SendReplacement(std::move(aReplacement));
-  if (isSent) {
+  const ReplaceOptions options{ .mOverlap = kMaxOverlap };
+  const bool isReplaced = co_await Replace(std::move(aFirst), options);
+  if (isReplaced) {
     mRunning->mConnection->Abort();
   }
 }
@@ -243,30 +266,147 @@
 }
 
 net::Awaitable<bool>
-RequestFlow::SendReplacement(std::shared_ptr<Replacement> aReplacement)
+RequestFlow::Replace(std::shared_ptr<Replacement> aFirst,
+                     ReplaceOptions aOptions)
 {
-  if (aReplacement->mIsCancelled) {
+  auto replacement = std::move(aFirst);
+  while (replacement) {
+    const bool isAccepted =
+      co_await TryReplacement(replacement, aOptions.mOverlap);
+    if (replacement->mIsCancelled || replacement->mIsAccepted) {
+      co_return isAccepted;
+    }
+    CancelReplacement();
+    const bool mayGoOn = !mCaller.HasLeft() && TryAcquireRetry(ReadBootClock());
+    replacement = mayGoOn ? PlanReplacement() : nullptr;
+  }
+  co_return false;
+}
+
+net::Awaitable<bool>
+RequestFlow::ReplaceAnswer(ReplaceOptions aOptions)
+{
+  auto first = PlanReplacement();
+  while (!first && aOptions.mWaitsForSlot && !mCaller.HasLeft() &&
+         ReadBootClock() < mSlotDeadline) {
+    co_await net::Sleep(kSlotPollInterval);
+    first = PlanReplacement();
+  }
+  if (!first) {
     co_return false;
   }
-  const bool isOpen = co_await OpenConnection(aReplacement->mAttempt);
+  co_return co_await Replace(std::move(first), aOptions);
+}
+
+net::Awaitable<bool>
+RequestFlow::TryReplacement(std::shared_ptr<Replacement> aReplacement,
+                            Duration aOverlap)
+{
+  auto& attempt = aReplacement->mAttempt;
   if (aReplacement->mIsCancelled) {
     co_return false;
   }
-  const bool isSent = isOpen && Send(aReplacement->mAttempt);
-  if (!isSent) {
-    CancelReplacement();
+  const bool isOpen = co_await OpenConnection(attempt);
+  if (aReplacement->mIsCancelled || !isOpen) {
+    co_return false;
   }
-  co_return isSent;
+  const bool isInTime = ReadBootClock() + kMinAttemptTime < mDeadline;
+  if (!isInTime || !Send(attempt)) {
+    co_return false;
+  }
+  co_await ReadEarlyHead(aReplacement, aOverlap);
+  if (aReplacement->mIsCancelled || aReplacement->mIsAccepted) {
+    co_return false;
+  }
+  aReplacement->mIsAccepted = !attempt.mHeadEnd || AcceptsHead(attempt);
+  co_return aReplacement->mIsAccepted;
 }
 
-net::Awaitable<bool>
-RequestFlow::Replace()
+net::Awaitable<void>
+RequestFlow::ReadEarlyHead(std::shared_ptr<Replacement> aReplacement,
+                           Duration aOverlap)
 {
-  auto replacement = PlanReplacement();
-  if (!replacement) {
-    co_return false;
+  auto& attempt = aReplacement->mAttempt;
+  const auto until = ReadBootClock() + aOverlap;
+  while (!attempt.mConnection->HasInput()) {
+    if (ReadBootClock() >= until) {
+      co_return;
+    }
+    co_await net::Sleep(kHeadPollInterval);
+    if (aReplacement->mIsCancelled || aReplacement->mIsAccepted) {
+      co_return;
+    }
+  }
+  attempt.mIsReadingHead = true;
+  attempt.mHeadEnd = co_await attempt.mConnection->ReadHead(
+    ToMilliseconds(until - ReadBootClock()));
+  attempt.mIsReadingHead = false;
+}
+
+bool
+RequestFlow::AcceptsHead(Attempt& aAttempt)
+{
+  auto end = *aAttempt.mHeadEnd;
+  const auto& head = aAttempt.mConnection->Head();
+  const auto metadata = mState.mDialect.mReadResponse(head);
+  if (end == net::StepEnd::Done && IsRejection(head, metadata)) {
+    OnRejected(aAttempt);
+    return false;
+  }
+  mMayHaveRun = true;
+  if (end == net::StepEnd::Done && !IsOwnResponse(metadata)) {
+    end = net::StepEnd::Malformed;
+  }
+  const bool isBroken = end != net::StepEnd::Done;
+  if (!isBroken && head.mStatus < kFirstServerError) {
+    return true;
+  }
+  if (isBroken) {
+    LogBroken(aAttempt, end);
+  } else {
+    LogFailure(aAttempt, "status_" + std::to_string(head.mStatus));
+  }
+  RecordHealth(aAttempt,
+               isBroken ? AttemptHealth::Broken : AttemptHealth::Error);
+  RecordFailure(aAttempt, isBroken);
+  mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+  return false;
+}
+
+bool
+RequestFlow::IsRejection(const net::ResponseHead& aHead,
+                         const ingress::ResponseMetadata& aMetadata)
+{
+  return aMetadata.mNotExecuted || aHead.mStatus == kMisdirected;
+}
+
+bool
+RequestFlow::IsOwnResponse(const ingress::ResponseMetadata& aMetadata) const
+{
+  const bool isOtherRequest =
+    !aMetadata.mAttemptId.empty() && aMetadata.mAttemptId != mFacts.mAttemptId;
+  return !isOtherRequest && aMetadata.mHasSignature;
+}
+
+void
+RequestFlow::ForgetStaleKeys()
+{
+  if (mKeyRefusal == SendRefusal::KeysStale) {
+    mKeyRefusal.reset();
   }
-  co_return co_await SendReplacement(std::move(replacement));
+}
+
+void
+RequestFlow::OnRejected(Attempt& aAttempt)
+{
+  LogFailure(aAttempt, "rejected");
+  --mAttempts;
+  ++mRejections;
+  RecordHealth(aAttempt, AttemptHealth::Rejected);
+  mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+  mLastFailure =
+    mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
+  aAttempt.mConnection->Abort();
 }
 
 void
@@ -386,14 +526,8 @@
   if (isOtherRequest) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Malformed, now);
   }
-  if (facts.mNotExecuted || head.mStatus == kMisdirected) {
-    LogFailure(aAttempt, "rejected");
-    --mAttempts;
-    RecordHealth(aAttempt, AttemptHealth::Rejected);
-    mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
-    mLastFailure =
-      mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
-    aAttempt.mConnection->Abort();
+  if (IsRejection(head, facts)) {
+    OnRejected(aAttempt);
     co_return NextStep::Retry;
   }
   mMayHaveRun = true;
@@ -407,7 +541,8 @@
     RecordFailure(aAttempt, false);
     if (mRoute->IsRetryable() && TryAcquireRetry(now)) {
       mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
-      const bool isReplaced = co_await Replace();
+      const bool isReplaced = co_await ReplaceAnswer(
+        { .mOverlap = kMaxOverlap, .mWaitsForSlot = true });
       if (isReplaced || mCaller.HasLeft()) {
         mLastFailure = RequestEnd::UpstreamFailed;
         aAttempt.mConnection->Abort();
@@ -424,9 +559,16 @@
                                                        question) &&
                            TryAcquireRetry(now);
   if (wantsLarger) {
+    const bool wasDropped = mAnswerDropped;
     mAnswerDropped = true; // the replacement is planned with a larger model
-    mAnswerDropped = co_await Replace();
-    if (mAnswerDropped || mCaller.HasLeft()) {
+    const bool isReplaced =
+      co_await ReplaceAnswer({ .mOverlap = kMaxRejectionTime });
+    if (mCaller.HasLeft()) {
+      aAttempt.mConnection->Abort();
+      co_return NextStep::Replaced;
+    }
+    mAnswerDropped = isReplaced || wasDropped;
+    if (isReplaced) {
       RecordHealth(aAttempt, AttemptHealth::Good);
       RecordFirstEvent(aAttempt, now);
       aAttempt.mConnection->Abort();
@@ -450,18 +592,39 @@
 RequestFlow::RelayBuffered(Attempt& aAttempt)
 {
   std::string body;
-  auto& connection = *aAttempt.mConnection;
-  while (!connection.BodyIsWhole()) {
+  const auto connection = aAttempt.mConnection;
+  stream::BufferBudget::Buffer memory(mState.mAnswerMemory,
+                                      [connection] { connection->Abort(); });
+  if (MayReplace()) {
+    WatchSilence(HeadPatience(aAttempt)); // the caller sees no part of a body
+  }
+  while (!connection->BodyIsWhole()) {
     const auto limit = ToMilliseconds(mDeadline - ReadBootClock());
-    const auto end = co_await connection.ReadBody(limit);
-    body += connection.Piece();
-    if (end != net::StepEnd::Done || body.size() > kMaxBufferedBytes) {
+    auto end = co_await connection->ReadBody(limit);
+    if (IsReplaced()) {
+      mSilence.Clear();
+      co_return OnReplaced(aAttempt);
+    }
+    if (body.size() + connection->Piece().size() > kMaxBufferedBytes) {
+      end = net::StepEnd::Oversized;
+    } else {
+      body += connection->Piece();
+      memory.Resize(body.capacity());
+    }
+    if (memory.IsEvicted()) {
+      end = net::StepEnd::Evicted;
+    }
+    if (end != net::StepEnd::Done) {
+      mSilence.Clear();
       co_return OnAttemptBroken(aAttempt, end, ReadBootClock());
     }
   }
+  memory.Retain();
+  mSilence.Clear();
+  CancelReplacement();
   const auto now = ReadBootClock();
   mPace.OnEvents(now);
-  const auto status = connection.Head().mStatus;
+  const auto status = connection->Head().mStatus;
   if (status < kFirstServerError) {
     RecordHealth(aAttempt, AttemptHealth::Good);
     mState.mQuarantine.OnServed(mFingerprint);
@@ -470,7 +633,7 @@
   if (mHeadSent) {
     co_return NextStep::Failed; // an error response cannot continue a stream
   }
-  auto headers = connection.Head().mHeaders;
+  auto headers = connection->Head().mHeaders;
   net::RemoveConnectionHeaders(headers);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
@@ -484,36 +647,58 @@
 net::Awaitable<RequestFlow::NextStep>
 RequestFlow::RelayStream(Attempt& aAttempt)
 {
-  auto& connection = *aAttempt.mConnection;
+  const auto connection = aAttempt.mConnection;
+  stream::BufferBudget::Buffer memory(mState.mAnswerMemory,
+                                      [connection] { connection->Abort(); });
   mEvents.DiscardPartial();
-  while (!connection.BodyIsWhole()) {
-    if (MayReplace() && mRoute->mTargetGap > Duration::zero()) {
+  bool isWatched = false;
+  while (!connection->BodyIsWhole()) {
+    if (!isWatched && MayReplace() && mRoute->mTargetGap > Duration::zero()) {
       WatchSilence(Scale(mRoute->mTargetGap, kGapTimeoutFraction));
+      isWatched = true;
     }
-    const auto end =
-      co_await connection.ReadBody(ToMilliseconds(mDeadline - ReadBootClock()));
-    mSilence.Clear();
+    auto end = co_await connection->ReadBody(
+      ToMilliseconds(mDeadline - ReadBootClock()));
     if (IsReplaced()) {
+      mSilence.Clear();
       // the replacement continues after the events relayed so far
       co_return OnReplaced(aAttempt);
     }
-    CancelReplacement();
     const auto now = ReadBootClock();
-    const auto events = mEvents.Append(connection.Piece());
-    if (!events.empty()) {
+    const auto known = mEvents.EventCount();
+    const auto events = mEvents.Append(connection->Piece());
+    memory.Resize(mEvents.PendingBytes());
+    if (mEvents.EventCount() > known) {
+      // only an event ends a silence, other bytes do not
+      mSilence.Clear();
+      CancelReplacement();
+      isWatched = false;
+      mRejections = 0;
       mPace.OnEvents(now);
       RecordFirstEvent(aAttempt, now);
+    }
+    if (!events.empty()) {
       const bool isSent = co_await SendEvents(aAttempt, events);
       if (!isSent) {
-        connection.Abort();
+        mSilence.Clear();
+        CancelReplacement();
+        connection->Abort();
         RecordEnd(RequestEnd::CallerLeft);
         co_return NextStep::Ended;
       }
     }
-    if (end != net::StepEnd::Done || mEvents.IsOverlong()) {
+    if (memory.IsEvicted()) {
+      end = net::StepEnd::Evicted;
+    } else if (mEvents.IsOverlong()) {
+      end = net::StepEnd::Oversized;
+    }
+    if (end != net::StepEnd::Done) {
+      mSilence.Clear();
       co_return OnAttemptBroken(aAttempt, end, now);
     }
   }
+  mSilence.Clear();
+  CancelReplacement();
   const auto now = ReadBootClock();
   if (mEvents.HasPartial() || mEvents.EventCount() == 0) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Closed, now);
@@ -548,6 +733,8 @@
                              TimePoint aNow)
 {
   aAttempt.mConnection->Abort();
+  mEvents.DiscardPartial();
+  ForgetStaleKeys();
   mMayHaveRun = true;
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
@@ -565,6 +752,7 @@
     aNow >= mDeadline ||
     (aEnd == net::StepEnd::TimedOut && aNow + kMinAttemptTime >= mDeadline);
   if (hasTimedOut) {
+    CancelReplacement();
     mLastFailure = RequestEnd::RouteTimeout;
     return NextStep::Failed;
   }
@@ -572,6 +760,11 @@
     StartCrashCheck(aAttempt, aNow);
   }
   mLastFailure = RequestEnd::UpstreamFailed;
+  if (mReplacement && mReplacement->mAttempt.mIsSent) {
+    mReplacement->mIsAccepted = true;
+    return NextStep::Replaced;
+  }
+  CancelReplacement();
   return NextStepAfterFailure();
 }
 
