Send nothing to an upstream that says in an answer that it leaves

What callers saw: requests were placed on an upstream that had said in its answers that it leaves, until the store listed it as draining. While the store was silent or served old lists they went on going there until it stopped, and ended as broken.

Cause: the header was not read. Only the registered state decided.

UpstreamNotices keeps it by incarnation (id and start time), apart from the list, so that neither a late list nor an entry that lapses and comes back takes it away. The selector treats such an upstream as not ready: queue, retries, replacements, resumed streams and the last check before bytes leave all ask it. Its idle connections are closed, and a broken connection to it starts no crash check. One line and one counter tell of it.

The stand-in of an engine says the header from the heads that it sends from then on; a held head is now put together when it is released.

Why it works: the notice enters before the answer is passed on, and each way to send ends in Send, which asks MaySend right before the bytes leave.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -55,6 +55,11 @@
   void OnTick();
   /// @}
 
+  /// @brief Records what an upstream says of itself in the head of a response.
+  /// @param[in] aUpstream as registered when the request was sent
+  void OnResponse(const ingress::UpstreamEntry& aUpstream,
+                  const ingress::ResponseMetadata& aResponse);
+
   /// @brief Checks whether callers can be served.
   ///
   /// Requires a configuration, a list of upstreams and a held lease, and that
--- a/include/figslip/ingress/dialect.hpp
+++ b/include/figslip/ingress/dialect.hpp
@@ -61,6 +61,7 @@
   std::string mAttemptId;     ///< id of the request; may be empty
   std::optional<ReportedLoad> mLoad;
   std::optional<int> mConfidence; ///< stated by the model, 0 to 100
+  bool mIsLeaving = false;        ///< the upstream is about to stop serving
 };
 
 /// @brief Translates between messages on the wire and the types above.
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -8,6 +8,7 @@
 #include <figslip/placement/prefill_load.hpp>
 #include <figslip/placement/prefix_cache.hpp>
 #include <figslip/placement/upstream_health.hpp>
+#include <figslip/placement/upstream_notices.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstddef>
@@ -140,7 +141,8 @@
   /// @brief Returns why `Choose` found no upstream.
   [[nodiscard]] NoChoiceReason ExplainNoChoice(const PlacementQuery& aQuery,
                                                TimePoint aNow) const;
-  /// @brief Returns whether an upstream is registered, ready and not drained.
+  /// @brief Returns whether an upstream is registered, ready, not leaving by
+  /// its own word and not drained.
   [[nodiscard]] bool MaySend(std::string_view aUpstream, TimePoint aNow) const;
 
   /// @brief Accounts for a request on the chosen upstream.
@@ -156,6 +158,13 @@
   void OnReportedLoad(std::string_view aUpstream,
                       const ingress::ReportedLoad& aLoad,
                       TimePoint aNow);
+  /// @brief Records that a response has said that its upstream is leaving.
+  ///
+  /// The incarnation receives no further requests, whatever lists of upstreams
+  /// say of it.
+  /// @param[in] aUpstream as registered when the request was sent
+  /// @return whether it was not known
+  bool OnLeaving(const ingress::UpstreamEntry& aUpstream, TimePoint aNow);
   /// @brief Updates the health of an upstream and of its failure domain.
   void OnOutcome(std::string_view aUpstream,
                  AttemptHealth aHealth,
@@ -164,6 +173,11 @@
   /// @return null where the upstream is not registered
   [[nodiscard]] const ingress::UpstreamEntry* Find(
     std::string_view aUpstream) const;
+  /// @brief Returns whether an incarnation has said that it is leaving.
+  [[nodiscard]] bool IsLeaving(const ingress::UpstreamEntry& aUpstream) const
+  {
+    return mNotices.Of(aUpstream).mIsLeaving;
+  }
   /// @brief Returns the versions that the ready upstreams of a service run.
   [[nodiscard]] std::set<std::string> VersionsOf(
     std::string_view aService) const;
@@ -192,12 +206,15 @@
     TimePoint mReportedAt;
     int mInFlightAtReport = 0;
     UpstreamHealth mHealth;
+    UpstreamNotice mNotice; ///< of the registered incarnation
     PrefixCache mCache;
     TimePoint mColdUntil;
     TimePoint mNextColdRequestAt; ///< earliest next request while cold
     bool mIsInOwnSubset = false;
   };
 
+  /// Returns whether the upstream is registered as ready and is not leaving.
+  [[nodiscard]] static bool IsReady(const State& aState);
   [[nodiscard]] bool IsCandidate(const State& aState,
                                  const PlacementQuery& aQuery) const;
   [[nodiscard]] bool IsInRegions(const State& aState,
@@ -253,6 +270,7 @@
   Options mOptions;
   ingress::ConfigurationPtr mConfiguration;
   std::map<std::string, State, std::less<>> mStates;
+  UpstreamNotices mNotices;
   std::set<std::string, std::less<>> mDrainedDomains;
   std::map<std::string, PrefillLoad, std::less<>> mPrefillLoads; ///< by service
   DomainHealth mDomainHealth{ {} };
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -64,6 +64,7 @@
   const std::vector<ingress::UpstreamEntry>& aEntries,
   TimePoint aNow)
 {
+  mNotices.OnUpstreams(aEntries, aNow);
   std::set<std::string_view> present;
   for (const auto& entry : aEntries) {
     present.insert(entry.mId);
@@ -85,8 +86,7 @@
   for (auto& state : mStates | std::views::values) {
     const auto& entry = state.mEntry;
     state.mIsInOwnSubset = false;
-    const bool isEligible = entry.mDomain == mOptions.mDomain &&
-                            entry.mState == ingress::UpstreamState::Ready;
+    const bool isEligible = entry.mDomain == mOptions.mDomain && IsReady(state);
     if (isEligible) {
       groups[{ entry.mService, entry.mVersion }].push_back(entry.mId);
     }
@@ -128,6 +128,7 @@
   }
   const bool isChanged = isNew || !(aState.mEntry == aEntry);
   aState.mEntry = aEntry;
+  aState.mNotice = mNotices.Of(aEntry);
   if (isChanged && cold > Duration::zero()) {
     BeginColdStart(aState, cold, aNow);
   }
@@ -275,8 +276,7 @@
 UpstreamSelector::MaySend(std::string_view aUpstream, TimePoint aNow) const
 {
   const auto found = mStates.find(aUpstream);
-  return found != mStates.end() &&
-         found->second.mEntry.mState == ingress::UpstreamState::Ready &&
+  return found != mStates.end() && IsReady(found->second) &&
          !mDrainedDomains.contains(found->second.mEntry.mDomain) &&
          aNow >= TimePoint{};
 }
@@ -355,6 +355,19 @@
   }
 }
 
+bool
+UpstreamSelector::OnLeaving(const ingress::UpstreamEntry& aUpstream,
+                            TimePoint aNow)
+{
+  const bool isNews = mNotices.OnLeaving(aUpstream, aNow);
+  const auto found = mStates.find(aUpstream.mId);
+  if (isNews && found != mStates.end()) {
+    found->second.mNotice = mNotices.Of(found->second.mEntry);
+    UpdateOwnSubset();
+  }
+  return isNews;
+}
+
 void
 UpstreamSelector::OnOutcome(std::string_view aUpstream,
                             AttemptHealth aHealth,
@@ -405,8 +418,7 @@
 {
   std::set<std::string> versions;
   for (const auto& state : mStates | std::views::values) {
-    if (state.mEntry.mService == aService &&
-        state.mEntry.mState == ingress::UpstreamState::Ready) {
+    if (state.mEntry.mService == aService && IsReady(state)) {
       versions.insert(state.mEntry.mVersion);
     }
   }
@@ -420,8 +432,7 @@
   double running = 0.0;
   double slots = 0.0;
   for (const auto& state : mStates | std::views::values) {
-    if (state.mEntry.mService == aService &&
-        state.mEntry.mState == ingress::UpstreamState::Ready &&
+    if (state.mEntry.mService == aService && IsReady(state) &&
         !mDrainedDomains.contains(state.mEntry.mDomain)) {
       running += RunningRequests(state, aNow);
       slots += state.mEntry.mSlots;
@@ -441,11 +452,10 @@
   int own = 0;
   int all = 0;
   for (const auto& state : mStates | std::views::values) {
-    const bool isServing =
-      state.mEntry.mService == aService &&
-      state.mEntry.mState == ingress::UpstreamState::Ready &&
-      !mDrainedDomains.contains(state.mEntry.mDomain) &&
-      !state.mHealth.IsAvoided(aNow);
+    const bool isServing = state.mEntry.mService == aService &&
+                           IsReady(state) &&
+                           !mDrainedDomains.contains(state.mEntry.mDomain) &&
+                           !state.mHealth.IsAvoided(aNow);
     all += isServing ? 1 : 0;
     own += isServing && state.mIsInOwnSubset ? 1 : 0;
   }
@@ -455,13 +465,19 @@
   return load->second.BusyEngines(aNow) / engines;
 }
 
+bool
+UpstreamSelector::IsReady(const State& aState)
+{
+  return aState.mEntry.mState == ingress::UpstreamState::Ready &&
+         !aState.mNotice.mIsLeaving;
+}
+
 bool
 UpstreamSelector::IsCandidate(const State& aState,
                               const PlacementQuery& aQuery) const
 {
   const auto& entry = aState.mEntry;
-  return entry.mService == aQuery.mService &&
-         entry.mState == ingress::UpstreamState::Ready &&
+  return entry.mService == aQuery.mService && IsReady(aState) &&
          !mDrainedDomains.contains(entry.mDomain) &&
          (aQuery.mExcludedUpstreams == nullptr ||
           !aQuery.mExcludedUpstreams->contains(entry.mId)) &&
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -378,9 +378,7 @@
   const auto now = ReadBootClock();
   const auto& head = aAttempt.mConnection->Head();
   const auto facts = mState.mDialect.mReadResponse(head);
-  if (facts.mLoad) {
-    mState.mBoard.OnReportedLoad(aAttempt.mUpstream.mId, *facts.mLoad, now);
-  }
+  mState.OnResponse(aAttempt.mUpstream, facts);
   const bool isOtherRequest =
     !facts.mAttemptId.empty() && facts.mAttemptId != mFacts.mAttemptId;
   if (isOtherRequest) {
@@ -579,6 +577,9 @@
 RequestFlow::StartCrashCheck(const Attempt& aAttempt, TimePoint aNow)
 {
   ++mSuspectedCrashes;
+  if (mState.mBoard.IsLeaving(aAttempt.mUpstream)) {
+    return; // it may have stopped serving as it said
+  }
   // after two suspected crashes the request is treated as the cause, regardless
   // of the other requests that ran on the upstream
   const bool isRepeated = mSuspectedCrashes >= kMaxCrashes;
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -1,4 +1,5 @@
 #include <figslip/gateway/traffic_state.hpp>
+#include <figslip/log/log.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <xxhash.h>
@@ -111,6 +112,28 @@
   mQuarantine.Expire(ReadBootClock());
 }
 
+void
+TrafficState::OnResponse(const ingress::UpstreamEntry& aUpstream,
+                         const ingress::ResponseMetadata& aResponse)
+{
+  const auto now = ReadBootClock();
+  if (aResponse.mLoad) {
+    mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, now);
+  }
+  if (aResponse.mIsLeaving && mBoard.OnLeaving(aUpstream, now)) {
+    mPool.Drop({ .mAddress = aUpstream.mAddress, .mPort = aUpstream.mPort });
+    mMetrics
+      .CounterOf("figslip_upstreams_leaving_total",
+                 { { "service", aUpstream.mService } })
+      .Add();
+    log::Write(log::Level::Info,
+               "upstream_leaving",
+               { { "upstream", aUpstream.mId },
+                 { "service", aUpstream.mService },
+                 { "version", aUpstream.mVersion } });
+  }
+}
+
 bool
 TrafficState::IsReady() const
 {
--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -91,10 +91,11 @@
 {
   const auto& request = aConnection->Request();
   const auto behaviour = mBehaviour.load();
+  ++mArrivals;
   const bool isOther = HeaderOf(request, "X-Expected-Instance") != mId;
   if (isOther || behaviour == Behaviour::Refuse) {
-    const net::Headers headers = { { .mName = "X-Not-Executed",
-                                     .mValue = "1" } };
+    auto headers = OwnHeaders();
+    headers.push_back({ .mName = "X-Not-Executed", .mValue = "1" });
     const unsigned status = isOther ? 421 : 503;
     co_return co_await aConnection->Respond(status, headers, "", false);
   }
@@ -112,16 +113,17 @@
   const auto attempt = behaviour == Behaviour::WrongRequest
                          ? std::string("another")
                          : HeaderOf(request, "X-Attempt-Id");
-  net::Headers headers = { { .mName = "X-Attempt-Id", .mValue = attempt },
-                           { .mName = "X-Response-Signature",
-                             .mValue = "signed-by-" + mId } };
+  while (IsHeld(request.mTarget)) {
+    co_await net::Sleep(std::chrono::milliseconds(5));
+  }
+  auto headers = OwnHeaders();
+  headers.push_back({ .mName = "X-Attempt-Id", .mValue = attempt });
+  headers.push_back(
+    { .mName = "X-Response-Signature", .mValue = "signed-by-" + mId });
   if (const int confidence = mConfidence; confidence >= 0) {
     headers.push_back(
       { .mName = "X-Confidence", .mValue = std::to_string(confidence) });
   }
-  while (IsHeld(request.mTarget)) {
-    co_await net::Sleep(std::chrono::milliseconds(5));
-  }
   if (behaviour == Behaviour::Fail) {
     co_return co_await aConnection->Respond(500, headers, "failed", false);
   }
@@ -132,6 +134,16 @@
   co_return co_await aConnection->Respond(200, headers, body, false);
 }
 
+net::Headers
+EngineStandIn::OwnHeaders() const
+{
+  net::Headers headers;
+  if (mIsLeaving) {
+    headers.push_back({ .mName = "Server-Leaving", .mValue = "1" });
+  }
+  return headers;
+}
+
 net::Awaitable<bool>
 EngineStandIn::Stream(Connection aConnection, net::Headers aHeaders)
 {
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -45,8 +45,14 @@
   /// Sets the confidence that answers state, 0-100; none if negative.
   void SetConfidence(int aConfidence) { mConfidence = aConfidence; }
 
+  /// Says, or no longer says, in all answers whose heads are sent from now on
+  /// that it leaves.
+  void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
+
   /// Returns the requests that it has begun to run.
   [[nodiscard]] std::vector<net::RequestMessage> Runs();
+  /// Counts the requests that have arrived, also those that it did not run.
+  [[nodiscard]] int Arrivals() const { return mArrivals; }
 
 private:
   using Connection = std::shared_ptr<net::CallerConnection>;
@@ -55,6 +61,8 @@
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
   [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection);
+  /// Returns the headers with which it speaks of itself.
+  [[nodiscard]] net::Headers OwnHeaders() const;
   [[nodiscard]] net::Awaitable<bool> Stream(Connection aConnection,
                                             net::Headers aHeaders);
 
@@ -65,6 +73,8 @@
   std::atomic<Behaviour> mBehaviour{ Behaviour::Good };
   std::atomic<std::chrono::milliseconds> mPause{ std::chrono::milliseconds(2) };
   std::atomic<int> mConfidence{ -1 };
+  std::atomic<bool> mIsLeaving{ false };
+  std::atomic<int> mArrivals{ 0 };
   std::mutex mMutex;
   std::string mHeldPrefix;
   std::vector<net::RequestMessage> mRuns;
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -112,6 +112,12 @@
                  const std::string& aState,
                  const std::string& aVersion,
                  StoreStandIn& aStore);
+  /// Registers an engine as started anew under the id that it had.
+  void RestartEngine(std::size_t aIndex)
+  {
+    ++mEngineStarts.at(aIndex);
+    PutEngine(aIndex);
+  }
 
   /// Waits until an instance says that it is ready, or not.
   [[nodiscard]] bool WaitForReady(std::size_t aIndex, bool aReady = true);
@@ -152,6 +158,7 @@
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
+  std::vector<int> mEngineStarts = { 1, 1 };
   int mVersion = 0;
 };
 
