Leave an upstream alone for as long as a 503 asks

What callers saw: an upstream that turned a request away with 503 and Retry-After went on getting requests from the same instance at once: each lost a send there, and the upstream no time to recover.

Cause: Retry-After of an upstream was not read.

Change: the dialect reads it, with status 503 only, into mPauseSeconds. UpstreamNotices bounds it (kMaxPause, 5 min; a negative time or no number gives no pause; both are logged) and keeps its end by incarnation. The choice of an upstream and the last check before bytes leave respect it, and no crash check starts meanwhile. If all upstreams of a request pause, it waits for an end that comes before its wait for a slot is over, and else is refused at once with the time to the earliest end as its Retry-After. The return is spread by a hash over instance and upstream, callers' by request, and the open requests to a returned upstream rise over half a second. A line and a counter tell of it.

The stand-in of an engine asks for pauses, and the fault soak draws that, and leaving followed by a new start. Mend starts the engines anew, as one that has said that it leaves gets nothing until then.

Why it works: the end is counted from the receipt of the answer, so it is not before the upstream's own, and Send asks MaySend right before the bytes leave.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -86,6 +86,9 @@
   /// Responds with a status of the gateway. The status does not promise that
   /// the request has not run if it may have run.
   [[nodiscard]] net::Awaitable<void> Refuse(RequestEnd aEnd);
+  /// Returns after how many seconds the caller should come back if all
+  /// upstreams that may serve it are pausing.
+  [[nodiscard]] std::optional<std::string> EndOfPauses(RequestEnd aEnd);
   /// Aborts the connection of a caller that has received part of a stream.
   [[nodiscard]] net::Awaitable<void> AbortStream();
 
@@ -135,6 +138,9 @@
   [[nodiscard]] std::optional<SendRefusal> RefusalToSend(
     const Attempt& aAttempt,
     TimePoint aNow) const;
+  /// Returns whether a request for which there is no upstream now waits for
+  /// one.
+  [[nodiscard]] bool MayWait(placement::NoChoiceReason aReason, TimePoint aNow);
   /// Checks the limits on attempts and time and consumes a retry from the
   /// budget unless this attempt has one already.
   [[nodiscard]] bool TryAcquireRetry(TimePoint aNow);
--- a/include/figslip/gateway/send_refusal.hpp
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -7,10 +7,11 @@
 /// @brief Lists why an attempt that was planned must not be sent.
 enum class SendRefusal
 {
-  KeysStale,      ///< the configuration is too old to accept a key
-  KeyRevoked,     ///< the key no longer belongs to the client account
-  UpstreamClosed, ///< the upstream has left, drains or is in a drained domain
-  VersionClosed   ///< the roll-out sends nothing to the version any more
+  KeysStale,       ///< the configuration is too old to accept a key
+  KeyRevoked,      ///< the key no longer belongs to the client account
+  UpstreamClosed,  ///< the upstream has left, drains or is in a drained domain
+  UpstreamPausing, ///< the upstream asked for a pause
+  VersionClosed    ///< the roll-out sends nothing to the version any more
 };
 
 /// @brief Returns the reason that logs have for a refusal.
@@ -24,6 +25,8 @@
       return "key_revoked_before_send";
     case SendRefusal::UpstreamClosed:
       return "upstream_closed_before_send";
+    case SendRefusal::UpstreamPausing:
+      return "upstream_pausing_before_send";
     case SendRefusal::VersionClosed:
       return "version_closed_before_send";
   }
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -89,6 +89,9 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  void RecordPause(const ingress::UpstreamEntry& aUpstream,
+                   double aSeconds,
+                   TimePoint aNow);
   /// Divides the allowance of retries among the registered instances.
   void DivideRetryAllowance();
 };
--- a/include/figslip/ingress/dialect.hpp
+++ b/include/figslip/ingress/dialect.hpp
@@ -62,6 +62,9 @@
   std::optional<ReportedLoad> mLoad;
   std::optional<int> mConfidence; ///< stated by the model, 0 to 100
   bool mIsLeaving = false;        ///< the upstream is about to stop serving
+  /// time for which the upstream wants no requests, as stated; NaN if it is not
+  /// a number
+  std::optional<double> mPauseSeconds;
 };
 
 /// @brief Translates between messages on the wire and the types above.
--- a/include/figslip/placement/upstream_notices.hpp
+++ b/include/figslip/placement/upstream_notices.hpp
@@ -3,9 +3,11 @@
 #include <figslip/ingress/upstream_entry.hpp>
 #include <figslip/time/time_point.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -15,8 +17,33 @@
 struct UpstreamNotice
 {
   bool mIsLeaving = false; ///< it receives no further requests
+  TimePoint mPausedUntil;  ///< it receives no requests before
 };
 
+/// @brief Maximum time of a pause; with it an upstream that asks for days is
+/// not lost.
+inline constexpr Duration kMaxPause = std::chrono::minutes(5);
+
+/// @brief Holds the time of a pause that an upstream asked for.
+struct BoundedPause
+{
+  Duration mTime{};
+  bool mIsBounded = false; ///< not as asked for
+};
+
+/// @brief Converts the time that an upstream asked for to a pause of at most
+/// `kMaxPause`.
+/// @param[in] aSeconds a negative value or NaN gives no pause
+[[nodiscard]] BoundedPause
+BoundPause(double aSeconds);
+
+/// @brief Returns a time after the end of a pause that spreads the return of
+/// those who wait for it.
+/// @param[in] aHash differs among those who wait
+/// @return at most a fraction of the pause, and at most a second
+[[nodiscard]] Duration
+ReturnOffset(Duration aPause, std::uint64_t aHash);
+
 /// @brief Remembers what upstreams have said of themselves in responses.
 ///
 /// A notice holds for one incarnation: an id and the time of its start. It does
@@ -28,6 +55,18 @@
   /// @brief Time for which the notice of an incarnation that is not registered
   /// is kept; lists of the store are never that old.
   static constexpr Duration kRetention = std::chrono::minutes(10);
+  static_assert(kRetention > kMaxPause);
+
+  /// @brief Holds the effect of a request for a pause.
+  struct Pause
+  {
+    BoundedPause mBounded;
+    bool mIsBegun = false; ///< the upstream was not pausing before
+  };
+
+  /// @param[in] aInstance name of this instance; instances return at different
+  ///            times
+  explicit UpstreamNotices(std::string_view aInstance);
 
   /// @brief Returns the notice of an incarnation; without one, an empty notice.
   [[nodiscard]] UpstreamNotice Of(
@@ -38,8 +77,15 @@
   /// @brief Records that an upstream is leaving.
   /// @return whether it was not known
   bool OnLeaving(const ingress::UpstreamEntry& aUpstream, TimePoint aNow);
+  /// @brief Records that an upstream wants no requests for a time.
+  /// @note A pause that ends earlier does not shorten the one under way.
+  /// @param[in] aSeconds see `BoundPause`
+  Pause OnPause(const ingress::UpstreamEntry& aUpstream,
+                double aSeconds,
+                TimePoint aNow);
   /// @brief Keeps the notices of registered upstreams and removes those of
-  /// upstreams that have not been registered for `kRetention`.
+  /// upstreams that have not been registered for `kRetention`, and pauses that
+  /// are over.
   void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries,
                    TimePoint aNow);
 
@@ -56,6 +102,7 @@
   [[nodiscard]] Record& RecordOf(const ingress::UpstreamEntry& aUpstream,
                                  TimePoint aNow);
 
+  std::uint64_t mInstanceHash;
   std::map<Incarnation, Record> mNotices;
 };
 
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -53,6 +53,7 @@
 enum class NoChoiceReason
 {
   NoUpstream, ///< no registered upstream is ready and permitted
+  AllPausing, ///< the permitted upstreams asked for a pause
   AllCold,    ///< upstreams with free slots are at their cold-start rate
   AllFull     ///< a permitted upstream has no free slot
 };
@@ -64,6 +65,8 @@
   switch (aReason) {
     case NoChoiceReason::NoUpstream:
       return "no_upstream";
+    case NoChoiceReason::AllPausing:
+      return "all_pausing";
     case NoChoiceReason::AllCold:
       return "all_cold";
     case NoChoiceReason::AllFull:
@@ -141,8 +144,13 @@
   /// @brief Returns why `Choose` found no upstream.
   [[nodiscard]] NoChoiceReason ExplainNoChoice(const PlacementQuery& aQuery,
                                                TimePoint aNow) const;
-  /// @brief Returns whether an upstream is registered, ready, not leaving by
-  /// its own word and not drained.
+  /// @brief Returns the end of the earliest pause, if all upstreams that may
+  /// serve the request are pausing.
+  [[nodiscard]] std::optional<TimePoint> EarliestReturn(
+    const PlacementQuery& aQuery,
+    TimePoint aNow) const;
+  /// @brief Returns whether an upstream is registered and ready, neither leaves
+  /// nor pauses by its own word, and is not drained.
   [[nodiscard]] bool MaySend(std::string_view aUpstream, TimePoint aNow) const;
 
   /// @brief Accounts for a request on the chosen upstream.
@@ -165,6 +173,13 @@
   /// @param[in] aUpstream as registered when the request was sent
   /// @return whether it was not known
   bool OnLeaving(const ingress::UpstreamEntry& aUpstream, TimePoint aNow);
+  /// @brief Records that a response has asked for a pause; the incarnation
+  /// receives no requests until it is over.
+  /// @param[in] aUpstream as registered when the request was sent
+  /// @param[in] aSeconds see `BoundPause`
+  UpstreamNotices::Pause OnPause(const ingress::UpstreamEntry& aUpstream,
+                                 double aSeconds,
+                                 TimePoint aNow);
   /// @brief Updates the health of an upstream and of its failure domain.
   void OnOutcome(std::string_view aUpstream,
                  AttemptHealth aHealth,
@@ -178,6 +193,12 @@
   {
     return mNotices.Of(aUpstream).mIsLeaving;
   }
+  /// @brief Returns whether a pause that an incarnation asked for still lasts.
+  [[nodiscard]] bool IsPausing(const ingress::UpstreamEntry& aUpstream,
+                               TimePoint aNow) const
+  {
+    return aNow < mNotices.Of(aUpstream).mPausedUntil;
+  }
   /// @brief Returns the versions that the ready upstreams of a service run.
   [[nodiscard]] std::set<std::string> VersionsOf(
     std::string_view aService) const;
@@ -223,6 +244,10 @@
   [[nodiscard]] double RunningRequests(const State& aState,
                                        TimePoint aNow) const;
   [[nodiscard]] bool HasRecentReport(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] static bool IsPausing(const State& aState, TimePoint aNow);
+  /// Returns the own requests that may be open on an upstream; fewer for a time
+  /// after a pause.
+  [[nodiscard]] static int MaxInFlight(const State& aState, TimePoint aNow);
   [[nodiscard]] bool HasFreeSlot(const State& aState, TimePoint aNow) const;
   /// Returns whether the failure domain seems to be partitioned and the request
   /// may not probe it.
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -39,6 +39,10 @@
 /// its own subset.
 constexpr double kOtherSubsetPrefillMs = 120.0;
 
+/// Time after a pause over which the requests to the upstream rise to its
+/// slots.
+constexpr Duration kReturnRamp = std::chrono::milliseconds(500);
+
 /// Expected time to the first event on an idle upstream without a prompt; grows
 /// with its slot utilization.
 constexpr double kPlainServiceMs = 30.0;
@@ -54,6 +58,7 @@
 
 UpstreamSelector::UpstreamSelector(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mNotices(mOptions.mInstance)
   , mRandom(mOptions.mSeed)
   , mDomainPeers({ mOptions.mInstance })
 {
@@ -213,9 +218,9 @@
   std::vector<const State*> available;
   std::vector<const State*> avoided;
   for (const auto& state : mStates | std::views::values) {
-    const bool isAvailable = IsCandidate(state, aQuery) &&
-                             HasFreeSlot(state, aNow) &&
-                             IsWithinColdRate(state, aNow);
+    const bool isAvailable =
+      IsCandidate(state, aQuery) && !IsPausing(state, aNow) &&
+      HasFreeSlot(state, aNow) && IsWithinColdRate(state, aNow);
     if (isAvailable) {
       const bool isAvoided =
         state.mHealth.IsAvoided(aNow) || IsPartitioned(state, aQuery, aNow);
@@ -264,6 +269,10 @@
     if (!IsCandidate(state, aQuery)) {
       continue;
     }
+    if (IsPausing(state, aNow)) {
+      reason = std::max(reason, NoChoiceReason::AllPausing);
+      continue;
+    }
     if (!HasFreeSlot(state, aNow)) {
       return NoChoiceReason::AllFull;
     }
@@ -272,13 +281,31 @@
   return reason;
 }
 
+std::optional<TimePoint>
+UpstreamSelector::EarliestReturn(const PlacementQuery& aQuery,
+                                 TimePoint aNow) const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& state : mStates | std::views::values) {
+    if (!IsCandidate(state, aQuery)) {
+      continue;
+    }
+    if (!IsPausing(state, aNow)) {
+      return std::nullopt;
+    }
+    const auto end = state.mNotice.mPausedUntil;
+    earliest = std::min(earliest.value_or(end), end);
+  }
+  return earliest;
+}
+
 bool
 UpstreamSelector::MaySend(std::string_view aUpstream, TimePoint aNow) const
 {
   const auto found = mStates.find(aUpstream);
   return found != mStates.end() && IsReady(found->second) &&
-         !mDrainedDomains.contains(found->second.mEntry.mDomain) &&
-         aNow >= TimePoint{};
+         !IsPausing(found->second, aNow) &&
+         !mDrainedDomains.contains(found->second.mEntry.mDomain);
 }
 
 Reservation
@@ -368,6 +395,19 @@
   return isNews;
 }
 
+UpstreamNotices::Pause
+UpstreamSelector::OnPause(const ingress::UpstreamEntry& aUpstream,
+                          double aSeconds,
+                          TimePoint aNow)
+{
+  const auto pause = mNotices.OnPause(aUpstream, aSeconds, aNow);
+  const auto found = mStates.find(aUpstream.mId);
+  if (found != mStates.end()) {
+    found->second.mNotice = mNotices.Of(found->second.mEntry);
+  }
+  return pause;
+}
+
 void
 UpstreamSelector::OnOutcome(std::string_view aUpstream,
                             AttemptHealth aHealth,
@@ -529,10 +569,29 @@
   return upstreams == 0 ? 0.0 : running / upstreams;
 }
 
+bool
+UpstreamSelector::IsPausing(const State& aState, TimePoint aNow)
+{
+  return aNow < aState.mNotice.mPausedUntil;
+}
+
+int
+UpstreamSelector::MaxInFlight(const State& aState, TimePoint aNow)
+{
+  const auto slots = aState.mEntry.mSlots;
+  const auto sinceReturn = aNow - aState.mNotice.mPausedUntil;
+  if (sinceReturn >= kReturnRamp) {
+    return slots;
+  }
+  return std::min(slots,
+                  1 + static_cast<int>(slots * sinceReturn / kReturnRamp));
+}
+
 bool
 UpstreamSelector::HasFreeSlot(const State& aState, TimePoint aNow) const
 {
-  return RunningRequests(aState, aNow) < aState.mEntry.mSlots;
+  return RunningRequests(aState, aNow) < aState.mEntry.mSlots &&
+         aState.mInFlight < MaxInFlight(aState, aNow);
 }
 
 bool
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -53,6 +53,8 @@
       return RequestEnd::StaleKeys;
     case SendRefusal::KeyRevoked:
       return RequestEnd::UnknownKey;
+    case SendRefusal::UpstreamPausing:
+      return RequestEnd::NoCapacity;
     case SendRefusal::UpstreamClosed:
     case SendRefusal::VersionClosed:
       break;
@@ -577,8 +579,11 @@
 RequestFlow::StartCrashCheck(const Attempt& aAttempt, TimePoint aNow)
 {
   ++mSuspectedCrashes;
-  if (mState.mBoard.IsLeaving(aAttempt.mUpstream)) {
-    return; // it may have stopped serving as it said
+  const bool wantsNothing =
+    mState.mBoard.IsLeaving(aAttempt.mUpstream) || // it may have stopped since
+    mState.mBoard.IsPausing(aAttempt.mUpstream, aNow);
+  if (wantsNothing) {
+    return;
   }
   // after two suspected crashes the request is treated as the cause, regardless
   // of the other requests that ran on the upstream
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -187,9 +187,7 @@
     if (!attempt) {
       const auto reason =
         mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
-      const bool mayWait =
-        reason != placement::NoChoiceReason::NoUpstream && now < mSlotDeadline;
-      if (mayWait) {
+      if (MayWait(reason, now)) {
         co_await net::Sleep(kSlotPollInterval);
         continue;
       }
@@ -223,6 +221,22 @@
   }
 }
 
+bool
+RequestFlow::MayWait(placement::NoChoiceReason aReason, TimePoint aNow)
+{
+  switch (aReason) {
+    case placement::NoChoiceReason::NoUpstream:
+      return false;
+    case placement::NoChoiceReason::AllPausing:
+      return mState.mBoard.EarliestReturn(MakePlacementQuery(""), aNow) <
+             mSlotDeadline;
+    case placement::NoChoiceReason::AllCold:
+    case placement::NoChoiceReason::AllFull:
+      break;
+  }
+  return aNow < mSlotDeadline;
+}
+
 bool
 RequestFlow::TryAcquireRetry(TimePoint aNow)
 {
@@ -353,7 +367,9 @@
     }
   }
   if (!mState.mBoard.MaySend(aAttempt.mUpstream.mId, aNow)) {
-    return SendRefusal::UpstreamClosed;
+    return mState.mBoard.IsPausing(aAttempt.mUpstream, aNow)
+             ? SendRefusal::UpstreamPausing
+             : SendRefusal::UpstreamClosed;
   }
   if (!mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion)) {
     return SendRefusal::VersionClosed;
@@ -361,6 +377,28 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+RequestFlow::EndOfPauses(RequestEnd aEnd)
+{
+  const bool lacksUpstream = aEnd == RequestEnd::NoUpstream ||
+                             aEnd == RequestEnd::NoCapacity ||
+                             aEnd == RequestEnd::Rejected;
+  if (!lacksUpstream || mRoute == nullptr) {
+    return std::nullopt;
+  }
+  const auto now = ReadBootClock();
+  auto query = MakePlacementQuery("");
+  query.mExcludedUpstreams = nullptr; // the caller's next request may go there
+  const auto end = mState.mBoard.EarliestReturn(query, now);
+  if (!end) {
+    return std::nullopt;
+  }
+  const auto wait = *end - now;
+  const auto spread =
+    wait + placement::ReturnOffset(wait, HashOf(mFacts.mAttemptId));
+  return std::to_string(std::chrono::duration<double>(spread).count());
+}
+
 net::Awaitable<void>
 RequestFlow::Refuse(RequestEnd aEnd)
 {
@@ -377,7 +415,8 @@
   net::Headers headers;
   if (description.PromisesNotRun()) {
     headers.push_back({ .mName = "Retry-After",
-                        .mValue = std::string(description.mRetryAfter) });
+                        .mValue = EndOfPauses(end).value_or(
+                          std::string(description.mRetryAfter)) });
   }
   const std::string body = std::string(description.mName) + "\n";
   co_await mCaller.Respond(
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -132,6 +132,37 @@
                  { "service", aUpstream.mService },
                  { "version", aUpstream.mVersion } });
   }
+  if (aResponse.mPauseSeconds) {
+    RecordPause(aUpstream, *aResponse.mPauseSeconds, now);
+  }
+}
+
+void
+TrafficState::RecordPause(const ingress::UpstreamEntry& aUpstream,
+                          double aSeconds,
+                          TimePoint aNow)
+{
+  const auto pause = mBoard.OnPause(aUpstream, aSeconds, aNow);
+  const auto time = std::chrono::duration<double>(pause.mBounded.mTime);
+  if (pause.mBounded.mIsBounded) {
+    log::Write(log::Level::Warning,
+               "upstream_pause_bounded",
+               { { "upstream", aUpstream.mId },
+                 { "asked_s", std::to_string(aSeconds) },
+                 { "seconds", std::to_string(time.count()) } });
+  }
+  if (pause.mIsBegun) {
+    mMetrics
+      .CounterOf("figslip_upstream_pauses_total",
+                 { { "service", aUpstream.mService } })
+      .Add();
+    log::Write(log::Level::Info,
+               "upstream_pauses",
+               { { "upstream", aUpstream.mId },
+                 { "service", aUpstream.mService },
+                 { "version", aUpstream.mVersion },
+                 { "seconds", std::to_string(time.count()) } });
+  }
 }
 
 bool
--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -46,6 +46,20 @@
   mHeldPrefix = std::move(aTargetPrefix);
 }
 
+void
+EngineStandIn::SetPauseAsked(std::string aText)
+{
+  const std::scoped_lock lock(mMutex);
+  mPauseAsked = std::move(aText);
+}
+
+net::Header
+EngineStandIn::PauseAsked()
+{
+  const std::scoped_lock lock(mMutex);
+  return { .mName = "Retry-After", .mValue = mPauseAsked };
+}
+
 bool
 EngineStandIn::IsHeld(const std::string& aTarget)
 {
@@ -93,12 +107,26 @@
   const auto behaviour = mBehaviour.load();
   ++mArrivals;
   const bool isOther = HeaderOf(request, "X-Expected-Instance") != mId;
-  if (isOther || behaviour == Behaviour::Refuse) {
+  const bool refuses =
+    behaviour == Behaviour::Refuse || behaviour == Behaviour::RefuseAndPause;
+  if (isOther || refuses) {
     auto headers = OwnHeaders();
     headers.push_back({ .mName = "X-Not-Executed", .mValue = "1" });
+    if (!isOther && behaviour == Behaviour::RefuseAndPause) {
+      headers.push_back(PauseAsked());
+    }
     const unsigned status = isOther ? 421 : 503;
     co_return co_await aConnection->Respond(status, headers, "", false);
   }
+  if (behaviour == Behaviour::TurnAway) {
+    auto headers = OwnHeaders();
+    headers.push_back(
+      { .mName = "X-Attempt-Id", .mValue = HeaderOf(request, "X-Attempt-Id") });
+    headers.push_back(
+      { .mName = "X-Response-Signature", .mValue = "signed-by-" + mId });
+    headers.push_back(PauseAsked());
+    co_return co_await aConnection->Respond(503, headers, "busy", false);
+  }
   {
     const std::scoped_lock lock(mMutex);
     mRuns.push_back(request);
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -19,10 +19,12 @@
   enum class Behaviour
   {
     Good,
-    BreakMidway,  ///< closes a stream in the middle of its third event
-    SilentMidway, ///< sends nothing after the second event of a stream
-    RunAndVanish, ///< runs the request and closes without an answer
-    Refuse,       ///< vouches that it did not run the request
+    BreakMidway,    ///< closes a stream in the middle of its third event
+    SilentMidway,   ///< sends nothing after the second event of a stream
+    RunAndVanish,   ///< runs the request and closes without an answer
+    Refuse,         ///< vouches that it did not run the request
+    RefuseAndPause, ///< likewise, and asks for a pause
+    TurnAway, ///< does not run the request, does not vouch, asks for a pause
     WrongRequest, ///< answers with the id of another request
     Fail,         ///< answers 500
     Hang          ///< never answers
@@ -45,6 +47,8 @@
   /// Sets the confidence that answers state, 0-100; none if negative.
   void SetConfidence(int aConfidence) { mConfidence = aConfidence; }
 
+  /// Sets the text of Retry-After when it asks for a pause.
+  void SetPauseAsked(std::string aText);
   /// Says, or no longer says, in all answers whose heads are sent from now on
   /// that it leaves.
   void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
@@ -57,6 +61,7 @@
 private:
   using Connection = std::shared_ptr<net::CallerConnection>;
 
+  [[nodiscard]] net::Header PauseAsked();
   [[nodiscard]] bool IsHeld(const std::string& aTarget);
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
@@ -77,6 +82,7 @@
   std::atomic<int> mArrivals{ 0 };
   std::mutex mMutex;
   std::string mHeldPrefix;
+  std::string mPauseAsked = "0.3"; ///< seconds
   std::vector<net::RequestMessage> mRuns;
   std::thread mThread;
 };
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -284,7 +284,7 @@
                { "slots", 8 },
                { "state", aState },
                { "cold_remaining_ms", 0 },
-               { "born", mEngineStarts.at(aIndex) },
+               { "born", mEngineStarts.at(aIndex).load() },
                { "seq", mVersion } });
 }
 
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -5,6 +5,8 @@
 #include <harness/relay.hpp>
 #include <harness/store_stand_in.hpp>
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -158,7 +160,7 @@
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
-  std::vector<int> mEngineStarts = { 1, 1 };
+  std::array<std::atomic<int>, 2> mEngineStarts = { 1, 1 };
   int mVersion = 0;
 };
 
--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -117,8 +117,9 @@
     mWorld.Store().SetMode(test::StoreStandIn::Mode::Open);
     for (std::size_t engine = 0; engine < kEngines; ++engine) {
       mWorld.Engine(engine).SetBehaviour(Behaviour::Good);
+      mWorld.Engine(engine).SetLeaving(false);
       mWorld.EngineRelay(engine).SetMode(Relay::Mode::Open);
-      mWorld.PutEngine(engine);
+      mWorld.RestartEngine(engine);
     }
     for (std::size_t instance = 0; instance < kInstances; ++instance) {
       mWorld.StoreRelay(instance).SetMode(Relay::Mode::Open);
@@ -179,13 +180,14 @@
     const auto span = std::chrono::milliseconds(100 + aRandom() % 700);
     const auto instance = aRandom() % kInstances;
     const auto engine = aRandom() % kEngines;
-    switch (aRandom() % 9) {
+    switch (aRandom() % 10) {
       case 0: {
-        constexpr std::array<Behaviour, 8> kBehaviours = {
-          Behaviour::BreakMidway,  Behaviour::SilentMidway,
-          Behaviour::RunAndVanish, Behaviour::Refuse,
-          Behaviour::WrongRequest, Behaviour::Fail,
-          Behaviour::Hang,         Behaviour::Good
+        constexpr std::array<Behaviour, 10> kBehaviours = {
+          Behaviour::BreakMidway,    Behaviour::SilentMidway,
+          Behaviour::RunAndVanish,   Behaviour::Refuse,
+          Behaviour::WrongRequest,   Behaviour::Fail,
+          Behaviour::Hang,           Behaviour::Good,
+          Behaviour::RefuseAndPause, Behaviour::TurnAway
         };
         mWorld.Engine(engine).SetBehaviour(AnyOf(kBehaviours, aRandom));
         std::this_thread::sleep_for(span);
@@ -220,6 +222,12 @@
       case 7:
         SignalTo(instance, SIGHUP);
         break;
+      case 8:
+        mWorld.Engine(engine).SetLeaving(true);
+        std::this_thread::sleep_for(span);
+        mWorld.Engine(engine).SetLeaving(false);
+        mWorld.RestartEngine(engine);
+        break;
       default:
         mWorld.PutEngine(engine, aRandom() % 3 == 0 ? "draining" : "ready");
         std::this_thread::sleep_for(span);
--- a/tests/src/history-own_word.cpp
+++ b/tests/src/history-own_word.cpp
@@ -13,6 +13,7 @@
 using namespace std::chrono_literals;
 using test::IngressWorld;
 using test::StoreStandIn;
+using Behaviour = test::EngineStandIn::Behaviour;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -35,6 +36,21 @@
   return true;
 }
 
+/// Requests that may reach an upstream in the pause that it asked for, from
+/// half a second after it did so.
+constexpr int kMaxInPause = 2;
+constexpr auto kPauseGrace = 500ms;
+
+double
+RetryAfterOf(const test::CallerAnswer& aAnswer)
+{
+  const std::string name = "Retry-After: ";
+  const auto place = aAnswer.mHead.find(name);
+  return place == std::string::npos
+           ? -1.0
+           : std::stod(aAnswer.mHead.substr(place + name.size()));
+}
+
 /// Sends bookings, look-ups and chats one after the other.
 class Callers
 {
@@ -44,6 +60,8 @@
   {
   }
 
+  void SkipChats() { mKinds = 2; }
+
   /// Sends a request of the next kind.
   /// @return its status
   int SendNext()
@@ -52,7 +70,7 @@
       { { "POST", "/book/1" }, { "GET", "/look/1" }, { "POST", "/chat/1" } }
     };
     const auto& [method, path] =
-      kKinds.at(static_cast<std::size_t>(mSent) % kKinds.size());
+      kKinds.at(static_cast<std::size_t>(mSent) % mKinds);
     const auto name = "r" + std::to_string(++mSent);
     return mWorld.Send(0, method, path, name).mStatus;
   }
@@ -68,6 +86,7 @@
 
 private:
   IngressWorld& mWorld;
+  std::size_t mKinds = 3;
   int mSent = 0;
 };
 
@@ -188,3 +207,153 @@
     CHECK(Eventually([&] { return lines() == 1; }));
   }
 }
+
+TEST_CASE("an upstream that asks for a pause")
+{
+  IngressWorld world;
+  auto& engine = world.Engine(0);
+  auto& other = world.Engine(1);
+  Callers callers(world);
+  const auto inLog = [&](const std::string& aText) {
+    return Eventually(
+      [&] { return world.Instance(0).Log().find(aText) != std::string::npos; });
+  };
+
+  SUBCASE("gets no request before its end")
+  {
+    auto behaviour = Behaviour::RefuseAndPause;
+    std::vector<std::thread> chats;
+    SUBCASE("when it has refused a request") {}
+    SUBCASE("when it has turned a request away and not vouched for it")
+    {
+      behaviour = Behaviour::TurnAway;
+    }
+    SUBCASE("when the store is silent")
+    {
+      world.Store().SetMode(StoreStandIn::Mode::Silent);
+    }
+    SUBCASE("when one of its answers began before")
+    {
+      engine.SetPause(300ms);
+      other.SetPause(300ms);
+      callers.SkipChats();
+      for (const auto* const name : { "long-1", "long-2" }) {
+        chats.emplace_back([&world, name] {
+          CHECK(world.Send(0, "POST", "/chat/1", name).mIsWhole);
+        });
+      }
+      REQUIRE(Eventually(
+        [&] { return engine.Arrivals() == 1 && other.Arrivals() == 1; }));
+      std::this_thread::sleep_for(100ms);
+    }
+    engine.SetBehaviour(behaviour);
+    engine.SetPauseAsked("3.2");
+    const auto before = engine.Arrivals();
+    CHECK(Eventually([&] {
+      callers.SendNext();
+      return engine.Arrivals() > before;
+    }));
+    const auto askedBy = Clock::now();
+    engine.SetBehaviour(Behaviour::Good);
+    callers.SendFor(kPauseGrace);
+    const auto arrivals = engine.Arrivals();
+    while (Clock::now() < askedBy + 3s) {
+      CHECK(callers.SendNext() == 200);
+    }
+    CHECK(engine.Arrivals() - arrivals <= kMaxInPause);
+    for (auto& chat : chats) {
+      chat.join();
+    }
+
+    SUBCASE("and gets requests after it")
+    {
+      CHECK(Eventually([&] {
+        CHECK(callers.SendNext() == 200);
+        return engine.Arrivals() > arrivals + kMaxInPause;
+      }));
+    }
+  }
+
+  SUBCASE("while the other one pauses too")
+  {
+    for (auto* const each : { &engine, &other }) {
+      each->SetBehaviour(Behaviour::RefuseAndPause);
+    }
+    const auto pauseBoth = [&](const std::string& aSeconds) {
+      engine.SetPauseAsked(aSeconds);
+      other.SetPauseAsked(aSeconds);
+      // a booking is refused by each of them once
+      CHECK(world.Send(0, "POST", "/book/1", "first").mStatus == 503);
+      CHECK(engine.Arrivals() == 1);
+      CHECK(other.Arrivals() == 1);
+      engine.SetBehaviour(Behaviour::Good);
+      other.SetBehaviour(Behaviour::Good);
+    };
+
+    SUBCASE("has requests refused at once, until the end of the pause")
+    {
+      pauseBoth("2.5");
+      for (const auto* const path : { "/look/1", "/chat/1", "/book/1" }) {
+        const auto sentAt = Clock::now();
+        const auto answer = world.Send(0, "POST", path, "refused");
+        CHECK(Clock::now() - sentAt < 300ms);
+        CHECK(answer.mStatus == 503);
+        CHECK(RetryAfterOf(answer) > 2.0);
+        CHECK(RetryAfterOf(answer) < 4.0);
+      }
+      CHECK(world.RunsOf("refused") == 0);
+      CHECK(inLog("all_pausing"));
+
+      SUBCASE("which are served if they come back then")
+      {
+        const auto answer = world.Send(0, "GET", "/look/1", "back");
+        std::this_thread::sleep_for(
+          std::chrono::duration<double>(RetryAfterOf(answer)));
+        CHECK(world.Send(0, "GET", "/look/1", "back-2").mStatus == 200);
+      }
+    }
+
+    SUBCASE("has requests wait for an end that is near")
+    {
+      pauseBoth("0.25");
+      CHECK(world.Send(0, "POST", "/book/1", "waits").mStatus == 200);
+      CHECK(world.RunsOf("waits") == 1);
+    }
+  }
+
+  SUBCASE("is in the log with the seconds")
+  {
+    engine.SetBehaviour(Behaviour::RefuseAndPause);
+    engine.SetPauseAsked("1.5");
+    CHECK(Eventually([&] {
+      callers.SendNext();
+      return engine.Arrivals() > 0;
+    }));
+    CHECK(inLog("\"event\":\"upstream_pauses\""));
+    CHECK(inLog("\"seconds\":\"1.5"));
+  }
+
+  SUBCASE("of an absurd length is not lost, and ends no instance")
+  {
+    engine.SetBehaviour(Behaviour::RefuseAndPause);
+    for (const auto* const text :
+         { "-1", "soon", "", "nan", "-inf", "1e999", "0x10" }) {
+      INFO("Retry-After: ", text);
+      engine.SetPauseAsked(text);
+      const auto before = engine.Arrivals();
+      CHECK(Eventually([&] {
+        callers.SendNext();
+        return engine.Arrivals() > before + 1;
+      }));
+    }
+    CHECK(inLog("upstream_pause_bounded"));
+    engine.SetPauseAsked("8640000");
+    const auto before = engine.Arrivals();
+    CHECK(Eventually([&] {
+      callers.SendNext();
+      return engine.Arrivals() > before;
+    }));
+    CHECK(inLog("\"seconds\":\"300."));
+    callers.SendFor(300ms);
+  }
+}
