Merge what upstreams say of themselves in their answers

Upstreams that say that they leave get nothing more from the instance that read it, and a pause that a 503 asks for is kept. The early head of a replacement is read for both, too.

--- a/include/figslip/gateway/send_refusal.hpp
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -7,12 +7,13 @@
 /// @brief Lists why an attempt that was planned must not be sent.
 enum class SendRefusal
 {
-  KeysStale,      ///< the configuration is too old to accept a key
-  KeyRevoked,     ///< no client account has the key any more
-  KeyReassigned,  ///< the key belongs to another client account, or none is
-                  ///< needed any more
-  UpstreamClosed, ///< the upstream has left, drains or is in a drained domain
-  VersionClosed   ///< the roll-out sends nothing to the version any more
+  KeysStale,       ///< the configuration is too old to accept a key
+  KeyRevoked,      ///< no client account has the key any more
+  KeyReassigned,   ///< the key belongs to another client account, or none is
+                   ///< needed any more
+  UpstreamClosed,  ///< the upstream has left, drains or is in a drained domain
+  UpstreamPausing, ///< the upstream asked for a pause
+  VersionClosed    ///< the roll-out sends nothing to the version any more
 };
 
 /// @brief Returns the reason that logs have for a refusal.
@@ -28,6 +29,8 @@
       return "key_reassigned_before_send";
     case SendRefusal::UpstreamClosed:
       return "upstream_closed_before_send";
+    case SendRefusal::UpstreamPausing:
+      return "upstream_pausing_before_send";
     case SendRefusal::VersionClosed:
       return "version_closed_before_send";
   }
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -56,6 +56,11 @@
   void OnTick();
   /// @}
 
+  /// @brief Records what an upstream says of itself in the head of a response.
+  /// @param[in] aUpstream as registered when the request was sent
+  void OnResponse(const ingress::UpstreamEntry& aUpstream,
+                  const ingress::ResponseMetadata& aResponse);
+
   /// @brief Checks whether callers can be served.
   ///
   /// Requires a configuration, a list of upstreams and a held lease, and that
@@ -86,6 +91,9 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  void RecordPause(const ingress::UpstreamEntry& aUpstream,
+                   double aSeconds,
+                   TimePoint aNow);
   /// Divides the allowance of retries among the registered instances.
   void DivideRetryAllowance();
 };
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -39,6 +39,10 @@
 /// its own subset.
 constexpr double kOtherSubsetPrefillMs = 120.0;
 
+/// Time after a pause over which the requests to the upstream rise to its
+/// slots.
+constexpr Duration kReturnRamp = std::chrono::milliseconds(500);
+
 /// Expected time to the first event on an idle upstream without a prompt; grows
 /// with its slot utilization.
 constexpr double kPlainServiceMs = 30.0;
@@ -54,6 +58,7 @@
 
 UpstreamSelector::UpstreamSelector(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mNotices(mOptions.mInstance)
   , mRandom(mOptions.mSeed)
   , mDomainPeers({ mOptions.mInstance })
 {
@@ -64,6 +69,7 @@
   const std::vector<ingress::UpstreamEntry>& aEntries,
   TimePoint aNow)
 {
+  mNotices.OnUpstreams(aEntries, aNow);
   std::set<std::string_view> present;
   for (const auto& entry : aEntries) {
     present.insert(entry.mId);
@@ -85,8 +91,7 @@
   for (auto& state : mStates | std::views::values) {
     const auto& entry = state.mEntry;
     state.mIsInOwnSubset = false;
-    const bool isEligible = entry.mDomain == mOptions.mDomain &&
-                            entry.mState == ingress::UpstreamState::Ready;
+    const bool isEligible = entry.mDomain == mOptions.mDomain && IsReady(state);
     if (isEligible) {
       groups[{ entry.mService, entry.mVersion }].push_back(entry.mId);
     }
@@ -128,6 +133,7 @@
   }
   const bool isChanged = isNew || !(aState.mEntry == aEntry);
   aState.mEntry = aEntry;
+  aState.mNotice = mNotices.Of(aEntry);
   if (isChanged && cold > Duration::zero()) {
     BeginColdStart(aState, cold, aNow);
   }
@@ -212,9 +218,9 @@
   std::vector<const State*> available;
   std::vector<const State*> avoided;
   for (const auto& state : mStates | std::views::values) {
-    const bool isAvailable = IsCandidate(state, aQuery) &&
-                             HasFreeSlot(state, aNow) &&
-                             IsWithinColdRate(state, aNow);
+    const bool isAvailable =
+      IsCandidate(state, aQuery) && !IsPausing(state, aNow) &&
+      HasFreeSlot(state, aNow) && IsWithinColdRate(state, aNow);
     if (isAvailable) {
       const bool isAvoided =
         state.mHealth.IsAvoided(aNow) || IsPartitioned(state, aQuery, aNow);
@@ -263,6 +269,10 @@
     if (!IsCandidate(state, aQuery)) {
       continue;
     }
+    if (IsPausing(state, aNow)) {
+      reason = std::max(reason, NoChoiceReason::AllPausing);
+      continue;
+    }
     if (!HasFreeSlot(state, aNow)) {
       return NoChoiceReason::AllFull;
     }
@@ -271,14 +281,31 @@
   return reason;
 }
 
+std::optional<TimePoint>
+UpstreamSelector::EarliestReturn(const PlacementQuery& aQuery,
+                                 TimePoint aNow) const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& state : mStates | std::views::values) {
+    if (!IsCandidate(state, aQuery)) {
+      continue;
+    }
+    if (!IsPausing(state, aNow)) {
+      return std::nullopt;
+    }
+    const auto end = state.mNotice.mPausedUntil;
+    earliest = std::min(earliest.value_or(end), end);
+  }
+  return earliest;
+}
+
 bool
 UpstreamSelector::MaySend(std::string_view aUpstream, TimePoint aNow) const
 {
   const auto found = mStates.find(aUpstream);
-  return found != mStates.end() &&
-         found->second.mEntry.mState == ingress::UpstreamState::Ready &&
-         !mDrainedDomains.contains(found->second.mEntry.mDomain) &&
-         aNow >= TimePoint{};
+  return found != mStates.end() && IsReady(found->second) &&
+         !IsPausing(found->second, aNow) &&
+         !mDrainedDomains.contains(found->second.mEntry.mDomain);
 }
 
 Reservation
@@ -355,6 +382,32 @@
   }
 }
 
+bool
+UpstreamSelector::OnLeaving(const ingress::UpstreamEntry& aUpstream,
+                            TimePoint aNow)
+{
+  const bool isNews = mNotices.OnLeaving(aUpstream, aNow);
+  const auto found = mStates.find(aUpstream.mId);
+  if (isNews && found != mStates.end()) {
+    found->second.mNotice = mNotices.Of(found->second.mEntry);
+    UpdateOwnSubset();
+  }
+  return isNews;
+}
+
+UpstreamNotices::Pause
+UpstreamSelector::OnPause(const ingress::UpstreamEntry& aUpstream,
+                          double aSeconds,
+                          TimePoint aNow)
+{
+  const auto pause = mNotices.OnPause(aUpstream, aSeconds, aNow);
+  const auto found = mStates.find(aUpstream.mId);
+  if (found != mStates.end()) {
+    found->second.mNotice = mNotices.Of(found->second.mEntry);
+  }
+  return pause;
+}
+
 void
 UpstreamSelector::OnOutcome(std::string_view aUpstream,
                             AttemptHealth aHealth,
@@ -405,8 +458,7 @@
 {
   std::set<std::string> versions;
   for (const auto& state : mStates | std::views::values) {
-    if (state.mEntry.mService == aService &&
-        state.mEntry.mState == ingress::UpstreamState::Ready) {
+    if (state.mEntry.mService == aService && IsReady(state)) {
       versions.insert(state.mEntry.mVersion);
     }
   }
@@ -420,8 +472,7 @@
   double running = 0.0;
   double slots = 0.0;
   for (const auto& state : mStates | std::views::values) {
-    if (state.mEntry.mService == aService &&
-        state.mEntry.mState == ingress::UpstreamState::Ready &&
+    if (state.mEntry.mService == aService && IsReady(state) &&
         !mDrainedDomains.contains(state.mEntry.mDomain)) {
       running += RunningRequests(state, aNow);
       slots += state.mEntry.mSlots;
@@ -441,11 +492,10 @@
   int own = 0;
   int all = 0;
   for (const auto& state : mStates | std::views::values) {
-    const bool isServing =
-      state.mEntry.mService == aService &&
-      state.mEntry.mState == ingress::UpstreamState::Ready &&
-      !mDrainedDomains.contains(state.mEntry.mDomain) &&
-      !state.mHealth.IsAvoided(aNow);
+    const bool isServing = state.mEntry.mService == aService &&
+                           IsReady(state) &&
+                           !mDrainedDomains.contains(state.mEntry.mDomain) &&
+                           !state.mHealth.IsAvoided(aNow);
     all += isServing ? 1 : 0;
     own += isServing && state.mIsInOwnSubset ? 1 : 0;
   }
@@ -455,13 +505,19 @@
   return load->second.BusyEngines(aNow) / engines;
 }
 
+bool
+UpstreamSelector::IsReady(const State& aState)
+{
+  return aState.mEntry.mState == ingress::UpstreamState::Ready &&
+         !aState.mNotice.mIsLeaving;
+}
+
 bool
 UpstreamSelector::IsCandidate(const State& aState,
                               const PlacementQuery& aQuery) const
 {
   const auto& entry = aState.mEntry;
-  return entry.mService == aQuery.mService &&
-         entry.mState == ingress::UpstreamState::Ready &&
+  return entry.mService == aQuery.mService && IsReady(aState) &&
          !mDrainedDomains.contains(entry.mDomain) &&
          (aQuery.mExcludedUpstreams == nullptr ||
           !aQuery.mExcludedUpstreams->contains(entry.mId)) &&
@@ -513,10 +569,29 @@
   return upstreams == 0 ? 0.0 : running / upstreams;
 }
 
+bool
+UpstreamSelector::IsPausing(const State& aState, TimePoint aNow)
+{
+  return aNow < aState.mNotice.mPausedUntil;
+}
+
+int
+UpstreamSelector::MaxInFlight(const State& aState, TimePoint aNow)
+{
+  const auto slots = aState.mEntry.mSlots;
+  const auto sinceReturn = aNow - aState.mNotice.mPausedUntil;
+  if (sinceReturn >= kReturnRamp) {
+    return slots;
+  }
+  return std::min(slots,
+                  1 + static_cast<int>(slots * sinceReturn / kReturnRamp));
+}
+
 bool
 UpstreamSelector::HasFreeSlot(const State& aState, TimePoint aNow) const
 {
-  return RunningRequests(aState, aNow) < aState.mEntry.mSlots;
+  return RunningRequests(aState, aNow) < aState.mEntry.mSlots &&
+         aState.mInFlight < MaxInFlight(aState, aNow);
 }
 
 bool
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -65,6 +65,8 @@
       return RequestEnd::StaleKeys;
     case SendRefusal::KeyRevoked:
       return RequestEnd::UnknownKey;
+    case SendRefusal::UpstreamPausing:
+      return RequestEnd::NoCapacity;
     case SendRefusal::UpstreamClosed:
     case SendRefusal::VersionClosed:
       break;
@@ -349,6 +351,9 @@
   auto end = *aAttempt.mHeadEnd;
   const auto& head = aAttempt.mConnection->Head();
   const auto metadata = mState.mDialect.mReadResponse(head);
+  if (end == net::StepEnd::Done) {
+    mState.OnResponse(aAttempt.mUpstream, metadata);
+  }
   if (end == net::StepEnd::Done && IsRejection(head, metadata)) {
     OnRejected(aAttempt);
     return false;
@@ -518,9 +523,7 @@
   const auto now = ReadBootClock();
   const auto& head = aAttempt.mConnection->Head();
   const auto facts = mState.mDialect.mReadResponse(head);
-  if (facts.mLoad) {
-    mState.mBoard.OnReportedLoad(aAttempt.mUpstream.mId, *facts.mLoad, now);
-  }
+  mState.OnResponse(aAttempt.mUpstream, facts);
   const bool isOtherRequest =
     !facts.mAttemptId.empty() && facts.mAttemptId != mFacts.mAttemptId;
   if (isOtherRequest) {
@@ -772,6 +775,12 @@
 RequestFlow::StartCrashCheck(const Attempt& aAttempt, TimePoint aNow)
 {
   ++mSuspectedCrashes;
+  const bool wantsNothing =
+    mState.mBoard.IsLeaving(aAttempt.mUpstream) || // it may have stopped since
+    mState.mBoard.IsPausing(aAttempt.mUpstream, aNow);
+  if (wantsNothing) {
+    return;
+  }
   // after two suspected crashes the request is treated as the cause, regardless
   // of the other requests that ran on the upstream
   const bool isRepeated = mSuspectedCrashes >= kMaxCrashes;
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -1,4 +1,5 @@
 #include <figslip/gateway/traffic_state.hpp>
+#include <figslip/log/log.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <xxhash.h>
@@ -118,6 +119,59 @@
   mQuarantine.Expire(ReadBootClock());
 }
 
+void
+TrafficState::OnResponse(const ingress::UpstreamEntry& aUpstream,
+                         const ingress::ResponseMetadata& aResponse)
+{
+  const auto now = ReadBootClock();
+  if (aResponse.mLoad) {
+    mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, now);
+  }
+  if (aResponse.mIsLeaving && mBoard.OnLeaving(aUpstream, now)) {
+    mPool.Drop({ .mAddress = aUpstream.mAddress, .mPort = aUpstream.mPort });
+    mMetrics
+      .CounterOf("figslip_upstreams_leaving_total",
+                 { { "service", aUpstream.mService } })
+      .Add();
+    log::Write(log::Level::Info,
+               "upstream_leaving",
+               { { "upstream", aUpstream.mId },
+                 { "service", aUpstream.mService },
+                 { "version", aUpstream.mVersion } });
+  }
+  if (aResponse.mPauseSeconds) {
+    RecordPause(aUpstream, *aResponse.mPauseSeconds, now);
+  }
+}
+
+void
+TrafficState::RecordPause(const ingress::UpstreamEntry& aUpstream,
+                          double aSeconds,
+                          TimePoint aNow)
+{
+  const auto pause = mBoard.OnPause(aUpstream, aSeconds, aNow);
+  const auto time = std::chrono::duration<double>(pause.mBounded.mTime);
+  if (pause.mBounded.mIsBounded) {
+    log::Write(log::Level::Warning,
+               "upstream_pause_bounded",
+               { { "upstream", aUpstream.mId },
+                 { "asked_s", std::to_string(aSeconds) },
+                 { "seconds", std::to_string(time.count()) } });
+  }
+  if (pause.mIsBegun) {
+    mMetrics
+      .CounterOf("figslip_upstream_pauses_total",
+                 { { "service", aUpstream.mService } })
+      .Add();
+    log::Write(log::Level::Info,
+               "upstream_pauses",
+               { { "upstream", aUpstream.mId },
+                 { "service", aUpstream.mService },
+                 { "version", aUpstream.mVersion },
+                 { "seconds", std::to_string(time.count()) } });
+  }
+}
+
 bool
 TrafficState::IsReady() const
 {
--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -49,6 +49,20 @@
   mHeldPrefix = std::move(aTargetPrefix);
 }
 
+void
+EngineStandIn::SetPauseAsked(std::string aText)
+{
+  const std::scoped_lock lock(mMutex);
+  mPauseAsked = std::move(aText);
+}
+
+net::Header
+EngineStandIn::PauseAsked()
+{
+  const std::scoped_lock lock(mMutex);
+  return { .mName = "Retry-After", .mValue = mPauseAsked };
+}
+
 bool
 EngineStandIn::IsHeld(const std::string& aTarget)
 {
@@ -147,13 +161,28 @@
 {
   const auto& request = aConnection->Request();
   const auto behaviour = mBehaviour.load();
+  ++mArrivals;
   const bool isOther = HeaderOf(request, "X-Expected-Instance") != mId;
-  if (isOther || behaviour == Behaviour::Refuse) {
-    const net::Headers headers = { { .mName = "X-Not-Executed",
-                                     .mValue = "1" } };
+  const bool refuses =
+    behaviour == Behaviour::Refuse || behaviour == Behaviour::RefuseAndPause;
+  if (isOther || refuses) {
+    auto headers = OwnHeaders();
+    headers.push_back({ .mName = "X-Not-Executed", .mValue = "1" });
+    if (!isOther && behaviour == Behaviour::RefuseAndPause) {
+      headers.push_back(PauseAsked());
+    }
     const unsigned status = isOther ? 421 : 503;
     co_return co_await aConnection->Respond(status, headers, "", false);
   }
+  if (behaviour == Behaviour::TurnAway) {
+    auto headers = OwnHeaders();
+    headers.push_back(
+      { .mName = "X-Attempt-Id", .mValue = HeaderOf(request, "X-Attempt-Id") });
+    headers.push_back(
+      { .mName = "X-Response-Signature", .mValue = "signed-by-" + mId });
+    headers.push_back(PauseAsked());
+    co_return co_await aConnection->Respond(503, headers, "busy", false);
+  }
   {
     const std::scoped_lock lock(mMutex);
     mRuns.push_back(request);
@@ -173,16 +202,17 @@
   const auto attempt = behaviour == Behaviour::WrongRequest
                          ? std::string("another")
                          : HeaderOf(request, "X-Attempt-Id");
-  net::Headers headers = { { .mName = "X-Attempt-Id", .mValue = attempt },
-                           { .mName = "X-Response-Signature",
-                             .mValue = "signed-by-" + mId } };
+  while (IsHeld(request.mTarget)) {
+    co_await net::Sleep(std::chrono::milliseconds(5));
+  }
+  auto headers = OwnHeaders();
+  headers.push_back({ .mName = "X-Attempt-Id", .mValue = attempt });
+  headers.push_back(
+    { .mName = "X-Response-Signature", .mValue = "signed-by-" + mId });
   if (const int confidence = mConfidence; confidence >= 0) {
     headers.push_back(
       { .mName = "X-Confidence", .mValue = std::to_string(confidence) });
   }
-  while (IsHeld(request.mTarget)) {
-    co_await net::Sleep(std::chrono::milliseconds(5));
-  }
   if (behaviour == Behaviour::Fail) {
     co_return co_await aConnection->Respond(500, headers, "failed", false);
   }
@@ -193,6 +223,16 @@
   co_return co_await aConnection->Respond(200, headers, body, false);
 }
 
+net::Headers
+EngineStandIn::OwnHeaders() const
+{
+  net::Headers headers;
+  if (mIsLeaving) {
+    headers.push_back({ .mName = "Server-Leaving", .mValue = "1" });
+  }
+  return headers;
+}
+
 net::Awaitable<bool>
 EngineStandIn::Stream(Connection aConnection, net::Headers aHeaders)
 {
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -31,10 +31,12 @@
   enum class Behaviour
   {
     Good,
-    BreakMidway,  ///< closes a stream in the middle of its third event
-    SilentMidway, ///< sends nothing after the second event of a stream
-    RunAndVanish, ///< runs the request and closes without an answer
-    Refuse,       ///< vouches that it did not run the request
+    BreakMidway,    ///< closes a stream in the middle of its third event
+    SilentMidway,   ///< sends nothing after the second event of a stream
+    RunAndVanish,   ///< runs the request and closes without an answer
+    Refuse,         ///< vouches that it did not run the request
+    RefuseAndPause, ///< likewise, and asks for a pause
+    TurnAway, ///< does not run the request, does not vouch, asks for a pause
     WrongRequest, ///< answers with the id of another request
     Fail,         ///< answers 500
     Hang          ///< never answers
@@ -59,13 +61,21 @@
 
   /// Sends raw bytes from now on to some requests; nothing: to none.
   void AnswerRaw(std::optional<RawAnswer> aAnswer);
+  /// Sets the text of Retry-After when it asks for a pause.
+  void SetPauseAsked(std::string aText);
+  /// Says, or no longer says, in all answers whose heads are sent from now on
+  /// that it leaves.
+  void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
 
   /// Returns the requests that it has begun to run.
   [[nodiscard]] std::vector<net::RequestMessage> Runs();
+  /// Counts the requests that have arrived, also those that it did not run.
+  [[nodiscard]] int Arrivals() const { return mArrivals; }
 
 private:
   using Connection = std::shared_ptr<net::CallerConnection>;
 
+  [[nodiscard]] net::Header PauseAsked();
   [[nodiscard]] bool IsHeld(const std::string& aTarget);
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection, int aSocket);
@@ -76,6 +86,8 @@
   [[nodiscard]] net::Awaitable<void> SendRaw(RawAnswer aAnswer,
                                              std::string aAttempt,
                                              int aSocket);
+  /// Returns the headers with which it speaks of itself.
+  [[nodiscard]] net::Headers OwnHeaders() const;
   [[nodiscard]] net::Awaitable<bool> Stream(Connection aConnection,
                                             net::Headers aHeaders);
 
@@ -86,9 +98,12 @@
   std::atomic<Behaviour> mBehaviour{ Behaviour::Good };
   std::atomic<std::chrono::milliseconds> mPause{ std::chrono::milliseconds(2) };
   std::atomic<int> mConfidence{ -1 };
+  std::atomic<bool> mIsLeaving{ false };
+  std::atomic<int> mArrivals{ 0 };
   std::mutex mMutex;
   std::string mHeldPrefix;
   std::optional<RawAnswer> mRaw;
+  std::string mPauseAsked = "0.3"; ///< seconds
   std::vector<net::RequestMessage> mRuns;
   std::thread mThread;
 };
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -300,7 +300,7 @@
                { "slots", 8 },
                { "state", aState },
                { "cold_remaining_ms", 0 },
-               { "born", 1 },
+               { "born", mEngineStarts.at(aIndex).load() },
                { "seq", mVersion } });
 }
 
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -5,6 +5,8 @@
 #include <harness/relay.hpp>
 #include <harness/store_stand_in.hpp>
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -115,6 +117,12 @@
                  const std::string& aState,
                  const std::string& aVersion,
                  StoreStandIn& aStore);
+  /// Registers an engine as started anew under the id that it had.
+  void RestartEngine(std::size_t aIndex)
+  {
+    ++mEngineStarts.at(aIndex);
+    PutEngine(aIndex);
+  }
 
   /// Waits until an instance says that it is ready, or not.
   [[nodiscard]] bool WaitForReady(std::size_t aIndex, bool aReady = true);
@@ -155,6 +163,7 @@
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
+  std::array<std::atomic<int>, 2> mEngineStarts = { 1, 1 };
   int mVersion = 0;
 };
 
