Reject a version that answers several times slower

Cause: an attempt given up for its silence was recorded as an abort of its upstream, of which one in 3 s counts, and added no latency. The slowest attempts (156 of 297 on the new version) were thus missing, and the slower a version, the faster its sample looked. Half slow answers hardly move a median; each instance judged about ten attempts of its own; the share grew by the clock.

A silent attempt now counts as slow if its upstream sent events meanwhile; otherwise the upstream may be down, which only holds the share back. The rate of slow attempts is compared by its log evidence. Instances add up their counts through the store, in at most 7 writes and a removal for an instance and roll-out. The share stays at 0.1 while the version may be slow and at 0.3 while it is hardly tried, for a limited time, so that a good version is still completed.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -14,6 +14,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace figslip::gateway {
@@ -47,6 +49,10 @@
   /// @note Not published if many requests were in flight there.
   void ReportCrash(const quarantine::CrashReport& aReport);
 
+  /// @brief Publishes this instance's counts on a roll-out to all instances.
+  /// @note One attempt: later counts replace those that were not written.
+  void ShareEvidence(const rollout::EvidenceReport& aReport);
+
   /// @brief Sends subsequent calls to the store at another address.
   void SetStoreEndpoint(const net::Endpoint& aStore);
 
@@ -68,6 +74,10 @@
   [[nodiscard]] net::Awaitable<void> RunHousekeeping();
   void DropExpiredUpstreams();
   void RemoveDueCrashRecords();
+  [[nodiscard]] net::Awaitable<void> WriteEvidence(
+    rollout::EvidenceReport aReport);
+  /// Removes this instance's counts of roll-outs that are decided or gone.
+  void RemoveOldEvidence();
   [[nodiscard]] net::Awaitable<void> Register();
   [[nodiscard]] nlohmann::json Registration() const;
   /// Writes with retries until the store accepts the write.
@@ -96,6 +106,10 @@
   std::int64_t mNewestVersion = -1;    ///< of the configuration
   std::int64_t mLastReadRevision = -1; ///< of the configuration
   quarantine::CrashRecords mCrashes{ {} };
+  std::set<std::string> mOwnEvidence; ///< services with counts in the store
+  std::int64_t mLastEvidenceRevision = -1; ///< of own counts seen in lists
+  /// services with an undecided roll-out; unknown before the first list
+  std::optional<std::set<std::string>> mOpenRollouts;
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -156,7 +156,9 @@
   [[nodiscard]] NextStep NextStepAfterFailure() const;
   void RecordHealth(Attempt& aAttempt, placement::AttemptHealth aHealth);
   void RecordFirstEvent(Attempt& aAttempt, TimePoint aNow);
-  void RecordFailure(const Attempt& aAttempt, bool aIsBroken);
+  void RecordFailure(const Attempt& aAttempt,
+                     bool aIsBroken,
+                     Duration aSilentFor = Duration::zero());
   /// Writes the metrics and the log line of the request, once.
   void RecordEnd(RequestEnd aEnd);
   [[nodiscard]] bool IsStream() const
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -27,6 +27,7 @@
 {
   std::function<void(const rollout::StatusChange&)> mOnStatusChange;
   std::function<void(const quarantine::CrashReport&)> mOnCrash;
+  std::function<void(const rollout::EvidenceReport&)> mOnEvidence;
 };
 
 /// @brief Holds all state of the traffic thread; used by that thread only.
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -48,14 +48,23 @@
   std::string mReason;
 };
 
+/// @brief Counts of one instance, which it shares with the others.
+struct EvidenceReport
+{
+  std::string mService;
+  std::int64_t mCreated = 0; ///< as of the order
+  SlownessCounts mCounts;
+};
+
 /// @brief Moves the traffic of services to new versions in stages, or back.
 ///
-/// The share of the new version depends only on the time since the order, so
-/// that all instances agree without exchanging messages. The hash of a session
-/// decides whether it is in that share, so that a session keeps its version. In
-/// the first half of the time a small canary share runs on the new version;
-/// then the share grows. An instance that rejects the version stops using it at
-/// once and requests the roll-back.
+/// The share of the new version depends on the time since the order, so that
+/// instances agree without exchanging messages. The hash of a session decides
+/// whether it is in that share, so that a session keeps its version. In the
+/// first half of the time a small canary share runs on the new version; then
+/// the share grows. An instance limits it while it has too few samples of the
+/// version, or suspects it, and time is left. An instance that rejects the
+/// version stops using it at once and requests the roll-back.
 class StagedRollout
 {
 public:
@@ -105,16 +114,31 @@
                 std::string_view aVersion,
                 const CanarySample& aSample);
 
+  /// @brief Records an event from an upstream, on any attempt.
+  void OnEvent(std::string_view aService,
+               const std::string& aUpstream,
+               TimePoint aNow);
+
   /// @brief Returns the status changes to write now.
   ///
   /// A change that does not appear in the orders is returned again later.
   [[nodiscard]] std::vector<StatusChange> DueChanges(TimePoint aNow);
 
+  /// @brief Returns the counts to share with the other instances now.
+  ///
+  /// At most once for each of a few fractions of the planned time, so that the
+  /// number of writes does not depend on the length or on the traffic.
+  [[nodiscard]] std::vector<EvidenceReport> DueReports(TimePoint aNow);
+
+  /// @brief Replaces the counts of all other instances; it may reject versions.
+  void OnPeerReports(const std::vector<EvidenceReport>& aReports);
+
   /// @brief Sets the number of serving instances, which limits the canary
   /// share.
   void SetInstanceCount(int aInstances);
 
-  /// @brief Returns the fraction of sessions assigned to the new version.
+  /// @brief Returns the fraction of sessions assigned to the new version by the
+  /// clock alone.
   /// @param[in] aProgress elapsed fraction of the planned time, [0, 1]
   [[nodiscard]] double ShareAt(double aProgress) const;
 
@@ -124,6 +148,9 @@
     RolloutOrder mOrder;
     TimePoint mStartedAt; ///< earliest known time of the order
     CanaryEvidence mEvidence;
+    bool mMayBeSlow = false;
+    std::size_t mReportCount = 0; ///< fractions of the time reported
+    SlownessCounts mReported;
     bool mIsRejected = false;
     std::string mReason;
     std::optional<TimePoint> mRequestedAt; ///< time of the last change request
@@ -142,10 +169,15 @@
 
   [[nodiscard]] static double ProgressOf(const TrackedRollout& aRollout,
                                          TimePoint aNow);
+  /// Returns the share of the clock, limited by the evidence.
+  [[nodiscard]] double ShareOf(const TrackedRollout& aRollout,
+                               double aProgress) const;
   [[nodiscard]] bool AllowsInProgress(const TrackedRollout& aRollout,
                                       bool aIsTarget,
                                       std::uint64_t aSession,
                                       TimePoint aNow) const;
+  /// Rejects the version of an open roll-out if the evidence suffices.
+  static void Judge(TrackedRollout& aRollout);
   [[nodiscard]] static std::optional<RolloutState> NextState(
     TrackedRollout& aRollout,
     TimePoint aNow);
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -1,6 +1,10 @@
 #include <figslip/rollout/canary_evidence.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <ranges>
+#include <string>
 #include <vector>
 
 namespace figslip::rollout {
@@ -24,6 +28,40 @@
 /// by more than this factor.
 constexpr double kMaxLatencyFactor = 3.0;
 
+/// Latency ratio from which an attempt counts as slow.
+constexpr double kSlowRatio = 2.0;
+
+/// Sizes of the windows of slow attempts.
+constexpr std::size_t kSlownessTargetSamples = 128;
+constexpr std::size_t kSlownessBaselineSamples = 128;
+
+/// Attempts required of the other versions to compare the rates of slow ones.
+constexpr std::int64_t kMinSlownessBaseline = 8;
+
+/// The rate of slow attempts of the other versions is raised by this number of
+/// standard errors, and to this minimum.
+constexpr double kSlowRateErrors = 2.0;
+constexpr double kMinSlowRate = 0.1;
+
+/// Log evidence at which a version is rejected as slow: the probability that a
+/// version as fast as the others reaches it in one window is at most exp(-10)
+/// (Chernoff bound).
+constexpr double kSlownessThreshold = 10.0;
+
+/// Log evidence required besides a high median, which few samples may show by
+/// chance.
+constexpr double kMedianThreshold = 5.0;
+
+/// Log evidence at which the share of a version stops to grow.
+constexpr double kSuspicionThreshold = 2.5;
+
+/// Maximum number of silent attempts that are remembered.
+constexpr std::size_t kMaxSilentAttempts = 64;
+
+/// An upstream that sends an event within this time after a silent attempt was
+/// slow rather than down.
+constexpr Duration kAnswerWindow = std::chrono::seconds(3);
+
 /// Aborts by several upstreams within this time have a common cause, such as
 /// lost machines, and are not evidence against the version.
 constexpr Duration kCommonCauseWindow = std::chrono::seconds(3);
@@ -33,6 +71,55 @@
 
 } // namespace
 
+SlownessCounts&
+SlownessCounts::operator+=(const SlownessCounts& aOther)
+{
+  mTarget += aOther.mTarget;
+  mTargetSlow += aOther.mTargetSlow;
+  mOthers += aOther.mOthers;
+  mOthersSlow += aOther.mOthersSlow;
+  return *this;
+}
+
+bool
+SlownessCounts::IsPlausible() const
+{
+  return 0 <= mTargetSlow && mTargetSlow <= mTarget &&
+         mTarget <= static_cast<std::int64_t>(kSlownessTargetSamples) &&
+         0 <= mOthersSlow && mOthersSlow <= mOthers &&
+         mOthers <= static_cast<std::int64_t>(kSlownessBaselineSamples);
+}
+
+double
+SlownessCounts::Evidence() const
+{
+  if (mOthers < kMinSlownessBaseline || mTarget == 0) {
+    return 0.0;
+  }
+  const auto others = static_cast<double>(mOthers);
+  const auto count = static_cast<double>(mTarget);
+  const double rate =
+    std::max(kMinSlowRate, static_cast<double>(mOthersSlow) / others);
+  const double reference =
+    rate + kSlowRateErrors * std::sqrt(rate * (1.0 - rate) / others);
+  const double observed = static_cast<double>(mTargetSlow) / count;
+  if (observed <= reference) {
+    return 0.0;
+  }
+  const double rest = 1.0 - observed;
+  const double restEvidence =
+    rest > 0.0 ? rest * std::log(rest / (1.0 - reference)) : 0.0;
+  return count * (observed * std::log(observed / reference) + restEvidence);
+}
+
+std::string
+SlownessCounts::Text() const
+{
+  return std::to_string(mTargetSlow) + " of " + std::to_string(mTarget) +
+         " attempts slow, others " + std::to_string(mOthersSlow) + " of " +
+         std::to_string(mOthers);
+}
+
 CanarySample
 SampleOf(std::string aRoute, Duration aElapsed, Duration aExpected)
 {
@@ -85,6 +172,82 @@
   return *middle;
 }
 
+void
+CanaryEvidence::SlownessWindow::Add(bool aIsSlow, std::size_t aMaxCount)
+{
+  mIsSlow.push_back(aIsSlow);
+  if (mIsSlow.size() > aMaxCount) {
+    mIsSlow.pop_front();
+  }
+}
+
+void
+CanaryEvidence::SlownessWindow::Add(const CanarySample& aSample,
+                                    std::size_t aMaxCount)
+{
+  if (aSample.mLatencyRatio) {
+    Add(*aSample.mLatencyRatio > kSlowRatio, aMaxCount);
+  }
+}
+
+std::int64_t
+CanaryEvidence::SlownessWindow::SlowCount() const
+{
+  return std::ranges::count(mIsSlow, true);
+}
+
+void
+CanaryEvidence::SlownessWindow::Correct()
+{
+  const auto fast = std::ranges::find(mIsSlow, false);
+  if (fast != mIsSlow.end()) {
+    *fast = true;
+  }
+}
+
+void
+CanaryEvidence::AddSlow(const SilentAttempt& aAttempt)
+{
+  auto& window = aAttempt.mIsTarget ? mTargetSlowness : mBaselineSlowness;
+  if (aAttempt.mHadEvent) {
+    window.Correct();
+  } else {
+    window.Add(true,
+               aAttempt.mIsTarget ? kSlownessTargetSamples
+                                  : kSlownessBaselineSamples);
+  }
+}
+
+void
+CanaryEvidence::OnSilence(const CanarySample& aSample, bool aIsTarget)
+{
+  const SilentAttempt attempt{ .mIsTarget = aIsTarget,
+                               .mHadEvent = aSample.mHadEvent,
+                               .mEndedAt = aSample.mAbortedAt };
+  const auto last = mLastEvents.find(aSample.mAbortedBy);
+  const bool isAlive =
+    last != mLastEvents.end() &&
+    last->second > aSample.mAbortedAt - aSample.mSilentFor / 2;
+  if (isAlive) {
+    AddSlow(attempt);
+  } else if (mSilentAttempts.size() < kMaxSilentAttempts) {
+    mSilentAttempts.emplace(aSample.mAbortedBy, attempt);
+  }
+}
+
+void
+CanaryEvidence::OnEvent(const std::string& aUpstream, TimePoint aNow)
+{
+  mLastEvents.insert_or_assign(aUpstream, aNow);
+  const auto [begin, end] = mSilentAttempts.equal_range(aUpstream);
+  for (auto attempt = begin; attempt != end; ++attempt) {
+    if (aNow < attempt->second.mEndedAt + kAnswerWindow) {
+      AddSlow(attempt->second);
+    }
+  }
+  mSilentAttempts.erase(begin, end);
+}
+
 bool
 CanaryEvidence::IsRepeatedAbort(const CanarySample& aSample)
 {
@@ -105,6 +268,10 @@
 void
 CanaryEvidence::OnTargetSample(const CanarySample& aSample)
 {
+  if (aSample.mSilentFor > Duration::zero()) {
+    OnSilence(aSample, true);
+  }
+  mTargetSlowness.Add(aSample, kSlownessTargetSamples);
   if (IsRepeatedAbort(aSample)) {
     return;
   }
@@ -116,6 +283,10 @@
 void
 CanaryEvidence::OnBaselineSample(const CanarySample& aSample)
 {
+  if (aSample.mSilentFor > Duration::zero()) {
+    OnSilence(aSample, false);
+  }
+  mBaselineSlowness.Add(aSample, kSlownessBaselineSamples);
   if (IsRepeatedAbort(aSample)) {
     return;
   }
@@ -131,6 +302,33 @@
          aTarget.FailureRate() > aOthers.FailureRate() + kFailureRateMargin;
 }
 
+SlownessCounts
+CanaryEvidence::OwnCounts() const
+{
+  return { .mTarget = std::ssize(mTargetSlowness.mIsSlow),
+           .mTargetSlow = mTargetSlowness.SlowCount(),
+           .mOthers = std::ssize(mBaselineSlowness.mIsSlow),
+           .mOthersSlow = mBaselineSlowness.SlowCount() };
+}
+
+SlownessCounts
+CanaryEvidence::MergedCounts() const
+{
+  auto counts = OwnCounts();
+  return counts += mPeers;
+}
+
+bool
+CanaryEvidence::MayBeSlow() const
+{
+  const auto silent = std::ranges::count_if(
+    mSilentAttempts | std::views::values, &SilentAttempt::mIsTarget);
+  auto counts = MergedCounts();
+  counts.mTarget += silent;
+  counts.mTargetSlow += silent;
+  return counts.Evidence() >= kSuspicionThreshold;
+}
+
 std::optional<std::string>
 CanaryEvidence::RejectionReason() const
 {
@@ -147,10 +345,14 @@
   }
   const bool isTimed = mAllTarget.mLatencyRatios.size() >= kMinLatencySamples &&
                        mAllBaseline.mLatencyRatios.size() >= kMinLatencySamples;
-  if (isTimed &&
-      mAllTarget.MedianLatencyRatio() >
-        kMaxLatencyFactor * std::max(1.0, mAllBaseline.MedianLatencyRatio())) {
-    return "slowness";
+  const auto counts = MergedCounts();
+  const auto evidence = counts.Evidence();
+  const bool hasHighMedian =
+    isTimed &&
+    mAllTarget.MedianLatencyRatio() >
+      kMaxLatencyFactor * std::max(1.0, mAllBaseline.MedianLatencyRatio());
+  if (evidence >= (hasHighMedian ? kMedianThreshold : kSlownessThreshold)) {
+    return "slowness: " + counts.Text();
   }
   return std::nullopt;
 }
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -29,6 +29,23 @@
 constexpr auto kStages = std::to_array<Stage>(
   { { 0.0, 0.0 }, { 0.52, 0.3 }, { 0.58, 0.6 }, { 0.65, 1.0 } });
 
+/// Maximum share of a version that may be slow, and the fraction of the planned
+/// time up to which it is held there. The version still receives enough
+/// requests to decide, but less than a bad one may receive.
+constexpr double kSuspectShare = 0.1;
+constexpr double kSuspectProgress = 0.85;
+
+/// Maximum share of a version with fewer samples than these, and the fraction
+/// of the planned time up to which it is held there.
+constexpr double kThinShare = 0.3;
+constexpr std::int64_t kThinSamples = 8;
+constexpr double kThinProgress = 0.65;
+
+/// Fractions of the planned time at which an instance shares its counts: mostly
+/// before the share grows, while each instance has few samples.
+constexpr auto kReportProgress =
+  std::to_array<double>({ 0.2, 0.3, 0.4, 0.48, 0.56, 0.64, 0.75 });
+
 /// Fraction of the planned time at which the roll-out is completed.
 constexpr double kCompletionProgress = 0.92;
 
@@ -47,6 +64,12 @@
   return static_cast<std::size_t>(next - kStages.begin()) - 1;
 }
 
+bool
+IsUndecided(RolloutState aState)
+{
+  return aState == RolloutState::Ordered || aState == RolloutState::InProgress;
+}
+
 } // namespace
 
 std::string_view
@@ -134,6 +157,18 @@
            : AllowsInProgress(rollout, isTarget, aSession, aNow);
 }
 
+double
+StagedRollout::ShareOf(const TrackedRollout& aRollout, double aProgress) const
+{
+  const double share = ShareAt(aProgress);
+  if (aRollout.mMayBeSlow && aProgress < kSuspectProgress) {
+    return std::min(share, std::max(mCanaryShare, kSuspectShare));
+  }
+  const bool isThin = aRollout.mEvidence.MergedCounts().mTarget < kThinSamples;
+  return isThin && aProgress < kThinProgress ? std::min(share, kThinShare)
+                                             : share;
+}
+
 bool
 StagedRollout::AllowsInProgress(const TrackedRollout& aRollout,
                                 bool aIsTarget,
@@ -144,7 +179,7 @@
   const auto progress = ProgressOf(aRollout, aNow);
   const double position =
     static_cast<double>(aSession % kHashSteps) / kHashSteps;
-  bool wantsTarget = position < ShareAt(progress);
+  bool wantsTarget = position < ShareOf(aRollout, progress);
   const auto* const session = ActiveSession(aSession, aNow);
   if (session != nullptr && session->mVersion == aRollout.mOrder.mTarget) {
     wantsTarget = true;
@@ -230,18 +265,40 @@
     return;
   }
   auto& rollout = found->second;
+  if (!IsUndecided(rollout.mOrder.mState)) {
+    return;
+  }
   if (aVersion != rollout.mOrder.mTarget) {
     rollout.mEvidence.OnBaselineSample(aSample);
     return;
   }
   rollout.mEvidence.OnTargetSample(aSample);
-  const auto verdict = rollout.mEvidence.RejectionReason();
-  const bool isOpen = rollout.mOrder.mState == RolloutState::Ordered ||
-                      rollout.mOrder.mState == RolloutState::InProgress;
-  if (verdict && isOpen && !rollout.mIsRejected) {
-    rollout.mIsRejected = true;
-    rollout.mReason = *verdict;
-    rollout.mRequestedAt.reset();
+  Judge(rollout);
+}
+
+void
+StagedRollout::OnEvent(std::string_view aService,
+                       const std::string& aUpstream,
+                       TimePoint aNow)
+{
+  const auto found = mRollouts.find(aService);
+  if (found != mRollouts.end() && IsUndecided(found->second.mOrder.mState)) {
+    found->second.mEvidence.OnEvent(aUpstream, aNow);
+    Judge(found->second);
+  }
+}
+
+void
+StagedRollout::Judge(TrackedRollout& aRollout)
+{
+  if (aRollout.mIsRejected || !IsUndecided(aRollout.mOrder.mState)) {
+    return;
+  }
+  aRollout.mMayBeSlow = aRollout.mEvidence.MayBeSlow();
+  if (auto verdict = aRollout.mEvidence.RejectionReason()) {
+    aRollout.mIsRejected = true;
+    aRollout.mReason = std::move(*verdict);
+    aRollout.mRequestedAt.reset();
   }
 }
 
@@ -273,6 +330,45 @@
   return changes;
 }
 
+std::vector<EvidenceReport>
+StagedRollout::DueReports(TimePoint aNow)
+{
+  std::vector<EvidenceReport> reports;
+  for (auto& rollout : mRollouts | std::views::values) {
+    const auto progress = ProgressOf(rollout, aNow - mOptions.mWriteDelay);
+    const auto due = static_cast<std::size_t>(std::ranges::count_if(
+      kReportProgress, [&](double aDue) { return aDue <= progress; }));
+    if (!IsUndecided(rollout.mOrder.mState) || due <= rollout.mReportCount) {
+      continue;
+    }
+    rollout.mReportCount = due;
+    const auto counts = rollout.mEvidence.OwnCounts();
+    if (counts.mTarget > 0 && counts != rollout.mReported) {
+      rollout.mReported = counts;
+      reports.push_back({ .mService = rollout.mOrder.mService,
+                          .mCreated = rollout.mOrder.mCreated,
+                          .mCounts = counts });
+    }
+  }
+  return reports;
+}
+
+void
+StagedRollout::OnPeerReports(const std::vector<EvidenceReport>& aReports)
+{
+  for (auto& [service, rollout] : mRollouts) {
+    SlownessCounts peers;
+    for (const auto& report : aReports) {
+      if (report.mService == service &&
+          report.mCreated == rollout.mOrder.mCreated) {
+        peers += report.mCounts;
+      }
+    }
+    rollout.mEvidence.SetPeerCounts(peers);
+    Judge(rollout);
+  }
+}
+
 std::optional<RolloutState>
 StagedRollout::NextState(TrackedRollout& aRollout, TimePoint aNow)
 {
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -41,6 +41,17 @@
 
 constexpr std::string_view kInstancePrefix = "instance.";
 
+constexpr std::string_view kEvidencePrefix = "rollout.";
+
+/// JSON fields of an instance's counts on a roll-out.
+constexpr const char* kServiceField = "service";
+constexpr const char* kInstanceField = "instance";
+constexpr const char* kCreatedField = "created";
+constexpr const char* kTargetField = "target";
+constexpr const char* kTargetSlowField = "target_slow";
+constexpr const char* kOthersField = "others";
+constexpr const char* kOthersSlowField = "others_slow";
+
 /// JSON fields of an instance's registration.
 constexpr const char* kDomainField = "failure_domain";
 constexpr const char* kPeersField = "peers";
@@ -72,6 +83,34 @@
   return std::uniform_int_distribution<std::uint64_t>(1)(device);
 }
 
+std::string
+EvidenceName(std::string_view aService, std::string_view aInstance)
+{
+  return std::string(kEvidencePrefix) + std::string(aService) + "." +
+         std::string(aInstance);
+}
+
+/// Reads an integer; -1 if the field is absent or anything else.
+std::int64_t
+CountOf(const nlohmann::json& aSpec, const char* aField)
+{
+  const auto found = aSpec.find(aField);
+  return found != aSpec.end() && found->is_number_integer()
+           ? found->get<std::int64_t>()
+           : -1;
+}
+
+rollout::EvidenceReport
+ReadEvidence(const nlohmann::json& aSpec)
+{
+  return { .mService = json::TextOr(aSpec, kServiceField, ""),
+           .mCreated = CountOf(aSpec, kCreatedField),
+           .mCounts = { .mTarget = CountOf(aSpec, kTargetField),
+                        .mTargetSlow = CountOf(aSpec, kTargetSlowField),
+                        .mOthers = CountOf(aSpec, kOthersField),
+                        .mOthersSlow = CountOf(aSpec, kOthersSlowField) } };
+}
+
 } // namespace
 
 ControlPlane::ControlPlane(net::asio::io_context& aContext,
@@ -315,6 +354,14 @@
         { "state", std::string(rollout::NameOf(orders.back().mState)) },
         { "revision", std::to_string(object.mRevision) } });
   }
+  mOpenRollouts.emplace();
+  for (const auto& order : orders) {
+    if (order.mState == rollout::RolloutState::Ordered ||
+        order.mState == rollout::RolloutState::InProgress) {
+      mOpenRollouts->insert(order.mService);
+    }
+  }
+  RemoveOldEvidence();
   mPost([orders](TrafficState& aState) {
     aState.mRollouts.OnOrders(orders, ReadBootClock());
   });
@@ -339,6 +386,7 @@
   std::vector<relay::Peer> peers;
   std::vector<membership::InstanceLocation> places;
   std::map<std::string, int> crashes;
+  std::vector<rollout::EvidenceReport> evidence;
   for (const auto& [name, object] : aObjects) {
     if (name.starts_with(kInstancePrefix)) {
       peers.push_back(
@@ -347,6 +395,18 @@
           .mAddress = json::TextOr(object.mSpec, kPeersField, "") });
       places.push_back({ .mName = peers.back().mInstance,
                          .mFailureDomain = peers.back().mFailureDomain });
+    } else if (name.starts_with(kEvidencePrefix)) {
+      auto report = ReadEvidence(object.mSpec);
+      const auto instance = json::TextOr(object.mSpec, kInstanceField, "");
+      if (instance == mSettings.mInstance) {
+        // lists may still contain a version that was removed since
+        if (object.mRevision > mLastEvidenceRevision) {
+          mLastEvidenceRevision = object.mRevision;
+          mOwnEvidence.insert(report.mService);
+        }
+      } else if (report.mCounts.IsPlausible()) {
+        evidence.push_back(std::move(report));
+      }
     } else if (quarantine::CrashRecords::IsRecord(name)) {
       crashes.emplace(name, json::NumberOr(object.mSpec, kInFlightField, 1));
     }
@@ -362,9 +422,11 @@
              "instances_known",
              { { "instances", std::to_string(places.size()) },
                { "crash_records", std::to_string(crashes.size()) } });
-  mPost([places, reports](TrafficState& aState) {
+  RemoveOldEvidence();
+  mPost([places, reports, evidence](TrafficState& aState) {
     aState.OnInstances(places);
     aState.OnCrashReports(reports);
+    aState.mRollouts.OnPeerReports(evidence);
   });
 }
 
@@ -406,6 +468,65 @@
   }
 }
 
+void
+ControlPlane::ShareEvidence(const rollout::EvidenceReport& aReport)
+{
+  log::Write(
+    log::Level::Info,
+    "rollout_evidence",
+    { { "service", aReport.mService }, { "counts", aReport.mCounts.Text() } });
+  net::asio::co_spawn(mContext, WriteEvidence(aReport), net::asio::detached);
+}
+
+net::Awaitable<void>
+ControlPlane::WriteEvidence(rollout::EvidenceReport aReport)
+{
+  const auto name = EvidenceName(aReport.mService, mSettings.mInstance);
+  const auto& counts = aReport.mCounts;
+  const nlohmann::json spec = { { kServiceField, aReport.mService },
+                                { kInstanceField, mSettings.mInstance },
+                                { kCreatedField, aReport.mCreated },
+                                { kTargetField, counts.mTarget },
+                                { kTargetSlowField, counts.mTargetSlow },
+                                { kOthersField, counts.mOthers },
+                                { kOthersSlowField, counts.mOthersSlow } };
+  const bool isKnown = mOwnEvidence.contains(aReport.mService);
+  auto request = isKnown ? mDialect.mReplaceShared(name, spec)
+                         : mDialect.mCreateShared(name, spec);
+  const auto result = co_await mClient.Call(
+    std::move(request), "share roll-out evidence", kWriteTimeout);
+  if (result.mOutcome == store::CallOutcome::Answered) {
+    if (result.mStatus == kNotFound) {
+      mOwnEvidence.erase(aReport.mService);
+    } else {
+      mOwnEvidence.insert(aReport.mService);
+    }
+  }
+  if (result.mStatus == kConflict) {
+    auto replace = mDialect.mReplaceShared(name, spec);
+    co_await mClient.Call(
+      std::move(replace), "share roll-out evidence again", kWriteTimeout);
+  }
+  RemoveOldEvidence();
+}
+
+void
+ControlPlane::RemoveOldEvidence()
+{
+  if (!mOpenRollouts) {
+    return;
+  }
+  std::erase_if(mOwnEvidence, [this](const std::string& aService) {
+    const bool isOld = !mOpenRollouts->contains(aService);
+    if (isOld) {
+      StartWrite(
+        mDialect.mRemoveShared(EvidenceName(aService, mSettings.mInstance)),
+        "remove roll-out evidence");
+    }
+    return isOld;
+  });
+}
+
 nlohmann::json
 ControlPlane::Registration() const
 {
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -45,20 +45,26 @@
       }))
   , mFrontend(std::make_shared<Frontend>(mTrafficContext, *mTraffic))
 {
-  mTraffic->mReports = { .mOnStatusChange =
-                           [this](const rollout::StatusChange& aChange) {
-                             net::asio::post(mControlContext,
-                                             [control = mControl, aChange] {
-                                               control->WriteStatus(aChange);
-                                             });
-                           },
-                         .mOnCrash =
-                           [this](const quarantine::CrashReport& aReport) {
-                             net::asio::post(mControlContext,
-                                             [control = mControl, aReport] {
-                                               control->ReportCrash(aReport);
-                                             });
-                           } };
+  mTraffic->mReports = {
+    .mOnStatusChange =
+      [this](const rollout::StatusChange& aChange) {
+        net::asio::post(mControlContext, [control = mControl, aChange] {
+          control->WriteStatus(aChange);
+        });
+      },
+    .mOnCrash =
+      [this](const quarantine::CrashReport& aReport) {
+        net::asio::post(mControlContext, [control = mControl, aReport] {
+          control->ReportCrash(aReport);
+        });
+      },
+    .mOnEvidence =
+      [this](const rollout::EvidenceReport& aReport) {
+        net::asio::post(mControlContext, [control = mControl, aReport] {
+          control->ShareEvidence(aReport);
+        });
+      }
+  };
   RegisterServices();
 }
 
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -201,7 +201,7 @@
   if (!mRunning->mWasSilent) {
     mRunning->mWasSilent = true;
     RecordHealth(*mRunning, AttemptHealth::TimedOut);
-    RecordFailure(*mRunning, true);
+    RecordFailure(*mRunning, true, mSilencePatience);
     mAvoidedUpstreams.insert(mRunning->mUpstream.mId);
     mState.mPool.Drop({ .mAddress = mRunning->mUpstream.mAddress,
                         .mPort = mRunning->mUpstream.mPort });
@@ -502,6 +502,7 @@
     const auto events = mEvents.Append(connection.Piece());
     if (!events.empty()) {
       mPace.OnEvents(now);
+      mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, now);
       RecordFirstEvent(aAttempt, now);
       const bool isSent = co_await SendEvents(aAttempt, events);
       if (!isSent) {
@@ -625,6 +626,10 @@
     mState.mLargestModelDelay[mService].OnSample(
       aNow - aAttempt.mSentAt, aAttempt.mChoice.mTimeToFirstEvent, aNow);
   }
+  mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, aNow);
+  if (aAttempt.mWasSilent) {
+    return; // its sample was taken then
+  }
   mState.mRollouts.OnSample(
     mService,
     aAttempt.mUpstream.mVersion,
@@ -634,7 +639,9 @@
 }
 
 void
-RequestFlow::RecordFailure(const Attempt& aAttempt, bool aIsBroken)
+RequestFlow::RecordFailure(const Attempt& aAttempt,
+                           bool aIsBroken,
+                           Duration aSilentFor)
 {
   mState.mRollouts.OnSample(
     mService,
@@ -643,6 +650,8 @@
       .mFailed = true,
       .mAbortedBy = aIsBroken ? aAttempt.mUpstream.mId : std::string(),
       .mAbortedAt = ReadBootClock(),
+      .mSilentFor = aSilentFor,
+      .mHadEvent = aAttempt.mHadEvent,
       .mLatencyRatio = std::nullopt });
 }
 
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -104,11 +104,15 @@
 void
 TrafficState::OnTick()
 {
-  for (const auto& change : mRollouts.DueChanges(ReadBootClock())) {
+  const auto now = ReadBootClock();
+  for (const auto& change : mRollouts.DueChanges(now)) {
     mReports.mOnStatusChange(change);
   }
+  for (const auto& report : mRollouts.DueReports(now)) {
+    mReports.mOnEvidence(report);
+  }
   mPool.Expire();
-  mQuarantine.Expire(ReadBootClock());
+  mQuarantine.Expire(now);
 }
 
 bool
