--- a/tests/src/unit-staged_rollout_load.cpp
+++ b/tests/src/unit-staged_rollout_load.cpp
@@ -347,3 +347,61 @@
     }
   }
 }
+
+TEST_CASE("instances share their counts of slow answers")
+{
+  constexpr auto kDuration = 15s;
+  const rollout::RolloutOrder order{ .mService = "engines",
+                                     .mTarget = "v2",
+                                     .mDuration = kDuration,
+                                     .mCreated = 7,
+                                     .mRevision = 12,
+                                     .mState = RolloutState::Ordered };
+  const rollout::EvidenceReport slow{ .mService = "engines",
+                                      .mCreated = order.mCreated,
+                                      .mCounts = { .mTarget = 30,
+                                                   .mTargetSlow = 20,
+                                                   .mOthers = 100,
+                                                   .mOthersSlow = 5 } };
+  StagedRollout rollout({ .mSessionTtl = 5s, .mWriteDelay = 50ms });
+  rollout.OnOrders({ order }, kStart);
+
+  SUBCASE("which reject a version that this instance has not tried")
+  {
+    rollout.OnPeerReports({ slow });
+    CHECK_FALSE(rollout.IsOpen("engines", "v2"));
+  }
+
+  SUBCASE("but those on an earlier order say nothing")
+  {
+    auto earlier = slow;
+    --earlier.mCreated;
+    rollout.OnPeerReports({ earlier });
+    CHECK(rollout.IsOpen("engines", "v2"));
+  }
+
+  SUBCASE("and recognize counts that are not possible")
+  {
+    CHECK(slow.mCounts.IsPlausible());
+    CHECK_FALSE(rollout::SlownessCounts{ .mTarget = -1 }.IsPlausible());
+    CHECK_FALSE(
+      rollout::SlownessCounts{ .mTarget = 1, .mTargetSlow = 2 }.IsPlausible());
+    CHECK_FALSE(rollout::SlownessCounts{ .mOthers = 1'000'000 }.IsPlausible());
+  }
+
+  SUBCASE("in a few writes, whatever the traffic")
+  {
+    constexpr std::size_t kMaxReports = 7;
+    std::size_t count = 0;
+    std::uint64_t random = 1;
+    for (auto at = kStart; at < kStart + kDuration; at += 10ms) {
+      // slow at irregular times, so that the counts of the window change
+      random = random * 6'364'136'223'846'793'005U + 1;
+      const auto took = random >> 62U == 0 ? 500ms : 50ms;
+      rollout.OnSample("engines", "v1", rollout::SampleOf("chat", took, 50ms));
+      rollout.OnSample("engines", "v2", rollout::SampleOf("chat", took, 50ms));
+      count += rollout.DueReports(at).size();
+    }
+    CHECK(count == kMaxReports);
+  }
+}
