--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -224,7 +224,7 @@
   if (!mRunning->mWasSilent) {
     mRunning->mWasSilent = true;
     RecordHealth(*mRunning, AttemptHealth::TimedOut);
-    RecordFailure(*mRunning, true);
+    RecordFailure(*mRunning, true, mSilencePatience);
     mAvoidedUpstreams.insert(mRunning->mUpstream.mId);
     mState.mPool.Drop({ .mAddress = mRunning->mUpstream.mAddress,
                         .mPort = mRunning->mUpstream.mPort });
@@ -678,6 +678,7 @@
       isWatched = false;
       mRejections = 0;
       mPace.OnEvents(now);
+      mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, now);
       RecordFirstEvent(aAttempt, now);
     }
     if (!events.empty()) {
@@ -827,6 +828,10 @@
     mState.mLargestModelDelay[mService].OnSample(
       aNow - aAttempt.mSentAt, aAttempt.mChoice.mTimeToFirstEvent, aNow);
   }
+  mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, aNow);
+  if (aAttempt.mWasSilent) {
+    return; // its sample was taken then
+  }
   mState.mRollouts.OnSample(
     mService,
     aAttempt.mUpstream.mVersion,
@@ -836,7 +841,9 @@
 }
 
 void
-RequestFlow::RecordFailure(const Attempt& aAttempt, bool aIsBroken)
+RequestFlow::RecordFailure(const Attempt& aAttempt,
+                           bool aIsBroken,
+                           Duration aSilentFor)
 {
   mState.mRollouts.OnSample(
     mService,
@@ -845,6 +852,8 @@
       .mFailed = true,
       .mAbortedBy = aIsBroken ? aAttempt.mUpstream.mId : std::string(),
       .mAbortedAt = ReadBootClock(),
+      .mSilentFor = aSilentFor,
+      .mHadEvent = aAttempt.mHadEvent,
       .mLatencyRatio = std::nullopt });
 }
 
