--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -16,19 +16,19 @@
 
 /// Bound on received bytes that are not parsed yet. A chunk's size with its
 /// extension and the trailers are parsed as a whole and have no other bound.
-constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
+constexpr std::size_t kMaxUnparsedBytes = 131'072;
 
 /// Bound on interim responses before the final one.
 constexpr int kMaxInterimResponses = 8;
 
 /// Bounds on the bytes of a chunked body beyond its content: a constant and a
 /// multiple of the content.
-constexpr std::size_t kMaxFramingBytes = 64 * 1024;
+constexpr std::size_t kMaxFramingBytes = 65'536;
 constexpr std::size_t kMaxFramingFactor = 16;
 
 /// Size of the kernel's receive buffer, bytes; bounds what an upstream can send
 /// while nothing is read.
-constexpr int kReceiveBufferBytes = 256 * 1024;
+constexpr int kReceiveBufferBytes = 262'144;
 
 /// Time after which unacknowledged bytes end a connection, milliseconds; a
 /// partition shows in no other way.
