Read each entry of the store by itself

Another writer left an odd entry among those of the upstreams. Shown here with the real program: one that is nested deeply ended the process at each read, and again after each start; a number that no double holds, bytes that are no text or a zero byte made the whole list unreadable, so that neither it nor, after a start, readiness was reached again. An entry without readable revision did the same. An address that is no IP number and a name with line breaks were used as upstreams; the name went into a header of the request as it was.

A page was parsed as one JSON document, so that one number refused all of it, and a spec was copied and printed with a recursion as deep as the writer chose. Now a page is split by brackets and quotes alone, without recursion, and each entry, its spec, its status and the fields of its metadata are parsed by themselves, 64 levels and 2 MB at most. An object that cannot be read carries the findings in place of a spec; it is logged once for each revision, with bounded text. A list continues after the last name as it was written, also after an unusable one. The copy that instances relay is parsed with the same bounds. Changes too large for one answer, six huge entries at once, were asked for again and again; now a list in pages follows.

--- a/include/figslip/store/store_client.hpp
+++ b/include/figslip/store/store_client.hpp
@@ -24,7 +24,8 @@
   CallOutcome mOutcome = CallOutcome::Unavailable;
   unsigned mStatus = 0;
   std::string mBody;
-  std::string mReason; ///< of the failure, unless `Answered`
+  std::string mReason;       ///< of the failure, unless `Answered`
+  bool mIsOversized = false; ///< the answer was larger than accepted
 };
 
 /// @brief Calls the platform's store, or another instance that relays its copy,
--- a/include/figslip/store/store_dialect.hpp
+++ b/include/figslip/store/store_dialect.hpp
@@ -32,19 +32,24 @@
 NameOf(ObjectKind aKind);
 
 /// @brief Holds an object of the store with its spec and status.
+///
+/// An object that cannot be read has findings and no spec. The values are
+/// bounded in depth.
 struct Object
 {
-  std::string mName;
+  std::string mName;          ///< empty if it cannot be read
   std::int64_t mRevision = 0; ///< store revision of the last change
   std::int64_t mCreated = 0;  ///< distinguishes objects of the same name
   nlohmann::json mSpec;
   nlohmann::json mStatus;
+  error::Findings mFindings; ///< why the object cannot be read
 };
 
 /// @brief Holds one page of a paginated list.
 struct Page
 {
   std::vector<Object> mObjects;
+  std::string mLastName; ///< from which the next page continues, as it is
   bool mHasMore = false;
   std::int64_t mRevision = 0; ///< of the store at the time of the list
 };
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <random>
 #include <ranges>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -52,6 +53,9 @@
 /// crash is published; with more it is weak evidence against each of them.
 constexpr int kMaxSharedInFlight = 4;
 
+/// Bound on the requests in flight that a crash record may tell.
+constexpr double kMaxInFlight = 1'000'000.0;
+
 constexpr unsigned kFirstClientError = 400;
 
 /// An object of this name exists already; the write counts as done.
@@ -63,6 +67,20 @@
 /// Maximum length of an answer in a log line.
 constexpr std::size_t kMaxLoggedAnswerBytes = 200;
 
+/// Maximum length of the findings of an object in a log line.
+constexpr std::size_t kMaxLoggedFindingsBytes = 500;
+
+/// Maximum number of unreadable objects that are remembered as logged.
+constexpr std::size_t kMaxLoggedObjects = 10'000;
+
+/// Checks that a text names something, as the other instances' names do.
+bool
+IsName(const std::string& aText)
+{
+  constexpr std::size_t kMaxNameBytes = 256;
+  return !aText.empty() && aText.size() <= kMaxNameBytes;
+}
+
 /// Returns a random number that differs from those of other processes with high
 /// probability.
 std::uint64_t
@@ -220,12 +238,12 @@
     if (object.mRevision == mLastReadRevision) {
       continue;
     }
-    mLastReadRevision = object.mRevision;
     auto read = mDialect.mReadConfiguration(object);
     if (!read) {
       LogUnreadable(object, "configuration", read.assume_error());
       continue;
     }
+    mLastReadRevision = object.mRevision;
     auto configuration = std::move(read).assume_value();
     if (configuration.mVersion <= mNewestVersion) {
       continue;
@@ -325,8 +343,12 @@
 {
   std::set<std::string> domains;
   std::string names;
-  for (const auto& name : aObjects | std::views::keys) {
-    domains.insert(name);
+  for (const auto& [name, object] : aObjects) {
+    if (name.empty()) {
+      LogUnreadable(object, "drain", object.mFindings);
+      continue;
+    }
+    domains.insert(name); // only the name counts
     names += name + " ";
   }
   log::Write(log::Level::Info, "drained_domains", { { "domains", names } });
@@ -340,15 +362,34 @@
   std::vector<membership::InstanceLocation> places;
   std::map<std::string, int> crashes;
   for (const auto& [name, object] : aObjects) {
+    if (!object.mFindings.empty()) {
+      LogUnreadable(object, "shared", object.mFindings);
+      continue;
+    }
     if (name.starts_with(kInstancePrefix)) {
-      peers.push_back(
-        { .mInstance = name.substr(kInstancePrefix.size()),
-          .mFailureDomain = json::TextOr(object.mSpec, kDomainField, ""),
-          .mAddress = json::TextOr(object.mSpec, kPeersField, "") });
+      relay::Peer peer{ .mInstance = name.substr(kInstancePrefix.size()),
+                        .mFailureDomain =
+                          json::TextOr(object.mSpec, kDomainField, ""),
+                        .mAddress =
+                          json::TextOr(object.mSpec, kPeersField, "") };
+      const bool isUsable = IsName(peer.mInstance) &&
+                            IsName(peer.mFailureDomain) &&
+                            IsName(peer.mAddress);
+      if (!isUsable) {
+        LogUnreadable(object,
+                      "shared",
+                      { { error::ErrorKind::PlatformMalformed,
+                          "/spec",
+                          "the instance has no place or address" } });
+        continue;
+      }
+      peers.push_back(std::move(peer));
       places.push_back({ .mName = peers.back().mInstance,
                          .mFailureDomain = peers.back().mFailureDomain });
     } else if (quarantine::CrashRecords::IsRecord(name)) {
-      crashes.emplace(name, json::NumberOr(object.mSpec, kInFlightField, 1));
+      const auto inFlight = json::NumberOr(object.mSpec, kInFlightField, 1.0);
+      crashes.emplace(
+        name, static_cast<int>(std::clamp(inFlight, 1.0, kMaxInFlight)));
     }
   }
   mRelayFollower.OnPeers(peers);
@@ -499,16 +540,22 @@
                             std::string_view aKind,
                             const error::Findings& aFindings)
 {
-  auto& logged = mLoggedRevisions[std::string(aKind) + "/" + aObject.mName];
-  if (logged != aObject.mRevision) {
-    logged = aObject.mRevision;
-    log::Write(log::Level::Warning,
-               "object_unreadable",
-               { { "kind", std::string(aKind) },
-                 { "name", aObject.mName },
-                 { "revision", std::to_string(aObject.mRevision) },
-                 { "findings", error::JoinMessages(aFindings, "; ") } });
+  if (mLoggedRevisions.size() >= kMaxLoggedObjects) {
+    mLoggedRevisions.clear();
+  }
+  const auto [logged, isNew] = mLoggedRevisions.try_emplace(
+    std::string(aKind) + "/" + aObject.mName, aObject.mRevision);
+  const auto known = std::exchange(logged->second, aObject.mRevision);
+  if (!isNew && known == aObject.mRevision) {
+    return;
   }
+  const auto findings = error::JoinMessages(aFindings, "; ");
+  log::Write(log::Level::Warning,
+             "object_unreadable",
+             { { "kind", std::string(aKind) },
+               { "name", aObject.mName },
+               { "revision", std::to_string(aObject.mRevision) },
+               { "findings", findings.substr(0, kMaxLoggedFindingsBytes) } });
 }
 
 } // namespace figslip::gateway
--- a/src/shell/relay/relay_codec.cpp
+++ b/src/shell/relay/relay_codec.cpp
@@ -1,3 +1,4 @@
+#include <figslip/json/raw_value.hpp>
 #include <figslip/relay/relay_messages.hpp>
 
 #include <nlohmann/json.hpp>
@@ -17,7 +18,6 @@
 
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
-using nlohmann::json;
 
 template<typename Message>
 std::string
@@ -92,14 +92,15 @@
 FromWire(const wire::RelayedObject& aObject)
 {
   const auto parse = [](const std::string& aText) {
-    auto value = json::parse(aText, nullptr, false);
-    return value.is_discarded() ? json() : value;
+    auto value = json::ParseValue(aText);
+    return value ? std::move(value).assume_value() : nlohmann::json();
   };
   return { .mName = aObject.name,
            .mRevision = aObject.revision,
            .mCreated = aObject.created,
            .mSpec = parse(aObject.spec),
-           .mStatus = parse(aObject.status) };
+           .mStatus = parse(aObject.status),
+           .mFindings = {} };
 }
 
 KindNews
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -172,8 +172,12 @@
     revision = revision == 0 ? page.assume_value().mRevision : revision;
     hasMore =
       page.assume_value().mHasMore && !page.assume_value().mObjects.empty();
+    const auto& last = page.assume_value().mLastName;
+    if (hasMore && (last.empty() || last == after)) {
+      co_return SyncResult{ .mReason = "a page has no name to continue from" };
+    }
+    after = last;
     for (auto& object : page.assume_value().mObjects) {
-      after = object.mName;
       objects.insert_or_assign(object.mName, std::move(object));
     }
   }
@@ -207,6 +211,8 @@
     co_return SyncResult{ .mHistoryExpired = true };
   }
   if (answer.mOutcome != CallOutcome::Answered || answer.mStatus != kOk) {
+    // a list comes in pages, the changes do not
+    mNeedsList = mNeedsList || answer.mIsOversized;
     co_return SyncResult{ .mReason = DescribeFailure(answer) };
   }
   const auto changes = mDialect.mReadChanges(answer.mBody);
@@ -225,7 +231,9 @@
 {
   for (const auto& change : aChanges.mChanges) {
     const auto existing = mObjects.find(change.mObject.mName);
+    // without a revision it counts as new
     const bool isOld = existing != mObjects.end() &&
+                       change.mObject.mFindings.empty() &&
                        existing->second.mRevision > change.mObject.mRevision;
     if (isOld) {
       continue;
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -92,11 +92,12 @@
     result.mBody += connection->Piece();
     if (result.mBody.size() > kMaxBodyBytes) {
       connection->Abort();
-      end = net::StepEnd::Malformed;
+      end = net::StepEnd::Oversized;
     }
   }
   if (end != net::StepEnd::Done) {
     result.mReason = net::NameOf(end);
+    result.mIsOversized = end == net::StepEnd::Oversized;
     co_return result;
   }
   result.mOutcome = CallOutcome::Answered;
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr auto kWatchPoll = std::chrono::milliseconds(5);
+constexpr std::string_view kAfter = "?after=";
 constexpr std::string_view kRoot = "/-/objects/";
 
 /// Returns a parameter of a query, or a fallback.
@@ -64,7 +65,7 @@
 {
   const std::scoped_lock lock(mMutex);
   auto& object = mObjects[aKind][aName];
-  if (object.is_null()) {
+  if (!object.is_object()) {
     object = { { "metadata",
                  { { "name", aName }, { "created", mRevision + 1 } } },
                { "status", nullptr } };
@@ -74,12 +75,70 @@
   Note(aKind, object, false);
 }
 
+void
+StoreStandIn::PutRaw(const std::string& aKind,
+                     const std::string& aName,
+                     const std::string& aText,
+                     const std::string& aPart)
+{
+  const std::scoped_lock lock(mMutex);
+  auto& object = mObjects[aKind][aName];
+  if (!object.is_object()) {
+    object = { { "metadata",
+                 { { "name", aName }, { "created", mRevision + 1 } } },
+               { "spec", nullptr },
+               { "status", nullptr } };
+  }
+  object[aPart] = MarkRaw(aText);
+  object["metadata"]["revision"] = mRevision + 1;
+  Note(aKind, object, false);
+}
+
+void
+StoreStandIn::PutRawObject(const std::string& aKind,
+                           const std::string& aName,
+                           std::string aText)
+{
+  constexpr std::string_view kRevision = "{revision}";
+  const std::scoped_lock lock(mMutex);
+  if (const auto at = aText.find(kRevision); at != std::string::npos) {
+    aText.replace(at, kRevision.size(), std::to_string(mRevision + 1));
+  }
+  mObjects[aKind][aName] = MarkRaw(aText);
+  Note(aKind, mObjects[aKind][aName], false);
+}
+
+std::string
+StoreStandIn::MarkRaw(const std::string& aText)
+{
+  auto mark = "@raw-" + std::to_string(mRaw.size()) + "@";
+  mRaw[mark] = aText;
+  return mark;
+}
+
+std::string
+StoreStandIn::Print(const json& aBody)
+{
+  auto text = aBody.dump();
+  for (const auto& [mark, raw] : mRaw) {
+    const auto quoted = '"' + mark + '"';
+    for (auto at = text.find(quoted); at != std::string::npos;
+         at = text.find(quoted, at + raw.size())) {
+      text.replace(at, quoted.size(), raw);
+    }
+  }
+  return text;
+}
+
 void
 StoreStandIn::Remove(const std::string& aKind, const std::string& aName)
 {
   const std::scoped_lock lock(mMutex);
   auto object = mObjects[aKind][aName];
   mObjects[aKind].erase(aName);
+  if (!object.is_object()) {
+    object = json::object();
+  }
   object["metadata"]["name"] = aName;
   object["metadata"]["revision"] = mRevision + 1;
   Note(aKind, object, true);
@@ -183,7 +242,11 @@
       co_await net::Sleep(kWatchPoll);
     }
     const net::Headers headers;
-    const auto body = answer.mBody.dump();
+    std::string body;
+    {
+      const std::scoped_lock lock(mMutex);
+      body = Print(answer.mBody);
+    }
     const bool isSent =
       co_await aConnection->Respond(answer.mStatus, headers, body, false);
     if (!isSent) {
@@ -200,24 +263,46 @@
   }
   const std::scoped_lock lock(mMutex);
   const auto [kind, name] = Split(aRequest.mTarget);
-  return aRequest.mMethod == "GET"
-           ? Read(kind, Parameter(aRequest.mTarget, "watch", -1))
-           : Write(aRequest, kind, name);
+  if (aRequest.mMethod != "GET") {
+    return Write(aRequest, kind, name);
+  }
+  const auto watch = Parameter(aRequest.mTarget, "watch", -1);
+  if (watch >= 0) {
+    return Read(kind, watch);
+  }
+  const auto after = aRequest.mTarget.find(kAfter);
+  return List(kind,
+              after == std::string::npos
+                ? ""
+                : aRequest.mTarget.substr(after + kAfter.size()));
 }
 
 StoreStandIn::Answer
-StoreStandIn::Read(const std::string& aKind, std::int64_t aWatch)
+StoreStandIn::List(const std::string& aKind, const std::string& aAfter)
 {
+  constexpr std::size_t kPageBytes = 1'000'000;
   Answer answer;
-  if (aWatch < 0) {
-    answer.mBody = { { "items", json::array() },
-                     { "has_more", false },
-                     { "store_revision", mRevision } };
-    for (const auto& [name, object] : mObjects[aKind]) {
-      answer.mBody["items"].push_back(object);
+  answer.mBody = { { "items", json::array() },
+                   { "has_more", false },
+                   { "store_revision", mRevision } };
+  const auto& objects = mObjects[aKind];
+  std::size_t size = 0;
+  for (auto object = objects.upper_bound(aAfter); object != objects.end();
+       ++object) {
+    if (size > kPageBytes) {
+      answer.mBody["has_more"] = true;
+      break;
     }
-    return answer;
+    answer.mBody["items"].push_back(object->second);
+    size += Print(object->second).size();
   }
+  return answer;
+}
+
+StoreStandIn::Answer
+StoreStandIn::Read(const std::string& aKind, std::int64_t aWatch)
+{
+  Answer answer;
   if (aWatch < mForgotten) {
     return { .mStatus = 410, .mBody = json::object() };
   }
--- a/tests/harness/store_stand_in.hpp
+++ b/tests/harness/store_stand_in.hpp
@@ -43,6 +43,17 @@
   void Put(const std::string& aKind,
            const std::string& aName,
            const nlohmann::json& aSpec);
+  /// Writes an object as another writer would.
+  /// @param[in] aText its spec or its status, sent as it is
+  void PutRaw(const std::string& aKind,
+              const std::string& aName,
+              const std::string& aText,
+              const std::string& aPart = "spec");
+  /// Writes an object that is sent as it is.
+  /// @param[in] aText {revision} stands for its revision
+  void PutRawObject(const std::string& aKind,
+                    const std::string& aName,
+                    std::string aText);
   void Remove(const std::string& aKind, const std::string& aName);
   /// Forgets the history, so that watches answer 410.
   void Compact();
@@ -75,9 +86,16 @@
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
   [[nodiscard]] Answer AnswerTo(const net::RequestMessage& aRequest);
   [[nodiscard]] Answer Read(const std::string& aKind, std::int64_t aWatch);
+  /// Returns the page of the objects after a name.
+  [[nodiscard]] Answer List(const std::string& aKind,
+                            const std::string& aAfter);
   [[nodiscard]] Answer Write(const net::RequestMessage& aRequest,
                              const std::string& aKind,
                              const std::string& aName);
+  /// Keeps a text and returns what stands for it in an object.
+  [[nodiscard]] std::string MarkRaw(const std::string& aText);
+  /// Prints a body with the texts that are sent as they are.
+  [[nodiscard]] std::string Print(const nlohmann::json& aBody);
   void Note(const std::string& aKind,
             const nlohmann::json& aObject,
             bool aDeleted);
@@ -92,6 +110,7 @@
   std::int64_t mForgotten = 0; ///< revision up to which the history is gone
   std::map<std::string, std::map<std::string, nlohmann::json>> mObjects;
   std::vector<Event> mEvents;
+  std::map<std::string, std::string> mRaw; ///< texts by what stands for them
   std::thread mThread;
 };
 
--- a/tests/src/unit-json.cpp
+++ b/tests/src/unit-json.cpp
@@ -1,8 +1,10 @@
 #include <figslip/json/document.hpp>
+#include <figslip/json/raw_value.hpp>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+namespace json = figslip::json;
 using figslip::json::ParseDocument;
 using figslip::json::PointerTo;
 
@@ -100,3 +102,75 @@
   CHECK(PointerTo("", "a~b/c") == "/a~0b~1c");
   CHECK(PointerTo("/a", std::size_t{ 12 }) == "/a/12");
 }
+
+TEST_CASE("a text that is split before it is parsed")
+{
+  SUBCASE("keeps the neighbours of what cannot be parsed")
+  {
+    const auto split =
+      json::SplitArray(" [ 1e999, \"\xff\" ,{\"a\":\"]\\\"\"}, [[NaN]] ] ");
+    REQUIRE(split);
+    const auto& values = split.assume_value();
+    REQUIRE(values.size() == 4);
+    CHECK_FALSE(json::ParseValue(values[0]));
+    CHECK_FALSE(json::ParseValue(values[1]));
+    CHECK(json::ParseValue(values[2]).assume_value()["a"] == "]\"");
+    CHECK(values[3].mDepth == 2);
+    CHECK_FALSE(json::ParseValue(values[3]));
+  }
+
+  SUBCASE("has the fields of an object in order")
+  {
+    const auto split = json::SplitObject(R"({"a" : 1 , "b\n":{"c":[]},"a":2})");
+    REQUIRE(split);
+    const auto& fields = split.assume_value();
+    REQUIRE(fields.size() == 3);
+    CHECK(fields[1].mName == "b\n");
+    CHECK(fields[1].mValue.mText == R"({"c":[]})");
+    CHECK(json::FindField(fields, "a")->mText == "2");
+    CHECK(json::FindField(fields, "c") == nullptr);
+  }
+
+  SUBCASE("may be empty")
+  {
+    CHECK(json::SplitArray("[ ]").assume_value().empty());
+    CHECK(json::SplitObject("{}").assume_value().empty());
+  }
+
+  SUBCASE("must have brackets and quotes that match")
+  {
+    for (const auto* const text : { "",
+                                    " ",
+                                    "[",
+                                    "]",
+                                    "[1",
+                                    "[1,",
+                                    "[1,]",
+                                    "[,]",
+                                    "[1 2]",
+                                    "[\"a]",
+                                    "[\"\\",
+                                    "[1]]",
+                                    "[1]x",
+                                    "7" }) {
+      CAPTURE(text);
+      CHECK_FALSE(json::SplitArray(text));
+    }
+    for (const auto* const text :
+         { "{", "{\"a\"}", "{\"a\":}", "{\"a\":1", "{:1}", "[]" }) {
+      CAPTURE(text);
+      CHECK_FALSE(json::SplitObject(text));
+    }
+  }
+
+  SUBCASE("is bounded in depth and size where it is parsed")
+  {
+    const auto nested = [](std::size_t aDepth) {
+      return std::string(aDepth, '[') + std::string(aDepth, ']');
+    };
+    CHECK(json::ParseValue(nested(64)));
+    CHECK_FALSE(json::ParseValue(nested(65)));
+    CHECK_FALSE(json::ParseValue(nested(1'000'000)));
+    CHECK_FALSE(json::ParseValue('"' + std::string(3'000'000, 'x') + '"'));
+  }
+}
