Encode names in paths to the store

Names of objects went into paths and queries as they were. The name after which a list continues, or the service of a roll-out, may come from another writer; a space, a question mark or a line break in it changed the call or made it unreadable for the store, so that the list was not followed further.

Names are percent-encoded now; those with letters, digits and -._~ stay as they were. unit-read_objects shows it.

--- a/tests/src/unit-read_objects.cpp
+++ b/tests/src/unit-read_objects.cpp
@@ -1,4 +1,5 @@
 #include <platform/read_objects.hpp>
+#include <platform/store_dialect.hpp>
 
 #include <doctest/doctest.h>
 
@@ -154,3 +155,18 @@
   const auto page = PageOf(Item("other", R"({"version":1000})"));
   CHECK_FALSE(platform::ReadConfiguration(page.mObjects[1]));
 }
+
+TEST_CASE("an odd name stays one part of a path")
+{
+  const auto dialect = platform::MakeStoreDialect();
+  const std::string name = "a b\r\nX: 1/../c?\xc3\xa9";
+  const std::string encoded = "a%20b%0D%0AX%3A%201%2F..%2Fc%3F%C3%A9";
+  CHECK(dialect.mList(store::ObjectKind::Upstreams, name)
+          .mTarget.ends_with("?after=" + encoded));
+  CHECK(dialect.mRemoveShared(name).mTarget.ends_with("/" + encoded));
+  CHECK(dialect.mReplaceShared(name, {}).mTarget.ends_with("/" + encoded));
+  CHECK(dialect.mRemoveShared("instance.a-1_b~")
+          .mTarget.ends_with("/instance.a-1_b~"));
+  CHECK(dialect.mPutStatus({ .mOrder = { .mService = name } })
+          .mTarget.ends_with("/" + encoded + "/status"));
+}
