Show that a deadly part of prompts crashes one upstream after the other

The stand-in engine learns to crash when it begins to answer a prompt with a given part: it closes its connections and refuses new ones for a while. Its listener is not inherited by the instances, which would hold the port open.

--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -2,19 +2,41 @@
 
 #include <figslip/net/sleep.hpp>
 
+#include <fcntl.h>
+
+#include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
+#include <exception>
+#include <system_error>
+#include <utility>
 
 namespace figslip::test {
 
 namespace {
 
+/// Time from the start of a run to its first token.
+constexpr auto kPrefillTime = std::chrono::milliseconds(20);
+
+/// Time for which a crashed engine accepts no connection.
+constexpr auto kCrashDowntime = std::chrono::milliseconds(400);
+
 std::string
 HeaderOf(const net::RequestMessage& aRequest, std::string_view aName)
 {
   return std::string(net::FindHeader(aRequest.mHeaders, aName).value_or(""));
 }
 
+/// Keeps instances that are started later from holding the port open.
+void
+CloseOnExec(net::tcp::acceptor& aAcceptor)
+{
+  if (::fcntl(aAcceptor.native_handle(), F_SETFD, FD_CLOEXEC) != 0) {
+    throw std::system_error(errno, std::generic_category(), "close on exec");
+  }
+}
+
 } // namespace
 
 EngineStandIn::EngineStandIn(std::string aId)
@@ -22,6 +44,7 @@
   , mAcceptor(mContext, { net::asio::ip::make_address("127.0.0.1"), 0 })
   , mPort(mAcceptor.local_endpoint().port())
 {
+  CloseOnExec(mAcceptor);
   net::asio::co_spawn(mContext, Accept(), net::asio::detached);
   mThread = std::thread([this] { mContext.run(); });
 }
@@ -53,10 +76,47 @@
   return !mHeldPrefix.empty() && aTarget.starts_with(mHeldPrefix);
 }
 
+void
+EngineStandIn::SetDeadlyParts(std::vector<std::string> aParts)
+{
+  const std::scoped_lock lock(mMutex);
+  mDeadlyParts = std::move(aParts);
+}
+
+bool
+EngineStandIn::IsDeadly(const net::RequestMessage& aRequest)
+{
+  const std::scoped_lock lock(mMutex);
+  const auto prompt = "," + HeaderOf(aRequest, "X-Prompt-Prefix");
+  return std::ranges::any_of(mDeadlyParts, [&](const auto& aPart) {
+    return prompt.find("," + aPart + ":") != std::string::npos;
+  });
+}
+
+net::Awaitable<void>
+EngineStandIn::Crash()
+{
+  ++mCrashes;
+  const auto endpoint = mAcceptor.local_endpoint();
+  mAcceptor.close();
+  for (const auto& connection : std::exchange(mConnections, {})) {
+    if (const auto open = connection.lock()) {
+      open->Abort();
+    }
+  }
+  co_await net::Sleep(kCrashDowntime);
+  mAcceptor = net::tcp::acceptor(mContext, endpoint);
+  CloseOnExec(mAcceptor);
+}
+
 net::Awaitable<void>
 EngineStandIn::Accept()
 {
   while (true) {
+    if (!mAcceptor.is_open()) {
+      co_await net::Sleep(std::chrono::milliseconds(5));
+      continue;
+    }
     net::error_code error;
     net::tcp::socket socket(mContext);
     co_await mAcceptor.async_accept(
@@ -64,6 +124,7 @@
     if (!error) {
       auto connection =
         std::make_shared<net::CallerConnection>(std::move(socket));
+      mConnections.push_back(connection);
       net::asio::co_spawn(
         mContext, Serve(std::move(connection)), net::asio::detached);
     }
@@ -102,6 +163,18 @@
     const std::scoped_lock lock(mMutex);
     mRuns.push_back(request);
   }
+  if (IsDeadly(request)) {
+    co_await net::Sleep(kPrefillTime);
+    if (mAcceptor.is_open()) {
+      net::asio::co_spawn(
+        mContext, Crash(), [](const std::exception_ptr& aError) {
+          if (aError) {
+            std::rethrow_exception(aError);
+          }
+        });
+    }
+    co_return false;
+  }
   if (behaviour == Behaviour::RunAndVanish) {
     co_return false;
   }
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -45,6 +45,12 @@
   /// Sets the confidence that answers state, 0-100; none if negative.
   void SetConfidence(int aConfidence) { mConfidence = aConfidence; }
 
+  /// Sets the parts of prompts, in hexadecimal, on which it crashes when it
+  /// begins to answer: it closes all connections and refuses new ones for a
+  /// while.
+  void SetDeadlyParts(std::vector<std::string> aParts);
+  [[nodiscard]] int Crashes() const { return mCrashes; }
+
   /// Returns the requests that it has begun to run.
   [[nodiscard]] std::vector<net::RequestMessage> Runs();
 
@@ -52,6 +58,8 @@
   using Connection = std::shared_ptr<net::CallerConnection>;
 
   [[nodiscard]] bool IsHeld(const std::string& aTarget);
+  [[nodiscard]] bool IsDeadly(const net::RequestMessage& aRequest);
+  [[nodiscard]] net::Awaitable<void> Crash();
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
   [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection);
@@ -67,6 +75,9 @@
   std::atomic<int> mConfidence{ -1 };
   std::mutex mMutex;
   std::string mHeldPrefix;
+  std::vector<std::string> mDeadlyParts;
+  std::atomic<int> mCrashes{ 0 };
+  std::vector<std::weak_ptr<net::CallerConnection>> mConnections;
   std::vector<net::RequestMessage> mRuns;
   std::thread mThread;
 };
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -132,8 +132,9 @@
 
 IngressWorld::IngressWorld(Options aOptions)
 {
-  for (const auto* const id : { "e-1", "e-2" }) {
-    mEngines.push_back(std::make_unique<EngineStandIn>(id));
+  for (int number = 1; number <= aOptions.mEngines; ++number) {
+    mEngines.push_back(
+      std::make_unique<EngineStandIn>("e-" + std::to_string(number)));
     if (aOptions.mIsRelayed) {
       mEngineRelays.push_back(std::make_unique<Relay>(mEngines.back()->Port()));
     }
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -45,13 +45,14 @@
   bool mIsOpen = false;
 };
 
-/// Runs instances of figslip before stand-ins of the store and two engines.
+/// Runs instances of figslip before stand-ins of the store and of engines.
 class IngressWorld
 {
 public:
   struct Options
   {
     int mInstances = 1;
+    int mEngines = 2;
     /// puts relays before the engines, and before the store of each instance
     bool mIsRelayed = false;
   };
@@ -133,9 +134,9 @@
                                   const std::string& aAttempt,
                                   const std::string& aKey = "key-1");
 
-  /// Counts the runs on both engines by request.
+  /// Counts the runs on all engines by request.
   [[nodiscard]] std::map<std::string, int> CountRuns();
-  /// Counts the runs of a request on both engines.
+  /// Counts the runs of a request on all engines.
   [[nodiscard]] int RunsOf(const std::string& aAttempt);
 
 private:
