Blame parts of prompts for crashes

The quarantine knew a request by path, account and body, so each new one began without evidence and could crash two upstreams.

Parts are now blamed by themselves. Suspects of a crash are the parts of requests that had no event there yet; the first event of any answer clears a part, at all instances. Two failures at different upstreams with a blame of one half, or three, quarantine a part. Parts that were in the same crashes are rivals: only requests with all of them are refused, and one at a time probes the others. Each instance publishes one record for a crash. A retry waits for the check of the crash, so that its own evidence counts. crash_checked names the suspected parts, part_quarantined tells of a decision. RecordTracker is taken out of CrashRecords, for both.

It works because a deadly part never gets an event, while the parts beside it do sooner or later, and because the evidence no longer depends on what else a request holds.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -6,6 +6,8 @@
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/asio.hpp>
 #include <figslip/quarantine/crash_records.hpp>
+#include <figslip/quarantine/part_records.hpp>
+#include <figslip/quarantine/record_tracker.hpp>
 #include <figslip/relay/relay_follower.hpp>
 #include <figslip/relay/relay_server.hpp>
 #include <figslip/settings/ingress_settings.hpp>
@@ -47,6 +49,13 @@
   /// @note Not published if many requests were in flight there.
   void ReportCrash(const quarantine::CrashReport& aReport);
 
+  /// @brief Publishes to all instances which parts may have caused a crash.
+  /// @note Reports of one crash are published together, after a short delay.
+  void ReportSuspects(const quarantine::CrashSuspects& aCrash);
+
+  /// @brief Publishes to all instances that suspected parts were served.
+  void ReportServed(const std::vector<quarantine::PartId>& aParts);
+
   /// @brief Sends subsequent calls to the store at another address.
   void SetStoreEndpoint(const net::Endpoint& aStore);
 
@@ -67,7 +76,9 @@
   void PublishUpstreams();
   [[nodiscard]] net::Awaitable<void> RunHousekeeping();
   void DropExpiredUpstreams();
-  void RemoveDueCrashRecords();
+  void RemoveDueRecords();
+  void PublishParts();
+  void CreatePartRecord(const nlohmann::json& aRecord);
   [[nodiscard]] net::Awaitable<void> Register();
   [[nodiscard]] nlohmann::json Registration() const;
   /// Writes with retries until the store accepts the write.
@@ -96,6 +107,11 @@
   std::int64_t mNewestVersion = -1;    ///< of the configuration
   std::int64_t mLastReadRevision = -1; ///< of the configuration
   quarantine::CrashRecords mCrashes{ {} };
+  quarantine::RecordTracker mPartRecords{ {} };
+  std::int64_t mLastPartRecord = 0; ///< number in its name
+  /// not published yet, by upstream
+  std::map<std::string, quarantine::CrashSuspects> mSuspects;
+  std::vector<quarantine::PartId> mServedParts; ///< not published yet
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace figslip::gateway {
 
@@ -151,6 +152,11 @@
   [[nodiscard]] NextStep OnAttemptBroken(Attempt& aAttempt,
                                          net::StepEnd aEnd,
                                          TimePoint aNow);
+  /// Waits until it is known whether the upstream of the last attempt crashed
+  /// on a suspected part, so that the retry does not crash another one.
+  [[nodiscard]] net::Awaitable<void> AwaitCrashCheck();
+  /// Records that an upstream began to answer the request.
+  void ClearParts(const Attempt& aAttempt, TimePoint aNow);
   /// Starts a check whether an upstream crashed after its connection broke.
   void StartCrashCheck(const Attempt& aAttempt, TimePoint aNow);
   [[nodiscard]] NextStep NextStepAfterFailure() const;
@@ -177,7 +183,10 @@
   ingress::RequestMetadata mFacts;
   std::string mService;
   std::uint64_t mSessionHash = 0;
-  std::uint64_t mFingerprint = 0; ///< hash of path, account and body
+  std::uint64_t mFingerprint = 0;         ///< hash of path, account and body
+  std::vector<quarantine::PartId> mParts; ///< of the prompt, all but the last
+  std::shared_ptr<bool> mCrashChecked; ///< null: no check of the last attempt
+  TimePoint mCrashCheckStartedAt;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   TimePoint mSlotDeadline; ///< end of the wait for a slot
@@ -191,9 +200,9 @@
   int mAttempts = 0;      ///< attempts that may have run
   int mTransmissions = 0; ///< attempts sent on an open connection
   int mSends = 0;         ///< all attempts, also rejected or unconnected ones
-  int mSuspectedCrashes = 0;  ///< connections that broke during an attempt
-  bool mHasRetry = false;     ///< a retry was consumed from the budget
-  bool mIsKeyRefused = false; ///< the key allows no further attempt
+  int mSuspectedCrashes = 0; ///< connections that broke during an attempt
+  bool mHasRetry = false;    ///< a retry was consumed from the budget
+  bool mIsRefused = false;   ///< no upstream may receive another attempt
   bool mMayHaveRun = false;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
--- a/include/figslip/gateway/send_refusal.hpp
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -10,7 +10,8 @@
   KeysStale,      ///< the configuration is too old to accept a key
   KeyRevoked,     ///< the key no longer belongs to the client account
   UpstreamClosed, ///< the upstream has left, drains or is in a drained domain
-  VersionClosed   ///< the roll-out sends nothing to the version any more
+  VersionClosed,  ///< the roll-out sends nothing to the version any more
+  PartQuarantined ///< a part of the prompt crashes upstreams
 };
 
 /// @brief Returns the reason that logs have for a refusal.
@@ -26,6 +27,8 @@
       return "upstream_closed_before_send";
     case SendRefusal::VersionClosed:
       return "version_closed_before_send";
+    case SendRefusal::PartQuarantined:
+      return "part_quarantined_before_send";
   }
   return "unknown";
 }
@@ -35,7 +38,8 @@
 AppliesToAllUpstreams(SendRefusal aRefusal)
 {
   return aRefusal == SendRefusal::KeysStale ||
-         aRefusal == SendRefusal::KeyRevoked;
+         aRefusal == SendRefusal::KeyRevoked ||
+         aRefusal == SendRefusal::PartQuarantined;
 }
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -10,6 +10,7 @@
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/connection_pool.hpp>
 #include <figslip/placement/upstream_selector.hpp>
+#include <figslip/quarantine/part_quarantine.hpp>
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/retry/retry_budget.hpp>
 #include <figslip/rollout/staged_rollout.hpp>
@@ -27,6 +28,9 @@
 {
   std::function<void(const rollout::StatusChange&)> mOnStatusChange;
   std::function<void(const quarantine::CrashReport&)> mOnCrash;
+  std::function<void(const quarantine::CrashSuspects&)> mOnCrashSuspects;
+  /// called with suspected parts that were served
+  std::function<void(const std::vector<quarantine::PartId>&)> mOnServedParts;
 };
 
 /// @brief Holds all state of the traffic thread; used by that thread only.
@@ -50,6 +54,9 @@
   void OnSettings();
   /// @brief Records crashes that other instances have published.
   void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
+  /// @brief Records what other instances have published about parts of prompts.
+  void OnPartRecords(const std::vector<quarantine::CrashSuspects>& aCrashes,
+                     const std::vector<quarantine::PartId>& aServed);
   /// @brief Reports due status changes to the control thread and removes
   /// expired entries; called every 100 ms.
   void OnTick();
@@ -75,6 +82,7 @@
   std::map<std::string, cascade::LatencyScale> mLargestModelDelay;
   net::ConnectionPool mPool;
   quarantine::Quarantine mQuarantine;
+  quarantine::PartQuarantine mParts;
   TrafficReports mReports;
   int mInstanceCount = 1; ///< registered instances
   bool mHasUpstreams = false;
@@ -84,6 +92,8 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  /// Logs the quarantined parts and reports those that were cleared.
+  void ReportParts(TimePoint aNow);
   /// Divides the allowance of retries among the registered instances.
   void DivideRetryAllowance();
 };
--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <figslip/quarantine/quarantine.hpp>
+#include <figslip/quarantine/record_tracker.hpp>
 
 #include <map>
-#include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,20 +12,14 @@
 
 /// @brief Tracks the crash reports that instances share in the store.
 ///
-/// A record is a named object with the number of requests in flight. Records
-/// do not expire in the store: the instance that reported a crash removes its
-/// record after the retention time. Any other instance removes the records that
-/// are still there after twice that time, as those of a lost instance.
+/// A record is a named object with the number of requests in flight.
 class CrashRecords
 {
 public:
-  struct Options
-  {
-    Duration mRetention = std::chrono::seconds(60); ///< age at the removal
-  };
+  using Options = RecordTracker::Options;
 
   explicit CrashRecords(Options aOptions)
-    : mOptions(aOptions)
+    : mTracker(aOptions)
   {
   }
 
@@ -38,7 +31,10 @@
 
   /// @brief Tracks a record that this instance is about to write.
   /// @return whether the record is new
-  bool OnOwnRecord(std::string_view aName, TimePoint aNow);
+  bool OnOwnRecord(std::string_view aName, TimePoint aNow)
+  {
+    return mTracker.OnOwnRecord(aName, aNow);
+  }
 
   /// @brief Replaces the tracked records by those in the store.
   /// @param[in] aRecords requests in flight by name of the record
@@ -48,20 +44,15 @@
                                      TimePoint aNow);
 
   /// @brief Returns the names of the records to remove now, each of them once.
-  [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow);
+  [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow)
+  {
+    return mTracker.TakeExpired(aNow);
+  }
 
-  [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
+  [[nodiscard]] std::size_t Size() const { return mTracker.Size(); }
 
 private:
-  struct Record
-  {
-    TimePoint mFirstSeenAt;
-    bool mIsOwn = false; ///< written by this instance
-    bool mIsRemovalRequested = false;
-  };
-
-  Options mOptions;
-  std::map<std::string, Record, std::less<>> mRecords;
+  RecordTracker mTracker;
 };
 
 } // namespace figslip::quarantine
--- /dev/null
+++ b/include/figslip/quarantine/record_tracker.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <figslip/time/time_point.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figslip::quarantine {
+
+/// @brief Tracks the records that instances share in the store.
+///
+/// Records do not expire in the store: the instance that wrote one removes it
+/// after the retention time. Any other instance removes the records that are
+/// still there after twice that time, as those of a lost instance.
+class RecordTracker
+{
+public:
+  struct Options
+  {
+    Duration mRetention = std::chrono::seconds(60); ///< age at the removal
+  };
+
+  explicit RecordTracker(Options aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  /// @brief Tracks a record that this instance is about to write.
+  /// @return whether the record is new
+  bool OnOwnRecord(std::string_view aName, TimePoint aNow);
+
+  /// @brief Replaces the tracked records by those in the store.
+  /// @return names of the new records
+  /// @note Own records that are not in the store yet stay tracked.
+  std::vector<std::string> OnRecords(
+    const std::set<std::string, std::less<>>& aNames,
+    TimePoint aNow);
+
+  /// @brief Returns the names of the records to remove now, each of them once.
+  [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow);
+
+  [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
+
+private:
+  struct Record
+  {
+    TimePoint mFirstSeenAt;
+    bool mIsOwn = false; ///< written by this instance
+    bool mIsRemovalRequested = false;
+  };
+
+  Options mOptions;
+  std::map<std::string, Record, std::less<>> mRecords;
+};
+
+} // namespace figslip::quarantine
--- a/src/core/quarantine/crash_records.cpp
+++ b/src/core/quarantine/crash_records.cpp
@@ -2,6 +2,9 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
+#include <ranges>
+#include <set>
 
 namespace figslip::quarantine {
 
@@ -55,51 +58,23 @@
   return Parse(aName).has_value();
 }
 
-bool
-CrashRecords::OnOwnRecord(std::string_view aName, TimePoint aNow)
-{
-  return mRecords
-    .emplace(std::string(aName), Record{ .mFirstSeenAt = aNow, .mIsOwn = true })
-    .second;
-}
-
 std::vector<CrashReport>
 CrashRecords::OnRecords(const std::map<std::string, int>& aRecords,
                         TimePoint aNow)
 {
-  // a write of an own record may not have reached the store yet
-  std::erase_if(mRecords, [&](const auto& aEntry) {
-    return !aRecords.contains(aEntry.first) &&
-           (!aEntry.second.mIsOwn || aEntry.second.mIsRemovalRequested);
-  });
+  std::set<std::string, std::less<>> names;
+  for (const auto& name : aRecords | std::views::keys) {
+    names.insert(name);
+  }
   std::vector<CrashReport> reports;
-  for (const auto& [name, inFlight] : aRecords) {
-    auto report = Parse(name);
-    const bool isNew =
-      report && mRecords.emplace(name, Record{ .mFirstSeenAt = aNow }).second;
-    if (isNew) {
+  for (const auto& name : mTracker.OnRecords(names, aNow)) {
+    if (auto report = Parse(name)) {
       report->mSeenAt = aNow;
-      report->mInFlight = inFlight;
+      report->mInFlight = aRecords.at(name);
       reports.push_back(std::move(*report));
     }
   }
   return reports;
 }
 
-std::vector<std::string>
-CrashRecords::TakeExpired(TimePoint aNow)
-{
-  std::vector<std::string> expired;
-  for (auto& [name, record] : mRecords) {
-    const auto age = aNow - record.mFirstSeenAt;
-    const bool isExpired =
-      age >= (record.mIsOwn ? mOptions.mRetention : mOptions.mRetention * 2);
-    if (isExpired && !record.mIsRemovalRequested) {
-      record.mIsRemovalRequested = true;
-      expired.push_back(name);
-    }
-  }
-  return expired;
-}
-
 } // namespace figslip::quarantine
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -5,8 +5,10 @@
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <ranges>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -52,6 +54,13 @@
 /// crash is published; with more it is weak evidence against each of them.
 constexpr int kMaxSharedInFlight = 4;
 
+/// Maximum number of crashes that are published in a housekeeping interval; the
+/// others follow later.
+constexpr int kMaxCrashesPerInterval = 4;
+
+/// Maximum number of crashes that wait to be published.
+constexpr std::size_t kMaxUnpublishedCrashes = 64;
+
 constexpr unsigned kFirstClientError = 400;
 
 /// An object of this name exists already; the write counts as done.
@@ -272,7 +281,8 @@
   while (true) {
     co_await net::Sleep(kHousekeepingInterval);
     DropExpiredUpstreams();
-    RemoveDueCrashRecords();
+    RemoveDueRecords();
+    PublishParts();
   }
 }
 
@@ -289,11 +299,42 @@
 }
 
 void
-ControlPlane::RemoveDueCrashRecords()
+ControlPlane::RemoveDueRecords()
 {
-  for (const auto& name : mCrashes.TakeExpired(ReadBootClock())) {
+  const auto now = ReadBootClock();
+  for (const auto& name : mCrashes.TakeExpired(now)) {
     StartWrite(mDialect.mRemoveShared(name), "remove crash record");
   }
+  for (const auto& name : mPartRecords.TakeExpired(now)) {
+    StartWrite(mDialect.mRemoveShared(name), "remove part record");
+  }
+}
+
+void
+ControlPlane::PublishParts()
+{
+  for (int count = 0; count < kMaxCrashesPerInterval && !mSuspects.empty();
+       ++count) {
+    CreatePartRecord(quarantine::FormatCrashRecord(mSuspects.begin()->second));
+    mSuspects.erase(mSuspects.begin());
+  }
+  if (!mServedParts.empty()) {
+    CreatePartRecord(
+      quarantine::FormatServedRecord(std::exchange(mServedParts, {})));
+  }
+}
+
+void
+ControlPlane::CreatePartRecord(const nlohmann::json& aRecord)
+{
+  mLastPartRecord = std::max(
+    mLastPartRecord + 1,
+    std::chrono::duration_cast<milliseconds>(ReadClock().time_since_epoch())
+      .count());
+  const auto name =
+    quarantine::PartRecordName(mSettings.mInstance, mLastPartRecord);
+  mPartRecords.OnOwnRecord(name, ReadBootClock());
+  StartWrite(mDialect.mCreateShared(name, aRecord), "create part record");
 }
 
 void
@@ -339,6 +380,7 @@
   std::vector<relay::Peer> peers;
   std::vector<membership::InstanceLocation> places;
   std::map<std::string, int> crashes;
+  std::set<std::string, std::less<>> partRecords;
   for (const auto& [name, object] : aObjects) {
     if (name.starts_with(kInstancePrefix)) {
       peers.push_back(
@@ -349,6 +391,8 @@
                          .mFailureDomain = peers.back().mFailureDomain });
     } else if (quarantine::CrashRecords::IsRecord(name)) {
       crashes.emplace(name, json::NumberOr(object.mSpec, kInFlightField, 1));
+    } else if (quarantine::IsPartRecord(name)) {
+      partRecords.insert(name);
     }
   }
   mRelayFollower.OnPeers(peers);
@@ -358,13 +402,26 @@
                            kMinRetryBackoffLimit,
                            kMaxRetryBackoffLimit));
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
+  std::vector<quarantine::CrashSuspects> suspects;
+  std::vector<quarantine::PartId> served;
+  for (const auto& name :
+       mPartRecords.OnRecords(partRecords, ReadBootClock())) {
+    const auto& record = aObjects.at(name).mSpec;
+    if (auto crash = quarantine::ReadCrashRecord(record)) {
+      suspects.push_back(std::move(*crash));
+    }
+    std::ranges::copy(quarantine::ReadServedRecord(record),
+                      std::back_inserter(served));
+  }
   log::Write(log::Level::Info,
              "instances_known",
              { { "instances", std::to_string(places.size()) },
-               { "crash_records", std::to_string(crashes.size()) } });
-  mPost([places, reports](TrafficState& aState) {
+               { "crash_records", std::to_string(crashes.size()) },
+               { "part_records", std::to_string(partRecords.size()) } });
+  mPost([places, reports, suspects, served](TrafficState& aState) {
     aState.OnInstances(places);
     aState.OnCrashReports(reports);
+    aState.OnPartRecords(suspects, served);
   });
 }
 
@@ -406,6 +463,23 @@
   }
 }
 
+void
+ControlPlane::ReportSuspects(const quarantine::CrashSuspects& aCrash)
+{
+  auto found = mSuspects.find(aCrash.mEndpoint);
+  if (found != mSuspects.end()) {
+    found->second.mParts.insert(aCrash.mParts.begin(), aCrash.mParts.end());
+  } else if (mSuspects.size() < kMaxUnpublishedCrashes) {
+    mSuspects.emplace(aCrash.mEndpoint, aCrash);
+  }
+}
+
+void
+ControlPlane::ReportServed(const std::vector<quarantine::PartId>& aParts)
+{
+  std::ranges::copy(aParts, std::back_inserter(mServedParts));
+}
+
 nlohmann::json
 ControlPlane::Registration() const
 {
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -45,20 +45,32 @@
       }))
   , mFrontend(std::make_shared<Frontend>(mTrafficContext, *mTraffic))
 {
-  mTraffic->mReports = { .mOnStatusChange =
-                           [this](const rollout::StatusChange& aChange) {
-                             net::asio::post(mControlContext,
-                                             [control = mControl, aChange] {
-                                               control->WriteStatus(aChange);
-                                             });
-                           },
-                         .mOnCrash =
-                           [this](const quarantine::CrashReport& aReport) {
-                             net::asio::post(mControlContext,
-                                             [control = mControl, aReport] {
-                                               control->ReportCrash(aReport);
-                                             });
-                           } };
+  mTraffic->mReports = {
+    .mOnStatusChange =
+      [this](const rollout::StatusChange& aChange) {
+        net::asio::post(mControlContext, [control = mControl, aChange] {
+          control->WriteStatus(aChange);
+        });
+      },
+    .mOnCrash =
+      [this](const quarantine::CrashReport& aReport) {
+        net::asio::post(mControlContext, [control = mControl, aReport] {
+          control->ReportCrash(aReport);
+        });
+      },
+    .mOnCrashSuspects =
+      [this](const quarantine::CrashSuspects& aCrash) {
+        net::asio::post(mControlContext, [control = mControl, aCrash] {
+          control->ReportSuspects(aCrash);
+        });
+      },
+    .mOnServedParts =
+      [this](const std::vector<quarantine::PartId>& aParts) {
+        net::asio::post(mControlContext, [control = mControl, aParts] {
+          control->ReportServed(aParts);
+        });
+      }
+  };
   RegisterServices();
 }
 
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 namespace figslip::gateway {
@@ -15,6 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
 
 /// Bounds of the connect timeout, and its fraction of the target latency. The
@@ -53,6 +56,8 @@
       return RequestEnd::StaleKeys;
     case SendRefusal::KeyRevoked:
       return RequestEnd::UnknownKey;
+    case SendRefusal::PartQuarantined:
+      return RequestEnd::CrashesUpstreams;
     case SendRefusal::UpstreamClosed:
     case SendRefusal::VersionClosed:
       break;
@@ -141,7 +146,7 @@
   ++mSends;
   if (const auto refusal = RefusalToSend(aAttempt, now)) {
     mLastFailure = EndOf(*refusal);
-    mIsKeyRefused = AppliesToAllUpstreams(*refusal);
+    mIsRefused = AppliesToAllUpstreams(*refusal);
     LogFailure(aAttempt, NameOf(*refusal));
     return false;
   }
@@ -153,6 +158,7 @@
   mHasRetry = false;
   aAttempt.mSentAt = now;
   aAttempt.mIsSent = true;
+  mState.mParts.OnSent(mParts, now);
   mState.mRollouts.OnSent(aAttempt.mUpstream.mVersion, mSessionHash, now);
   LogAttempt(aAttempt);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
@@ -465,6 +471,7 @@
   if (status < kFirstServerError) {
     RecordHealth(aAttempt, AttemptHealth::Good);
     mState.mQuarantine.OnServed(mFingerprint);
+    ClearParts(aAttempt, now);
     RecordFirstEvent(aAttempt, now);
   }
   if (mHeadSent) {
@@ -502,6 +509,7 @@
     const auto events = mEvents.Append(connection.Piece());
     if (!events.empty()) {
       mPace.OnEvents(now);
+      ClearParts(aAttempt, now);
       RecordFirstEvent(aAttempt, now);
       const bool isSent = co_await SendEvents(aAttempt, events);
       if (!isSent) {
@@ -583,6 +591,11 @@
   // of the other requests that ran on the upstream
   const bool isRepeated = mSuspectedCrashes >= kMaxCrashes;
   const auto inFlight = mState.mBoard.InFlight(aAttempt.mUpstream.mId);
+  const auto isChecked = std::make_shared<bool>(false);
+  if (!mState.mParts.SuspectsAmong(mParts, aNow).empty()) {
+    mCrashChecked = isChecked;
+    mCrashCheckStartedAt = aNow;
+  }
   net::asio::co_spawn(aAttempt.mConnection->Executor(),
                       CheckCrash(mState,
                                  { .mAddress = aAttempt.mUpstream.mAddress,
@@ -590,8 +603,24 @@
                                  { .mFingerprint = mFingerprint,
                                    .mUpstream = aAttempt.mUpstream.mId,
                                    .mSeenAt = aNow,
-                                   .mInFlight = isRepeated ? 1 : inFlight }),
-                      net::asio::detached);
+                                   .mInFlight = isRepeated ? 1 : inFlight },
+                                 mParts),
+                      [isChecked](const std::exception_ptr& aError) {
+                        *isChecked = true;
+                        if (aError) {
+                          std::rethrow_exception(aError);
+                        }
+                      });
+}
+
+void
+RequestFlow::ClearParts(const Attempt& aAttempt, TimePoint aNow)
+{
+  const auto status = aAttempt.mConnection->Head().mStatus;
+  const bool isAnswered = status >= kFirstSuccess && status < kFirstRedirect;
+  if (isAnswered && !aAttempt.mHadEvent) {
+    mState.mParts.OnServed(mParts, aNow);
+  }
 }
 
 RequestFlow::NextStep
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -25,6 +26,12 @@
 constexpr auto kStartupTime = milliseconds(800);
 constexpr int kStartupWaitDivisor = 4;
 
+/// Time that a retry waits for the check whether a suspected part crashed the
+/// upstream. The least time lets other instances' connections break too.
+constexpr auto kMinCrashCheckTime = milliseconds(60);
+constexpr auto kMaxCrashCheckTime = milliseconds(120);
+constexpr auto kCrashCheckPollInterval = milliseconds(5);
+
 /// Attempts that upstreams may reject, in addition to the attempts that may
 /// run.
 constexpr int kMaxRejections = 3;
@@ -56,6 +63,17 @@
   return HashOf(aFacts.mAttemptId);
 }
 
+/// Returns the parts of the prompt that other requests may share.
+std::vector<quarantine::PartId>
+SharedPartsOf(const ingress::RequestMetadata& aFacts)
+{
+  std::vector<quarantine::PartId> parts;
+  for (std::size_t index = 0; index + 1 < aFacts.mPrompt.size(); ++index) {
+    parts.push_back(aFacts.mPrompt[index].mId);
+  }
+  return parts;
+}
+
 std::string
 FormatMilliseconds(Duration aTime)
 {
@@ -86,6 +104,7 @@
     co_await Refuse(RequestEnd::Malformed);
   } else {
     mFacts = std::move(facts).assume_value();
+    mParts = SharedPartsOf(mFacts);
     mCaller.WatchLeaving([this] {
       if (mRunning != nullptr && mRunning->mConnection) {
         mRunning->mConnection->Abort();
@@ -145,7 +164,8 @@
   if (mAccount != nullptr) {
     mFingerprint = HashOf(mAccount->mName, mFingerprint);
   }
-  if (mState.mQuarantine.IsQuarantined(mFingerprint, mArrivedAt)) {
+  if (mState.mQuarantine.IsQuarantined(mFingerprint, mArrivedAt) ||
+      mState.mParts.IsQuarantined(mParts, now)) {
     return RequestEnd::CrashesUpstreams;
   }
   mSessionHash = SessionHashOf(mFacts);
@@ -180,6 +200,10 @@
       mLastFailure = RequestEnd::RouteTimeout;
       break;
     }
+    if (!IsReplaced() && mState.mParts.IsQuarantined(mParts, now)) {
+      mLastFailure = RequestEnd::CrashesUpstreams;
+      break;
+    }
     auto attempt = IsReplaced()
                      ? std::optional(std::move(mReplacement->mAttempt))
                      : PlanAttempt(now);
@@ -205,6 +229,7 @@
     if (next == NextStep::Ended) {
       co_return;
     }
+    co_await AwaitCrashCheck();
     const bool mayGoOn =
       next == NextStep::Replaced ||
       (next == NextStep::Retry && TryAcquireRetry(ReadBootClock()));
@@ -223,11 +248,25 @@
   }
 }
 
+net::Awaitable<void>
+RequestFlow::AwaitCrashCheck()
+{
+  const auto checked = std::exchange(mCrashChecked, nullptr);
+  if (!checked) {
+    co_return;
+  }
+  const auto elapsed = [&] { return ReadBootClock() - mCrashCheckStartedAt; };
+  while (elapsed() < kMinCrashCheckTime ||
+         (!*checked && elapsed() < kMaxCrashCheckTime)) {
+    co_await net::Sleep(kCrashCheckPollInterval);
+  }
+}
+
 bool
 RequestFlow::TryAcquireRetry(TimePoint aNow)
 {
   const int limit = std::max(1, mRoute->mMaxAttempts);
-  const bool isPossible = !mIsKeyRefused && mAttempts < limit &&
+  const bool isPossible = !mIsRefused && mAttempts < limit &&
                           mSends < limit + kMaxRejections &&
                           aNow + kMinAttemptTime < mDeadline;
   if (!isPossible) {
@@ -358,6 +397,9 @@
   if (!mState.mRollouts.IsOpen(mService, aAttempt.mUpstream.mVersion)) {
     return SendRefusal::VersionClosed;
   }
+  if (mState.mParts.IsQuarantined(mParts, aNow)) {
+    return SendRefusal::PartQuarantined;
+  }
   return std::nullopt;
 }
 
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -1,4 +1,6 @@
 #include <figslip/gateway/traffic_state.hpp>
+#include <figslip/log/log.hpp>
+#include <figslip/quarantine/part_records.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <xxhash.h>
@@ -50,6 +52,8 @@
   , mSizePolicy({})
   , mPool({})
   , mQuarantine({ .mRetention = kCrashRetention })
+  , mParts({ .mSeed = XXH3_64bits(aSettings.mInstance.data(),
+                                  aSettings.mInstance.size()) })
   , mStartedAt(ReadBootClock())
 {
 }
@@ -101,6 +105,33 @@
   }
 }
 
+void
+TrafficState::OnPartRecords(
+  const std::vector<quarantine::CrashSuspects>& aCrashes,
+  const std::vector<quarantine::PartId>& aServed)
+{
+  const auto now = ReadBootClock();
+  mParts.OnPeerServed(aServed, now);
+  for (const auto& crash : aCrashes) {
+    mParts.OnCrash(crash, now);
+  }
+}
+
+void
+TrafficState::ReportParts(TimePoint aNow)
+{
+  for (const auto part : mParts.TakeQuarantined()) {
+    mMetrics.CounterOf("figslip_parts_quarantined_total", {}).Add();
+    log::Write(log::Level::Warning,
+               "part_quarantined",
+               { { "part", quarantine::FormatPart(part) } });
+  }
+  const auto served = mParts.TakeCleared(aNow);
+  if (!served.empty()) {
+    mReports.mOnServedParts(served);
+  }
+}
+
 void
 TrafficState::OnTick()
 {
@@ -109,6 +140,8 @@
   }
   mPool.Expire();
   mQuarantine.Expire(ReadBootClock());
+  mParts.OnTick(ReadBootClock());
+  ReportParts(ReadBootClock());
 }
 
 bool
--- a/tests/src/history-deadly_part.cpp
+++ b/tests/src/history-deadly_part.cpp
@@ -1,148 +1,18 @@
-#include <harness/ingress_world.hpp>
+#include <harness/prompt_world.hpp>
 
 #include <doctest/doctest.h>
 
-#include <chrono>
 #include <future>
-#include <string>
-#include <thread>
-#include <tuple>
-#include <utility>
 #include <vector>
 
 using namespace figslip;
-using namespace std::chrono_literals;
 using test::CallerAnswer;
-using test::IngressWorld;
-
-namespace {
-
-constexpr int kInstances = 2;
-constexpr int kEngines = 4;
-
-/// Requests with a deadly part that may still reach upstreams once all
-/// instances have had the time to refuse them.
-constexpr int kMaxLateRuns = 3;
-
-/// Time after the fifth crash in which all instances must refuse the part.
-constexpr auto kContactTime = 3s;
-
-const std::string kFirstPart = "a1";
-const std::string kDeadlyPart = "dead";
-const std::string kOtherDeadlyPart = "fade";
-
-/// Time in which a crashed engine is back.
-constexpr auto kRestartTime = 500ms;
-
-constexpr int kSubjects = 6; ///< of sound requests
-
-std::string
-SubjectOf(int aNumber)
-{
-  return "b" + std::to_string(aNumber);
-}
-
-/// Builds a stream request with its own body and last part.
-/// @param[in] aParts parts of the prompt after the first, in hexadecimal
-std::string
-FormatPrompt(const std::vector<std::string>& aParts, int aNumber)
-{
-  const auto number = std::to_string(aNumber);
-  std::string prompt = kFirstPart + ":100,";
-  for (const auto& part : aParts) {
-    prompt += part + ":50,";
-  }
-  prompt += "f" + number + ":10";
-  const auto body = "body of " + number;
-  return "POST /chat/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r" +
-         number + "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: key-1" +
-         "\r\nX-Model: m\r\nX-Token-Usage: 210,6\r\nX-Prompt-Prefix: " +
-         prompt + "\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
-}
-
-bool
-IsServed(const CallerAnswer& aAnswer)
-{
-  return aAnswer.mStatus == 200 && aAnswer.mIsWhole;
-}
-
-/// Sends requests from several callers at the same time.
-class PromptWorld
-{
-public:
-  PromptWorld()
-    : mWorld(
-        IngressWorld::Options{ .mInstances = kInstances, .mEngines = kEngines })
-  {
-  }
-
-  void SetDeadlyParts(const std::vector<std::string>& aParts)
-  {
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      mWorld.Engine(engine).SetDeadlyParts(aParts);
-    }
-  }
-
-  [[nodiscard]] int Crashes()
-  {
-    int crashes = 0;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      crashes += mWorld.Engine(engine).Crashes();
-    }
-    return crashes;
-  }
-
-  /// Sends a request to the instances in turn.
-  [[nodiscard]] CallerAnswer Send(const std::vector<std::string>& aParts)
-  {
-    const auto number = mSent++;
-    return mWorld.SendRaw(static_cast<std::size_t>(number % kInstances),
-                          FormatPrompt(aParts, number));
-  }
-
-  [[nodiscard]] std::future<CallerAnswer> SendLater(
-    std::vector<std::string> aParts)
-  {
-    return std::async(
-      std::launch::async, [this, number = mSent++, parts = std::move(aParts)] {
-        return mWorld.SendRaw(static_cast<std::size_t>(number % kInstances),
-                              FormatPrompt(parts, number));
-      });
-  }
-
-  [[nodiscard]] int Runs()
-  {
-    int runs = 0;
-    for (const auto& [attempt, count] : mWorld.CountRuns()) {
-      runs += count;
-    }
-    return runs;
-  }
-
-private:
-  IngressWorld mWorld;
-  int mSent = 0;
-};
-
-/// Parts of a prompt after the first.
-using Parts = std::vector<std::string>;
-
-/// Sends requests with a deadly part, no two alike, until five upstreams have
-/// crashed or the time is over.
-void
-CrashUpstreams(PromptWorld& aWorld, const std::vector<Parts>& aPrompts)
-{
-  const auto until = std::chrono::steady_clock::now() + 4s;
-  while (aWorld.Crashes() < 5 && std::chrono::steady_clock::now() < until) {
-    for (const auto& parts : aPrompts) {
-      std::ignore = aWorld.Send(parts);
-    }
-    std::this_thread::sleep_for(250ms);
-  }
-}
-
-} // namespace
+using test::CheckDeadlyParts;
+using test::kDeadlyPart;
+using test::kSubjects;
+using test::Parts;
+using test::PromptWorld;
+using test::SubjectOf;
 
 TEST_CASE("requests that share a deadly prompt part crash one upstream after "
           "the other")
@@ -164,28 +34,5 @@
   {
     deadly = { { SubjectOf(0), kDeadlyPart }, { kDeadlyPart, SubjectOf(0) } };
   }
-
-  SUBCASE("and another part is deadly too")
-  {
-    deadly.push_back({ kOtherDeadlyPart });
-  }
-  world.SetDeadlyParts({ kDeadlyPart, kOtherDeadlyPart });
-  CrashUpstreams(world, deadly);
-  for (auto& answer : beside) {
-    std::ignore = answer.get();
-  }
-  std::this_thread::sleep_for(kContactTime);
-
-  const int runsBefore = world.Runs();
-  for (int number = 0; number < 8; ++number) {
-    for (const auto& parts : deadly) {
-      CHECK(world.Send(parts).mStatus == 503);
-    }
-  }
-  CHECK(world.Runs() - runsBefore <= kMaxLateRuns);
-
-  std::this_thread::sleep_for(kRestartTime);
-  for (int number = 0; number < kSubjects; ++number) {
-    CHECK(IsServed(world.Send({ SubjectOf(number) })));
-  }
+  CheckDeadlyParts(world, deadly, beside);
 }
