--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace figslip::gateway {
 
@@ -197,6 +198,11 @@
   [[nodiscard]] NextStep OnAttemptBroken(Attempt& aAttempt,
                                          net::StepEnd aEnd,
                                          TimePoint aNow);
+  /// Waits until it is known whether the upstream of the last attempt crashed
+  /// on a suspected part, so that the retry does not crash another one.
+  [[nodiscard]] net::Awaitable<void> AwaitCrashCheck();
+  /// Records that an upstream began to answer the request.
+  void ClearParts(const Attempt& aAttempt, TimePoint aNow);
   /// Starts a check whether an upstream crashed after its connection broke.
   void StartCrashCheck(const Attempt& aAttempt, TimePoint aNow);
   [[nodiscard]] NextStep NextStepAfterFailure() const;
@@ -225,7 +231,10 @@
   ingress::RequestMetadata mFacts;
   std::string mService;
   std::uint64_t mSessionHash = 0;
-  std::uint64_t mFingerprint = 0; ///< hash of path, account and body
+  std::uint64_t mFingerprint = 0;         ///< hash of path, account and body
+  std::vector<quarantine::PartId> mParts; ///< of the prompt, all but the last
+  std::shared_ptr<bool> mCrashChecked; ///< null: no check of the last attempt
+  TimePoint mCrashCheckStartedAt;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   TimePoint mSlotDeadline; ///< end of the wait for a slot
@@ -243,8 +252,8 @@
   int mRejections = 0;
   int mSuspectedCrashes = 0; ///< connections that broke during an attempt
   bool mHasRetry = false;    ///< a retry was consumed from the budget
-  /// why its key allows no further attempt
-  std::optional<SendRefusal> mKeyRefusal;
+  /// why no upstream may receive another attempt
+  std::optional<SendRefusal> mFinalRefusal;
   bool mMayHaveRun = false;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
--- a/include/figslip/gateway/send_refusal.hpp
+++ b/include/figslip/gateway/send_refusal.hpp
@@ -13,7 +13,8 @@
                    ///< needed any more
   UpstreamClosed,  ///< the upstream has left, drains or is in a drained domain
   UpstreamPausing, ///< the upstream asked for a pause
-  VersionClosed    ///< the roll-out sends nothing to the version any more
+  VersionClosed,   ///< the roll-out sends nothing to the version any more
+  PartQuarantined  ///< a part of the prompt crashes upstreams
 };
 
 /// @brief Returns the reason that logs have for a refusal.
@@ -33,6 +34,8 @@
       return "upstream_pausing_before_send";
     case SendRefusal::VersionClosed:
       return "version_closed_before_send";
+    case SendRefusal::PartQuarantined:
+      return "part_quarantined_before_send";
   }
   return "unknown";
 }
@@ -43,7 +46,8 @@
 {
   return aRefusal == SendRefusal::KeysStale ||
          aRefusal == SendRefusal::KeyRevoked ||
-         aRefusal == SendRefusal::KeyReassigned;
+         aRefusal == SendRefusal::KeyReassigned ||
+         aRefusal == SendRefusal::PartQuarantined;
 }
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -10,6 +10,7 @@
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/connection_pool.hpp>
 #include <figslip/placement/upstream_selector.hpp>
+#include <figslip/quarantine/part_quarantine.hpp>
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/retry/retry_budget.hpp>
 #include <figslip/rollout/staged_rollout.hpp>
@@ -29,6 +30,9 @@
   std::function<void(const rollout::StatusChange&)> mOnStatusChange;
   std::function<void(const quarantine::CrashReport&)> mOnCrash;
   std::function<void(const rollout::EvidenceReport&)> mOnEvidence;
+  std::function<void(const quarantine::CrashSuspects&)> mOnCrashSuspects;
+  /// called with suspected parts that were served
+  std::function<void(const std::vector<quarantine::PartId>&)> mOnServedParts;
 };
 
 /// @brief Holds all state of the traffic thread; used by that thread only.
@@ -52,6 +56,9 @@
   void OnSettings();
   /// @brief Records crashes that other instances have published.
   void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
+  /// @brief Records what other instances have published about parts of prompts.
+  void OnPartRecords(const std::vector<quarantine::CrashSuspects>& aCrashes,
+                     const std::vector<quarantine::PartId>& aServed);
   /// @brief Reports due status changes to the control thread and removes
   /// expired entries; called every 100 ms.
   void OnTick();
@@ -83,6 +90,7 @@
   net::ConnectionPool mPool;
   stream::BufferBudget mAnswerMemory; ///< of answers that are received
   quarantine::Quarantine mQuarantine;
+  quarantine::PartQuarantine mParts;
   TrafficReports mReports;
   int mInstanceCount = 1; ///< registered instances
   bool mHasUpstreams = false;
@@ -95,6 +103,8 @@
   void RecordPause(const ingress::UpstreamEntry& aUpstream,
                    double aSeconds,
                    TimePoint aNow);
+  /// Logs the quarantined parts and reports those that were cleared.
+  void ReportParts(TimePoint aNow);
   /// Divides the allowance of retries among the registered instances.
   void DivideRetryAllowance();
 };
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -63,6 +63,18 @@
         net::asio::post(mControlContext, [control = mControl, aReport] {
           control->ShareEvidence(aReport);
         });
+      },
+    .mOnCrashSuspects =
+      [this](const quarantine::CrashSuspects& aCrash) {
+        net::asio::post(mControlContext, [control = mControl, aCrash] {
+          control->ReportSuspects(aCrash);
+        });
+      },
+    .mOnServedParts =
+      [this](const std::vector<quarantine::PartId>& aParts) {
+        net::asio::post(mControlContext, [control = mControl, aParts] {
+          control->ReportServed(aParts);
+        });
       }
   };
   RegisterServices();
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 namespace figslip::gateway {
@@ -16,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
 
 /// Bounds of the connect timeout, and its fraction of the target latency. The
@@ -67,6 +70,8 @@
       return RequestEnd::UnknownKey;
     case SendRefusal::UpstreamPausing:
       return RequestEnd::NoCapacity;
+    case SendRefusal::PartQuarantined:
+      return RequestEnd::CrashesUpstreams;
     case SendRefusal::UpstreamClosed:
     case SendRefusal::VersionClosed:
       break;
@@ -158,7 +163,7 @@
     ++mRejections;
     mLastFailure = EndOf(*refusal);
     if (AppliesToAllUpstreams(*refusal)) {
-      mKeyRefusal = refusal;
+      mFinalRefusal = refusal;
     }
     LogFailure(aAttempt, NameOf(*refusal));
     return false;
@@ -171,6 +176,7 @@
   mHasRetry = false;
   aAttempt.mSentAt = now;
   aAttempt.mIsSent = true;
+  mState.mParts.OnSent(mParts, now);
   mState.mRollouts.OnSent(aAttempt.mUpstream.mVersion, mSessionHash, now);
   LogAttempt(aAttempt);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
@@ -278,8 +284,14 @@
     if (replacement->mIsCancelled || replacement->mIsAccepted) {
       co_return isAccepted;
     }
+    co_await AwaitCrashCheck();
+    if (replacement->mIsCancelled || replacement->mIsAccepted) {
+      co_return false;
+    }
     CancelReplacement();
-    const bool mayGoOn = !mCaller.HasLeft() && TryAcquireRetry(ReadBootClock());
+    const bool mayGoOn = !mCaller.HasLeft() &&
+                         mSuspectedCrashes < kMaxCrashes &&
+                         TryAcquireRetry(ReadBootClock());
     replacement = mayGoOn ? PlanReplacement() : nullptr;
   }
   co_return false;
@@ -375,6 +387,9 @@
                isBroken ? AttemptHealth::Broken : AttemptHealth::Error);
   RecordFailure(aAttempt, isBroken);
   mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+  if (end == net::StepEnd::Closed) {
+    StartCrashCheck(aAttempt, ReadBootClock());
+  }
   return false;
 }
 
@@ -396,8 +411,8 @@
 void
 RequestFlow::ForgetStaleKeys()
 {
-  if (mKeyRefusal == SendRefusal::KeysStale) {
-    mKeyRefusal.reset();
+  if (mFinalRefusal == SendRefusal::KeysStale) {
+    mFinalRefusal.reset();
   }
 }
 
@@ -631,6 +646,7 @@
   if (status < kFirstServerError) {
     RecordHealth(aAttempt, AttemptHealth::Good);
     mState.mQuarantine.OnServed(mFingerprint);
+    ClearParts(aAttempt, now);
     RecordFirstEvent(aAttempt, now);
   }
   if (mHeadSent) {
@@ -679,6 +695,7 @@
       mRejections = 0;
       mPace.OnEvents(now);
       mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, now);
+      ClearParts(aAttempt, now);
       RecordFirstEvent(aAttempt, now);
     }
     if (!events.empty()) {
@@ -786,6 +803,11 @@
   // of the other requests that ran on the upstream
   const bool isRepeated = mSuspectedCrashes >= kMaxCrashes;
   const auto inFlight = mState.mBoard.InFlight(aAttempt.mUpstream.mId);
+  const auto isChecked = std::make_shared<bool>(false);
+  if (!mState.mParts.SuspectsAmong(mParts, aNow).empty()) {
+    mCrashChecked = isChecked;
+    mCrashCheckStartedAt = aNow;
+  }
   net::asio::co_spawn(aAttempt.mConnection->Executor(),
                       CheckCrash(mState,
                                  { .mAddress = aAttempt.mUpstream.mAddress,
@@ -793,8 +815,24 @@
                                  { .mFingerprint = mFingerprint,
                                    .mUpstream = aAttempt.mUpstream.mId,
                                    .mSeenAt = aNow,
-                                   .mInFlight = isRepeated ? 1 : inFlight }),
-                      net::asio::detached);
+                                   .mInFlight = isRepeated ? 1 : inFlight },
+                                 mParts),
+                      [isChecked](const std::exception_ptr& aError) {
+                        *isChecked = true;
+                        if (aError) {
+                          std::rethrow_exception(aError);
+                        }
+                      });
+}
+
+void
+RequestFlow::ClearParts(const Attempt& aAttempt, TimePoint aNow)
+{
+  const auto status = aAttempt.mConnection->Head().mStatus;
+  const bool isAnswered = status >= kFirstSuccess && status < kFirstRedirect;
+  if (isAnswered && !aAttempt.mHadEvent) {
+    mState.mParts.OnServed(mParts, aNow);
+  }
 }
 
 RequestFlow::NextStep
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -66,6 +66,11 @@
   /// Says, or no longer says, in all answers whose heads are sent from now on
   /// that it leaves.
   void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
+  /// Sets the parts of prompts, in hexadecimal, on which it crashes when it
+  /// begins to answer: it closes all connections and refuses new ones for a
+  /// while.
+  void SetDeadlyParts(std::vector<std::string> aParts);
+  [[nodiscard]] int Crashes() const { return mCrashes; }
 
   /// Returns the requests that it has begun to run.
   [[nodiscard]] std::vector<net::RequestMessage> Runs();
@@ -77,6 +82,8 @@
 
   [[nodiscard]] net::Header PauseAsked();
   [[nodiscard]] bool IsHeld(const std::string& aTarget);
+  [[nodiscard]] bool IsDeadly(const net::RequestMessage& aRequest);
+  [[nodiscard]] net::Awaitable<void> Crash();
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection, int aSocket);
   [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection,
@@ -104,6 +111,9 @@
   std::string mHeldPrefix;
   std::optional<RawAnswer> mRaw;
   std::string mPauseAsked = "0.3"; ///< seconds
+  std::vector<std::string> mDeadlyParts;
+  std::atomic<int> mCrashes{ 0 };
+  std::vector<std::weak_ptr<net::CallerConnection>> mConnections;
   std::vector<net::RequestMessage> mRuns;
   std::thread mThread;
 };
