--- a/tests/src/history-endless_answer.cpp
+++ b/tests/src/history-endless_answer.cpp
@@ -117,6 +117,7 @@
            const std::string& aPath)
 {
   std::vector<std::future<CallerAnswer>> open;
+  open.reserve(kAtOnce);
   for (int number = 0; number < kAtOnce; ++number) {
     open.push_back(std::async(std::launch::async, [&, number] {
       return aWorld.Send(0, aMethod, aPath, "r" + std::to_string(number));
