--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -75,7 +75,7 @@
 EngineStandIn::SendRaw(RawAnswer aAnswer, std::string aAttempt, int aSocket)
 {
   constexpr std::string_view kAttempt = "{id}";
-  constexpr std::size_t kBlockBytes = 64 * 1024;
+  constexpr std::size_t kBlockBytes = 65'536;
   if (const auto at = aAnswer.mBegin.find(kAttempt); at != std::string::npos) {
     aAnswer.mBegin.replace(at, kAttempt.size(), aAttempt);
   }
