--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -360,7 +360,7 @@
 bool
 RequestFlow::AcceptsHead(Attempt& aAttempt)
 {
-  auto end = *aAttempt.mHeadEnd;
+  auto end = aAttempt.mHeadEnd.value_or(net::StepEnd::Closed);
   const auto& head = aAttempt.mConnection->Head();
   const auto metadata = mState.mDialect.mReadResponse(head);
   if (end == net::StepEnd::Done) {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -203,8 +203,13 @@
     // a search for a replacement may still hold the one that was accepted
     const auto replacement =
       IsReplaced() ? std::exchange(mReplacement, nullptr) : nullptr;
-    auto planned = replacement ? std::nullopt : PlanAttempt(now);
-    if (!replacement && !planned) {
+    std::optional<Attempt> planned;
+    Attempt* attempt = replacement ? &replacement->mAttempt : nullptr;
+    if (attempt == nullptr) {
+      planned = PlanAttempt(now);
+      attempt = planned ? &*planned : nullptr;
+    }
+    if (attempt == nullptr) {
       const auto reason =
         mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
       if (MayWait(reason, now)) {
@@ -219,8 +224,7 @@
       }
       break;
     }
-    auto& attempt = replacement ? replacement->mAttempt : *planned;
-    const auto next = co_await RunAttempt(attempt);
+    const auto next = co_await RunAttempt(*attempt);
     if (next == NextStep::Ended) {
       co_return;
     }
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -133,6 +133,7 @@
 IngressWorld::IngressWorld(Options aOptions)
 {
   for (int number = 1; number <= aOptions.mEngines; ++number) {
+    mEngineStarts.emplace_back(1);
     mEngines.push_back(
       std::make_unique<EngineStandIn>("e-" + std::to_string(number)));
     if (aOptions.mIsRelayed) {
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -5,9 +5,9 @@
 #include <harness/relay.hpp>
 #include <harness/store_stand_in.hpp>
 
-#include <array>
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -164,7 +164,7 @@
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
-  std::array<std::atomic<int>, 2> mEngineStarts = { 1, 1 };
+  std::deque<std::atomic<int>> mEngineStarts; ///< by engine
   int mVersion = 0;
 };
 
