--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -6,6 +6,8 @@
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/asio.hpp>
 #include <figslip/quarantine/crash_records.hpp>
+#include <figslip/quarantine/part_records.hpp>
+#include <figslip/quarantine/record_tracker.hpp>
 #include <figslip/relay/relay_follower.hpp>
 #include <figslip/relay/relay_server.hpp>
 #include <figslip/settings/ingress_settings.hpp>
@@ -53,6 +55,13 @@
   /// @note One attempt: later counts replace those that were not written.
   void ShareEvidence(const rollout::EvidenceReport& aReport);
 
+  /// @brief Publishes to all instances which parts may have caused a crash.
+  /// @note Reports of one crash are published together, after a short delay.
+  void ReportSuspects(const quarantine::CrashSuspects& aCrash);
+
+  /// @brief Publishes to all instances that suspected parts were served.
+  void ReportServed(const std::vector<quarantine::PartId>& aParts);
+
   /// @brief Sends subsequent calls to the store at another address.
   void SetStoreEndpoint(const net::Endpoint& aStore);
 
@@ -73,11 +82,13 @@
   void PublishUpstreams();
   [[nodiscard]] net::Awaitable<void> RunHousekeeping();
   void DropExpiredUpstreams();
-  void RemoveDueCrashRecords();
+  void RemoveDueRecords();
   [[nodiscard]] net::Awaitable<void> WriteEvidence(
     rollout::EvidenceReport aReport);
   /// Removes this instance's counts of roll-outs that are decided or gone.
   void RemoveOldEvidence();
+  void PublishParts();
+  void CreatePartRecord(const nlohmann::json& aRecord);
   [[nodiscard]] net::Awaitable<void> Register();
   [[nodiscard]] nlohmann::json Registration() const;
   /// Writes with retries until the store accepts the write.
@@ -110,6 +121,11 @@
   std::int64_t mLastEvidenceRevision = -1; ///< of own counts seen in lists
   /// services with an undecided roll-out; unknown before the first list
   std::optional<std::set<std::string>> mOpenRollouts;
+  quarantine::RecordTracker mPartRecords{ {} };
+  std::int64_t mLastPartRecord = 0; ///< number in its name
+  /// not published yet, by upstream
+  std::map<std::string, quarantine::CrashSuspects> mSuspects;
+  std::vector<quarantine::PartId> mServedParts; ///< not published yet
 };
 
 } // namespace figslip::gateway
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -132,8 +132,10 @@
 
 IngressWorld::IngressWorld(Options aOptions)
 {
-  for (const auto* const id : { "e-1", "e-2" }) {
-    mEngines.push_back(std::make_unique<EngineStandIn>(id));
+  for (int number = 1; number <= aOptions.mEngines; ++number) {
+    mEngineStarts.emplace_back(1);
+    mEngines.push_back(
+      std::make_unique<EngineStandIn>("e-" + std::to_string(number)));
     if (aOptions.mIsRelayed) {
       mEngineRelays.push_back(std::make_unique<Relay>(mEngines.back()->Port()));
     }
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -5,9 +5,9 @@
 #include <harness/relay.hpp>
 #include <harness/store_stand_in.hpp>
 
-#include <array>
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,13 +47,14 @@
   bool mIsOpen = false;
 };
 
-/// Runs instances of figslip before stand-ins of the store and two engines.
+/// Runs instances of figslip before stand-ins of the store and of engines.
 class IngressWorld
 {
 public:
   struct Options
   {
     int mInstances = 1;
+    int mEngines = 2;
     /// puts relays before the engines, and before the store of each instance
     bool mIsRelayed = false;
     int mMemoryMb = 256; ///< in the settings of each instance
@@ -144,9 +145,9 @@
                                   const std::string& aAttempt,
                                   const std::string& aKey = "key-1");
 
-  /// Counts the runs on both engines by request.
+  /// Counts the runs on all engines by request.
   [[nodiscard]] std::map<std::string, int> CountRuns();
-  /// Counts the runs of a request on both engines.
+  /// Counts the runs of a request on all engines.
   [[nodiscard]] int RunsOf(const std::string& aAttempt);
 
 private:
@@ -163,7 +164,7 @@
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
-  std::array<std::atomic<int>, 2> mEngineStarts = { 1, 1 };
+  std::deque<std::atomic<int>> mEngineStarts; ///< by engine
   int mVersion = 0;
 };
 
