Let the stream of the revoked key end within its route's time

Cause, in the test: how early the revocation is in force depends on when the instance last asked the store; the earlier, the more events followed with a pause of 1 s each, and the stream outlasted its route's 4 s. The checks are the same.

--- a/tests/src/history-abandoned_answer.cpp
+++ b/tests/src/history-abandoned_answer.cpp
@@ -24,6 +24,8 @@
 /// Short enough for an event to come before any retry.
 constexpr auto kShortPause = 300ms;
 
+constexpr auto kNoPause = 2ms;
+
 /// Look-up whose route only the configuration with two models has.
 const std::string kModelsLookup = "/models-look/1";
 
@@ -265,6 +267,8 @@
   HoldHeads(world, "");
   AwaitStatus(world, 401);
   SetPauses(world, 2 * kLongPause);
+  std::this_thread::sleep_for(2 * kLongPause + kShortPause);
+  SetPauses(world, kNoPause); // more long pauses would exceed the route's time
   CHECK(IsServed(open.get()));
   world.Instance(0).Stop(9s);
   const auto log = world.Instance(0).Log();
