Keep a new version within its exposure limit whatever is known of it

Cause: the share followed the clock, 0.3, 0.6 and 1.0 from 0.52 to 0.65 of the time. Only a suspicion held it back, so a fault that shows late, seldom or under load only met nearly all requests for a third of the roll-out.

Change: ExposureBudget counts the requests of a roll-out at each instance. Traffic moves when the requests expected until the deadline fit into what is left of the limit (settings exposure_share and exposure_slack, the slack divided among the instances). Overflow from a full old version stays within it too. The stages are gone; a roll-out is completed 0.8 s, or 4 % of its time, before its deadline.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -49,8 +49,8 @@
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   /// @brief Replaces the registered upstreams.
   void OnUpstreams(const std::vector<ingress::UpstreamEntry>& aEntries);
-  /// @brief Replaces the registered instances and divides the allowance of
-  /// retries among them.
+  /// @brief Replaces the registered instances and divides the common allowances
+  /// among them.
   void OnInstances(const std::vector<membership::InstanceLocation>& aInstances);
   /// @brief Applies settings that were changed in place.
   void OnSettings();
@@ -105,8 +105,9 @@
                    TimePoint aNow);
   /// Logs the quarantined parts and reports those that were cleared.
   void ReportParts(TimePoint aNow);
-  /// Divides the allowance of retries among the registered instances.
-  void DivideRetryAllowance();
+  /// Divides the allowances of retries and of requests to new versions among
+  /// the registered instances.
+  void DivideAllowances();
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <figslip/rollout/canary_evidence.hpp>
+#include <figslip/rollout/exposure_budget.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstdint>
@@ -58,13 +59,13 @@
 
 /// @brief Moves the traffic of services to new versions in stages, or back.
 ///
-/// The share of the new version depends on the time since the order, so that
-/// instances agree without exchanging messages. The hash of a session decides
-/// whether it is in that share, so that a session keeps its version. In the
-/// first half of the time a small canary share runs on the new version; then
-/// the share grows. An instance limits it while it has too few samples of the
-/// version, or suspects it, and time is left. An instance that rejects the
-/// version stops using it at once and requests the roll-back.
+/// A small canary share of the sessions runs on the new version. The hash of a
+/// session decides whether it is in that share, so that instances agree without
+/// exchanging messages and a session keeps its version. In the second half of
+/// the time all sessions move, as soon as the requests expected until the
+/// deadline fit into the exposure limit and unless the version is suspected. An
+/// instance that rejects the version stops using it at once and requests the
+/// roll-back.
 class StagedRollout
 {
 public:
@@ -102,7 +103,8 @@
                             std::string_view aVersion) const;
 
   /// @brief Records that a request of a session is sent to a version.
-  void OnSent(std::string_view aVersion,
+  void OnSent(std::string_view aService,
+              std::string_view aVersion,
               std::uint64_t aSession,
               TimePoint aNow);
 
@@ -137,10 +139,9 @@
   /// share.
   void SetInstanceCount(int aInstances);
 
-  /// @brief Returns the fraction of sessions assigned to the new version by the
-  /// clock alone.
-  /// @param[in] aProgress elapsed fraction of the planned time, [0, 1]
-  [[nodiscard]] double ShareAt(double aProgress) const;
+  /// @brief Sets the limit on the requests that a new version may receive at
+  /// this instance.
+  void SetExposureLimit(const ExposureLimit& aLimit);
 
 private:
   struct TrackedRollout
@@ -148,6 +149,7 @@
     RolloutOrder mOrder;
     TimePoint mStartedAt; ///< earliest known time of the order
     CanaryEvidence mEvidence;
+    ExposureBudget mExposure;
     bool mMayBeSlow = false;
     std::size_t mReportCount = 0; ///< fractions of the time reported
     SlownessCounts mReported;
@@ -169,9 +171,9 @@
 
   [[nodiscard]] static double ProgressOf(const TrackedRollout& aRollout,
                                          TimePoint aNow);
-  /// Returns the share of the clock, limited by the evidence.
-  [[nodiscard]] double ShareOf(const TrackedRollout& aRollout,
-                               double aProgress) const;
+  /// Returns whether all sessions may move to the new version.
+  [[nodiscard]] bool MayMove(const TrackedRollout& aRollout,
+                             TimePoint aNow) const;
   [[nodiscard]] bool AllowsInProgress(const TrackedRollout& aRollout,
                                       bool aIsTarget,
                                       std::uint64_t aSession,
@@ -183,6 +185,7 @@
     TimePoint aNow);
 
   Options mOptions;
+  ExposureLimit mExposureLimit;
   double mCanaryShare;
   std::map<std::string, TrackedRollout, std::less<>> mRollouts; ///< by service
   std::map<std::uint64_t, Session> mSessions;
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -29,6 +29,10 @@
   double mRetrySlack = 0.0; ///< repeats beyond, of all instances together
   Duration mRetryWindow{};  ///< over which both count
   Duration mSessionTtl{};   ///< pause that ends a session
+  /// share of a service's requests that a new version may receive in its
+  /// roll-out
+  double mExposureShare = 0.0;
+  double mExposureSlack = 0.0; ///< requests beyond, of all instances together
 
   bool operator==(const IngressSettings&) const = default;
 };
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -8,14 +8,7 @@
 
 namespace {
 
-/// Share of the new version from a fraction of the planned time on.
-struct Stage
-{
-  double mProgress;
-  double mShare;
-};
-
-/// Upper bound of the share in the first half.
+/// Upper bound of the canary share.
 constexpr double kMaxCanaryShare = 0.08;
 
 /// Canary share multiplied by the number of instances. Sessions that are active
@@ -24,44 +17,37 @@
 /// of such sessions in the share low, regardless of the traffic.
 constexpr double kSummedCanaryShare = 0.4;
 
-/// The second half moves all sessions, and leaves time for answers in progress
-/// on the old version to end.
-constexpr auto kStages = std::to_array<Stage>(
-  { { 0.0, 0.0 }, { 0.52, 0.3 }, { 0.58, 0.6 }, { 0.65, 1.0 } });
+/// Fraction of the planned time before which sessions keep their version.
+constexpr double kMoveProgress = 0.52;
 
-/// Maximum share of a version that may be slow, and the fraction of the planned
-/// time up to which it is held there. The version still receives enough
-/// requests to decide, but less than a bad one may receive.
-constexpr double kSuspectShare = 0.1;
-constexpr double kSuspectProgress = 0.85;
-
-/// Maximum share of a version with fewer samples than these, and the fraction
-/// of the planned time up to which it is held there.
-constexpr double kThinShare = 0.3;
-constexpr std::int64_t kThinSamples = 8;
-constexpr double kThinProgress = 0.65;
+/// Fractions of the planned time at which a status in progress is written. An
+/// instance that starts later reads the age of the order from it.
+constexpr auto kStatusProgress =
+  std::to_array<double>({ 0.0, 0.52, 0.7, 0.85 });
 
 /// Fractions of the planned time at which an instance shares its counts: mostly
 /// before the share grows, while each instance has few samples.
 constexpr auto kReportProgress =
   std::to_array<double>({ 0.2, 0.3, 0.4, 0.48, 0.56, 0.64, 0.75 });
 
-/// Fraction of the planned time at which the roll-out is completed.
-constexpr double kCompletionProgress = 0.92;
+/// Part of the planned time that is left when the roll-out is completed, at
+/// least the time for the write of the status.
+constexpr double kCompletionMargin = 0.04;
+constexpr Duration kMinCompletionMargin = std::chrono::milliseconds(800);
 
-/// The same for an instance without samples of the new version.
-constexpr double kUntestedCompletionProgress = 0.96;
+/// An instance without samples of the new version leaves this part of the
+/// margin, so that another instance decides before.
+constexpr int kUntestedMarginDivisor = 2;
 
 /// Interval after which a requested change that has not appeared is requested
 /// again.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(700);
 
-std::size_t
-StageIndexAt(double aProgress)
+std::ptrdiff_t
+StatusIndexAt(double aProgress)
 {
-  const auto next = std::ranges::find_if(
-    kStages, [&](const Stage& aStage) { return aStage.mProgress > aProgress; });
-  return static_cast<std::size_t>(next - kStages.begin()) - 1;
+  return std::ranges::count_if(kStatusProgress,
+                               [&](double aDue) { return aDue <= aProgress; });
 }
 
 bool
@@ -101,11 +87,10 @@
     std::min(kMaxCanaryShare, kSummedCanaryShare / std::max(1, aInstances));
 }
 
-double
-StagedRollout::ShareAt(double aProgress) const
+void
+StagedRollout::SetExposureLimit(const ExposureLimit& aLimit)
 {
-  const auto stage = StageIndexAt(std::max(0.0, aProgress));
-  return std::max(mCanaryShare, kStages.at(stage).mShare);
+  mExposureLimit = aLimit;
 }
 
 void
@@ -124,6 +109,7 @@
     if (isNew) {
       rollout = {};
       rollout.mStartedAt = aNow - order.mElapsed;
+      rollout.mExposure = ExposureBudget(rollout.mStartedAt, aNow);
     }
     // after a restart, the age of the order is known only from its status
     rollout.mStartedAt = std::min(rollout.mStartedAt, aNow - order.mElapsed);
@@ -157,16 +143,14 @@
            : AllowsInProgress(rollout, isTarget, aSession, aNow);
 }
 
-double
-StagedRollout::ShareOf(const TrackedRollout& aRollout, double aProgress) const
+bool
+StagedRollout::MayMove(const TrackedRollout& aRollout, TimePoint aNow) const
 {
-  const double share = ShareAt(aProgress);
-  if (aRollout.mMayBeSlow && aProgress < kSuspectProgress) {
-    return std::min(share, std::max(mCanaryShare, kSuspectShare));
-  }
-  const bool isThin = aRollout.mEvidence.MergedCounts().mTarget < kThinSamples;
-  return isThin && aProgress < kThinProgress ? std::min(share, kThinShare)
-                                             : share;
+  return ProgressOf(aRollout, aNow) >= kMoveProgress && !aRollout.mMayBeSlow &&
+         aRollout.mExposure.AllowsMove(mExposureLimit,
+                                       aRollout.mStartedAt +
+                                         aRollout.mOrder.mDuration,
+                                       aNow);
 }
 
 bool
@@ -176,15 +160,18 @@
                                 TimePoint aNow) const
 {
   constexpr std::uint64_t kHashSteps = 10'000;
-  const auto progress = ProgressOf(aRollout, aNow);
   const double position =
     static_cast<double>(aSession % kHashSteps) / kHashSteps;
-  bool wantsTarget = position < ShareOf(aRollout, progress);
   const auto* const session = ActiveSession(aSession, aNow);
+  bool wantsTarget = false;
   if (session != nullptr && session->mVersion == aRollout.mOrder.mTarget) {
     wantsTarget = true;
-  } else if (session != nullptr && progress < kStages[1].mProgress) {
-    wantsTarget = false;
+  } else if (MayMove(aRollout, aNow)) {
+    wantsTarget = true;
+  } else if (session == nullptr ||
+             ProgressOf(aRollout, aNow) >= kMoveProgress) {
+    wantsTarget = position < mCanaryShare &&
+                  aRollout.mExposure.AllowsTrial(mExposureLimit, aNow);
   }
   return wantsTarget == aIsTarget;
 }
@@ -196,8 +183,16 @@
                               TimePoint aNow) const
 {
   const auto* const session = ActiveSession(aSession, aNow);
+  if (session != nullptr) {
+    return session->mVersion == aVersion && IsOpen(aService, aVersion);
+  }
+  const auto found = mRollouts.find(aService);
+  const bool isTrial = found != mRollouts.end() &&
+                       IsUndecided(found->second.mOrder.mState) &&
+                       aVersion == found->second.mOrder.mTarget;
   return IsOpen(aService, aVersion) &&
-         (session == nullptr || session->mVersion == aVersion);
+         (!isTrial ||
+          found->second.mExposure.AllowsTrial(mExposureLimit, aNow));
 }
 
 bool
@@ -228,10 +223,16 @@
 }
 
 void
-StagedRollout::OnSent(std::string_view aVersion,
+StagedRollout::OnSent(std::string_view aService,
+                      std::string_view aVersion,
                       std::uint64_t aSession,
                       TimePoint aNow)
 {
+  const auto rollout = mRollouts.find(aService);
+  if (rollout != mRollouts.end()) {
+    rollout->second.mExposure.OnSent(aVersion == rollout->second.mOrder.mTarget,
+                                     aNow);
+  }
   constexpr std::size_t kMaxSessions = 20'000;
   if (mSessions.size() >= kMaxSessions && !mSessions.contains(aSession)) {
     std::erase_if(mSessions, [&](const auto& aEntry) {
@@ -379,15 +380,19 @@
   if (aRollout.mIsRejected) {
     return RolloutState::RolledBack;
   }
-  const auto progress = ProgressOf(aRollout, aNow);
+  const auto duration = aRollout.mOrder.mDuration;
+  const Duration margin = std::max(
+    kMinCompletionMargin,
+    std::chrono::duration_cast<Duration>(duration * kCompletionMargin));
   const bool isTried = aRollout.mEvidence.TargetSampleCount() > 0;
-  if (progress >=
-      (isTried ? kCompletionProgress : kUntestedCompletionProgress)) {
+  const auto left = aRollout.mStartedAt + duration - aNow;
+  if (left <= (isTried ? margin : margin / kUntestedMarginDivisor)) {
     return RolloutState::Completed;
   }
   const auto reported = static_cast<double>(aRollout.mOrder.mElapsed.count()) /
-                        static_cast<double>(aRollout.mOrder.mDuration.count());
-  const bool isOld = StageIndexAt(progress) > StageIndexAt(reported);
+                        static_cast<double>(duration.count());
+  const bool isOld =
+    StatusIndexAt(ProgressOf(aRollout, aNow)) > StatusIndexAt(reported);
   return state == RolloutState::Ordered || isOld
            ? std::optional(RolloutState::InProgress)
            : std::nullopt;
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -184,6 +184,8 @@
   current.mRevocation = aSettings.mRevocation;
   current.mRetryShare = aSettings.mRetryShare;
   current.mRetrySlack = aSettings.mRetrySlack;
+  current.mExposureShare = aSettings.mExposureShare;
+  current.mExposureSlack = aSettings.mExposureSlack;
   mLease.SetLength(current.mRevocation - kLeaseMargin);
   mTraffic->OnSettings();
   if (hasMoved) {
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -177,7 +177,8 @@
   aAttempt.mSentAt = now;
   aAttempt.mIsSent = true;
   mState.mParts.OnSent(mParts, now);
-  mState.mRollouts.OnSent(aAttempt.mUpstream.mVersion, mSessionHash, now);
+  mState.mRollouts.OnSent(
+    mService, aAttempt.mUpstream.mVersion, mSessionHash, now);
   LogAttempt(aAttempt);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
   return true;
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -63,6 +63,7 @@
                                   aSettings.mInstance.size()) })
   , mStartedAt(ReadBootClock())
 {
+  DivideAllowances();
 }
 
 void
@@ -86,21 +87,24 @@
   mInstanceCount = std::max(static_cast<int>(aInstances.size()), 1);
   mBoard.SetInstances(aInstances);
   mRollouts.SetInstanceCount(mInstanceCount);
-  DivideRetryAllowance();
+  DivideAllowances();
 }
 
 void
 TrafficState::OnSettings()
 {
   mRetries.SetRetryRatio(mSettings.mRetryShare * kRetryShareFraction);
-  DivideRetryAllowance();
+  DivideAllowances();
 }
 
 void
-TrafficState::DivideRetryAllowance()
+TrafficState::DivideAllowances()
 {
   mRetries.SetAllowance(mSettings.mRetrySlack * kRetryAllowanceFraction /
                         mInstanceCount);
+  mRollouts.SetExposureLimit(
+    { .mShare = mSettings.mExposureShare,
+      .mSlack = mSettings.mExposureSlack / mInstanceCount });
 }
 
 void
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -19,6 +19,7 @@
 constexpr json::Range<double> kSeconds{ 0.0, 3'600.0 };
 constexpr json::Range<double> kMillis{ 1.0, 3'600'000.0 };
 constexpr json::Range<double> kShare{ 0.0, 10.0 };
+constexpr json::Range<double> kFraction{ 0.0, 1.0 };
 constexpr json::Range<double> kCount{ 0.0, 1e9 };
 
 Duration
@@ -79,6 +80,8 @@
   settings.mRetrySlack = aReader.Real("retry_slack", kCount);
   settings.mRetryWindow = FromSeconds(aReader.Real("retry_window_s", kSeconds));
   settings.mSessionTtl = FromSeconds(aReader.Real("session_ttl_s", kSeconds));
+  settings.mExposureShare = aReader.Real("exposure_share", kFraction);
+  settings.mExposureSlack = aReader.Real("exposure_slack", kCount);
   return settings;
 }
 
