Judge a new version by the failed and slow attempts of all instances, by route

Change: an attempt is degraded if it failed or was slow. The counts of each route are shared by all instances, and the log likelihood ratio is taken against the rate of the other versions on the same route, with its standard error. A version that is in doubt at the end is rolled back. Status changes log the counts and the evidence. Requests without a session are tried with a larger share in the second half, within the exposure limit; sessions keep theirs, as instances that differ on a session would change its version (seen in trials: PINNED, 6 changes). A roll-back is written without delay, so that another instance does not complete the version meanwhile.

Where a test looked at the text "failures" it looks at the counts; plausibility is checked for each route.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -230,7 +230,7 @@
   const ingress::ClientAccount* mAccount = nullptr;
   ingress::RequestMetadata mFacts;
   std::string mService;
-  std::uint64_t mSessionHash = 0;
+  rollout::SessionId mSession;
   std::uint64_t mFingerprint = 0;         ///< hash of path, account and body
   std::vector<quarantine::PartId> mParts; ///< of the prompt, all but the last
   std::shared_ptr<bool> mCrashChecked; ///< null: no check of the last attempt
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -54,7 +54,16 @@
 {
   std::string mService;
   std::int64_t mCreated = 0; ///< as of the order
-  SlownessCounts mCounts;
+  ComparisonCounts mCounts;
+};
+
+/// @brief Identifies the session that a request belongs to.
+struct SessionId
+{
+  std::uint64_t mHash = 0;
+  /// the request belongs to no session, and no other request depends on its
+  /// version
+  bool mIsSingle = false;
 };
 
 /// @brief Moves the traffic of services to new versions in stages, or back.
@@ -62,8 +71,9 @@
 /// A small canary share of the sessions runs on the new version. The hash of a
 /// session decides whether it is in that share, so that instances agree without
 /// exchanging messages and a session keeps its version. In the second half of
-/// the time all sessions move, as soon as the requests expected until the
-/// deadline fit into the exposure limit and unless the version is suspected. An
+/// the time a larger share of the requests without a session is tried, within
+/// the exposure limit. All sessions move as soon as the requests expected until
+/// the deadline fit into that limit, unless the version is suspected. An
 /// instance that rejects the version stops using it at once and requests the
 /// roll-back.
 class StagedRollout
@@ -84,17 +94,16 @@
   void OnOrders(const std::vector<RolloutOrder>& aOrders, TimePoint aNow);
 
   /// @brief Returns whether the next request of a session may run on a version.
-  /// @param[in] aSession hash of the session
   [[nodiscard]] bool Allows(std::string_view aService,
                             std::string_view aVersion,
-                            std::uint64_t aSession,
+                            const SessionId& aSession,
                             TimePoint aNow) const;
 
   /// @brief Returns whether a session may run on a version as a fallback, when
   /// its assigned version has no free slot.
   [[nodiscard]] bool AllowsFallback(std::string_view aService,
                                     std::string_view aVersion,
-                                    std::uint64_t aSession,
+                                    const SessionId& aSession,
                                     TimePoint aNow) const;
 
   /// @brief Returns whether any request may be sent to a version.
@@ -105,11 +114,11 @@
   /// @brief Records that a request of a session is sent to a version.
   void OnSent(std::string_view aService,
               std::string_view aVersion,
-              std::uint64_t aSession,
+              const SessionId& aSession,
               TimePoint aNow);
 
   /// @brief Records that a request of a session has ended.
-  void OnEnded(std::uint64_t aSession, TimePoint aNow);
+  void OnEnded(const SessionId& aSession, TimePoint aNow);
 
   /// @brief Records the result of an attempt; it may reject the version.
   void OnSample(std::string_view aService,
@@ -150,9 +159,9 @@
     TimePoint mStartedAt; ///< earliest known time of the order
     CanaryEvidence mEvidence;
     ExposureBudget mExposure;
-    bool mMayBeSlow = false;
+    bool mIsSuspected = false;
     std::size_t mReportCount = 0; ///< fractions of the time reported
-    SlownessCounts mReported;
+    ComparisonCounts mReported;
     bool mIsRejected = false;
     std::string mReason;
     std::optional<TimePoint> mRequestedAt; ///< time of the last change request
@@ -166,20 +175,26 @@
     TimePoint mLastActivity; ///< last time a request was sent or ended
   };
 
-  [[nodiscard]] const Session* ActiveSession(std::uint64_t aSession,
+  [[nodiscard]] const Session* ActiveSession(const SessionId& aSession,
                                              TimePoint aNow) const;
 
   [[nodiscard]] static double ProgressOf(const TrackedRollout& aRollout,
                                          TimePoint aNow);
+  /// Returns whether the trial of the new version includes a session.
+  [[nodiscard]] bool IsTried(const TrackedRollout& aRollout,
+                             const SessionId& aSession,
+                             TimePoint aNow) const;
   /// Returns whether all sessions may move to the new version.
   [[nodiscard]] bool MayMove(const TrackedRollout& aRollout,
                              TimePoint aNow) const;
   [[nodiscard]] bool AllowsInProgress(const TrackedRollout& aRollout,
                                       bool aIsTarget,
-                                      std::uint64_t aSession,
+                                      const SessionId& aSession,
                                       TimePoint aNow) const;
   /// Rejects the version of an open roll-out if the evidence suffices.
   static void Judge(TrackedRollout& aRollout);
+  /// Stops the use of the new version.
+  static void Reject(TrackedRollout& aRollout, std::string aReason);
   [[nodiscard]] static std::optional<RolloutState> NextState(
     TrackedRollout& aRollout,
     TimePoint aNow);
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -1,59 +1,37 @@
 #include <figslip/rollout/canary_evidence.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <ranges>
 #include <string>
-#include <vector>
+#include <utility>
 
 namespace figslip::rollout {
 
 namespace {
 
-/// Size of each sliding window.
-constexpr std::size_t kWindowSamples = 24;
-
-/// Failures required to reject a version.
-constexpr int kMinFailures = 3;
-
-/// A version is rejected if its failure rate exceeds that of the others by more
-/// than this fraction.
-constexpr double kFailureRateMargin = 0.2;
-
-/// Latency samples required of both sides to reject a version as slow.
-constexpr std::size_t kMinLatencySamples = 8;
-
-/// A version is rejected if its median latency ratio exceeds that of the others
-/// by more than this factor.
-constexpr double kMaxLatencyFactor = 3.0;
+/// Latest attempts that are also judged by themselves, so that a version that
+/// served many requests is rejected soon after it begins to fail.
+constexpr std::ptrdiff_t kRecentAttempts = 24;
 
 /// Latency ratio from which an attempt counts as slow.
 constexpr double kSlowRatio = 2.0;
 
-/// Sizes of the windows of slow attempts.
-constexpr std::size_t kSlownessTargetSamples = 128;
-constexpr std::size_t kSlownessBaselineSamples = 128;
-
-/// Attempts required of the other versions to compare the rates of slow ones.
-constexpr std::int64_t kMinSlownessBaseline = 8;
-
-/// The rate of slow attempts of the other versions is raised by this number of
-/// standard errors, and to this minimum.
-constexpr double kSlowRateErrors = 2.0;
-constexpr double kMinSlowRate = 0.1;
+/// Added to both times, so that small absolute delays have little effect.
+constexpr Duration kLatencyOffset = std::chrono::milliseconds(50);
 
-/// Log evidence at which a version is rejected as slow: the probability that a
-/// version as fast as the others reaches it in one window is at most exp(-10)
-/// (Chernoff bound).
-constexpr double kSlownessThreshold = 10.0;
+/// Log evidence at which a version is rejected.
+constexpr double kRejectionThreshold = 5.25;
 
-/// Log evidence required besides a high median, which few samples may show by
-/// chance.
-constexpr double kMedianThreshold = 5.0;
+/// The same for the latest attempts, which are judged again and again.
+constexpr double kRecentThreshold = 6.0;
 
 /// Log evidence at which the share of a version stops to grow.
-constexpr double kSuspicionThreshold = 2.5;
+constexpr double kSuspicionThreshold = 2.0;
+
+/// Log evidence at which a version is not completed. A bad version that is
+/// completed cannot be rolled back.
+constexpr double kDoubtThreshold = 2.5;
 
 /// Maximum number of silent attempts that are remembered.
 constexpr std::size_t kMaxSilentAttempts = 64;
@@ -66,60 +44,8 @@
 /// lost machines, and are not evidence against the version.
 constexpr Duration kCommonCauseWindow = std::chrono::seconds(3);
 
-/// Added to both times, so that small absolute delays have little effect.
-constexpr Duration kLatencyOffset = std::chrono::milliseconds(100);
-
 } // namespace
 
-SlownessCounts&
-SlownessCounts::operator+=(const SlownessCounts& aOther)
-{
-  mTarget += aOther.mTarget;
-  mTargetSlow += aOther.mTargetSlow;
-  mOthers += aOther.mOthers;
-  mOthersSlow += aOther.mOthersSlow;
-  return *this;
-}
-
-bool
-SlownessCounts::IsPlausible() const
-{
-  return 0 <= mTargetSlow && mTargetSlow <= mTarget &&
-         mTarget <= static_cast<std::int64_t>(kSlownessTargetSamples) &&
-         0 <= mOthersSlow && mOthersSlow <= mOthers &&
-         mOthers <= static_cast<std::int64_t>(kSlownessBaselineSamples);
-}
-
-double
-SlownessCounts::Evidence() const
-{
-  if (mOthers < kMinSlownessBaseline || mTarget == 0) {
-    return 0.0;
-  }
-  const auto others = static_cast<double>(mOthers);
-  const auto count = static_cast<double>(mTarget);
-  const double rate =
-    std::max(kMinSlowRate, static_cast<double>(mOthersSlow) / others);
-  const double reference =
-    rate + kSlowRateErrors * std::sqrt(rate * (1.0 - rate) / others);
-  const double observed = static_cast<double>(mTargetSlow) / count;
-  if (observed <= reference) {
-    return 0.0;
-  }
-  const double rest = 1.0 - observed;
-  const double restEvidence =
-    rest > 0.0 ? rest * std::log(rest / (1.0 - reference)) : 0.0;
-  return count * (observed * std::log(observed / reference) + restEvidence);
-}
-
-std::string
-SlownessCounts::Text() const
-{
-  return std::to_string(mTargetSlow) + " of " + std::to_string(mTarget) +
-         " attempts slow, others " + std::to_string(mOthersSlow) + " of " +
-         std::to_string(mOthers);
-}
-
 CanarySample
 SampleOf(std::string aRoute, Duration aElapsed, Duration aExpected)
 {
@@ -132,96 +58,89 @@
 }
 
 void
-CanaryEvidence::SampleWindow::Add(const CanarySample& aSample)
-{
-  mFailed.push_back(aSample.mFailed);
-  if (mFailed.size() > kWindowSamples) {
-    mFailed.pop_front();
-  }
-  if (aSample.mLatencyRatio) {
-    mLatencyRatios.push_back(*aSample.mLatencyRatio);
-    if (mLatencyRatios.size() > kWindowSamples) {
-      mLatencyRatios.pop_front();
-    }
-  }
-}
-
-int
-CanaryEvidence::SampleWindow::FailureCount() const
-{
-  return static_cast<int>(std::ranges::count(mFailed, true));
-}
-
-double
-CanaryEvidence::SampleWindow::FailureRate() const
+CanaryEvidence::OnTargetSample(const CanarySample& aSample)
 {
-  return mFailed.empty() ? 0.0
-                         : static_cast<double>(FailureCount()) /
-                             static_cast<double>(mFailed.size());
+  OnSample(aSample, true);
 }
 
-double
-CanaryEvidence::SampleWindow::MedianLatencyRatio() const
+void
+CanaryEvidence::OnBaselineSample(const CanarySample& aSample)
 {
-  std::vector<double> sorted(mLatencyRatios.begin(), mLatencyRatios.end());
-  if (sorted.empty()) {
-    return 1.0;
-  }
-  const auto middle = sorted.begin() + std::ssize(sorted) / 2;
-  std::ranges::nth_element(sorted, middle);
-  return *middle;
+  OnSample(aSample, false);
 }
 
 void
-CanaryEvidence::SlownessWindow::Add(bool aIsSlow, std::size_t aMaxCount)
+CanaryEvidence::OnSample(const CanarySample& aSample, bool aIsTarget)
 {
-  mIsSlow.push_back(aIsSlow);
-  if (mIsSlow.size() > aMaxCount) {
-    mIsSlow.pop_front();
+  const bool isRepeated = IsRepeatedAbort(aSample);
+  if (aSample.mSilentFor > Duration::zero()) {
+    OnSilence(aSample, aIsTarget);
+    return;
+  }
+  if (isRepeated) {
+    return;
   }
+  const bool isSlow =
+    aSample.mLatencyRatio && *aSample.mLatencyRatio > kSlowRatio;
+  Add({ .mRoute = aSample.mRoute, .mIsDegraded = aSample.mFailed || isSlow },
+      aIsTarget);
 }
 
 void
-CanaryEvidence::SlownessWindow::Add(const CanarySample& aSample,
-                                    std::size_t aMaxCount)
+CanaryEvidence::Add(Attempt aAttempt, bool aIsTarget)
 {
-  if (aSample.mLatencyRatio) {
-    Add(*aSample.mLatencyRatio > kSlowRatio, aMaxCount);
+  auto& window = aIsTarget ? mTargetAttempts : mBaselineAttempts;
+  const auto limit = aIsTarget ? kMaxTargetAttempts : kMaxBaselineAttempts;
+  mTargetSampleCount += aIsTarget ? 1 : 0;
+  Count(aAttempt, aIsTarget, 1);
+  window.push_back(std::move(aAttempt));
+  if (std::ssize(window) > limit) {
+    Count(window.front(), aIsTarget, -1);
+    window.pop_front();
   }
 }
 
-std::int64_t
-CanaryEvidence::SlownessWindow::SlowCount() const
-{
-  return std::ranges::count(mIsSlow, true);
-}
-
 void
-CanaryEvidence::SlownessWindow::Correct()
+CanaryEvidence::Count(const Attempt& aAttempt, bool aIsTarget, int aChange)
 {
-  const auto fast = std::ranges::find(mIsSlow, false);
-  if (fast != mIsSlow.end()) {
-    *fast = true;
+  auto& counts = mOwn.mRoutes[aAttempt.mRoute];
+  const int degraded = aAttempt.mIsDegraded ? aChange : 0;
+  if (aIsTarget) {
+    counts.mTarget += aChange;
+    counts.mTargetDegraded += degraded;
+  } else {
+    counts.mOthers += aChange;
+    counts.mOthersDegraded += degraded;
+  }
+  if (counts == RouteCounts{}) {
+    mOwn.mRoutes.erase(aAttempt.mRoute);
   }
 }
 
 void
-CanaryEvidence::AddSlow(const SilentAttempt& aAttempt)
+CanaryEvidence::AddSilent(const SilentAttempt& aAttempt)
 {
-  auto& window = aAttempt.mIsTarget ? mTargetSlowness : mBaselineSlowness;
-  if (aAttempt.mHadEvent) {
-    window.Correct();
-  } else {
-    window.Add(true,
-               aAttempt.mIsTarget ? kSlownessTargetSamples
-                                  : kSlownessBaselineSamples);
+  if (!aAttempt.mHadEvent) {
+    Add({ .mRoute = aAttempt.mRoute, .mIsDegraded = true }, aAttempt.mIsTarget);
+    return;
+  }
+  // the attempt was added as a sound one when its first event came
+  auto& window = aAttempt.mIsTarget ? mTargetAttempts : mBaselineAttempts;
+  const auto sound = std::ranges::find_if(window, [&](const Attempt& aOther) {
+    return !aOther.mIsDegraded && aOther.mRoute == aAttempt.mRoute;
+  });
+  if (sound != window.end()) {
+    Count(*sound, aAttempt.mIsTarget, -1);
+    sound->mIsDegraded = true;
+    Count(*sound, aAttempt.mIsTarget, 1);
   }
 }
 
 void
 CanaryEvidence::OnSilence(const CanarySample& aSample, bool aIsTarget)
 {
-  const SilentAttempt attempt{ .mIsTarget = aIsTarget,
+  const SilentAttempt attempt{ .mRoute = aSample.mRoute,
+                               .mIsTarget = aIsTarget,
                                .mHadEvent = aSample.mHadEvent,
                                .mEndedAt = aSample.mAbortedAt };
   const auto last = mLastEvents.find(aSample.mAbortedBy);
@@ -229,23 +148,27 @@
     last != mLastEvents.end() &&
     last->second > aSample.mAbortedAt - aSample.mSilentFor / 2;
   if (isAlive) {
-    AddSlow(attempt);
+    AddSilent(attempt);
   } else if (mSilentAttempts.size() < kMaxSilentAttempts) {
     mSilentAttempts.emplace(aSample.mAbortedBy, attempt);
   }
 }
 
-void
+bool
 CanaryEvidence::OnEvent(const std::string& aUpstream, TimePoint aNow)
 {
   mLastEvents.insert_or_assign(aUpstream, aNow);
   const auto [begin, end] = mSilentAttempts.equal_range(aUpstream);
+  if (begin == end) {
+    return false;
+  }
   for (auto attempt = begin; attempt != end; ++attempt) {
     if (aNow < attempt->second.mEndedAt + kAnswerWindow) {
-      AddSlow(attempt->second);
+      AddSilent(attempt->second);
     }
   }
   mSilentAttempts.erase(begin, end);
+  return true;
 }
 
 bool
@@ -265,96 +188,65 @@
   return false;
 }
 
-void
-CanaryEvidence::OnTargetSample(const CanarySample& aSample)
+ComparisonCounts
+CanaryEvidence::MergedCounts() const
 {
-  if (aSample.mSilentFor > Duration::zero()) {
-    OnSilence(aSample, true);
-  }
-  mTargetSlowness.Add(aSample, kSlownessTargetSamples);
-  if (IsRepeatedAbort(aSample)) {
-    return;
-  }
-  ++mTargetSampleCount;
-  mAllTarget.Add(aSample);
-  mTargetByRoute[aSample.mRoute].Add(aSample);
+  auto counts = mOwn;
+  return counts += mPeers;
 }
 
-void
-CanaryEvidence::OnBaselineSample(const CanarySample& aSample)
+ComparisonCounts
+CanaryEvidence::RecentCounts() const
 {
-  if (aSample.mSilentFor > Duration::zero()) {
-    OnSilence(aSample, false);
+  auto counts = MergedCounts();
+  for (auto& route : counts.mRoutes | std::views::values) {
+    route.mTarget = 0;
+    route.mTargetDegraded = 0;
   }
-  mBaselineSlowness.Add(aSample, kSlownessBaselineSamples);
-  if (IsRepeatedAbort(aSample)) {
-    return;
+  const auto skipped =
+    std::max<std::ptrdiff_t>(0, std::ssize(mTargetAttempts) - kRecentAttempts);
+  for (const auto& attempt : mTargetAttempts | std::views::drop(skipped)) {
+    auto& route = counts.mRoutes[attempt.mRoute];
+    ++route.mTarget;
+    route.mTargetDegraded += attempt.mIsDegraded ? 1 : 0;
   }
-  mAllBaseline.Add(aSample);
-  mBaselineByRoute[aSample.mRoute].Add(aSample);
+  return counts;
 }
 
 bool
-CanaryEvidence::IsFailing(const SampleWindow& aTarget,
-                          const SampleWindow& aOthers)
-{
-  return aTarget.FailureCount() >= kMinFailures &&
-         aTarget.FailureRate() > aOthers.FailureRate() + kFailureRateMargin;
-}
-
-SlownessCounts
-CanaryEvidence::OwnCounts() const
+CanaryEvidence::IsSuspected() const
 {
-  return { .mTarget = std::ssize(mTargetSlowness.mIsSlow),
-           .mTargetSlow = mTargetSlowness.SlowCount(),
-           .mOthers = std::ssize(mBaselineSlowness.mIsSlow),
-           .mOthersSlow = mBaselineSlowness.SlowCount() };
-}
-
-SlownessCounts
-CanaryEvidence::MergedCounts() const
-{
-  auto counts = OwnCounts();
-  return counts += mPeers;
-}
-
-bool
-CanaryEvidence::MayBeSlow() const
-{
-  const auto silent = std::ranges::count_if(
-    mSilentAttempts | std::views::values, &SilentAttempt::mIsTarget);
   auto counts = MergedCounts();
-  counts.mTarget += silent;
-  counts.mTargetSlow += silent;
+  for (const auto& attempt : mSilentAttempts | std::views::values) {
+    if (attempt.mIsTarget) {
+      auto& route = counts.mRoutes[attempt.mRoute];
+      ++route.mTarget;
+      ++route.mTargetDegraded;
+    }
+  }
   return counts.Evidence() >= kSuspicionThreshold;
 }
 
 std::optional<std::string>
 CanaryEvidence::RejectionReason() const
 {
-  if (IsFailing(mAllTarget, mAllBaseline)) {
-    return "failures";
-  }
-  for (const auto& [route, series] : mTargetByRoute) {
-    const auto others = mBaselineByRoute.find(route);
-    if (IsFailing(series,
-                  others == mBaselineByRoute.end() ? SampleWindow{}
-                                                   : others->second)) {
-      return "failures on route " + route;
-    }
+  const auto merged = MergedCounts();
+  if (merged.Evidence() >= kRejectionThreshold) {
+    return merged.Text();
   }
-  const bool isTimed = mAllTarget.mLatencyRatios.size() >= kMinLatencySamples &&
-                       mAllBaseline.mLatencyRatios.size() >= kMinLatencySamples;
-  const auto counts = MergedCounts();
-  const auto evidence = counts.Evidence();
-  const bool hasHighMedian =
-    isTimed &&
-    mAllTarget.MedianLatencyRatio() >
-      kMaxLatencyFactor * std::max(1.0, mAllBaseline.MedianLatencyRatio());
-  if (evidence >= (hasHighMedian ? kMedianThreshold : kSlownessThreshold)) {
-    return "slowness: " + counts.Text();
+  const auto recent = RecentCounts();
+  if (recent.Evidence() >= kRecentThreshold) {
+    return "lately " + recent.Text();
   }
   return std::nullopt;
 }
 
+std::optional<std::string>
+CanaryEvidence::DoubtReason() const
+{
+  const auto merged = MergedCounts();
+  return merged.Evidence() >= kDoubtThreshold ? std::optional(merged.Text())
+                                              : std::nullopt;
+}
+
 } // namespace figslip::rollout
--- a/src/core/rollout/exposure_budget.cpp
+++ b/src/core/rollout/exposure_budget.cpp
@@ -17,7 +17,7 @@
 /// Fractions of the limit that a trial may use. The rest is kept for the time
 /// between the move and the deadline.
 constexpr double kTrialShareFraction = 0.3;
-constexpr double kTrialSlackFraction = 0.6;
+constexpr double kTrialSlackFraction = 0.9;
 
 /// Share of the requests before a restart that is assumed to have run on the
 /// new version.
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-/// Upper bound of the canary share.
+/// Upper bound of the canary share in the first half.
 constexpr double kMaxCanaryShare = 0.08;
 
+/// Share of the requests without a session that is tried in the second half,
+/// until the trial has used its part of the exposure limit.
+constexpr double kTrialShare = 0.25;
+
 /// Canary share multiplied by the number of instances. Sessions that are active
 /// when the order arrives must not change their version in the first half, and
 /// an instance does not see the sessions of others. The limit keeps the number
@@ -25,10 +29,10 @@
 constexpr auto kStatusProgress =
   std::to_array<double>({ 0.0, 0.52, 0.7, 0.85 });
 
-/// Fractions of the planned time at which an instance shares its counts: mostly
-/// before the share grows, while each instance has few samples.
+/// Fractions of the planned time at which an instance shares its counts. The
+/// last ones reach the others before the roll-out is completed.
 constexpr auto kReportProgress =
-  std::to_array<double>({ 0.2, 0.3, 0.4, 0.48, 0.56, 0.64, 0.75 });
+  std::to_array<double>({ 0.2, 0.3, 0.4, 0.5, 0.62, 0.74, 0.86 });
 
 /// Part of the planned time that is left when the roll-out is completed, at
 /// least the time for the write of the status.
@@ -120,7 +124,7 @@
 bool
 StagedRollout::Allows(std::string_view aService,
                       std::string_view aVersion,
-                      std::uint64_t aSession,
+                      const SessionId& aSession,
                       TimePoint aNow) const
 {
   const auto found = mRollouts.find(aService);
@@ -146,7 +150,8 @@
 bool
 StagedRollout::MayMove(const TrackedRollout& aRollout, TimePoint aNow) const
 {
-  return ProgressOf(aRollout, aNow) >= kMoveProgress && !aRollout.mMayBeSlow &&
+  return ProgressOf(aRollout, aNow) >= kMoveProgress &&
+         !aRollout.mIsSuspected &&
          aRollout.mExposure.AllowsMove(mExposureLimit,
                                        aRollout.mStartedAt +
                                          aRollout.mOrder.mDuration,
@@ -156,30 +161,42 @@
 bool
 StagedRollout::AllowsInProgress(const TrackedRollout& aRollout,
                                 bool aIsTarget,
-                                std::uint64_t aSession,
+                                const SessionId& aSession,
                                 TimePoint aNow) const
+{
+  const auto* const session = ActiveSession(aSession, aNow);
+  const bool isOnTarget =
+    session != nullptr && session->mVersion == aRollout.mOrder.mTarget;
+  const bool isHeld = session != nullptr && !isOnTarget &&
+                      ProgressOf(aRollout, aNow) < kMoveProgress;
+  const bool wantsTarget =
+    isOnTarget ||
+    (!isHeld && (MayMove(aRollout, aNow) || IsTried(aRollout, aSession, aNow)));
+  return wantsTarget == aIsTarget;
+}
+
+bool
+StagedRollout::IsTried(const TrackedRollout& aRollout,
+                       const SessionId& aSession,
+                       TimePoint aNow) const
 {
   constexpr std::uint64_t kHashSteps = 10'000;
   const double position =
-    static_cast<double>(aSession % kHashSteps) / kHashSteps;
-  const auto* const session = ActiveSession(aSession, aNow);
-  bool wantsTarget = false;
-  if (session != nullptr && session->mVersion == aRollout.mOrder.mTarget) {
-    wantsTarget = true;
-  } else if (MayMove(aRollout, aNow)) {
-    wantsTarget = true;
-  } else if (session == nullptr ||
-             ProgressOf(aRollout, aNow) >= kMoveProgress) {
-    wantsTarget = position < mCanaryShare &&
-                  aRollout.mExposure.AllowsTrial(mExposureLimit, aNow);
+    static_cast<double>(aSession.mHash % kHashSteps) / kHashSteps;
+  const bool isLargeTrial = aSession.mIsSingle && !aRollout.mIsSuspected &&
+                            ProgressOf(aRollout, aNow) >= kMoveProgress;
+  if (position >= (isLargeTrial ? kTrialShare : mCanaryShare)) {
+    return false;
   }
-  return wantsTarget == aIsTarget;
+  // instances that disagree on a session would change its version
+  return !aSession.mIsSingle ||
+         aRollout.mExposure.AllowsTrial(mExposureLimit, aNow);
 }
 
 bool
 StagedRollout::AllowsFallback(std::string_view aService,
                               std::string_view aVersion,
-                              std::uint64_t aSession,
+                              const SessionId& aSession,
                               TimePoint aNow) const
 {
   const auto* const session = ActiveSession(aSession, aNow);
@@ -212,9 +229,9 @@
 }
 
 const StagedRollout::Session*
-StagedRollout::ActiveSession(std::uint64_t aSession, TimePoint aNow) const
+StagedRollout::ActiveSession(const SessionId& aSession, TimePoint aNow) const
 {
-  const auto found = mSessions.find(aSession);
+  const auto found = mSessions.find(aSession.mHash);
   const bool isActive =
     found != mSessions.end() &&
     (found->second.mInFlight > 0 ||
@@ -225,7 +242,7 @@
 void
 StagedRollout::OnSent(std::string_view aService,
                       std::string_view aVersion,
-                      std::uint64_t aSession,
+                      const SessionId& aSession,
                       TimePoint aNow)
 {
   const auto rollout = mRollouts.find(aService);
@@ -234,22 +251,22 @@
                                      aNow);
   }
   constexpr std::size_t kMaxSessions = 20'000;
-  if (mSessions.size() >= kMaxSessions && !mSessions.contains(aSession)) {
+  if (mSessions.size() >= kMaxSessions && !mSessions.contains(aSession.mHash)) {
     std::erase_if(mSessions, [&](const auto& aEntry) {
       return aEntry.second.mInFlight == 0 &&
              aNow >= aEntry.second.mLastActivity + mOptions.mSessionTtl;
     });
   }
-  auto& session = mSessions[aSession];
+  auto& session = mSessions[aSession.mHash];
   session.mVersion = aVersion;
   session.mLastActivity = aNow;
   ++session.mInFlight;
 }
 
 void
-StagedRollout::OnEnded(std::uint64_t aSession, TimePoint aNow)
+StagedRollout::OnEnded(const SessionId& aSession, TimePoint aNow)
 {
-  const auto found = mSessions.find(aSession);
+  const auto found = mSessions.find(aSession.mHash);
   if (found != mSessions.end()) {
     found->second.mInFlight = std::max(0, found->second.mInFlight - 1);
     found->second.mLastActivity = aNow;
@@ -284,8 +301,9 @@
 {
   const auto found = mRollouts.find(aService);
   if (found != mRollouts.end() && IsUndecided(found->second.mOrder.mState)) {
-    found->second.mEvidence.OnEvent(aUpstream, aNow);
-    Judge(found->second);
+    if (found->second.mEvidence.OnEvent(aUpstream, aNow)) {
+      Judge(found->second);
+    }
   }
 }
 
@@ -295,14 +313,20 @@
   if (aRollout.mIsRejected || !IsUndecided(aRollout.mOrder.mState)) {
     return;
   }
-  aRollout.mMayBeSlow = aRollout.mEvidence.MayBeSlow();
-  if (auto verdict = aRollout.mEvidence.RejectionReason()) {
-    aRollout.mIsRejected = true;
-    aRollout.mReason = std::move(*verdict);
-    aRollout.mRequestedAt.reset();
+  aRollout.mIsSuspected = aRollout.mEvidence.IsSuspected();
+  if (auto reason = aRollout.mEvidence.RejectionReason()) {
+    Reject(aRollout, std::move(*reason));
   }
 }
 
+void
+StagedRollout::Reject(TrackedRollout& aRollout, std::string aReason)
+{
+  aRollout.mIsRejected = true;
+  aRollout.mReason = std::move(aReason);
+  aRollout.mRequestedAt.reset();
+}
+
 std::vector<StatusChange>
 StagedRollout::DueChanges(TimePoint aNow)
 {
@@ -316,9 +340,12 @@
     if (!rollout.mDueSince) {
       rollout.mDueSince = aNow;
     }
-    // each instance has its own delay, so that one writes for all
+    // each instance has its own delay, so that one writes for all; a bad
+    // version must not be completed by another instance meanwhile
+    const auto delay =
+      rollout.mIsRejected ? Duration::zero() : mOptions.mWriteDelay;
     const bool waits =
-      aNow < *rollout.mDueSince + mOptions.mWriteDelay ||
+      aNow < *rollout.mDueSince + delay ||
       (rollout.mRequestedAt && aNow < *rollout.mRequestedAt + kRetryInterval);
     if (!waits) {
       rollout.mRequestedAt = aNow;
@@ -343,8 +370,8 @@
       continue;
     }
     rollout.mReportCount = due;
-    const auto counts = rollout.mEvidence.OwnCounts();
-    if (counts.mTarget > 0 && counts != rollout.mReported) {
+    const auto& counts = rollout.mEvidence.OwnCounts();
+    if (counts.Total().mTarget > 0 && counts != rollout.mReported) {
       rollout.mReported = counts;
       reports.push_back({ .mService = rollout.mOrder.mService,
                           .mCreated = rollout.mOrder.mCreated,
@@ -358,14 +385,14 @@
 StagedRollout::OnPeerReports(const std::vector<EvidenceReport>& aReports)
 {
   for (auto& [service, rollout] : mRollouts) {
-    SlownessCounts peers;
+    ComparisonCounts peers;
     for (const auto& report : aReports) {
       if (report.mService == service &&
           report.mCreated == rollout.mOrder.mCreated) {
         peers += report.mCounts;
       }
     }
-    rollout.mEvidence.SetPeerCounts(peers);
+    rollout.mEvidence.SetPeerCounts(std::move(peers));
     Judge(rollout);
   }
 }
@@ -387,6 +414,12 @@
   const bool isTried = aRollout.mEvidence.TargetSampleCount() > 0;
   const auto left = aRollout.mStartedAt + duration - aNow;
   if (left <= (isTried ? margin : margin / kUntestedMarginDivisor)) {
+    auto doubt = aRollout.mEvidence.DoubtReason();
+    if (doubt) {
+      Reject(aRollout, std::move(*doubt));
+      return RolloutState::RolledBack;
+    }
+    aRollout.mReason = aRollout.mEvidence.MergedCounts().Text();
     return RolloutState::Completed;
   }
   const auto reported = static_cast<double>(aRollout.mOrder.mElapsed.count()) /
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -49,10 +49,11 @@
 constexpr const char* kServiceField = "service";
 constexpr const char* kInstanceField = "instance";
 constexpr const char* kCreatedField = "created";
+constexpr const char* kRoutesField = "routes";
 constexpr const char* kTargetField = "target";
-constexpr const char* kTargetSlowField = "target_slow";
+constexpr const char* kTargetDegradedField = "target_degraded";
 constexpr const char* kOthersField = "others";
-constexpr const char* kOthersSlowField = "others_slow";
+constexpr const char* kOthersDegradedField = "others_degraded";
 
 /// JSON fields of an instance's registration.
 constexpr const char* kDomainField = "failure_domain";
@@ -120,21 +121,54 @@
 std::int64_t
 CountOf(const nlohmann::json& aSpec, const char* aField)
 {
+  if (!aSpec.is_object()) {
+    return -1;
+  }
   const auto found = aSpec.find(aField);
   return found != aSpec.end() && found->is_number_integer()
            ? found->get<std::int64_t>()
            : -1;
 }
 
+rollout::ComparisonCounts
+ReadCounts(const nlohmann::json& aRoutes)
+{
+  rollout::ComparisonCounts counts;
+  for (const auto& [route, fields] : aRoutes.items()) {
+    counts.mRoutes[route] = { .mTarget = CountOf(fields, kTargetField),
+                              .mTargetDegraded =
+                                CountOf(fields, kTargetDegradedField),
+                              .mOthers = CountOf(fields, kOthersField),
+                              .mOthersDegraded =
+                                CountOf(fields, kOthersDegradedField) };
+  }
+  return counts;
+}
+
+nlohmann::json
+WriteCounts(const rollout::ComparisonCounts& aCounts)
+{
+  auto routes = nlohmann::json::object();
+  for (const auto& [route, counts] : aCounts.mRoutes) {
+    routes[route] = { { kTargetField, counts.mTarget },
+                      { kTargetDegradedField, counts.mTargetDegraded },
+                      { kOthersField, counts.mOthers },
+                      { kOthersDegradedField, counts.mOthersDegraded } };
+  }
+  return routes;
+}
+
+/// Reads the counts of an instance; without routes if they are absent or
+/// anything else.
 rollout::EvidenceReport
 ReadEvidence(const nlohmann::json& aSpec)
 {
+  const auto routes = aSpec.find(kRoutesField);
+  const bool hasRoutes = routes != aSpec.end() && routes->is_object();
   return { .mService = json::TextOr(aSpec, kServiceField, ""),
            .mCreated = CountOf(aSpec, kCreatedField),
-           .mCounts = { .mTarget = CountOf(aSpec, kTargetField),
-                        .mTargetSlow = CountOf(aSpec, kTargetSlowField),
-                        .mOthers = CountOf(aSpec, kOthersField),
-                        .mOthersSlow = CountOf(aSpec, kOthersSlowField) } };
+           .mCounts =
+             hasRoutes ? ReadCounts(*routes) : rollout::ComparisonCounts{} };
 }
 
 } // namespace
@@ -579,14 +613,11 @@
 ControlPlane::WriteEvidence(rollout::EvidenceReport aReport)
 {
   const auto name = EvidenceName(aReport.mService, mSettings.mInstance);
-  const auto& counts = aReport.mCounts;
   const nlohmann::json spec = { { kServiceField, aReport.mService },
                                 { kInstanceField, mSettings.mInstance },
                                 { kCreatedField, aReport.mCreated },
-                                { kTargetField, counts.mTarget },
-                                { kTargetSlowField, counts.mTargetSlow },
-                                { kOthersField, counts.mOthers },
-                                { kOthersSlowField, counts.mOthersSlow } };
+                                { kRoutesField,
+                                  WriteCounts(aReport.mCounts) } };
   const bool isKnown = mOwnEvidence.contains(aReport.mService);
   auto request = isKnown ? mDialect.mReplaceShared(name, spec)
                          : mDialect.mCreateShared(name, spec);
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -103,7 +103,7 @@
   mRunning = nullptr;
   mState.mBoard.Release(aAttempt.mLoad);
   if (aAttempt.mIsSent) {
-    mState.mRollouts.OnEnded(mSessionHash, ReadBootClock());
+    mState.mRollouts.OnEnded(mSession, ReadBootClock());
   }
   co_return next;
 }
@@ -177,8 +177,7 @@
   aAttempt.mSentAt = now;
   aAttempt.mIsSent = true;
   mState.mParts.OnSent(mParts, now);
-  mState.mRollouts.OnSent(
-    mService, aAttempt.mUpstream.mVersion, mSessionHash, now);
+  mState.mRollouts.OnSent(mService, aAttempt.mUpstream.mVersion, mSession, now);
   LogAttempt(aAttempt);
   aAttempt.mConnection->StartSend(FormatAttempt(aAttempt, now));
   return true;
@@ -443,7 +442,7 @@
   }
   mState.mBoard.Release(attempt.mLoad);
   if (attempt.mIsSent) {
-    mState.mRollouts.OnEnded(mSessionHash, ReadBootClock());
+    mState.mRollouts.OnEnded(mSession, ReadBootClock());
   }
   mReplacement.reset();
 }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -44,19 +44,19 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
-/// Returns the hash of the session; without a session, of the subject of the
-/// prompt; without a prompt, of the id of the request.
-std::uint64_t
-SessionHashOf(const ingress::RequestMetadata& aFacts)
+/// Returns the session; without one, requests on the same subject of a prompt
+/// count as a session.
+rollout::SessionId
+SessionOf(const ingress::RequestMetadata& aFacts)
 {
   if (!aFacts.mSession.empty()) {
-    return HashOf(aFacts.mSession);
+    return { .mHash = HashOf(aFacts.mSession) };
   }
   if (aFacts.mPrompt.size() > 1) {
     const auto subject = aFacts.mPrompt.rbegin()[1].mId;
-    return XXH3_64bits(&subject, sizeof(subject));
+    return { .mHash = XXH3_64bits(&subject, sizeof(subject)) };
   }
-  return HashOf(aFacts.mAttemptId);
+  return { .mHash = HashOf(aFacts.mAttemptId), .mIsSingle = true };
 }
 
 /// Returns the parts of the prompt that other requests may share.
@@ -164,8 +164,8 @@
       mState.mParts.IsQuarantined(mParts, now)) {
     return RequestEnd::CrashesUpstreams;
   }
-  mSessionHash = SessionHashOf(mFacts);
-  mService = ingress::ChooseService(*mRoute, mSessionHash);
+  mSession = SessionOf(mFacts);
+  mService = ingress::ChooseService(*mRoute, mSession.mHash);
   const auto patience =
     std::min(mFacts.mTimeout.value_or(mRoute->mTimeout), mRoute->mTimeout);
   mDeadline = mArrivedAt + patience;
@@ -335,7 +335,7 @@
            .mAllowsVersion =
              [this](std::string_view aVersion) {
                return mState.mRollouts.Allows(
-                 mService, aVersion, mSessionHash, ReadBootClock());
+                 mService, aVersion, mSession, ReadBootClock());
              },
            .mExcludedUpstreams = &mAvoidedUpstreams,
            .mRegions = &mRoute->mAllowedRegions,
@@ -380,7 +380,7 @@
   if (!choice) {
     query.mAllowsVersion = [&](std::string_view aVersion) {
       return mState.mRollouts.AllowsFallback(
-        mService, aVersion, mSessionHash, aNow);
+        mService, aVersion, mSession, aNow);
     };
     choice = mState.mBoard.Choose(query, aNow);
   }
--- a/tests/src/unit-staged_rollout.cpp
+++ b/tests/src/unit-staged_rollout.cpp
@@ -30,14 +30,14 @@
 SessionsOnTarget(const StagedRollout& aRollout, TimePoint aNow)
 {
   int count = 0;
-  for (std::uint64_t session = 0; session < 10'000; session += 10) {
-    count += aRollout.Allows("engines", "v2", session, aNow) ? 1 : 0;
+  for (std::uint64_t hash = 0; hash < 10'000; hash += 10) {
+    count += aRollout.Allows("engines", "v2", { .mHash = hash }, aNow) ? 1 : 0;
   }
   return count;
 }
 
-/// Sends requests of new sessions at a steady rate, to the version that each is
-/// assigned to.
+/// Sends requests without a session at a steady rate, to the version that each
+/// is assigned to.
 /// @return how many of them ran on the new version
 int
 SendRequests(StagedRollout& aRollout,
@@ -45,11 +45,10 @@
              TimePoint aTo,
              Duration aInterval)
 {
-  // the first sessions are outside the canary share
-  std::uint64_t session = 5'000;
+  rollout::SessionId session{ .mHash = 5'000, .mIsSingle = true };
   int onTarget = 0;
   for (auto at = aFrom; at < aTo; at += aInterval) {
-    session += 7;
+    session.mHash += 7;
     const bool isTarget = aRollout.Allows("engines", "v2", session, at);
     onTarget += isTarget ? 1 : 0;
     aRollout.OnSent("engines", isTarget ? "v2" : "v1", session, at);
@@ -78,7 +77,7 @@
 
   SUBCASE("without an order leaves all versions open")
   {
-    CHECK(rollout.Allows("engines", "v1", 1, kStart));
+    CHECK(rollout.Allows("engines", "v1", { .mHash = 1 }, kStart));
     CHECK(rollout.IsOpen("engines", "v2"));
     CHECK(rollout.DueChanges(kStart).empty());
   }
@@ -109,16 +108,18 @@
 
       SUBCASE("not before")
       {
-        CHECK(until(11s) <= 88);
+        CHECK(until(11s) <= 0.08 * 1'100);
         CHECK(SessionsOnTarget(rollout, kStart + 11s) <= 80);
-        CHECK(rollout.Allows("engines", "v1", 3'000, kStart + 11s));
+        CHECK(
+          rollout.Allows("engines", "v1", { .mHash = 3'000 }, kStart + 11s));
       }
 
       SUBCASE("and before the end")
       {
         CHECK(until(19s) <= 300);
         CHECK(SessionsOnTarget(rollout, kStart + 19s) == 1'000);
-        CHECK_FALSE(rollout.Allows("engines", "v1", 3'000, kStart + 19s));
+        CHECK_FALSE(
+          rollout.Allows("engines", "v1", { .mHash = 3'000 }, kStart + 19s));
       }
 
       SUBCASE("but not while the new version may be slow")
@@ -126,9 +127,7 @@
         for (int count = 0; count < 8; ++count) {
           rollout.OnSample("engines", "v1", SuccessfulSample());
         }
-        for (int count = 0; count < 4; ++count) {
-          rollout.OnSample("engines", "v2", SuccessfulSample(4.0));
-        }
+        rollout.OnSample("engines", "v2", SuccessfulSample(4.0));
         CHECK(rollout.IsOpen("engines", "v2"));
         until(19s);
         CHECK(SessionsOnTarget(rollout, kStart + 19s) <= 80);
@@ -138,15 +137,19 @@
     SUBCASE("does not send overflow to the new version beyond its trial")
     {
       rollout.SetExposureLimit({ .mShare = 0.15, .mSlack = 0.0 });
-      CHECK(rollout.AllowsFallback("engines", "v2", 9'000, kStart));
-      rollout.OnSent("engines", "v2", 9'000, kStart);
-      CHECK_FALSE(rollout.AllowsFallback("engines", "v2", 9'001, kStart));
-      CHECK(rollout.AllowsFallback("engines", "v1", 9'001, kStart));
+      CHECK(rollout.AllowsFallback(
+        "engines", "v2", { .mHash = 9'000, .mIsSingle = true }, kStart));
+      rollout.OnSent(
+        "engines", "v2", { .mHash = 9'000, .mIsSingle = true }, kStart);
+      CHECK_FALSE(rollout.AllowsFallback(
+        "engines", "v2", { .mHash = 9'001, .mIsSingle = true }, kStart));
+      CHECK(rollout.AllowsFallback(
+        "engines", "v1", { .mHash = 9'001, .mIsSingle = true }, kStart));
     }
 
     SUBCASE("keeps an active session on the old version in the first half")
     {
-      constexpr std::uint64_t kCanary = 10;
+      constexpr rollout::SessionId kCanary{ .mHash = 10 };
       CHECK(rollout.Allows("engines", "v2", kCanary, kStart));
       rollout.OnSent("engines", "v1", kCanary, kStart);
 
@@ -165,7 +168,7 @@
 
     SUBCASE("keeps a session on the new version")
     {
-      constexpr std::uint64_t kOther = 9'999;
+      constexpr rollout::SessionId kOther{ .mHash = 9'999 };
       rollout.OnSent("engines", "v2", kOther, kStart);
       CHECK(rollout.Allows("engines", "v2", kOther, kStart + 2s));
       CHECK_FALSE(rollout.AllowsFallback("engines", "v1", kOther, kStart + 2s));
@@ -194,7 +197,8 @@
       const auto due = rollout.DueChanges(kStart + 2s);
       REQUIRE(due.size() == 1);
       CHECK(due.front().mState == RolloutState::RolledBack);
-      CHECK(due.front().mReason == "failures");
+      CHECK(due.front().mReason.starts_with(
+        "3 of 3 attempts degraded, others 0 of 0, evidence "));
     }
 
     SUBCASE("continues when one upstream of the new version crashes")
@@ -321,15 +325,15 @@
   SUBCASE("that is completed leaves only the new version open")
   {
     rollout.OnOrders({ MakeOrder(RolloutState::Completed) }, kStart);
-    CHECK(rollout.Allows("engines", "v2", 9'000, kStart));
+    CHECK(rollout.Allows("engines", "v2", { .mHash = 9'000 }, kStart));
     CHECK_FALSE(rollout.IsOpen("engines", "v1"));
   }
 
   SUBCASE("that is rolled back leaves only the old version open")
   {
     rollout.OnOrders({ MakeOrder(RolloutState::RolledBack) }, kStart);
-    CHECK_FALSE(rollout.Allows("engines", "v2", 0, kStart));
-    CHECK(rollout.Allows("engines", "v1", 0, kStart));
+    CHECK_FALSE(rollout.Allows("engines", "v2", { .mHash = 0 }, kStart));
+    CHECK(rollout.Allows("engines", "v1", { .mHash = 0 }, kStart));
     CHECK(rollout.DueChanges(kStart + 30s).empty());
   }
 }
--- a/tests/src/unit-staged_rollout_load.cpp
+++ b/tests/src/unit-staged_rollout_load.cpp
@@ -26,6 +26,10 @@
 constexpr double kMaxExposedShare = 0.15;
 constexpr int kExposedSlack = 30;
 
+/// Interval of the requests to each of 5 instances with little traffic, about
+/// 24 a second in all.
+constexpr Duration kPlainInterval = 208ms;
+
 /// Pause after which an answer is given up.
 constexpr Duration kPausePatience = 570ms;
 
@@ -200,7 +204,7 @@
     constexpr auto kExpectedTimes =
       std::to_array<Duration>({ 30ms, 60ms, 120ms, 300ms });
     auto& instance = mInstances[aInstance];
-    const auto session = mRandom();
+    const rollout::SessionId session{ .mHash = mRandom(), .mIsSingle = true };
     const bool isBefore = aNow < kStart;
     const bool isTarget =
       !isBefore && instance.Allows("engines", "v2", session, aNow);
@@ -267,7 +271,7 @@
 
   /// Ends an attempt at a time, for the silence before.
   void GiveUp(std::size_t aInstance,
-              std::uint64_t aSession,
+              const rollout::SessionId& aSession,
               const std::string& aVersion,
               const std::string& aUpstream,
               TimePoint aAt,
@@ -316,6 +320,18 @@
   }
 }
 
+void
+CheckExposure(const Load& aLoad)
+{
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    RolloutLoad load(aLoad, seed);
+    load.Run();
+    CHECK(load.TargetCount() <=
+          kMaxExposedShare * load.RequestCount() + kExposedSlack);
+  }
+}
+
 void
 CheckCompleted(const Load& aLoad)
 {
@@ -353,6 +369,14 @@
     CheckRolledBack({ .mInstances = 25, .mSlowShare = 0.5 });
   }
 
+  SUBCASE("with half of the answers slow and little traffic")
+  {
+    CheckRolledBack({ .mRequestInterval = kPlainInterval,
+                      .mDuration = 20s,
+                      .mSlowShare = 0.5,
+                      .mUsuallySlow = 0.02 });
+  }
+
   SUBCASE("whose slow answers are often given up after their first event")
   {
     CheckRolledBack({ .mSlowShare = 0.5, .mPausing = 0.5 });
@@ -393,8 +417,6 @@
 TEST_CASE("a version whose fault does not show before the deadline is not "
           "exposed to most of the traffic")
 {
-  constexpr Duration kPlainInterval = 208ms; // 24 requests a second in all
-
   SUBCASE("with little traffic, for each length")
   {
     for (const Duration length : { 8s, 12s, 15s, 20s, 24s, 60s }) {
@@ -430,6 +452,12 @@
   }
 }
 
+TEST_CASE("a version that is seldom slow is not exposed to most of the traffic")
+{
+  CheckExposure({ .mRequestInterval = kPlainInterval, .mSlowShare = 0.2 });
+  CheckExposure({ .mSlowShare = 0.2 });
+}
+
 TEST_CASE("instances share their counts of slow answers")
 {
   constexpr auto kDuration = 15s;
@@ -439,12 +467,15 @@
                                      .mCreated = 7,
                                      .mRevision = 12,
                                      .mState = RolloutState::Ordered };
-  const rollout::EvidenceReport slow{ .mService = "engines",
-                                      .mCreated = order.mCreated,
-                                      .mCounts = { .mTarget = 30,
-                                                   .mTargetSlow = 20,
-                                                   .mOthers = 100,
-                                                   .mOthersSlow = 5 } };
+  const rollout::EvidenceReport slow{
+    .mService = "engines",
+    .mCreated = order.mCreated,
+    .mCounts = { .mRoutes = { { "chat",
+                                { .mTarget = 30,
+                                  .mTargetDegraded = 20,
+                                  .mOthers = 100,
+                                  .mOthersDegraded = 5 } } } }
+  };
   StagedRollout rollout({ .mSessionTtl = 5s, .mWriteDelay = 50ms });
   rollout.OnOrders({ order }, kStart);
 
@@ -465,10 +496,18 @@
   SUBCASE("and recognize counts that are not possible")
   {
     CHECK(slow.mCounts.IsPlausible());
-    CHECK_FALSE(rollout::SlownessCounts{ .mTarget = -1 }.IsPlausible());
-    CHECK_FALSE(
-      rollout::SlownessCounts{ .mTarget = 1, .mTargetSlow = 2 }.IsPlausible());
-    CHECK_FALSE(rollout::SlownessCounts{ .mOthers = 1'000'000 }.IsPlausible());
+    const auto isPlausible = [](const rollout::RouteCounts& aCounts) {
+      return rollout::ComparisonCounts{
+        .mRoutes = { { "chat", aCounts } }
+      }.IsPlausible();
+    };
+    CHECK_FALSE(isPlausible({ .mTarget = -1 }));
+    CHECK_FALSE(isPlausible({ .mTarget = 1, .mTargetDegraded = 2 }));
+    CHECK_FALSE(isPlausible({ .mOthers = 1'000'000 }));
+    CHECK_FALSE(rollout::ComparisonCounts{
+      .mRoutes = { { "chat", { .mTarget = 100 } },
+                   { "notes", { .mTarget = 100 } } } }
+                  .IsPlausible());
   }
 
   SUBCASE("in a few writes, whatever the traffic")
