Keep the requests to an upstream within the rate that it names

Cause: the header was not read. Load was the only thing that kept requests off an upstream, and one that asks for less is not full.

Change: the adapter reads the rate; UpstreamNotices keeps it for the incarnation; RateShare, a token bucket at each instance, divides it among all instances without messages. The buckets are sized so that their sum stays within the burst that an upstream bears, also with many instances, where a bucket holds less than a token and is usable in a part of each interval only. An answer without the header ends the limit if its request was sent after the last one that named it. A request for which all upstreams are at their rate waits if one may be sent in time, else it is refused at once, with the time of the next one as Retry-After. Rates that are no number are logged and ignored; 0 still lets a request through from time to time, as nothing else would tell that the limit is over. Log event upstream_rate, counter figslip_upstream_rate_changes_total.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -104,8 +104,8 @@
   /// the request has not run if it may have run.
   [[nodiscard]] net::Awaitable<void> Refuse(RequestEnd aEnd);
   /// Returns after how many seconds the caller should come back if all
-  /// upstreams that may serve it are pausing.
-  [[nodiscard]] std::optional<std::string> EndOfPauses(RequestEnd aEnd);
+  /// upstreams that may serve it are pausing or at the rate that they named.
+  [[nodiscard]] std::optional<std::string> EarliestReturn(RequestEnd aEnd);
   /// Aborts the connection of a caller that has received part of a stream.
   [[nodiscard]] net::Awaitable<void> AbortStream();
 
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -20,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace figslip::gateway {
@@ -66,8 +67,10 @@
 
   /// @brief Records what an upstream says of itself in the head of a response.
   /// @param[in] aUpstream as registered when the request was sent
+  /// @param[in] aSentAt time at which the request was sent
   void OnResponse(const ingress::UpstreamEntry& aUpstream,
-                  const ingress::ResponseMetadata& aResponse);
+                  const ingress::ResponseMetadata& aResponse,
+                  TimePoint aSentAt);
 
   /// @brief Checks whether callers can be served.
   ///
@@ -100,6 +103,10 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  void RecordMaxRate(const ingress::UpstreamEntry& aUpstream,
+                     std::optional<double> aMaxRate,
+                     TimePoint aSentAt,
+                     TimePoint aNow);
   void RecordPause(const ingress::UpstreamEntry& aUpstream,
                    double aSeconds,
                    TimePoint aNow);
--- a/include/figslip/ingress/dialect.hpp
+++ b/include/figslip/ingress/dialect.hpp
@@ -65,6 +65,11 @@
   /// time for which the upstream wants no requests, as stated; NaN if it is not
   /// a number
   std::optional<double> mPauseSeconds;
+  /// requests per second that the upstream takes from all instances together,
+  /// as stated; NaN if it is not a number >= 0
+  std::optional<double> mMaxRate;
+  /// the intended upstream did not answer; another one has its address
+  bool mIsMisdirected = false;
 };
 
 /// @brief Translates between messages on the wire and the types above.
--- a/include/figslip/placement/upstream_notices.hpp
+++ b/include/figslip/placement/upstream_notices.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,8 +19,15 @@
 {
   bool mIsLeaving = false; ///< it receives no further requests
   TimePoint mPausedUntil;  ///< it receives no requests before
+  /// requests per second that it takes from all instances together, > 0
+  std::optional<double> mMaxRate;
+  TimePoint mMaxRateNamedAt; ///< last answer that named a rate
 };
 
+/// @brief Least rate, in requests per second, that an upstream is limited to.
+/// Without any request nothing would tell that the limit is over.
+inline constexpr double kMinMaxRate = 0.25;
+
 /// @brief Maximum time of a pause; with it an upstream that asks for days is
 /// not lost.
 inline constexpr Duration kMaxPause = std::chrono::minutes(5);
@@ -83,6 +91,19 @@
   Pause OnPause(const ingress::UpstreamEntry& aUpstream,
                 double aSeconds,
                 TimePoint aNow);
+  /// @brief Records the rate that an upstream named in an answer, or that it
+  /// named none.
+  ///
+  /// An answer without a rate ends the limit only if its request was sent after
+  /// the last answer that named one, as answers may overtake each other.
+  /// @param[in] aMaxRate requests per second of all instances; raised to
+  ///            `kMinMaxRate`. Nothing if the answer named none
+  /// @param[in] aSentAt time at which the request was sent
+  /// @return whether the limit changed
+  bool OnMaxRate(const ingress::UpstreamEntry& aUpstream,
+                 std::optional<double> aMaxRate,
+                 TimePoint aSentAt,
+                 TimePoint aNow);
   /// @brief Keeps the notices of registered upstreams and removes those of
   /// upstreams that have not been registered for `kRetention`, and pauses that
   /// are over.
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -7,6 +7,7 @@
 #include <figslip/placement/domain_health.hpp>
 #include <figslip/placement/prefill_load.hpp>
 #include <figslip/placement/prefix_cache.hpp>
+#include <figslip/placement/rate_share.hpp>
 #include <figslip/placement/upstream_health.hpp>
 #include <figslip/placement/upstream_notices.hpp>
 #include <figslip/time/time_point.hpp>
@@ -54,6 +55,7 @@
 {
   NoUpstream, ///< no registered upstream is ready and permitted
   AllPausing, ///< the permitted upstreams asked for a pause
+  AllLimited, ///< upstreams with free slots are at the rate that they named
   AllCold,    ///< upstreams with free slots are at their cold-start rate
   AllFull     ///< a permitted upstream has no free slot
 };
@@ -67,6 +69,8 @@
       return "no_upstream";
     case NoChoiceReason::AllPausing:
       return "all_pausing";
+    case NoChoiceReason::AllLimited:
+      return "all_limited";
     case NoChoiceReason::AllCold:
       return "all_cold";
     case NoChoiceReason::AllFull:
@@ -129,8 +133,8 @@
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   /// @brief Sets the failure domains that receive no requests.
   void SetDrained(const std::set<std::string>& aDomains);
-  /// @brief Sets the instances that share the upstreams and their cold-start
-  /// rates.
+  /// @brief Sets the instances that share the upstreams and their rates, in
+  /// cold start and as they name them.
   void SetInstances(
     const std::vector<membership::InstanceLocation>& aInstances);
   /// @}
@@ -144,8 +148,9 @@
   /// @brief Returns why `Choose` found no upstream.
   [[nodiscard]] NoChoiceReason ExplainNoChoice(const PlacementQuery& aQuery,
                                                TimePoint aNow) const;
-  /// @brief Returns the end of the earliest pause, if all upstreams that may
-  /// serve the request are pausing.
+  /// @brief Returns the earliest time at which an upstream may be sent a
+  /// request, if all that may serve it are pausing or at the rate that they
+  /// named.
   [[nodiscard]] std::optional<TimePoint> EarliestReturn(
     const PlacementQuery& aQuery,
     TimePoint aNow) const;
@@ -180,6 +185,12 @@
   UpstreamNotices::Pause OnPause(const ingress::UpstreamEntry& aUpstream,
                                  double aSeconds,
                                  TimePoint aNow);
+  /// @brief Records whether an answer named a maximum rate of requests; see
+  /// `UpstreamNotices::OnMaxRate`.
+  bool OnMaxRate(const ingress::UpstreamEntry& aUpstream,
+                 std::optional<double> aMaxRate,
+                 TimePoint aSentAt,
+                 TimePoint aNow);
   /// @brief Updates the health of an upstream and of its failure domain.
   void OnOutcome(std::string_view aUpstream,
                  AttemptHealth aHealth,
@@ -228,6 +239,8 @@
     int mInFlightAtReport = 0;
     UpstreamHealth mHealth;
     UpstreamNotice mNotice; ///< of the registered incarnation
+    /// requests within the rate that the upstream named; empty: it named none
+    std::optional<RateShare> mRateShare;
     PrefixCache mCache;
     TimePoint mColdUntil;
     TimePoint mNextColdRequestAt; ///< earliest next request while cold
@@ -284,6 +297,15 @@
   /// Returns the interval between requests of this instance to a cold upstream;
   /// zero: no limit.
   [[nodiscard]] Duration ColdRequestInterval(std::string_view aService) const;
+  /// Applies what the registered incarnation has said of itself.
+  void ApplyNotice(State& aState, TimePoint aNow) const;
+  /// Returns this instance's part of the rate that an upstream named.
+  [[nodiscard]] RateLimit RateLimitOf(const State& aState) const;
+  /// Returns the end of the pause or the next request within the rate; not
+  /// before `aNow`.
+  [[nodiscard]] TimePoint NextSendTime(const State& aState,
+                                       TimePoint aNow) const;
+  [[nodiscard]] bool IsWithinRate(const State& aState, TimePoint aNow) const;
   /// Recomputes the own subset for each service and version.
   void UpdateOwnSubset();
   void BeginColdStart(State& aState, Duration aTime, TimePoint aNow) const;
--- a/src/core/placement/upstream_notices.cpp
+++ b/src/core/placement/upstream_notices.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace figslip::placement {
 
@@ -84,6 +85,31 @@
   return { .mBounded = bounded, .mIsBegun = isBegun };
 }
 
+bool
+UpstreamNotices::OnMaxRate(const ingress::UpstreamEntry& aUpstream,
+                           std::optional<double> aMaxRate,
+                           TimePoint aSentAt,
+                           TimePoint aNow)
+{
+  if (!aMaxRate) {
+    const auto found = mNotices.find({ aUpstream.mId, aUpstream.mStartedAtMs });
+    if (found == mNotices.end()) {
+      return false;
+    }
+    auto& notice = found->second.mNotice;
+    const bool isOver =
+      notice.mMaxRate.has_value() && aSentAt > notice.mMaxRateNamedAt;
+    if (isOver) {
+      notice.mMaxRate.reset();
+    }
+    return isOver;
+  }
+  auto& notice = RecordOf(aUpstream, aNow).mNotice;
+  const auto rate = std::max(kMinMaxRate, *aMaxRate);
+  notice.mMaxRateNamedAt = aNow;
+  return std::exchange(notice.mMaxRate, rate) != rate;
+}
+
 void
 UpstreamNotices::OnUpstreams(
   const std::vector<ingress::UpstreamEntry>& aEntries,
@@ -97,7 +123,8 @@
   }
   std::erase_if(mNotices, [&](const auto& aItem) {
     const auto& [notice, lastSeen] = aItem.second;
-    const bool isOver = !notice.mIsLeaving && notice.mPausedUntil <= aNow;
+    const bool isOver =
+      !notice.mIsLeaving && notice.mPausedUntil <= aNow && !notice.mMaxRate;
     return isOver || lastSeen + kRetention < aNow;
   });
 }
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -133,12 +133,50 @@
   }
   const bool isChanged = isNew || !(aState.mEntry == aEntry);
   aState.mEntry = aEntry;
-  aState.mNotice = mNotices.Of(aEntry);
+  ApplyNotice(aState, aNow);
   if (isChanged && cold > Duration::zero()) {
     BeginColdStart(aState, cold, aNow);
   }
 }
 
+void
+UpstreamSelector::ApplyNotice(State& aState, TimePoint aNow) const
+{
+  aState.mNotice = mNotices.Of(aState.mEntry);
+  if (!aState.mNotice.mMaxRate) {
+    aState.mRateShare.reset();
+  } else if (!aState.mRateShare) {
+    aState.mRateShare.emplace(aNow);
+  }
+}
+
+RateLimit
+UpstreamSelector::RateLimitOf(const State& aState) const
+{
+  const auto& id = aState.mEntry.mId;
+  return { .mPerSecond = aState.mNotice.mMaxRate.value_or(kMinMaxRate),
+           .mInstances = mInstanceCount,
+           .mPhase = XXH3_64bits_withSeed(mOptions.mInstance.data(),
+                                          mOptions.mInstance.size(),
+                                          XXH3_64bits(id.data(), id.size())) };
+}
+
+TimePoint
+UpstreamSelector::NextSendTime(const State& aState, TimePoint aNow) const
+{
+  const auto from = std::max(aNow, aState.mNotice.mPausedUntil);
+  return aState.mRateShare
+           ? aState.mRateShare->NextOpening(RateLimitOf(aState), from)
+           : from;
+}
+
+bool
+UpstreamSelector::IsWithinRate(const State& aState, TimePoint aNow) const
+{
+  return !aState.mRateShare ||
+         aState.mRateShare->IsOpen(RateLimitOf(aState), aNow);
+}
+
 Duration
 UpstreamSelector::ColdRequestInterval(std::string_view aService) const
 {
@@ -220,7 +258,8 @@
   for (const auto& state : mStates | std::views::values) {
     const bool isAvailable =
       IsCandidate(state, aQuery) && !IsPausing(state, aNow) &&
-      HasFreeSlot(state, aNow) && IsWithinColdRate(state, aNow);
+      HasFreeSlot(state, aNow) && IsWithinRate(state, aNow) &&
+      IsWithinColdRate(state, aNow);
     if (isAvailable) {
       const bool isAvoided =
         state.mHealth.IsAvoided(aNow) || IsPartitioned(state, aQuery, aNow);
@@ -276,7 +315,9 @@
     if (!HasFreeSlot(state, aNow)) {
       return NoChoiceReason::AllFull;
     }
-    reason = NoChoiceReason::AllCold;
+    reason = std::max(reason,
+                      IsWithinRate(state, aNow) ? NoChoiceReason::AllCold
+                                                : NoChoiceReason::AllLimited);
   }
   return reason;
 }
@@ -290,11 +331,11 @@
     if (!IsCandidate(state, aQuery)) {
       continue;
     }
-    if (!IsPausing(state, aNow)) {
+    const auto next = NextSendTime(state, aNow);
+    if (next <= aNow) {
       return std::nullopt;
     }
-    const auto end = state.mNotice.mPausedUntil;
-    earliest = std::min(earliest.value_or(end), end);
+    earliest = std::min(earliest.value_or(next), next);
   }
   return earliest;
 }
@@ -330,6 +371,9 @@
     mPrefillLoads[state.mEntry.mService].OnSent(reservation.mPrefillMs, aNow);
     state.mCache.Touch(PrefixHashesOf(*aQuery.mPrompt, aQuery.mModel));
   }
+  if (state.mRateShare) {
+    state.mRateShare->OnSent(RateLimitOf(state), aNow);
+  }
   if (aNow < state.mColdUntil) {
     state.mNextColdRequestAt = std::max(state.mNextColdRequestAt, aNow) +
                                ColdRequestInterval(aQuery.mService);
@@ -389,7 +433,7 @@
   const bool isNews = mNotices.OnLeaving(aUpstream, aNow);
   const auto found = mStates.find(aUpstream.mId);
   if (isNews && found != mStates.end()) {
-    found->second.mNotice = mNotices.Of(found->second.mEntry);
+    ApplyNotice(found->second, aNow);
     UpdateOwnSubset();
   }
   return isNews;
@@ -403,11 +447,25 @@
   const auto pause = mNotices.OnPause(aUpstream, aSeconds, aNow);
   const auto found = mStates.find(aUpstream.mId);
   if (found != mStates.end()) {
-    found->second.mNotice = mNotices.Of(found->second.mEntry);
+    ApplyNotice(found->second, aNow);
   }
   return pause;
 }
 
+bool
+UpstreamSelector::OnMaxRate(const ingress::UpstreamEntry& aUpstream,
+                            std::optional<double> aMaxRate,
+                            TimePoint aSentAt,
+                            TimePoint aNow)
+{
+  const bool isChanged = mNotices.OnMaxRate(aUpstream, aMaxRate, aSentAt, aNow);
+  const auto found = mStates.find(aUpstream.mId);
+  if (isChanged && found != mStates.end()) {
+    ApplyNotice(found->second, aNow);
+  }
+  return isChanged;
+}
+
 void
 UpstreamSelector::OnOutcome(std::string_view aUpstream,
                             AttemptHealth aHealth,
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -364,7 +364,7 @@
   const auto& head = aAttempt.mConnection->Head();
   const auto metadata = mState.mDialect.mReadResponse(head);
   if (end == net::StepEnd::Done) {
-    mState.OnResponse(aAttempt.mUpstream, metadata);
+    mState.OnResponse(aAttempt.mUpstream, metadata, aAttempt.mSentAt);
   }
   if (end == net::StepEnd::Done && IsRejection(head, metadata)) {
     OnRejected(aAttempt);
@@ -538,7 +538,7 @@
   const auto now = ReadBootClock();
   const auto& head = aAttempt.mConnection->Head();
   const auto facts = mState.mDialect.mReadResponse(head);
-  mState.OnResponse(aAttempt.mUpstream, facts);
+  mState.OnResponse(aAttempt.mUpstream, facts, aAttempt.mSentAt);
   const bool isOtherRequest =
     !facts.mAttemptId.empty() && facts.mAttemptId != mFacts.mAttemptId;
   if (isOtherRequest) {
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -268,6 +268,7 @@
     case placement::NoChoiceReason::NoUpstream:
       return false;
     case placement::NoChoiceReason::AllPausing:
+    case placement::NoChoiceReason::AllLimited:
       return mState.mBoard.EarliestReturn(MakePlacementQuery(""), aNow) <
              mSlotDeadline;
     case placement::NoChoiceReason::AllCold:
@@ -425,7 +426,7 @@
 }
 
 std::optional<std::string>
-RequestFlow::EndOfPauses(RequestEnd aEnd)
+RequestFlow::EarliestReturn(RequestEnd aEnd)
 {
   const bool lacksUpstream = aEnd == RequestEnd::NoUpstream ||
                              aEnd == RequestEnd::NoCapacity ||
@@ -462,7 +463,7 @@
   net::Headers headers;
   if (description.PromisesNotRun()) {
     headers.push_back({ .mName = "Retry-After",
-                        .mValue = EndOfPauses(end).value_or(
+                        .mValue = EarliestReturn(end).value_or(
                           std::string(description.mRetryAfter)) });
   }
   const std::string body = std::string(description.mName) + "\n";
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -5,6 +5,7 @@
 
 #include <xxhash.h>
 
+#include <cmath>
 #include <random>
 
 namespace figslip::gateway {
@@ -161,7 +162,8 @@
 
 void
 TrafficState::OnResponse(const ingress::UpstreamEntry& aUpstream,
-                         const ingress::ResponseMetadata& aResponse)
+                         const ingress::ResponseMetadata& aResponse,
+                         TimePoint aSentAt)
 {
   const auto now = ReadBootClock();
   if (aResponse.mLoad) {
@@ -182,6 +184,39 @@
   if (aResponse.mPauseSeconds) {
     RecordPause(aUpstream, *aResponse.mPauseSeconds, now);
   }
+  if (!aResponse.mIsMisdirected) {
+    RecordMaxRate(aUpstream, aResponse.mMaxRate, aSentAt, now);
+  }
+}
+
+void
+TrafficState::RecordMaxRate(const ingress::UpstreamEntry& aUpstream,
+                            std::optional<double> aMaxRate,
+                            TimePoint aSentAt,
+                            TimePoint aNow)
+{
+  if (aMaxRate && std::isnan(*aMaxRate)) {
+    log::Write(
+      log::Level::Warning,
+      "upstream_rate_unreadable",
+      { { "upstream", aUpstream.mId }, { "service", aUpstream.mService } });
+    return; // a limit that is in force stays
+  }
+  if (!mBoard.OnMaxRate(aUpstream, aMaxRate, aSentAt, aNow)) {
+    return;
+  }
+  mMetrics
+    .CounterOf("figslip_upstream_rate_changes_total",
+               { { "service", aUpstream.mService } })
+    .Add();
+  log::Write(log::Level::Info,
+             "upstream_rate",
+             { { "upstream", aUpstream.mId },
+               { "service", aUpstream.mService },
+               { "version", aUpstream.mVersion },
+               // empty: no longer limited
+               { "per_s", aMaxRate ? std::to_string(*aMaxRate) : "" },
+               { "instances", std::to_string(mInstanceCount) } });
 }
 
 void
