Count an instance that stops until it has ended

Cause: an instance deregisters when its stop begins, but serves open requests and connections until the end of its grace period. The others divided the common limits among the registered ones meanwhile, so the shares added up to more than the limit. The retry budget, the rate of upstreams in cold start and the exposure of new versions are divided by the same number.

Change: InstanceCount holds the highest number of registered instances of the last grace period and restart; all common limits are divided by it.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -6,6 +6,7 @@
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/freshness_lease.hpp>
+#include <figslip/membership/instance_count.hpp>
 #include <figslip/membership/instance_location.hpp>
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/connection_pool.hpp>
@@ -95,7 +96,8 @@
   quarantine::Quarantine mQuarantine;
   quarantine::PartQuarantine mParts;
   TrafficReports mReports;
-  int mInstanceCount = 1; ///< registered instances
+  membership::InstanceCount mInstances;
+  int mInstanceCount = 1; ///< instances that share common limits
   bool mHasUpstreams = false;
   bool mIsStopping = false;      ///< not ready; still serves new requests
   bool mRefusesRequests = false; ///< new requests could not be completed
@@ -112,6 +114,8 @@
                    TimePoint aNow);
   /// Logs the quarantined parts and reports those that were cleared.
   void ReportParts(TimePoint aNow);
+  /// Divides the common limits among the instances if their number has changed.
+  void UpdateInstanceCount(TimePoint aNow);
   /// Divides the allowances of retries and of requests to new versions among
   /// the registered instances.
   void DivideAllowances();
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -133,10 +133,12 @@
   void OnConfiguration(ingress::ConfigurationPtr aConfiguration);
   /// @brief Sets the failure domains that receive no requests.
   void SetDrained(const std::set<std::string>& aDomains);
-  /// @brief Sets the instances that share the upstreams and their rates, in
-  /// cold start and as they name them.
+  /// @brief Sets the instances that share the upstreams.
   void SetInstances(
     const std::vector<membership::InstanceLocation>& aInstances);
+  /// @brief Sets the number of instances that share the rates of upstreams, in
+  /// cold start and as they name them.
+  void SetInstanceCount(int aCount) { mInstanceCount = aCount; }
   /// @}
 
   /// @brief Chooses the upstream with the lowest expected time to the first
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -238,7 +238,6 @@
 UpstreamSelector::SetInstances(
   const std::vector<membership::InstanceLocation>& aInstances)
 {
-  mInstanceCount = std::max(static_cast<int>(aInstances.size()), 1);
   // this instance may not be registered yet
   mDomainPeers = { mOptions.mInstance };
   for (const auto& instance : aInstances) {
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -29,6 +29,9 @@
 constexpr double kAnswerMemoryFraction = 0.25;
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
+/// Time from the end of a process until its successor is registered.
+constexpr auto kRestartTime = std::chrono::seconds(2);
+
 /// Time for which a crash counts against a request; also the maximum time for
 /// which a wrongly quarantined request is refused.
 constexpr auto kCrashRetention = std::chrono::seconds(60);
@@ -62,6 +65,7 @@
   , mQuarantine({ .mRetention = kCrashRetention })
   , mParts({ .mSeed = XXH3_64bits(aSettings.mInstance.data(),
                                   aSettings.mInstance.size()) })
+  , mInstances(aSettings.mGrace + kRestartTime)
   , mStartedAt(ReadBootClock())
 {
   DivideAllowances();
@@ -85,9 +89,22 @@
 TrafficState::OnInstances(
   const std::vector<membership::InstanceLocation>& aInstances)
 {
-  mInstanceCount = std::max(static_cast<int>(aInstances.size()), 1);
+  const auto now = ReadBootClock();
   mBoard.SetInstances(aInstances);
-  mRollouts.SetInstanceCount(mInstanceCount);
+  mInstances.OnRegistered(static_cast<int>(aInstances.size()), now);
+  UpdateInstanceCount(now);
+}
+
+void
+TrafficState::UpdateInstanceCount(TimePoint aNow)
+{
+  const int count = mInstances.At(aNow);
+  if (count == mInstanceCount) {
+    return;
+  }
+  mInstanceCount = count;
+  mBoard.SetInstanceCount(count);
+  mRollouts.SetInstanceCount(count);
   DivideAllowances();
 }
 
@@ -154,6 +171,7 @@
   for (const auto& report : mRollouts.DueReports(now)) {
     mReports.mOnEvidence(report);
   }
+  UpdateInstanceCount(now);
   mPool.Expire();
   mQuarantine.Expire(now);
   mParts.OnTick(now);
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -115,6 +115,7 @@
                      static_cast<std::uint64_t>(number) + 1));
       mSelectors.back().OnUpstreams(MakeEntries(mOptions.mEngines), kStart);
       mSelectors.back().SetInstances(MakeInstances(kInstances));
+      mSelectors.back().SetInstanceCount(kInstances);
     }
   }
 
@@ -397,6 +398,7 @@
                                 .mSeed = static_cast<std::uint64_t>(number) });
     selector.OnConfiguration(MakeConfiguration(kColdPerSecond));
     selector.SetInstances(MakeInstances(kInstances));
+    selector.SetInstanceCount(kInstances);
     selector.OnUpstreams({}, kStart);
     selector.OnUpstreams({ MakeEntry("returned") }, kStart);
     selectors.push_back(std::move(selector));
