Do not go on with a broken stream by the error of another upstream

Callers could see: a stream had begun and broke off, the next upstream answered with an error below 500, and the text of the error came in the middle of the stream, which then ended as if it were complete. Reported by operators of a system like this one.

Cause: any signed answer below 500 was relayed as the stream's next events. A replacement of a silent stream was accepted in the same way. Besides, a replacement's refusal was believed before its id was compared, so that an earlier refusal written once more counted as one of this request.

Change: after the head of a stream was sent, only a 2xx answer continues it, and others count as failures of their upstream; a refusal with another id is none.

Test: history-broken_answer; before, its first case failed for 400 and 404 (the text in the body of a whole 200). Its second case shows that an answer whose head is cut off is not relayed as a whole one; it passed before. Without an id a refusal on a kept connection is still believed.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -186,6 +186,12 @@
   [[nodiscard]] static bool IsRejection(
     const net::ResponseHead& aHead,
     const ingress::ResponseMetadata& aMetadata);
+  /// Returns whether a response has the id of another request.
+  [[nodiscard]] bool IsOfOtherRequest(
+    const ingress::ResponseMetadata& aMetadata) const;
+  /// Returns whether a response can be relayed after what the caller has
+  /// received: an error cannot continue a stream.
+  [[nodiscard]] bool MayContinue(const net::ResponseHead& aHead) const;
   /// Returns whether a response is signed and belongs to this request.
   [[nodiscard]] bool IsOwnResponse(
     const ingress::ResponseMetadata& aMetadata) const;
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -366,7 +366,10 @@
   if (end == net::StepEnd::Done) {
     mState.OnResponse(aAttempt.mUpstream, metadata, aAttempt.mSentAt);
   }
-  if (end == net::StepEnd::Done && IsRejection(head, metadata)) {
+  const bool isRejection = end == net::StepEnd::Done &&
+                           !IsOfOtherRequest(metadata) &&
+                           IsRejection(head, metadata);
+  if (isRejection) {
     OnRejected(aAttempt);
     return false;
   }
@@ -375,7 +378,7 @@
     end = net::StepEnd::Malformed;
   }
   const bool isBroken = end != net::StepEnd::Done;
-  if (!isBroken && head.mStatus < kFirstServerError) {
+  if (!isBroken && head.mStatus < kFirstServerError && MayContinue(head)) {
     return true;
   }
   if (isBroken) {
@@ -400,12 +403,24 @@
   return aMetadata.mNotExecuted || aHead.mStatus == kMisdirected;
 }
 
+bool
+RequestFlow::IsOfOtherRequest(const ingress::ResponseMetadata& aMetadata) const
+{
+  return !aMetadata.mAttemptId.empty() &&
+         aMetadata.mAttemptId != mFacts.mAttemptId;
+}
+
 bool
 RequestFlow::IsOwnResponse(const ingress::ResponseMetadata& aMetadata) const
 {
-  const bool isOtherRequest =
-    !aMetadata.mAttemptId.empty() && aMetadata.mAttemptId != mFacts.mAttemptId;
-  return !isOtherRequest && aMetadata.mHasSignature;
+  return !IsOfOtherRequest(aMetadata) && aMetadata.mHasSignature;
+}
+
+bool
+RequestFlow::MayContinue(const net::ResponseHead& aHead) const
+{
+  return !mHeadSent ||
+         (aHead.mStatus >= kFirstSuccess && aHead.mStatus < kFirstRedirect);
 }
 
 void
@@ -539,9 +554,7 @@
   const auto& head = aAttempt.mConnection->Head();
   const auto facts = mState.mDialect.mReadResponse(head);
   mState.OnResponse(aAttempt.mUpstream, facts, aAttempt.mSentAt);
-  const bool isOtherRequest =
-    !facts.mAttemptId.empty() && facts.mAttemptId != mFacts.mAttemptId;
-  if (isOtherRequest) {
+  if (IsOfOtherRequest(facts)) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Malformed, now);
   }
   if (IsRejection(head, facts)) {
@@ -552,7 +565,8 @@
   if (!facts.mHasSignature) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Malformed, now);
   }
-  const bool isFailure = head.mStatus >= kFirstServerError;
+  const bool isFailure =
+    head.mStatus >= kFirstServerError || !MayContinue(head);
   if (isFailure) {
     LogFailure(aAttempt, "status_" + std::to_string(head.mStatus));
     RecordHealth(aAttempt, AttemptHealth::Error);
--- /dev/null
+++ b/tests/src/history-broken_answer.cpp
@@ -0,0 +1,70 @@
+#include <harness/ingress_world.hpp>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace figslip;
+using test::EngineStandIn;
+using test::IngressWorld;
+using test::RawAnswer;
+
+namespace {
+
+std::string
+ErrorAnswer(const std::string& aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus +
+         "\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: signed\r\n"
+         "Content-Type: text/plain\r\nContent-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+} // namespace
+
+TEST_CASE("a stream that broke off does not go on with the error of the next "
+          "upstream")
+{
+  const std::string text = "data: overloaded\n\nsee the log\n\n";
+  for (const std::string status : { "400 Bad Request",
+                                    "404 Not Found",
+                                    "500 Internal Server Error",
+                                    "503 Service Unavailable" }) {
+    for (std::size_t broken = 0; broken < 2; ++broken) {
+      CAPTURE(status);
+      IngressWorld world;
+      world.Engine(broken).SetBehaviour(EngineStandIn::Behaviour::BreakMidway);
+      world.Engine(1 - broken)
+        .AnswerRaw(RawAnswer{ .mTargetPrefix = "/chat/",
+                              .mBegin = ErrorAnswer(status, text) });
+      for (int request = 0; request < 8; ++request) {
+        const auto answer =
+          world.Send(0, "POST", "/chat/1", "a" + std::to_string(request));
+        if (answer.mStatus == 200) {
+          CHECK_FALSE(answer.mIsWhole);
+          CHECK(answer.mBody.find("overloaded") == std::string::npos);
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("an answer whose head is cut off is not relayed as a whole one")
+{
+  const std::string whole = ErrorAnswer("200 OK", "answer");
+  for (const std::size_t length : { 5U, 12U, 17U, 40U, 70U, 100U }) {
+    for (const std::string target : { "/look/1", "/chat/1" }) {
+      CAPTURE(length);
+      CAPTURE(target);
+      IngressWorld world;
+      for (std::size_t engine = 0; engine < 2; ++engine) {
+        world.Engine(engine).AnswerRaw(RawAnswer{
+          .mTargetPrefix = target, .mBegin = whole.substr(0, length) });
+      }
+      const auto answer =
+        world.Send(0, target == "/look/1" ? "GET" : "POST", target, "cut");
+      CHECK(answer.mStatus >= 500);
+    }
+  }
+}
