--- a/include/figslip/stream/buffer_budget.hpp
+++ b/include/figslip/stream/buffer_budget.hpp
@@ -65,7 +65,7 @@
   {
     std::size_t mMaxBytes = 0;
     std::size_t mUsedBytes = 0;
-    std::set<Buffer*> mGrowing{}; ///< buffers that can be evicted
+    std::set<Buffer*> mGrowing; ///< buffers that can be evicted
 
     void EvictLargest();
   };
--- a/tests/src/unit-rate_share.cpp
+++ b/tests/src/unit-rate_share.cpp
@@ -17,7 +17,6 @@
 using placement::NoChoiceReason;
 using placement::RateLimit;
 using placement::RateShare;
-using placement::UpstreamNotices;
 using placement::UpstreamSelector;
 
 namespace {
