Take the ports of instances under test outside the range of connections

Cause: the instance logged "[transport.connect_failed.501] 127.0.0.1:58117: Address already in use"; the harness had found the port by binding to port 0, so it came from the range that the system takes the ports of outgoing connections from, and one of those took it before the instance listened. Ports now come from 16000 to 30000, at random. history-ingress and history-broken_answer pass with it, once each.

--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <random>
 #include <stdexcept>
 #include <thread>
 
@@ -35,21 +36,30 @@
   return address;
 }
 
-/// Finds a port that is free now.
+/// Finds a port that is free now. It is outside the range from which the system
+/// takes the ports of connections, so that none of those takes it before an
+/// instance listens.
 int
 FreePort()
 {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-  auto address = Loopback(0);
-  socklen_t size = sizeof(address);
-  auto* const generic = reinterpret_cast<sockaddr*>(&address);
-  const bool isFound = ::bind(descriptor, generic, size) == 0 &&
-                       ::getsockname(descriptor, generic, &size) == 0;
-  ::close(descriptor);
-  if (!isFound) {
-    throw std::runtime_error("no free port on loopback");
+  constexpr int kFirstPort = 16'000;
+  constexpr int kLastPort = 30'000;
+  constexpr int kTries = 100;
+  static std::mt19937 sRandom(std::random_device{}());
+  std::uniform_int_distribution ports(kFirstPort, kLastPort);
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    const int port = ports(sRandom);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto address = Loopback(port);
+    const bool isFree = ::bind(descriptor,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof(address)) == 0;
+    ::close(descriptor);
+    if (isFree) {
+      return port;
+    }
   }
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port on loopback");
 }
 
 /// Reads until a time; returns whether the other side closed.
