Answer each request before the end of a graceful shutdown

Cause: a shutdown admitted every request for 2.6 s, whatever its timeout, and stopped the traffic thread at 0.92 of the grace period with requests still open. A grace period below 2.8 s ended before the refusals began. Besides, the shutdown closed idle connections over bytes that had arrived and did not wait for requests that had been read in part.

Change: admission::DrainPlan divides the grace period. A request that may run only once is admitted only if its deadline lies within the drain, otherwise refused at once as not run. At the end of the drain open requests get a final answer: 502 if they may have run, 503 if not; streams that have begun are aborted. The process ends once no request is open or half read in two consecutive checks.

--- a/include/figslip/gateway/frontend.hpp
+++ b/include/figslip/gateway/frontend.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <figslip/admission/drain_plan.hpp>
+#include <figslip/gateway/request_flow.hpp>
 #include <figslip/gateway/traffic_state.hpp>
 #include <figslip/net/caller_connection.hpp>
 
@@ -23,7 +25,7 @@
   ///
   /// The readiness probe fails, so that the load balancer sends no more
   /// callers; open requests are completed; connections are closed after their
-  /// answers.
+  /// answers. Requests that are still open at the end get a final answer.
   [[nodiscard]] net::Awaitable<void> Stop();
 
 private:
@@ -37,9 +39,17 @@
   [[nodiscard]] net::Awaitable<void> RespondToReadError(Connection aConnection,
                                                         net::ReadEnd aEnd);
 
+  /// Waits until no request is open, and interrupts those that remain at the
+  /// end of the drain.
+  [[nodiscard]] net::Awaitable<void> Drain(admission::DrainPlan aPlan);
+  /// Returns whether a request has arrived in part.
+  [[nodiscard]] bool IsReading() const;
+  void InterruptRequests();
+
   net::asio::io_context& mContext;
   TrafficState& mState;
   std::set<Connection> mCallers;
+  std::set<std::shared_ptr<RequestFlow>> mFlows; ///< open requests
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -31,6 +31,12 @@
   /// @return whether the connection can be used for another request
   [[nodiscard]] net::Awaitable<bool> Run();
 
+  /// @brief Ends the request at the end of a graceful shutdown.
+  ///
+  /// The caller gets a final answer, which promises that the request has not
+  /// run only if that is certain. A stream that has begun is aborted.
+  void Interrupt();
+
 private:
   /// Least time before the deadline with which an attempt is still started.
   static constexpr Duration kMinAttemptTime = std::chrono::milliseconds(20);
@@ -225,7 +231,7 @@
   }
   [[nodiscard]] bool ClosesConnection() const
   {
-    return mState.mIsStopping || !mCaller.KeepsAlive();
+    return mState.IsStopping() || !mCaller.KeepsAlive();
   }
 
   TrafficState& mState;
@@ -263,6 +269,7 @@
   bool mMayHaveRun = false;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
+  bool mIsInterrupted = false; ///< the instance ends before the request
   bool mEnded = false;
   RequestEnd mLastFailure = RequestEnd::NoUpstream;
   std::string mLastVersion;    ///< version of the upstream tried last
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/admission/drain_plan.hpp>
 #include <figslip/cascade/latency_scale.hpp>
 #include <figslip/cascade/size_policy.hpp>
 #include <figslip/gateway/request_end.hpp>
@@ -79,6 +80,9 @@
   /// the instance is not stopping.
   [[nodiscard]] bool IsReady() const;
 
+  /// @brief Checks whether a graceful shutdown has begun.
+  [[nodiscard]] bool IsStopping() const { return mDrain.has_value(); }
+
   const settings::IngressSettings& mSettings;
   const ingress::Dialect& mDialect;
   ingress::FreshnessLease& mLease;
@@ -99,8 +103,7 @@
   membership::InstanceCount mInstances;
   int mInstanceCount = 1; ///< instances that share common limits
   bool mHasUpstreams = false;
-  bool mIsStopping = false;      ///< not ready; still serves new requests
-  bool mRefusesRequests = false; ///< new requests could not be completed
+  std::optional<admission::DrainPlan> mDrain; ///< empty: not stopping
   int mOpenRequests = 0;
   TimePoint mStartedAt; ///< start of the process
 
--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -66,8 +66,11 @@
   [[nodiscard]] Awaitable<void> CloseGracefully();
   /// @brief Ends whatever runs.
   void Abort();
-  /// @brief Closes the connection if it waits for a request.
+  /// @brief Closes the connection if it waits for a request and none has
+  /// arrived.
   void CloseIfIdle();
+  /// @brief Returns whether a part of a request has been read.
+  [[nodiscard]] bool IsReading() const { return mIsReading; }
 
 private:
   /// @param[in] aBytes are sent first
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -1,5 +1,4 @@
 #include <figslip/gateway/frontend.hpp>
-#include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/net/listener.hpp>
 #include <figslip/net/sleep.hpp>
@@ -13,13 +12,7 @@
 
 using std::chrono::milliseconds;
 
-/// Time in which the load balancer's readiness probe has failed twice.
-constexpr auto kReadinessNoticeTime = milliseconds(2'600);
-
-/// Fraction of the grace period after which the shutdown no longer waits for
-/// open requests.
-constexpr double kDrainFraction = 0.92;
-
+/// Interval at which a shutdown checks for open requests.
 constexpr auto kDrainPollInterval = milliseconds(50);
 
 constexpr unsigned kOk = 200;
@@ -95,7 +88,9 @@
     const auto end = co_await aConnection->Read(limits);
     if (end == net::ReadEnd::Whole) {
       const auto flow = std::make_shared<RequestFlow>(mState, aConnection);
+      mFlows.insert(flow);
       goesOn = co_await flow->Run();
+      mFlows.erase(flow);
       hasLeft = aConnection->HasLeft();
       continue;
     }
@@ -165,30 +160,62 @@
 net::Awaitable<void>
 Frontend::Stop()
 {
-  const auto begun = ReadBootClock();
-  mState.mIsStopping = true;
+  const admission::DrainPlan plan(
+    { .mBegunAt = ReadBootClock(), .mGrace = mState.mSettings.mGrace });
+  mState.mDrain = plan;
   log::Write(log::Level::Info,
              "stopping",
              { { "open_requests", std::to_string(mState.mOpenRequests) },
                { "connections", std::to_string(mCallers.size()) } });
-  co_await net::Sleep(kReadinessNoticeTime);
-  mState.mRefusesRequests = true;
-  const auto grace = Duration(static_cast<Duration::rep>(
-    static_cast<double>(mState.mSettings.mGrace.count()) * kDrainFraction));
-  while (ReadBootClock() < begun + grace) {
+  co_await net::Sleep(plan.RefusesFrom() - ReadBootClock());
+  co_await Drain(plan);
+  log::Write(log::Level::Info,
+             "stopped",
+             { { "open_requests", std::to_string(mState.mOpenRequests) } });
+  mContext.stop();
+}
+
+net::Awaitable<void>
+Frontend::Drain(admission::DrainPlan aPlan)
+{
+  bool isInterrupted = false;
+  bool wasQuiet = false;
+  while (ReadBootClock() < aPlan.ExitsAt()) {
     const auto callers = mCallers;
     for (const auto& caller : callers) {
       caller->CloseIfIdle();
     }
-    if (mState.mOpenRequests == 0) {
-      break;
+    // bytes that arrived since the last check may not have been seen yet
+    const bool isQuiet = mState.mOpenRequests == 0 && !IsReading();
+    if (isQuiet && wasQuiet) {
+      co_return;
+    }
+    wasQuiet = isQuiet;
+    if (!isInterrupted && ReadBootClock() >= aPlan.EndsAt()) {
+      isInterrupted = true;
+      InterruptRequests();
     }
     co_await net::Sleep(kDrainPollInterval);
   }
-  log::Write(log::Level::Info,
-             "stopped",
+}
+
+bool
+Frontend::IsReading() const
+{
+  return std::ranges::any_of(
+    mCallers, [](const Connection& aCaller) { return aCaller->IsReading(); });
+}
+
+void
+Frontend::InterruptRequests()
+{
+  log::Write(log::Level::Warning,
+             "requests_interrupted",
              { { "open_requests", std::to_string(mState.mOpenRequests) } });
-  mContext.stop();
+  const auto flows = mFlows;
+  for (const auto& flow : flows) {
+    flow->Interrupt();
+  }
 }
 
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -774,6 +774,10 @@
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
   }
+  if (mIsInterrupted) {
+    mLastFailure = RequestEnd::Stopping;
+    return NextStep::Failed;
+  }
   LogBroken(aAttempt, aEnd);
   RecordHealth(aAttempt,
                aEnd == net::StepEnd::TimedOut ? AttemptHealth::TimedOut
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -128,7 +128,7 @@
   const Duration patience = mFacts.mTimeout.value_or(kStartupTime);
   const auto until = std::min(mArrivedAt + patience / kStartupWaitDivisor,
                               mState.mStartedAt + kStartupTime);
-  while (!mState.IsReady() && !mState.mIsStopping && !mCaller.HasLeft() &&
+  while (!mState.IsReady() && !mState.IsStopping() && !mCaller.HasLeft() &&
          ReadBootClock() < until) {
     co_await net::Sleep(kSlotPollInterval);
   }
@@ -138,7 +138,8 @@
 std::optional<RequestEnd>
 RequestFlow::Admit()
 {
-  if (mState.mRefusesRequests) {
+  if (mState.IsStopping() &&
+      ReadBootClock() >= mState.mDrain->RefusesFrom()) {
     return RequestEnd::Stopping;
   }
   if (!mConfiguration || !mState.mHasUpstreams) {
@@ -170,6 +171,10 @@
     std::min(mFacts.mTimeout.value_or(mRoute->mTimeout), mRoute->mTimeout);
   mDeadline = mArrivedAt + patience;
   mSlotDeadline = mArrivedAt + std::min(patience / 3, mRoute->mTargetLatency);
+  if (mState.IsStopping() &&
+      !mState.mDrain->Admits(now, mDeadline, mRoute->IsRetryable())) {
+    return RequestEnd::Stopping;
+  }
   return std::nullopt;
 }
 
@@ -187,11 +192,25 @@
                              : std::nullopt;
 }
 
+void
+RequestFlow::Interrupt()
+{
+  mIsInterrupted = true;
+  if (mRunning != nullptr && mRunning->mConnection) {
+    mRunning->mConnection->Abort();
+  }
+  CancelReplacement();
+}
+
 net::Awaitable<void>
 RequestFlow::Serve()
 {
   while (!mEnded && !mCaller.HasLeft()) {
     const auto now = ReadBootClock();
+    if (mIsInterrupted) {
+      mLastFailure = RequestEnd::Stopping;
+      break;
+    }
     if (now + kMinAttemptTime >= mDeadline && !IsReplaced()) {
       mLastFailure = RequestEnd::RouteTimeout;
       break;
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -268,7 +268,7 @@
 bool
 TrafficState::IsReady() const
 {
-  return !mIsStopping && mConfiguration && mHasUpstreams &&
+  return !IsStopping() && mConfiguration && mHasUpstreams &&
          mLease.IsHeld(ReadBootClock());
 }
 
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -293,7 +293,9 @@
 void
 CallerConnection::CloseIfIdle()
 {
-  if (mIdle) {
+  error_code error;
+  const bool hasInput = mSocket.available(error) > 0;
+  if (mIdle && !hasInput) {
     Abort();
   }
 }
