Do not quarantine a request that upstreams completed lately

Cause: a request in flight at two upstreams whose connections broke and were refused is suspected of having crashed them, and was refused for 60 s without a probe. Requests are told apart by path, account and body, so that a look-up without a body is the same request for all callers, and is in flight whenever an upstream fails. Its completions did not count, unless one came after the first failure.

Change: a completion exonerates a request for ten minutes; later crashes neither blame it nor are published. Where an instance has published or seen records of crashes of a request that it then serves, it removes them from the store, and other instances forget what they read there. figslip-entry clears completed requests too; it did not before.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -59,6 +59,9 @@
   /// @note Reports of one crash are published together, after a short delay.
   void ReportSuspects(const quarantine::CrashSuspects& aCrash);
 
+  /// @brief Removes the published crashes of requests that were served.
+  void WithdrawCrashes(const std::set<std::uint64_t>& aFingerprints);
+
   /// @brief Publishes to all instances that suspected parts were served.
   void ReportServed(const std::vector<quarantine::PartId>& aParts);
 
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -19,10 +19,12 @@
 #include <figslip/settings/ingress_settings.hpp>
 #include <figslip/stream/buffer_budget.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace figslip::gateway {
@@ -32,6 +34,8 @@
 {
   std::function<void(const rollout::StatusChange&)> mOnStatusChange;
   std::function<void(const quarantine::CrashReport&)> mOnCrash;
+  /// called with the fingerprints of suspected requests that were served
+  std::function<void(const std::set<std::uint64_t>&)> mOnExonerated;
   std::function<void(const rollout::EvidenceReport&)> mOnEvidence;
   std::function<void(const quarantine::CrashSuspects&)> mOnCrashSuspects;
   /// called with suspected parts that were served
@@ -59,6 +63,8 @@
   void OnSettings();
   /// @brief Records crashes that other instances have published.
   void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
+  /// @brief Forgets crashes that other instances have withdrawn.
+  void OnCrashesWithdrawn(const std::vector<quarantine::CrashReport>& aReports);
   /// @brief Records what other instances have published about parts of prompts.
   void OnPartRecords(const std::vector<quarantine::CrashSuspects>& aCrashes,
                      const std::vector<quarantine::PartId>& aServed);
--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -3,7 +3,9 @@
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/quarantine/record_tracker.hpp>
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +45,15 @@
   std::vector<CrashReport> OnRecords(const std::map<std::string, int>& aRecords,
                                      TimePoint aNow);
 
+  /// @brief Returns the reports whose records the last call of `OnRecords`
+  /// dropped.
+  [[nodiscard]] std::vector<CrashReport> Withdrawn() const;
+
+  /// @brief Returns the names of the records of some requests, each of them
+  /// once; they are to be removed.
+  [[nodiscard]] std::vector<std::string> TakeRecordsOf(
+    const std::set<std::uint64_t>& aFingerprints);
+
   /// @brief Returns the names of the records to remove now, each of them once.
   [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow)
   {
--- a/include/figslip/quarantine/part_quarantine.hpp
+++ b/include/figslip/quarantine/part_quarantine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/quarantine/served_ids.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstdint>
@@ -8,7 +9,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -30,34 +30,6 @@
   bool operator==(const CrashSuspects&) const = default;
 };
 
-/// @brief Remembers which parts were served lately, in bounded memory.
-class ServedParts
-{
-public:
-  /// @param[in] aRetention time for which a part is remembered
-  /// @param[in] aMaxParts number of parts after which the oldest are dropped
-  ServedParts(Duration aRetention, std::size_t aMaxParts)
-    : mRetention(aRetention)
-    , mMaxParts(aMaxParts)
-  {
-  }
-
-  void Touch(PartId aPart, TimePoint aNow);
-  [[nodiscard]] bool Contains(PartId aPart, TimePoint aNow) const;
-  [[nodiscard]] std::size_t Size() const
-  {
-    return mRecent.size() + mOlder.size();
-  }
-
-private:
-  using Generation = std::unordered_map<PartId, TimePoint>;
-
-  Duration mRetention;
-  std::size_t mMaxParts;
-  Generation mRecent;
-  Generation mOlder; ///< replaced by `mRecent` as a whole
-};
-
 /// @brief Detects parts of prompts that crash each upstream that begins to
 /// answer a request with them.
 ///
@@ -199,7 +171,7 @@
   [[nodiscard]] Duration SpreadOf(PartId aPart, Duration aSpread) const;
 
   Options mOptions;
-  ServedParts mServed;
+  ServedIds mServed;
   std::deque<Crash> mCrashes; ///< oldest first
   std::map<PartId, Entry> mQuarantined;
   std::map<PartId, TimePoint> mCleared; ///< time at which it is reported
--- a/include/figslip/quarantine/quarantine.hpp
+++ b/include/figslip/quarantine/quarantine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/quarantine/served_ids.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstdint>
@@ -7,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace figslip::quarantine {
@@ -29,6 +31,11 @@
 /// A request is quarantined when it ran on two different upstreams that crashed
 /// and its total blame reaches a threshold. Crashes of a single slow or broken
 /// upstream never suffice.
+///
+/// A request that an upstream completed lately is exonerated: one that crashes
+/// each upstream never completes. Otherwise upstreams whose connections are cut
+/// would take a frequent request, which is in flight at any of them, out of
+/// service.
 class Quarantine
 {
 public:
@@ -40,6 +47,9 @@
     Duration mSameCrashWindow = std::chrono::seconds(2);
     Duration mRetention = std::chrono::minutes(10); ///< time a crash counts
     std::size_t mMaxFingerprints = 4096;            ///< bounds the memory
+    /// time for which a completed request is exonerated
+    Duration mServedRetention = std::chrono::minutes(10);
+    std::size_t mMaxServed = 32'768; ///< bounds the memory
   };
 
   explicit Quarantine(Options aOptions);
@@ -47,17 +57,29 @@
   /// @brief Records a connection that broke while a request ran on an upstream.
   /// @param[in] aInFlight requests of this entry instance on the upstream,
   /// including this one and those whose connections broke just before
-  void OnConnectionBroken(std::uint64_t aFingerprint,
+  /// @return whether the request is suspected
+  bool OnConnectionBroken(std::uint64_t aFingerprint,
                           std::string_view aUpstream,
                           int aInFlight,
                           TimePoint aNow);
 
   /// @brief Records a crash that this instance saw or a peer reported.
+  /// @return whether the request is suspected, as it is not exonerated
   /// @note Repeated reports of one crash count once.
-  void OnCrash(const CrashReport& aReport);
+  bool OnCrash(const CrashReport& aReport);
 
   /// @brief Clears a request that an upstream completed.
-  void OnServed(std::uint64_t aFingerprint) { mCrashes.erase(aFingerprint); }
+  void OnServed(std::uint64_t aFingerprint, TimePoint aNow);
+
+  /// @brief Forgets a report that a peer has withdrawn.
+  void OnWithdrawn(std::uint64_t aFingerprint, std::string_view aUpstream);
+
+  /// @brief Returns the exonerated requests that this instance or a peer has
+  /// suspected since the last call; reports of them are to be withdrawn.
+  [[nodiscard]] std::set<std::uint64_t> TakeExonerated()
+  {
+    return std::exchange(mExonerated, {});
+  }
 
   [[nodiscard]] bool IsQuarantined(std::uint64_t aFingerprint,
                                    TimePoint aNow) const;
@@ -87,10 +109,13 @@
   using ByUpstream = std::map<std::string, Crashes, std::less<>>;
 
   void DropOldest();
+  void Exonerate(std::uint64_t aFingerprint);
 
   Options mOptions;
   std::map<std::uint64_t, ByUpstream> mCrashes;
   std::map<std::string, LocalCrash, std::less<>> mLocalCrashes;
+  ServedIds mServed;
+  std::set<std::uint64_t> mExonerated; ///< not taken yet
 };
 
 } // namespace figslip::quarantine
--- a/include/figslip/quarantine/record_tracker.hpp
+++ b/include/figslip/quarantine/record_tracker.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/time/time_point.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -42,6 +43,17 @@
   /// @brief Returns the names of the records to remove now, each of them once.
   [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow);
 
+  /// @brief Returns the names that the last call of `OnRecords` dropped.
+  [[nodiscard]] const std::vector<std::string>& Removed() const
+  {
+    return mRemoved;
+  }
+
+  /// @brief Returns the names to remove now because they match, each of them
+  /// once.
+  [[nodiscard]] std::vector<std::string> TakeIf(
+    const std::function<bool(const std::string&)>& aMatches);
+
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
 
 private:
@@ -54,6 +66,7 @@
 
   Options mOptions;
   std::map<std::string, Record, std::less<>> mRecords;
+  std::vector<std::string> mRemoved; ///< by the last `OnRecords`
 };
 
 } // namespace figslip::quarantine
--- a/src/core/quarantine/crash_records.cpp
+++ b/src/core/quarantine/crash_records.cpp
@@ -77,4 +77,25 @@
   return reports;
 }
 
+std::vector<CrashReport>
+CrashRecords::Withdrawn() const
+{
+  std::vector<CrashReport> reports;
+  for (const auto& name : mTracker.Removed()) {
+    if (auto report = Parse(name)) {
+      reports.push_back(std::move(*report));
+    }
+  }
+  return reports;
+}
+
+std::vector<std::string>
+CrashRecords::TakeRecordsOf(const std::set<std::uint64_t>& aFingerprints)
+{
+  return mTracker.TakeIf([&](const std::string& aName) {
+    const auto report = Parse(aName);
+    return report && aFingerprints.contains(report->mFingerprint);
+  });
+}
+
 } // namespace figslip::quarantine
--- a/src/core/quarantine/part_quarantine.cpp
+++ b/src/core/quarantine/part_quarantine.cpp
@@ -32,25 +32,6 @@
 
 } // namespace
 
-void
-ServedParts::Touch(PartId aPart, TimePoint aNow)
-{
-  mRecent[aPart] = aNow;
-  if (mRecent.size() * 2 >= mMaxParts) {
-    mOlder = std::exchange(mRecent, {});
-  }
-}
-
-bool
-ServedParts::Contains(PartId aPart, TimePoint aNow) const
-{
-  const auto isIn = [&](const Generation& aGeneration) {
-    const auto found = aGeneration.find(aPart);
-    return found != aGeneration.end() && aNow - found->second < mRetention;
-  };
-  return isIn(mRecent) || isIn(mOlder);
-}
-
 PartQuarantine::PartQuarantine(Options aOptions)
   : mOptions(aOptions)
   , mServed(aOptions.mServedRetention, aOptions.mMaxServedParts)
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -6,10 +6,43 @@
 
 Quarantine::Quarantine(Options aOptions)
   : mOptions(aOptions)
+  , mServed(aOptions.mServedRetention, aOptions.mMaxServed)
 {
 }
 
 void
+Quarantine::OnServed(std::uint64_t aFingerprint, TimePoint aNow)
+{
+  mServed.Touch(aFingerprint, aNow);
+  if (mCrashes.erase(aFingerprint) > 0) {
+    Exonerate(aFingerprint);
+  }
+}
+
+void
+Quarantine::Exonerate(std::uint64_t aFingerprint)
+{
+  if (mExonerated.size() < mOptions.mMaxFingerprints) {
+    mExonerated.insert(aFingerprint);
+  }
+}
+
+void
+Quarantine::OnWithdrawn(std::uint64_t aFingerprint, std::string_view aUpstream)
+{
+  const auto found = mCrashes.find(aFingerprint);
+  if (found == mCrashes.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const auto& aItem) {
+    return aItem.first == aUpstream;
+  });
+  if (found->second.empty()) {
+    mCrashes.erase(found);
+  }
+}
+
+bool
 Quarantine::OnConnectionBroken(std::uint64_t aFingerprint,
                                std::string_view aUpstream,
                                int aInFlight,
@@ -22,15 +55,19 @@
   // the connections of a crashed upstream break one after the other, so that
   // the last request seems to have been the only one in flight
   crash.mMaxInFlight = std::max(crash.mMaxInFlight, aInFlight);
-  OnCrash({ .mFingerprint = aFingerprint,
-            .mUpstream = std::string(aUpstream),
-            .mSeenAt = aNow,
-            .mInFlight = crash.mMaxInFlight });
+  return OnCrash({ .mFingerprint = aFingerprint,
+                   .mUpstream = std::string(aUpstream),
+                   .mSeenAt = aNow,
+                   .mInFlight = crash.mMaxInFlight });
 }
 
-void
+bool
 Quarantine::OnCrash(const CrashReport& aReport)
 {
+  if (mServed.Contains(aReport.mFingerprint, aReport.mSeenAt)) {
+    Exonerate(aReport.mFingerprint);
+    return false;
+  }
   auto& crashes = mCrashes[aReport.mFingerprint][aReport.mUpstream];
   if (crashes.mBlame == 0.0 ||
       aReport.mSeenAt >= crashes.mSeenAt + mOptions.mSameCrashWindow) {
@@ -41,6 +78,7 @@
   if (mCrashes.size() > mOptions.mMaxFingerprints) {
     DropOldest();
   }
+  return true;
 }
 
 void
--- a/src/core/quarantine/record_tracker.cpp
+++ b/src/core/quarantine/record_tracker.cpp
@@ -14,10 +14,16 @@
 RecordTracker::OnRecords(const std::set<std::string, std::less<>>& aNames,
                          TimePoint aNow)
 {
+  mRemoved.clear();
   // a write of an own record may not have reached the store yet
   std::erase_if(mRecords, [&](const auto& aEntry) {
-    return !aNames.contains(aEntry.first) &&
-           (!aEntry.second.mIsOwn || aEntry.second.mIsRemovalRequested);
+    const bool isGone =
+      !aNames.contains(aEntry.first) &&
+      (!aEntry.second.mIsOwn || aEntry.second.mIsRemovalRequested);
+    if (isGone) {
+      mRemoved.push_back(aEntry.first);
+    }
+    return isGone;
   });
   std::vector<std::string> added;
   for (const auto& name : aNames) {
@@ -28,6 +34,19 @@
   return added;
 }
 
+std::vector<std::string>
+RecordTracker::TakeIf(const std::function<bool(const std::string&)>& aMatches)
+{
+  std::vector<std::string> taken;
+  for (auto& [name, record] : mRecords) {
+    if (!record.mIsRemovalRequested && aMatches(name)) {
+      record.mIsRemovalRequested = true;
+      taken.push_back(name);
+    }
+  }
+  return taken;
+}
+
 std::vector<std::string>
 RecordTracker::TakeExpired(TimePoint aNow)
 {
--- a/src/core/routing/router_plan.cpp
+++ b/src/core/routing/router_plan.cpp
@@ -580,6 +580,9 @@
                       TimePoint aNow)
 {
   UpdateColdStart(aTicket, aAttempt, aOutcome, aNow);
+  if (aOutcome.mEnd == AttemptEnd::Completed) {
+    mQuarantine.OnServed(aTicket.mRequest.mFingerprint, aNow);
+  }
   if (aOutcome.mEnd == AttemptEnd::Broken && !IsConnectionFault(aOutcome)) {
     // `InFlight` no longer counts this attempt, whose slot was released
     mQuarantine.OnConnectionBroken(aTicket.mRequest.mFingerprint,
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -536,6 +536,7 @@
                            kMinRetryBackoffLimit,
                            kMaxRetryBackoffLimit));
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
+  const auto withdrawn = mCrashes.Withdrawn();
   std::vector<quarantine::CrashSuspects> suspects;
   std::vector<quarantine::PartId> served;
   for (const auto& name :
@@ -553,8 +554,10 @@
                { "crash_records", std::to_string(crashes.size()) },
                { "part_records", std::to_string(partRecords.size()) } });
   RemoveOldEvidence();
-  mPost([places, reports, evidence, suspects, served](TrafficState& aState) {
+  mPost([places, reports, withdrawn, evidence, suspects, served](
+          TrafficState& aState) {
     aState.OnInstances(places);
+    aState.OnCrashesWithdrawn(withdrawn);
     aState.OnCrashReports(reports);
     aState.mRollouts.OnPeerReports(evidence);
     aState.OnPartRecords(suspects, served);
@@ -599,6 +602,16 @@
   }
 }
 
+void
+ControlPlane::WithdrawCrashes(const std::set<std::uint64_t>& aFingerprints)
+{
+  for (const auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
+    log::Write(
+      log::Level::Info, "crash_record_withdrawn", { { "record", name } });
+    StartWrite(mDialect.mRemoveShared(name), "withdraw crash record");
+  }
+}
+
 void
 ControlPlane::ShareEvidence(const rollout::EvidenceReport& aReport)
 {
--- a/src/shell/gateway/crash_check.cpp
+++ b/src/shell/gateway/crash_check.cpp
@@ -57,11 +57,14 @@
                { "suspected_parts", JoinParts(suspects.mParts) },
                { "outcome", hasCrashed ? "crashed" : "answer_lost" } });
   if (hasCrashed) {
-    aState.mQuarantine.OnConnectionBroken(aReport.mFingerprint,
-                                          aReport.mUpstream,
-                                          aReport.mInFlight,
-                                          aReport.mSeenAt);
-    aState.mReports.mOnCrash(aReport);
+    const bool isSuspected =
+      aState.mQuarantine.OnConnectionBroken(aReport.mFingerprint,
+                                            aReport.mUpstream,
+                                            aReport.mInFlight,
+                                            aReport.mSeenAt);
+    if (isSuspected) {
+      aState.mReports.mOnCrash(aReport);
+    }
     if (!suspects.mParts.empty()) {
       aState.mParts.OnCrash(suspects, now);
       aState.mReports.mOnCrashSuspects(suspects);
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -58,6 +58,12 @@
           control->ReportCrash(aReport);
         });
       },
+    .mOnExonerated =
+      [this](const std::set<std::uint64_t>& aFingerprints) {
+        net::asio::post(mControlContext, [control = mControl, aFingerprints] {
+          control->WithdrawCrashes(aFingerprints);
+        });
+      },
     .mOnEvidence =
       [this](const rollout::EvidenceReport& aReport) {
         net::asio::post(mControlContext, [control = mControl, aReport] {
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -659,7 +659,7 @@
   const auto status = connection->Head().mStatus;
   if (status < kFirstServerError) {
     RecordHealth(aAttempt, AttemptHealth::Good);
-    mState.mQuarantine.OnServed(mFingerprint);
+    mState.mQuarantine.OnServed(mFingerprint, now);
     ClearParts(aAttempt, now);
     RecordFirstEvent(aAttempt, now);
   }
@@ -739,7 +739,7 @@
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Closed, now);
   }
   RecordHealth(aAttempt, AttemptHealth::Good);
-  mState.mQuarantine.OnServed(mFingerprint);
+  mState.mQuarantine.OnServed(mFingerprint, now);
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort },
                     std::exchange(aAttempt.mConnection, nullptr));
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -134,6 +134,15 @@
   }
 }
 
+void
+TrafficState::OnCrashesWithdrawn(
+  const std::vector<quarantine::CrashReport>& aReports)
+{
+  for (const auto& report : aReports) {
+    mQuarantine.OnWithdrawn(report.mFingerprint, report.mUpstream);
+  }
+}
+
 void
 TrafficState::OnPartRecords(
   const std::vector<quarantine::CrashSuspects>& aCrashes,
@@ -174,6 +183,10 @@
   UpdateInstanceCount(now);
   mPool.Expire();
   mQuarantine.Expire(now);
+  const auto exonerated = mQuarantine.TakeExonerated();
+  if (!exonerated.empty()) {
+    mReports.mOnExonerated(exonerated);
+  }
   mParts.OnTick(now);
   ReportParts(now);
 }
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <set>
 #include <string>
 
 using namespace figslip;
@@ -42,9 +43,40 @@
 
   SUBCASE("is cleared once an upstream has completed it")
   {
-    quarantine.OnServed(kPoisonRequest);
+    quarantine.OnServed(kPoisonRequest, kStart);
     quarantine.OnConnectionBroken(kPoisonRequest, "b", 1, kStart + 1s);
     CHECK_FALSE(quarantine.IsQuarantined(kPoisonRequest, kStart + 1s));
+
+    SUBCASE("which others are told, once")
+    {
+      CHECK(quarantine.TakeExonerated() ==
+            std::set<std::uint64_t>{ kPoisonRequest });
+      CHECK(quarantine.TakeExonerated().empty());
+    }
+
+    SUBCASE("and not by connections cut at all upstreams soon after")
+    {
+      for (const auto* upstream : { "a", "b", "c" }) {
+        CHECK_FALSE(quarantine.OnConnectionBroken(
+          kPoisonRequest, upstream, 1, kStart + 5s));
+      }
+      CHECK_FALSE(quarantine.IsQuarantined(kPoisonRequest, kStart + 5s));
+    }
+
+    SUBCASE("but may be quarantined again long after")
+    {
+      quarantine.OnConnectionBroken(kPoisonRequest, "a", 1, kStart + 11min);
+      quarantine.OnConnectionBroken(kPoisonRequest, "b", 1, kStart + 11min);
+      CHECK(quarantine.IsQuarantined(kPoisonRequest, kStart + 11min));
+    }
+  }
+
+  SUBCASE("is free again once a peer has withdrawn its report")
+  {
+    quarantine.OnCrash({ kPoisonRequest, "b", kStart + 1s, 1 });
+    REQUIRE(quarantine.IsQuarantined(kPoisonRequest, kStart + 1s));
+    quarantine.OnWithdrawn(kPoisonRequest, "b");
+    CHECK_FALSE(quarantine.IsQuarantined(kPoisonRequest, kStart + 1s));
   }
 
   SUBCASE("is quarantined after a report of a peer, even if repeated")
@@ -141,6 +173,26 @@
     CHECK(records.Size() == 0);
   }
 
+  SUBCASE("of an exonerated request are removed before, once")
+  {
+    CHECK(records.OnRecords({ { name, 3 } }, kStart).size() == 1);
+    CHECK(records.TakeRecordsOf({ 0xdef }).empty());
+    REQUIRE(records.TakeRecordsOf({ 0xabc }).size() == 1);
+    CHECK(records.TakeRecordsOf({ 0xabc }).empty());
+  }
+
+  SUBCASE("are withdrawn where another instance removed them")
+  {
+    CHECK(records.OnRecords({ { name, 3 } }, kStart).size() == 1);
+    CHECK(records.Withdrawn().empty());
+    CHECK(records.OnRecords({}, kStart + 1s).empty());
+    REQUIRE(records.Withdrawn().size() == 1);
+    CHECK(records.Withdrawn()[0].mFingerprint == 0xabc);
+    CHECK(records.Withdrawn()[0].mUpstream == "i-1.x");
+    CHECK(records.OnRecords({}, kStart + 2s).empty());
+    CHECK(records.Withdrawn().empty());
+  }
+
   SUBCASE("are distinguished from other names")
   {
     for (const auto* const other : { "",
