Forget own crash records that other instances have withdrawn

Cause: an instance that restarted has no memory of completed requests. Its own records were kept as if their write had not reached the store, also after an instance that had served the request removed them, so it alone went on refusing.

Change: an own record counts as removed if a list contained it before, or after the time that its write may take.

Test: unit-quarantine, records of this instance that others withdraw.

--- a/include/figslip/quarantine/record_tracker.hpp
+++ b/include/figslip/quarantine/record_tracker.hpp
@@ -22,6 +22,8 @@
   struct Options
   {
     Duration mRetention = std::chrono::seconds(60); ///< age at the removal
+    /// age at which an own record that no list has contained counts as removed
+    Duration mMaxWriteTime = std::chrono::seconds(5);
   };
 
   explicit RecordTracker(Options aOptions)
@@ -60,7 +62,8 @@
   struct Record
   {
     TimePoint mFirstSeenAt;
-    bool mIsOwn = false; ///< written by this instance
+    bool mIsOwn = false;     ///< written by this instance
+    bool mWasListed = false; ///< seen in the store
     bool mIsRemovalRequested = false;
   };
 
--- a/src/core/quarantine/record_tracker.cpp
+++ b/src/core/quarantine/record_tracker.cpp
@@ -15,11 +15,12 @@
                          TimePoint aNow)
 {
   mRemoved.clear();
-  // a write of an own record may not have reached the store yet
   std::erase_if(mRecords, [&](const auto& aEntry) {
-    const bool isGone =
-      !aNames.contains(aEntry.first) &&
-      (!aEntry.second.mIsOwn || aEntry.second.mIsRemovalRequested);
+    const auto& record = aEntry.second;
+    const bool mayBeUnwritten =
+      record.mIsOwn && !record.mIsRemovalRequested && !record.mWasListed &&
+      aNow - record.mFirstSeenAt < mOptions.mMaxWriteTime;
+    const bool isGone = !aNames.contains(aEntry.first) && !mayBeUnwritten;
     if (isGone) {
       mRemoved.push_back(aEntry.first);
     }
@@ -27,7 +28,10 @@
   });
   std::vector<std::string> added;
   for (const auto& name : aNames) {
-    if (mRecords.emplace(name, Record{ .mFirstSeenAt = aNow }).second) {
+    const auto [entry, isNew] =
+      mRecords.emplace(name, Record{ .mFirstSeenAt = aNow });
+    entry->second.mWasListed = true;
+    if (isNew) {
       added.push_back(name);
     }
   }
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -193,6 +193,26 @@
     CHECK(records.Withdrawn().empty());
   }
 
+  SUBCASE("of this instance are withdrawn by others")
+  {
+    CHECK(records.OnOwnRecord(name, kStart));
+
+    SUBCASE("after a list that contained them")
+    {
+      CHECK(records.OnRecords({ { name, 3 } }, kStart + 1s).empty());
+      CHECK(records.OnRecords({}, kStart + 2s).empty());
+      CHECK(records.Withdrawn().size() == 1);
+    }
+
+    SUBCASE("before any list, but only once the write has had its time")
+    {
+      CHECK(records.OnRecords({}, kStart + 1s).empty());
+      CHECK(records.Withdrawn().empty());
+      CHECK(records.OnRecords({}, kStart + 5s).empty());
+      CHECK(records.Withdrawn().size() == 1);
+    }
+  }
+
   SUBCASE("are distinguished from other names")
   {
     for (const auto* const other : { "",
