Attribute heads without an id only on connections that served no other request

Cause: a response without the id of its attempt counted as the answer to the request that was open on its connection.

Change: on a connection that had served other requests a head must bear the id; without it the attempt counts as broken and may have run. On a new connection nothing earlier can arrive, so a head without an id is believed.

The stand-in of the engines did not echo it in refusals; it does now.

Test: history-broken_answer, its last case.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -65,6 +65,7 @@
     std::shared_ptr<net::ClientConnection> mConnection;
     TimePoint mSentAt;
     bool mIsSent = false;
+    bool mIsOnReused = false; ///< its connection had served other requests
     bool mHadEvent = false;
     bool mWasSilent = false; ///< counted against its upstream
     bool mIsReadingHead = false;
@@ -189,17 +190,23 @@
   void LogRetryRefused() const;
   void LogNoSlot(placement::NoChoiceReason aReason, TimePoint aNow) const;
   /// Returns whether an upstream states that it did not run an attempt.
-  [[nodiscard]] static bool IsRejection(
-    const net::ResponseHead& aHead,
-    const ingress::ResponseMetadata& aMetadata);
+  [[nodiscard]] bool IsRejection(
+    const Attempt& aAttempt,
+    const ingress::ResponseMetadata& aMetadata) const;
+  /// Returns whether a response answers this attempt. On a connection that had
+  /// served other requests, one without an id may be a late copy of theirs.
+  [[nodiscard]] bool IsAttributed(
+    const Attempt& aAttempt,
+    const ingress::ResponseMetadata& aMetadata) const;
   /// Returns whether a response has the id of another request.
   [[nodiscard]] bool IsOfOtherRequest(
     const ingress::ResponseMetadata& aMetadata) const;
   /// Returns whether a response can be relayed after what the caller has
   /// received: an error cannot continue a stream.
   [[nodiscard]] bool MayContinue(const net::ResponseHead& aHead) const;
-  /// Returns whether a response is signed and belongs to this request.
+  /// Returns whether a response is signed and answers this attempt.
   [[nodiscard]] bool IsOwnResponse(
+    const Attempt& aAttempt,
     const ingress::ResponseMetadata& aMetadata) const;
   void OnRejected(Attempt& aAttempt);
   /// Lets the request be retried if its keys were only too old.
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -130,7 +130,8 @@
       ? net::ConnectionPool::Clock::duration(kRetryableMaxIdle)
       : net::ConnectionPool::Clock::duration(kNonRetryableMaxIdle);
   aAttempt.mConnection = mState.mPool.Take(endpoint, maxIdle);
-  if (aAttempt.mConnection) {
+  aAttempt.mIsOnReused = aAttempt.mConnection != nullptr;
+  if (aAttempt.mIsOnReused) {
     co_return true;
   }
   const auto connection =
@@ -366,15 +367,14 @@
   if (end == net::StepEnd::Done) {
     mState.OnResponse(aAttempt.mUpstream, metadata, aAttempt.mSentAt);
   }
-  const bool isRejection = end == net::StepEnd::Done &&
-                           !IsOfOtherRequest(metadata) &&
-                           IsRejection(head, metadata);
+  const bool isRejection =
+    end == net::StepEnd::Done && IsRejection(aAttempt, metadata);
   if (isRejection) {
     OnRejected(aAttempt);
     return false;
   }
   mMayHaveRun = true;
-  if (end == net::StepEnd::Done && !IsOwnResponse(metadata)) {
+  if (end == net::StepEnd::Done && !IsOwnResponse(aAttempt, metadata)) {
     end = net::StepEnd::Malformed;
   }
   const bool isBroken = end != net::StepEnd::Done;
@@ -397,10 +397,20 @@
 }
 
 bool
-RequestFlow::IsRejection(const net::ResponseHead& aHead,
-                         const ingress::ResponseMetadata& aMetadata)
+RequestFlow::IsRejection(const Attempt& aAttempt,
+                         const ingress::ResponseMetadata& aMetadata) const
 {
-  return aMetadata.mNotExecuted || aHead.mStatus == kMisdirected;
+  const auto status = aAttempt.mConnection->Head().mStatus;
+  const bool isStated = aMetadata.mNotExecuted || status == kMisdirected;
+  return isStated && IsAttributed(aAttempt, aMetadata);
+}
+
+bool
+RequestFlow::IsAttributed(const Attempt& aAttempt,
+                          const ingress::ResponseMetadata& aMetadata) const
+{
+  return aMetadata.mAttemptId == mFacts.mAttemptId ||
+         (aMetadata.mAttemptId.empty() && !aAttempt.mIsOnReused);
 }
 
 bool
@@ -411,9 +421,10 @@
 }
 
 bool
-RequestFlow::IsOwnResponse(const ingress::ResponseMetadata& aMetadata) const
+RequestFlow::IsOwnResponse(const Attempt& aAttempt,
+                           const ingress::ResponseMetadata& aMetadata) const
 {
-  return !IsOfOtherRequest(aMetadata) && aMetadata.mHasSignature;
+  return IsAttributed(aAttempt, aMetadata) && aMetadata.mHasSignature;
 }
 
 bool
@@ -557,12 +568,12 @@
   if (IsOfOtherRequest(facts)) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Malformed, now);
   }
-  if (IsRejection(head, facts)) {
+  if (IsRejection(aAttempt, facts)) {
     OnRejected(aAttempt);
     co_return NextStep::Retry;
   }
   mMayHaveRun = true;
-  if (!facts.mHasSignature) {
+  if (!IsOwnResponse(aAttempt, facts)) {
     co_return OnAttemptBroken(aAttempt, net::StepEnd::Malformed, now);
   }
   const bool isFailure =
--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -228,6 +228,8 @@
   if (isOther || refuses) {
     auto headers = OwnHeaders();
     headers.push_back({ .mName = "X-Not-Executed", .mValue = "1" });
+    headers.push_back(
+      { .mName = "X-Attempt-Id", .mValue = HeaderOf(request, "X-Attempt-Id") });
     if (!isOther && behaviour == Behaviour::RefuseAndPause) {
       headers.push_back(PauseAsked());
     }
--- a/tests/src/history-broken_answer.cpp
+++ b/tests/src/history-broken_answer.cpp
@@ -68,3 +68,44 @@
     }
   }
 }
+
+TEST_CASE("a head without an id is not attributed to a request on a connection "
+          "that is in use again")
+{
+  const std::string refusal =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nX-Response-Signature: earlier\r\n"
+    "Content-Length: 7\r\n\r\nearlier";
+  IngressWorld world({ .mEngines = 1 });
+  REQUIRE(world.WaitForReady(0));
+  const auto bookAfter = [&](const std::string& aCopy) {
+    world.Engine(0).AnswerRaw(
+      RawAnswer{ .mTargetPrefix = "/book/", .mBegin = aCopy });
+    return world.Send(0, "POST", "/book/1", "booking");
+  };
+
+  SUBCASE("after an answer on it")
+  {
+    REQUIRE(world.Send(0, "GET", "/look/1", "look-up").mStatus == 200);
+
+    SUBCASE("a refusal does not become a promise")
+    {
+      CHECK(bookAfter(refusal).mStatus == 502);
+      CHECK(world.CountRuns()["booking"] == 1);
+    }
+
+    SUBCASE("an answer is not relayed")
+    {
+      const auto booking = bookAfter(answer);
+      CHECK(booking.mStatus == 502);
+      CHECK(booking.mBody.find("earlier") == std::string::npos);
+    }
+  }
+
+  SUBCASE("on a new connection a refusal is believed")
+  {
+    CHECK(bookAfter(refusal).mStatus == 503);
+  }
+}
