--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -34,9 +34,8 @@
   if (found == mCrashes.end()) {
     return;
   }
-  std::erase_if(found->second, [&](const auto& aItem) {
-    return aItem.first == aUpstream;
-  });
+  std::erase_if(found->second,
+                [&](const auto& aItem) { return aItem.first == aUpstream; });
   if (found->second.empty()) {
     mCrashes.erase(found);
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -138,8 +138,7 @@
 std::optional<RequestEnd>
 RequestFlow::Admit()
 {
-  if (mState.IsStopping() &&
-      ReadBootClock() >= mState.mDrain->RefusesFrom()) {
+  if (mState.IsStopping() && ReadBootClock() >= mState.mDrain->RefusesFrom()) {
     return RequestEnd::Stopping;
   }
   if (!mConfiguration || !mState.mHasUpstreams) {
--- a/tests/src/history-crash_bystander.cpp
+++ b/tests/src/history-crash_bystander.cpp
@@ -26,9 +26,8 @@
   auto& engine = aWorld.Engine(aEngine);
   engine.SetDeadlyParts({ deadly });
   engine.HoldHeads("/look/");
-  std::thread bystander([&] {
-    std::ignore = aWorld.Send(0, "GET", "/look/1", "beside" + number);
-  });
+  std::thread bystander(
+    [&] { std::ignore = aWorld.Send(0, "GET", "/look/1", "beside" + number); });
   std::this_thread::sleep_for(100ms);
   std::ignore =
     aWorld.SendRaw(0, FormatPrompt({ deadly }, static_cast<int>(aEngine)));
