--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -31,6 +31,12 @@
   /// @return whether the connection can be used for another request
   [[nodiscard]] net::Awaitable<bool> Run();
 
+  /// @brief Ends the request at the end of a graceful shutdown.
+  ///
+  /// The caller gets a final answer, which promises that the request has not
+  /// run only if that is certain. A stream that has begun is aborted.
+  void Interrupt();
+
 private:
   /// Least time before the deadline with which an attempt is still started.
   static constexpr Duration kMinAttemptTime = std::chrono::milliseconds(20);
@@ -59,6 +65,7 @@
     std::shared_ptr<net::ClientConnection> mConnection;
     TimePoint mSentAt;
     bool mIsSent = false;
+    bool mIsOnReused = false; ///< its connection had served other requests
     bool mHadEvent = false;
     bool mWasSilent = false; ///< counted against its upstream
     bool mIsReadingHead = false;
@@ -183,17 +190,23 @@
   void LogRetryRefused() const;
   void LogNoSlot(placement::NoChoiceReason aReason, TimePoint aNow) const;
   /// Returns whether an upstream states that it did not run an attempt.
-  [[nodiscard]] static bool IsRejection(
-    const net::ResponseHead& aHead,
-    const ingress::ResponseMetadata& aMetadata);
+  [[nodiscard]] bool IsRejection(
+    const Attempt& aAttempt,
+    const ingress::ResponseMetadata& aMetadata) const;
+  /// Returns whether a response answers this attempt. On a connection that had
+  /// served other requests, one without an id may be a late copy of theirs.
+  [[nodiscard]] bool IsAttributed(
+    const Attempt& aAttempt,
+    const ingress::ResponseMetadata& aMetadata) const;
   /// Returns whether a response has the id of another request.
   [[nodiscard]] bool IsOfOtherRequest(
     const ingress::ResponseMetadata& aMetadata) const;
   /// Returns whether a response can be relayed after what the caller has
   /// received: an error cannot continue a stream.
   [[nodiscard]] bool MayContinue(const net::ResponseHead& aHead) const;
-  /// Returns whether a response is signed and belongs to this request.
+  /// Returns whether a response is signed and answers this attempt.
   [[nodiscard]] bool IsOwnResponse(
+    const Attempt& aAttempt,
     const ingress::ResponseMetadata& aMetadata) const;
   void OnRejected(Attempt& aAttempt);
   /// Lets the request be retried if its keys were only too old.
@@ -225,7 +238,7 @@
   }
   [[nodiscard]] bool ClosesConnection() const
   {
-    return mState.mIsStopping || !mCaller.KeepsAlive();
+    return mState.IsStopping() || !mCaller.KeepsAlive();
   }
 
   TrafficState& mState;
@@ -263,6 +276,7 @@
   bool mMayHaveRun = false;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
+  bool mIsInterrupted = false; ///< the instance ends before the request
   bool mEnded = false;
   RequestEnd mLastFailure = RequestEnd::NoUpstream;
   std::string mLastVersion;    ///< version of the upstream tried last
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/admission/drain_plan.hpp>
 #include <figslip/cascade/latency_scale.hpp>
 #include <figslip/cascade/size_policy.hpp>
 #include <figslip/gateway/request_end.hpp>
@@ -18,10 +19,12 @@
 #include <figslip/settings/ingress_settings.hpp>
 #include <figslip/stream/buffer_budget.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace figslip::gateway {
@@ -31,6 +34,8 @@
 {
   std::function<void(const rollout::StatusChange&)> mOnStatusChange;
   std::function<void(const quarantine::CrashReport&)> mOnCrash;
+  /// called with the fingerprints of suspected requests that were served
+  std::function<void(const std::set<std::uint64_t>&)> mOnExonerated;
   std::function<void(const rollout::EvidenceReport&)> mOnEvidence;
   std::function<void(const quarantine::CrashSuspects&)> mOnCrashSuspects;
   /// called with suspected parts that were served
@@ -58,6 +63,8 @@
   void OnSettings();
   /// @brief Records crashes that other instances have published.
   void OnCrashReports(const std::vector<quarantine::CrashReport>& aReports);
+  /// @brief Forgets crashes that other instances have withdrawn.
+  void OnCrashesWithdrawn(const std::vector<quarantine::CrashReport>& aReports);
   /// @brief Records what other instances have published about parts of prompts.
   void OnPartRecords(const std::vector<quarantine::CrashSuspects>& aCrashes,
                      const std::vector<quarantine::PartId>& aServed);
@@ -79,6 +86,9 @@
   /// the instance is not stopping.
   [[nodiscard]] bool IsReady() const;
 
+  /// @brief Checks whether a graceful shutdown has begun.
+  [[nodiscard]] bool IsStopping() const { return mDrain.has_value(); }
+
   const settings::IngressSettings& mSettings;
   const ingress::Dialect& mDialect;
   ingress::FreshnessLease& mLease;
@@ -99,8 +109,7 @@
   membership::InstanceCount mInstances;
   int mInstanceCount = 1; ///< instances that share common limits
   bool mHasUpstreams = false;
-  bool mIsStopping = false;      ///< not ready; still serves new requests
-  bool mRefusesRequests = false; ///< new requests could not be completed
+  std::optional<admission::DrainPlan> mDrain; ///< empty: not stopping
   int mOpenRequests = 0;
   TimePoint mStartedAt; ///< start of the process
 
--- a/include/figslip/quarantine/record_tracker.hpp
+++ b/include/figslip/quarantine/record_tracker.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/time/time_point.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +22,8 @@
   struct Options
   {
     Duration mRetention = std::chrono::seconds(60); ///< age at the removal
+    /// age at which an own record that no list has contained counts as removed
+    Duration mMaxWriteTime = std::chrono::seconds(5);
   };
 
   explicit RecordTracker(Options aOptions)
@@ -42,18 +45,31 @@
   /// @brief Returns the names of the records to remove now, each of them once.
   [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow);
 
+  /// @brief Returns the names that the last call of `OnRecords` dropped.
+  [[nodiscard]] const std::vector<std::string>& Removed() const
+  {
+    return mRemoved;
+  }
+
+  /// @brief Returns the names to remove now because they match, each of them
+  /// once.
+  [[nodiscard]] std::vector<std::string> TakeIf(
+    const std::function<bool(const std::string&)>& aMatches);
+
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
 
 private:
   struct Record
   {
     TimePoint mFirstSeenAt;
-    bool mIsOwn = false; ///< written by this instance
+    bool mIsOwn = false;     ///< written by this instance
+    bool mWasListed = false; ///< seen in the store
     bool mIsRemovalRequested = false;
   };
 
   Options mOptions;
   std::map<std::string, Record, std::less<>> mRecords;
+  std::vector<std::string> mRemoved; ///< by the last `OnRecords`
 };
 
 } // namespace figslip::quarantine
--- a/src/core/quarantine/record_tracker.cpp
+++ b/src/core/quarantine/record_tracker.cpp
@@ -14,20 +14,43 @@
 RecordTracker::OnRecords(const std::set<std::string, std::less<>>& aNames,
                          TimePoint aNow)
 {
-  // a write of an own record may not have reached the store yet
+  mRemoved.clear();
   std::erase_if(mRecords, [&](const auto& aEntry) {
-    return !aNames.contains(aEntry.first) &&
-           (!aEntry.second.mIsOwn || aEntry.second.mIsRemovalRequested);
+    const auto& record = aEntry.second;
+    const bool mayBeUnwritten =
+      record.mIsOwn && !record.mIsRemovalRequested && !record.mWasListed &&
+      aNow - record.mFirstSeenAt < mOptions.mMaxWriteTime;
+    const bool isGone = !aNames.contains(aEntry.first) && !mayBeUnwritten;
+    if (isGone) {
+      mRemoved.push_back(aEntry.first);
+    }
+    return isGone;
   });
   std::vector<std::string> added;
   for (const auto& name : aNames) {
-    if (mRecords.emplace(name, Record{ .mFirstSeenAt = aNow }).second) {
+    const auto [entry, isNew] =
+      mRecords.emplace(name, Record{ .mFirstSeenAt = aNow });
+    entry->second.mWasListed = true;
+    if (isNew) {
       added.push_back(name);
     }
   }
   return added;
 }
 
+std::vector<std::string>
+RecordTracker::TakeIf(const std::function<bool(const std::string&)>& aMatches)
+{
+  std::vector<std::string> taken;
+  for (auto& [name, record] : mRecords) {
+    if (!record.mIsRemovalRequested && aMatches(name)) {
+      record.mIsRemovalRequested = true;
+      taken.push_back(name);
+    }
+  }
+  return taken;
+}
+
 std::vector<std::string>
 RecordTracker::TakeExpired(TimePoint aNow)
 {
