Bound the time of a whole answer of the store

Cause: the timeout of a call to the store began anew with each read of the body. A store, or something on the way, that sent a byte now and then held up the follower of the configuration for ever; the lease on keys ended after 4.85 s and the instance refused all callers with 503 until it was restarted.

Change: one limit for the body, twice the timeout of the call, so that a page on a slow link still arrives. The relay between instances uses the same client.

Test: history-store_trickle, 3 s of answers without end, then a sound store: before, callers were still refused 6 s later; now they are served. Besides, the linter's finding on the drain plan in RequestFlow::Admit.

--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -138,7 +138,7 @@
 std::optional<RequestEnd>
 RequestFlow::Admit()
 {
-  if (mState.IsStopping() && ReadBootClock() >= mState.mDrain->RefusesFrom()) {
+  if (mState.mDrain && ReadBootClock() >= mState.mDrain->RefusesFrom()) {
     return RequestEnd::Stopping;
   }
   if (!mConfiguration || !mState.mHasUpstreams) {
@@ -170,7 +170,7 @@
     std::min(mFacts.mTimeout.value_or(mRoute->mTimeout), mRoute->mTimeout);
   mDeadline = mArrivedAt + patience;
   mSlotDeadline = mArrivedAt + std::min(patience / 3, mRoute->mTargetLatency);
-  if (mState.IsStopping() &&
+  if (mState.mDrain &&
       !mState.mDrain->Admits(now, mDeadline, mRoute->IsRetryable())) {
     return RequestEnd::Stopping;
   }
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -1,5 +1,8 @@
 #include <figslip/store/store_client.hpp>
 
+#include <algorithm>
+#include <chrono>
+
 namespace figslip::store {
 
 namespace {
@@ -10,6 +13,13 @@
 /// Maximum size of a response body; a page has about 1 MB.
 constexpr std::size_t kMaxBodyBytes = 4 << 20;
 
+/// Time for a body relative to the timeout of its call; a page takes longer
+/// than its head on a slow link.
+constexpr int kBodyTimeoutFactor = 2;
+
+/// Timeout of a read at the end of the time for the body.
+constexpr std::chrono::milliseconds kMinReadTime{ 1 };
+
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 
@@ -87,8 +97,14 @@
   result.mOutcome = CallOutcome::Unknown;
   connection->StartSend(std::move(aBytes));
   auto end = co_await connection->ReadHead(aTimeout);
+  // one limit for the whole body: a store that sends a byte now and then must
+  // not hold up the call for ever
+  const auto bodyDeadline =
+    std::chrono::steady_clock::now() + kBodyTimeoutFactor * aTimeout;
   while (end == net::StepEnd::Done && !connection->BodyIsWhole()) {
-    end = co_await connection->ReadBody(aTimeout);
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+      bodyDeadline - std::chrono::steady_clock::now());
+    end = co_await connection->ReadBody(std::max(kMinReadTime, left));
     result.mBody += connection->Piece();
     if (result.mBody.size() > kMaxBodyBytes) {
       connection->Abort();
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -238,6 +238,10 @@
       co_await net::Sleep(kWatchPoll);
       answer = AnswerTo(aConnection->Request());
     }
+    if (mMode == Mode::Trickle) {
+      co_await Trickle(aConnection);
+      co_return;
+    }
     while (mMode == Mode::Silent) {
       co_await net::Sleep(kWatchPoll);
     }
@@ -255,6 +259,18 @@
   }
 }
 
+net::Awaitable<void>
+StoreStandIn::Trickle(Connection aConnection)
+{
+  constexpr auto kPause = std::chrono::milliseconds(200);
+  const net::Headers headers;
+  bool isOpen = co_await aConnection->BeginStream(200, headers, " ", false);
+  while (isOpen) {
+    co_await net::Sleep(kPause);
+    isOpen = co_await aConnection->SendPiece(" ");
+  }
+}
+
 StoreStandIn::Answer
 StoreStandIn::AnswerTo(const net::RequestMessage& aRequest)
 {
--- a/tests/harness/store_stand_in.hpp
+++ b/tests/harness/store_stand_in.hpp
@@ -22,8 +22,9 @@
   enum class Mode
   {
     Open,
-    Busy,  ///< answers 503
-    Silent ///< answers nothing
+    Busy,   ///< answers 503
+    Silent, ///< answers nothing
+    Trickle ///< begins answers that go on, slowly, until the caller closes
   };
 
   StoreStandIn();
@@ -84,6 +85,7 @@
 
   [[nodiscard]] net::Awaitable<void> Accept();
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
+  [[nodiscard]] net::Awaitable<void> Trickle(Connection aConnection);
   [[nodiscard]] Answer AnswerTo(const net::RequestMessage& aRequest);
   [[nodiscard]] Answer Read(const std::string& aKind, std::int64_t aWatch);
   /// Returns the page of the objects after a name.
