Answer a follower from another source by the revision of its copy

Cause: the sequences of a source are its own, so that each change of source cost a whole copy of all kinds.

Change: a poll tells the store's revision of the follower's copy. A source that knows all removals since then answers with what changed. A source sends two large copies at a time and lets others go to the store meanwhile. The changes are applied to the copy in place, not to a copy of all objects. The limit on the body of an answer is 2 s at least, so that a whole copy can arrive after a poll with a short timeout.

Test: unit-relay, changes after the revision of a copy from another source.

--- a/include/figslip/relay/change_log.hpp
+++ b/include/figslip/relay/change_log.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,10 @@
 /// @brief Numbers the changes of a copy of the store's objects of one kind.
 ///
 /// The numbers are those of this process alone. A follower that is further
-/// behind than the removals that are remembered gets all objects.
+/// behind than the removals that are remembered gets all objects. One that
+/// comes from another source, or from the store, gets the changes after the
+/// store's revision of its copy, so that a change of source costs no whole
+/// copy.
 class ChangeLog
 {
 public:
@@ -45,14 +49,24 @@
   }
 
   /// @brief Takes the objects that there are now.
+  /// @param[in] aRevision revision of the store that they are of
   /// @return whether anything has changed; always at the first call
-  bool Update(const Objects& aObjects);
+  bool Update(const Objects& aObjects, std::int64_t aRevision);
 
   /// @brief Returns the changes after a sequence number.
   /// @param[in] aSequence 0: everything
   [[nodiscard]] Delta Since(std::uint64_t aSequence) const;
 
+  /// @brief Returns the changes after a revision of the store.
+  ///
+  /// All removals that are remembered are repeated: an object that left while
+  /// its kind was listed page by page has no known revision.
+  /// @return empty: the removals since then may not all be known
+  [[nodiscard]] std::optional<Delta> SinceRevision(
+    std::int64_t aRevision) const;
+
   [[nodiscard]] std::uint64_t Sequence() const { return mSequence; }
+  [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
 
 private:
   struct Entry
@@ -70,6 +84,10 @@
   Options mOptions;
   std::uint64_t mSequence = 0;
   std::uint64_t mFloor = 0; ///< removals up to this number are forgotten
+  std::optional<std::int64_t> mFirstRevision; ///< of the first copy
+  /// removals up to this revision of the store may not be known. The pages of
+  /// the first copy may be newer than its revision, so a later one is needed.
+  std::optional<std::int64_t> mRevisionFloor;
   std::map<std::string, Entry, std::less<>> mEntries;
   std::deque<Removal> mRemovals;
 };
--- a/include/figslip/relay/relay_messages.hpp
+++ b/include/figslip/relay/relay_messages.hpp
@@ -19,6 +19,8 @@
 {
   std::uint64_t mEpoch = 0; ///< process whose numbers these are; 0: none
   std::map<store::ObjectKind, std::uint64_t> mSequences;
+  /// revision of the follower's copy, from whatever source; empty: no copy
+  std::map<store::ObjectKind, std::int64_t> mRevisions;
   Duration mWait{}; ///< longest time without news
 };
 
--- a/include/figslip/relay/relay_server.hpp
+++ b/include/figslip/relay/relay_server.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace figslip::relay {
@@ -42,6 +43,10 @@
                                                      TimePoint aArrivedAt);
   [[nodiscard]] PollAnswer AnswerTo(const Poll& aPoll,
                                     TimePoint aArrivedAt) const;
+  /// Returns what is new of a kind; empty: a whole copy is due, and as many as
+  /// the link bears are being sent.
+  [[nodiscard]] std::optional<Delta> NewsFor(const Poll& aPoll,
+                                             store::ObjectKind aKind) const;
   void Wake();
 
   net::asio::io_context& mContext;
@@ -51,6 +56,7 @@
   std::uint64_t mNews = 0; ///< counts reasons to answer
   std::vector<std::shared_ptr<net::asio::steady_timer>> mWaiting;
   bool mIsDirect = false;
+  int mLargeAnswers = 0; ///< whole copies of many objects that are being sent
 };
 
 /// @brief Returns the follower of a kind, which has to be there.
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -19,8 +19,8 @@
 /// longer has the history after the copy's revision or if a watch response
 /// cannot be parsed; a failed list starts over. A call without a response is
 /// retried with backoff on another connection. While the follower is stopped,
-/// the copy can be replaced with that of another instance, see
-/// @ref ReplaceCopy.
+/// the copy can be changed to that of another instance, see
+/// @ref UpdateCopy.
 class ObjectFollower
 {
 public:
@@ -108,16 +108,14 @@
   [[nodiscard]] bool IsLost() const { return mIsLost; }
   /// @}
 
-  /// @brief Replaces the copy with that of another instance.
-  /// @param[in] aObjects ignored unless `aHasChanged`
+  /// @brief Changes the copy to that of another instance.
+  /// @param[in] aChange changes the objects; empty: they are the same
   /// @param[in] aRevision not below the revision of this copy
   /// @param[in] aConfirmedAt time for which the other copy is confirmed current
-  /// @param[in] aHasChanged whether `aObjects` differs from this copy
   /// @note Call it only while the follower is stopped.
-  void ReplaceCopy(Objects aObjects,
-                   std::int64_t aRevision,
-                   TimePoint aConfirmedAt,
-                   bool aHasChanged);
+  void UpdateCopy(const std::function<void(Objects&)>& aChange,
+                  std::int64_t aRevision,
+                  TimePoint aConfirmedAt);
 
 private:
   /// Result of a list or watch.
--- a/src/core/relay/change_log.cpp
+++ b/src/core/relay/change_log.cpp
@@ -5,8 +5,12 @@
 namespace figslip::relay {
 
 bool
-ChangeLog::Update(const Objects& aObjects)
+ChangeLog::Update(const Objects& aObjects, std::int64_t aRevision)
 {
+  mFirstRevision = mFirstRevision.value_or(aRevision);
+  if (!mRevisionFloor && aRevision > *mFirstRevision) {
+    mRevisionFloor = aRevision;
+  }
   const auto next = mSequence + 1;
   bool hasChanged = mSequence == 0;
   for (auto entry = mEntries.begin(); entry != mEntries.end();) {
@@ -30,6 +34,7 @@
   }
   while (mRemovals.size() > mOptions.mMaxRemovals) {
     mFloor = mRemovals.front().mAt;
+    mRevisionFloor = aRevision;
     mRemovals.pop_front();
   }
   if (hasChanged) {
@@ -60,4 +65,26 @@
   return delta;
 }
 
+std::optional<Delta>
+ChangeLog::SinceRevision(std::int64_t aRevision) const
+{
+  if (!mRevisionFloor || aRevision < *mRevisionFloor) {
+    return std::nullopt;
+  }
+  Delta delta{ .mSequence = mSequence };
+  for (const auto& entry : mEntries | std::views::values) {
+    // an object that cannot be read may lack its revision
+    const bool isUnreadable = !entry.mObject.mFindings.empty();
+    if (entry.mObject.mRevision > aRevision || isUnreadable) {
+      delta.mObjects.push_back(entry.mObject);
+    }
+  }
+  for (const auto& removal : mRemovals) {
+    if (!mEntries.contains(removal.mName)) {
+      delta.mRemoved.push_back(removal.mName);
+    }
+  }
+  return delta;
+}
+
 } // namespace figslip::relay
--- a/src/shell/relay/relay_codec.cpp
+++ b/src/shell/relay/relay_codec.cpp
@@ -127,10 +127,21 @@
 {
   wire::RelayPoll poll;
   poll.epoch = static_cast<std::int64_t>(aPoll.mEpoch);
-  for (const auto& [kind, sequence] : aPoll.mSequences) {
+  for (const auto kind : kRelayedKinds) {
+    const auto sequence = aPoll.mSequences.find(kind);
+    const auto revision = aPoll.mRevisions.find(kind);
+    const bool hasSequence = sequence != aPoll.mSequences.end();
+    const bool hasRevision = revision != aPoll.mRevisions.end();
+    if (!hasSequence && !hasRevision) {
+      continue;
+    }
     wire::RelayCursor cursor;
     cursor.kind = store::NameOf(kind);
-    cursor.sequence = static_cast<std::int64_t>(sequence);
+    cursor.sequence =
+      hasSequence ? static_cast<std::int64_t>(sequence->second) : 0;
+    if (hasRevision) {
+      cursor.__set_storeRevision(revision->second);
+    }
     poll.cursors.push_back(std::move(cursor));
   }
   poll.waitMs =
@@ -148,10 +159,16 @@
   const auto& message = decoded.assume_value();
   Poll poll{ .mEpoch = static_cast<std::uint64_t>(message.epoch),
              .mSequences = {},
+             .mRevisions = {},
              .mWait = std::chrono::milliseconds(std::max(0, message.waitMs)) };
   for (const auto& cursor : message.cursors) {
     if (const auto* const kind = KindOf(cursor.kind)) {
-      poll.mSequences[*kind] = static_cast<std::uint64_t>(cursor.sequence);
+      if (cursor.sequence != 0) {
+        poll.mSequences[*kind] = static_cast<std::uint64_t>(cursor.sequence);
+      }
+      if (cursor.__isset.storeRevision) {
+        poll.mRevisions[*kind] = cursor.storeRevision;
+      }
     }
   }
   return poll;
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -57,18 +57,18 @@
                                                    : std::nullopt;
 }
 
-/// Applies the changes to a copy of the objects.
-store::ObjectFollower::Objects
-Merge(const store::ObjectFollower::Objects& aKnown, const Delta& aDelta)
+void
+Apply(const Delta& aDelta, store::ObjectFollower::Objects& aObjects)
 {
-  auto objects = aDelta.mIsWhole ? store::ObjectFollower::Objects() : aKnown;
+  if (aDelta.mIsWhole) {
+    aObjects.clear();
+  }
   for (const auto& name : aDelta.mRemoved) {
-    objects.erase(name);
+    aObjects.erase(name);
   }
   for (const auto& object : aDelta.mObjects) {
-    objects.insert_or_assign(object.mName, object);
+    aObjects.insert_or_assign(object.mName, object);
   }
-  return objects;
 }
 
 } // namespace
@@ -182,9 +182,15 @@
     mSequences.clear();
   }
   // the first answer of a process comes at once
-  const Poll poll{ .mEpoch = mEpoch,
-                   .mSequences = mSequences,
-                   .mWait = mSequences.empty() ? Duration::zero() : WaitOf() };
+  Poll poll{ .mEpoch = mEpoch,
+             .mSequences = mSequences,
+             .mRevisions = {},
+             .mWait = mSequences.empty() ? Duration::zero() : WaitOf() };
+  for (const auto& follower : mFollowers) {
+    if (follower->Revision()) {
+      poll.mRevisions[follower->Kind()] = *follower->Revision();
+    }
+  }
   net::RequestMessage request{ .mMethod = "POST",
                                .mTarget = "/v1/relay",
                                .mHeaders = {},
@@ -256,12 +262,15 @@
     const auto news =
       std::ranges::find(aAnswer.mKinds, follower->Kind(), &KindNews::mKind);
     mSequences[news->mKind] = news->mDelta.mSequence;
-    const bool hasNews = news->mDelta.HasNews();
-    follower->ReplaceCopy(hasNews ? Merge(follower->All(), news->mDelta)
-                                  : store::ObjectFollower::Objects(),
-                          news->mStoreRevision,
-                          std::min(now, aSentAt + news->mConfirmed),
-                          hasNews);
+    const auto apply = [&](store::ObjectFollower::Objects& aObjects) {
+      Apply(news->mDelta, aObjects);
+    };
+    follower->UpdateCopy(
+      news->mDelta.HasNews()
+        ? std::function<void(store::ObjectFollower::Objects&)>(apply)
+        : nullptr,
+      news->mStoreRevision,
+      std::min(now, aSentAt + news->mConfirmed));
   }
   return std::nullopt;
 }
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -17,9 +17,23 @@
 /// Longest poll of another instance, bytes.
 constexpr std::size_t kMaxPollBytes = 16'384;
 
+/// Objects of a whole copy from which it counts as large, and large copies that
+/// are sent at the same time. Otherwise the instances of a large domain, which
+/// start together, share the link of one of them until all of them time out.
+constexpr std::size_t kLargeCopy = 500;
+constexpr int kMaxLargeAnswers = 2;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 
+bool
+IsLarge(const PollAnswer& aAnswer)
+{
+  return std::ranges::any_of(aAnswer.mKinds, [](const KindNews& aNews) {
+    return aNews.mDelta.mIsWhole && aNews.mDelta.mObjects.size() >= kLargeCopy;
+  });
+}
+
 } // namespace
 
 store::ObjectFollower&
@@ -64,7 +78,8 @@
 RelayServer::OnNews(const store::ObjectFollower& aFollower)
 {
   const bool hasChanged =
-    aFollower.Revision() && mLogs.at(aFollower.Kind()).Update(aFollower.All());
+    aFollower.Revision() &&
+    mLogs.at(aFollower.Kind()).Update(aFollower.All(), *aFollower.Revision());
   // the lease on keys of the others follows from the configuration's
   const bool isLease = aFollower.Kind() == store::ObjectKind::Configuration;
   if (hasChanged || isLease || aFollower.IsLost()) {
@@ -96,9 +111,11 @@
     const auto poll = DecodePoll(aConnection->Request().mBody);
     unsigned status = kBadRequest;
     std::string body;
+    bool isLarge = false;
     if (poll) {
       const auto answer = co_await AwaitNews(poll.assume_value(), arrivedAt);
       status = kOk;
+      isLarge = IsLarge(answer);
       body = EncodeAnswer(answer);
     } else {
       log::Write(log::Level::Warning,
@@ -109,7 +126,9 @@
       { .mName = "Content-Type",
         .mValue = "application/vnd.apache.thrift.compact" }
     };
+    mLargeAnswers += isLarge ? 1 : 0;
     goesOn = co_await aConnection->Respond(status, headers, body, false);
+    mLargeAnswers -= isLarge ? 1 : 0;
   }
   aConnection->Abort();
 }
@@ -140,6 +159,25 @@
   co_return answer;
 }
 
+std::optional<Delta>
+RelayServer::NewsFor(const Poll& aPoll, store::ObjectKind aKind) const
+{
+  const auto& log = mLogs.at(aKind);
+  const auto sequence = aPoll.mSequences.find(aKind);
+  if (aPoll.mEpoch == mEpoch && sequence != aPoll.mSequences.end()) {
+    return log.Since(sequence->second);
+  }
+  const auto revision = aPoll.mRevisions.find(aKind);
+  if (revision != aPoll.mRevisions.end()) {
+    if (auto delta = log.SinceRevision(revision->second)) {
+      return delta;
+    }
+  }
+  const bool isBusy =
+    log.Size() >= kLargeCopy && mLargeAnswers >= kMaxLargeAnswers;
+  return isBusy ? std::nullopt : std::optional(log.Since(0));
+}
+
 PollAnswer
 RelayServer::AnswerTo(const Poll& aPoll, TimePoint aArrivedAt) const
 {
@@ -152,12 +190,13 @@
     return answer;
   }
   for (const auto& follower : mFollowers) {
-    const auto known = aPoll.mSequences.find(follower->Kind());
-    const bool isKnown =
-      aPoll.mEpoch == mEpoch && known != aPoll.mSequences.end();
+    auto news = NewsFor(aPoll, follower->Kind());
+    if (!news) {
+      return { .mEpoch = mEpoch, .mIsDirect = false, .mKinds = {} };
+    }
     answer.mKinds.push_back(
       { .mKind = follower->Kind(),
-        .mDelta = mLogs.at(follower->Kind()).Since(isKnown ? known->second : 0),
+        .mDelta = std::move(*news),
         .mStoreRevision = follower->Revision().value_or(0),
         .mConfirmed = follower->ConfirmedAt() - aArrivedAt });
   }
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -54,17 +54,16 @@
 }
 
 void
-ObjectFollower::ReplaceCopy(Objects aObjects,
-                            std::int64_t aRevision,
-                            TimePoint aConfirmedAt,
-                            bool aHasChanged)
+ObjectFollower::UpdateCopy(const std::function<void(Objects&)>& aChange,
+                           std::int64_t aRevision,
+                           TimePoint aConfirmedAt)
 {
   assert(aRevision >= mRevision.value_or(0));
   UpdateLostState({});
   mRevision = aRevision;
   mNeedsList = false;
-  if (aHasChanged) {
-    mObjects = std::move(aObjects);
+  if (aChange) {
+    aChange(mObjects);
     mCallbacks.mOnObjects(mObjects);
   }
   Confirm(aConfirmedAt);
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -16,6 +16,7 @@
 /// Time for a body relative to the timeout of its call; a page takes longer
 /// than its head on a slow link.
 constexpr int kBodyTimeoutFactor = 2;
+constexpr std::chrono::milliseconds kMinBodyTime{ 2'000 };
 
 /// Timeout of a read at the end of the time for the body.
 constexpr std::chrono::milliseconds kMinReadTime{ 1 };
@@ -100,7 +101,8 @@
   // one limit for the whole body: a store that sends a byte now and then must
   // not hold up the call for ever
   const auto bodyDeadline =
-    std::chrono::steady_clock::now() + kBodyTimeoutFactor * aTimeout;
+    std::chrono::steady_clock::now() +
+    std::max(kMinBodyTime, kBodyTimeoutFactor * aTimeout);
   while (end == net::StepEnd::Done && !connection->BodyIsWhole()) {
     const auto left = std::chrono::duration_cast<Milliseconds>(
       bodyDeadline - std::chrono::steady_clock::now());
--- a/tests/src/unit-relay.cpp
+++ b/tests/src/unit-relay.cpp
@@ -66,7 +66,7 @@
 {
   using Names = std::vector<std::string>;
   ChangeLog log({ .mMaxRemovals = 2 });
-  CHECK(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } })));
+  CHECK(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), 2));
   const auto first = log.Sequence();
 
   SUBCASE("are everything for one who knows nothing")
@@ -79,13 +79,13 @@
 
   SUBCASE("are nothing for one who knows all")
   {
-    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } })));
+    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), 2));
     CHECK_FALSE(log.Since(first).HasNews());
   }
 
   SUBCASE("name what changed, came and went")
   {
-    CHECK(log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } })));
+    CHECK(log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } }), 4));
     const auto delta = log.Since(first);
     CHECK_FALSE(delta.mIsWhole);
     CHECK(NamesOf(delta) == Names{ "y", "z" });
@@ -94,8 +94,8 @@
 
   SUBCASE("do not remove what came back")
   {
-    log.Update(MakeObjects({ { "y", 2 } }));
-    log.Update(MakeObjects({ { "x", 5 }, { "y", 2 } }));
+    log.Update(MakeObjects({ { "y", 2 } }), 3);
+    log.Update(MakeObjects({ { "x", 5 }, { "y", 2 } }), 5);
     const auto delta = log.Since(first);
     CHECK(NamesOf(delta) == Names{ "x" });
     CHECK(delta.mRemoved.empty());
@@ -103,8 +103,8 @@
 
   SUBCASE("are everything once removals are forgotten")
   {
-    log.Update(MakeObjects({ { "a", 6 }, { "b", 6 }, { "c", 6 } }));
-    log.Update({});
+    log.Update(MakeObjects({ { "a", 6 }, { "b", 6 }, { "c", 6 } }), 6);
+    log.Update({}, 7);
     CHECK(log.Since(first).mIsWhole);
     CHECK_FALSE(log.Since(log.Sequence()).HasNews());
   }
@@ -117,10 +117,67 @@
   SUBCASE("begin with an empty copy, too")
   {
     ChangeLog empty({});
-    CHECK(empty.Update({}));
+    CHECK(empty.Update({}, 1));
     CHECK(empty.Since(0).mIsWhole);
     CHECK_FALSE(empty.Since(empty.Sequence()).HasNews());
   }
+
+  SUBCASE("after the revision of a copy from another source")
+  {
+    log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } }), 5);
+    log.Update(MakeObjects({ { "y", 6 }, { "z", 4 } }), 7);
+
+    SUBCASE("are those that the other copy lacks")
+    {
+      const auto delta = log.SinceRevision(5);
+      REQUIRE(delta);
+      CHECK_FALSE(delta->mIsWhole);
+      CHECK(NamesOf(*delta) == Names{ "y" });
+      CHECK(delta->mSequence == log.Sequence());
+    }
+
+    SUBCASE("contain all removals, as some may have no known revision")
+    {
+      CHECK(log.SinceRevision(7)->mRemoved == Names{ "x" });
+      CHECK(log.SinceRevision(7)->mObjects.empty());
+    }
+
+    SUBCASE("are not known from before the second copy here")
+    {
+      CHECK(log.SinceRevision(5));
+      CHECK_FALSE(log.SinceRevision(4));
+    }
+
+    SUBCASE("are not known once removals since then are forgotten")
+    {
+      log.Update({}, 8);
+      CHECK(log.SinceRevision(8));
+      CHECK_FALSE(log.SinceRevision(7));
+    }
+
+    SUBCASE("contain what cannot be read, whatever its revision")
+    {
+      auto objects = MakeObjects({ { "y", 6 }, { "z", 4 }, { "odd", 0 } });
+      objects.at("odd").mFindings.push_back(
+        { error::ErrorKind::PlatformMalformed, "/spec", "no JSON" });
+      log.Update(objects, 8);
+      CHECK(NamesOf(*log.SinceRevision(8)) == Names{ "odd" });
+    }
+  }
+
+  SUBCASE("are not known by revision while the first copy is the only one")
+  {
+    CHECK_FALSE(log.SinceRevision(2));
+    CHECK_FALSE(log.SinceRevision(9));
+    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), 9));
+    CHECK(log.SinceRevision(9));
+  }
+
+  SUBCASE("are not known by revision without a copy")
+  {
+    const ChangeLog empty({});
+    CHECK_FALSE(empty.SinceRevision(5));
+  }
 }
 
 TEST_CASE("the instances of a failure domain")
@@ -211,6 +268,8 @@
 {
   const relay::Poll poll{ .mEpoch = 0xffff'ffff'ffff'fff1,
                           .mSequences = { { store::ObjectKind::Drains, 7 } },
+                          .mRevisions = { { store::ObjectKind::Drains, 40 },
+                                          { store::ObjectKind::Shared, 44 } },
                           .mWait = 500ms };
   relay::PollAnswer answer{ .mEpoch = 5, .mIsDirect = true, .mKinds = {} };
   answer.mKinds.push_back({ .mKind = store::ObjectKind::Upstreams,
@@ -227,6 +286,7 @@
     REQUIRE(read.has_value());
     CHECK(read.assume_value().mEpoch == poll.mEpoch);
     CHECK(read.assume_value().mSequences == poll.mSequences);
+    CHECK(read.assume_value().mRevisions == poll.mRevisions);
     CHECK(read.assume_value().mWait == poll.mWait);
     const auto told = relay::DecodeAnswer(relay::EncodeAnswer(answer));
     REQUIRE(told.has_value());
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -5,7 +5,11 @@
 /** Tells how far a follower knows the objects of one kind. */
 struct RelayCursor {
   1: required string kind
+  /** 0: none of this process. */
   2: required i64 sequence
+  /** Revision of the store of which the follower has a copy, from whatever
+   *  source; absent: it has none. */
+  3: optional i64 storeRevision
 }
 
 /** Asks for what is newer than the cursors. */
