--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -187,8 +187,8 @@
              .mRevisions = {},
              .mWait = mSequences.empty() ? Duration::zero() : WaitOf() };
   for (const auto& follower : mFollowers) {
-    if (follower->Revision()) {
-      poll.mRevisions[follower->Kind()] = *follower->Revision();
+    if (const auto revision = follower->Revision()) {
+      poll.mRevisions[follower->Kind()] = *revision;
     }
   }
   net::RequestMessage request{ .mMethod = "POST",
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -77,9 +77,9 @@
 void
 RelayServer::OnNews(const store::ObjectFollower& aFollower)
 {
+  const auto revision = aFollower.Revision();
   const bool hasChanged =
-    aFollower.Revision() &&
-    mLogs.at(aFollower.Kind()).Update(aFollower.All(), *aFollower.Revision());
+    revision && mLogs.at(aFollower.Kind()).Update(aFollower.All(), *revision);
   // the lease on keys of the others follows from the configuration's
   const bool isLease = aFollower.Kind() == store::ObjectKind::Configuration;
   if (hasChanged || isLease || aFollower.IsLost()) {
