Keep the ports of instances under test from other test programs

Cause: a port was chosen at random and released until an instance listened there, so that two programs at the same time could choose the same one.

Change: a port is claimed by a lock on a file until its world ends. Checks are unchanged.

--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -1,8 +1,10 @@
 #include <harness/ingress_world.hpp>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -36,11 +38,30 @@
   return address;
 }
 
+/// Keeps a port from other test programs until the claim is destroyed.
+/// @return null if another one has it
+IngressWorld::PortClaim
+ClaimPort(int aPort)
+{
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("figslip-port-" + std::to_string(aPort));
+  constexpr mode_t kMode = 0666;
+  const int file = ::open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, kMode);
+  if (file < 0) {
+    return nullptr;
+  }
+  if (::flock(file, LOCK_EX | LOCK_NB) != 0) {
+    ::close(file);
+    return nullptr;
+  }
+  return { nullptr, [file](void*) { ::close(file); } };
+}
+
 /// Finds a port that is free now. It is outside the range from which the system
 /// takes the ports of connections, so that none of those takes it before an
 /// instance listens.
 int
-FreePort()
+FreePort(std::vector<IngressWorld::PortClaim>& aClaims)
 {
   constexpr int kFirstPort = 16'000;
   constexpr int kLastPort = 30'000;
@@ -49,6 +70,10 @@
   std::uniform_int_distribution ports(kFirstPort, kLastPort);
   for (int attempt = 0; attempt < kTries; ++attempt) {
     const int port = ports(sRandom);
+    auto claim = ClaimPort(port);
+    if (claim.use_count() == 0) {
+      continue;
+    }
     const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
     const auto address = Loopback(port);
     const bool isFree = ::bind(descriptor,
@@ -56,6 +81,7 @@
                                sizeof(address)) == 0;
     ::close(descriptor);
     if (isFree) {
+      aClaims.push_back(std::move(claim));
       return port;
     }
   }
@@ -160,30 +186,33 @@
     }
     const int storePort =
       aOptions.mIsRelayed ? mStoreRelays.back()->Port() : mStore.Port();
-    Running running{ .mCallerPort = FreePort(), .mReadinessPort = FreePort() };
+    Running running;
+    running.mCallerPort = FreePort(running.mPortClaims);
+    running.mReadinessPort = FreePort(running.mPortClaims);
     const auto address = [](int aPort) {
       return "127.0.0.1:" + std::to_string(aPort);
     };
     const auto name = "entry-" + std::to_string(number);
-    const json settings = { { "instance", name },
-                            { "failure_domain", "a" },
-                            { "failure_domains",
-                              { { { "name", "a" }, { "region", "r" } } } },
-                            { "callers", address(running.mCallerPort) },
-                            { "readiness", address(running.mReadinessPort) },
-                            { "metrics", address(FreePort()) },
-                            { "peers", address(FreePort()) },
-                            { "store", address(storePort) },
-                            { "memory_mb", aOptions.mMemoryMb },
-                            { "max_descriptors", 1024 },
-                            { "grace_s", 8 },
-                            { "revocation_ms", 5000 },
-                            { "retry_share", 0.9 },
-                            { "retry_slack", 50 },
-                            { "retry_window_s", 10 },
-                            { "session_ttl_s", 5 },
-                            { "exposure_share", 0.15 },
-                            { "exposure_slack", 30 } };
+    const json settings = {
+      { "instance", name },
+      { "failure_domain", "a" },
+      { "failure_domains", { { { "name", "a" }, { "region", "r" } } } },
+      { "callers", address(running.mCallerPort) },
+      { "readiness", address(running.mReadinessPort) },
+      { "metrics", address(FreePort(running.mPortClaims)) },
+      { "peers", address(FreePort(running.mPortClaims)) },
+      { "store", address(storePort) },
+      { "memory_mb", aOptions.mMemoryMb },
+      { "max_descriptors", 1024 },
+      { "grace_s", 8 },
+      { "revocation_ms", 5000 },
+      { "retry_share", 0.9 },
+      { "retry_slack", 50 },
+      { "retry_window_s", 10 },
+      { "session_ttl_s", 5 },
+      { "exposure_share", 0.15 },
+      { "exposure_slack", 30 }
+    };
     running.mSettings = WriteTemporaryFile(name + ".json", settings.dump());
     mInstances.push_back(std::move(running));
     Restart(static_cast<std::size_t>(number));
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -60,6 +60,9 @@
     int mMemoryMb = 256; ///< in the settings of each instance
   };
 
+  /// Keeps a port from other test programs; empty if another one has it.
+  using PortClaim = std::shared_ptr<void>;
+
   IngressWorld()
     : IngressWorld(Options{})
   {
@@ -155,6 +158,7 @@
   {
     int mCallerPort = 0;
     int mReadinessPort = 0;
+    std::vector<PortClaim> mPortClaims;
     std::string mSettings;
     std::unique_ptr<Process> mProcess;
   };
