--- a/review/stand_in/world.hpp
+++ b/review/stand_in/world.hpp
@@ -100,6 +100,14 @@
     Erase(aKind, aName);
   }
 
+  /// Cuts off all watches that are waiting; new calls work.
+  void CutWatches()
+  {
+    const std::scoped_lock lock(mMutex);
+    ++mCuts;
+    mChanged.notify_all();
+  }
+
   /// Waits until the store has answered a call that begins so.
   bool AwaitAnswer(const std::string& aCall, milliseconds aLimit)
   {
@@ -177,6 +185,10 @@
       std::this_thread::sleep_for(kAnswerTime);
       const auto answer =
         isWatch ? Watch(kind, query) : Call(request, kind, name);
+      if (answer.mStatus == 0) {
+        mRecord.Write("store: WATCH " + kind + " is cut off");
+        break;
+      }
       const auto body = answer.mBody.dump();
       const bool isSent =
         SendAll(aHandle,
@@ -213,7 +225,11 @@
     const auto until = Clock::now() + milliseconds(Number(aQuery, "wait_ms="));
     std::unique_lock lock(mMutex);
     json events = json::array();
+    const auto cuts = mCuts;
     while (true) {
+      if (cuts != mCuts) {
+        return { 0, json::object() };
+      }
       for (const auto& event : mEvents) {
         if (event.mKind == aKind && event.mRevision > from) {
           events.push_back(event.mBody);
@@ -285,6 +301,7 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::int64_t mRevision = 5;
+  int mCuts = 0; ///< times that the watches were cut off
   std::map<std::string, std::map<std::string, json>> mObjects;
   std::vector<Event> mEvents;
   std::map<std::string, int> mAnswered; ///< by method or WATCH, and kind
@@ -432,6 +449,15 @@
     return Register("draining");
   }
 
+  /// Leaves without a report: the entry is removed, and all answers say so.
+  Clock::time_point LeaveUnannounced()
+  {
+    mIsLeaving = true;
+    mStore.Remove("servers", mOptions.mId);
+    mRecord.Write("the entry of worker " + mOptions.mId + " is removed");
+    return Clock::now();
+  }
+
   /// Ends the worker at once: its connections break, its port is closed.
   void Stop()
   {
