Review stand-ins: the program ends with its case

The started process gets the signal of the death of its parent, so that a case that is killed at its time limit leaves none behind.

--- a/review/stand_in/world.hpp
+++ b/review/stand_in/world.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <vector>
 
@@ -651,6 +652,8 @@
     std::array<char*, 2> environment{ mBoot.data(), nullptr };
     mProcess = ::fork();
     if (mProcess == 0) {
+      // it ends with the case, also if that is killed
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = ::open(mLog.c_str(), O_CREAT | O_WRONLY, 0644);
       ::dup2(log, STDOUT_FILENO);
       ::dup2(log, STDERR_FILENO);
