--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds kContact{ 3'000 };
 constexpr milliseconds kDrain{ 2'000 };
 /// Time for which a worker serves on after `kDrain`.
-constexpr milliseconds kLinger{ 150 };
+constexpr milliseconds kLinger{ 240 };
 /// The longest work of a booking at the site.
 constexpr milliseconds kWork{ 220 };
 
