--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,7 +2,7 @@
 // of them crashes in the middle of an answer. The client gets the first part as
 // a complete success.
 
-#include "../stand_in/world.hpp"
+#include "../world.hpp"
 
 #include <cstdio>
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
 // The store cuts off the waiting watches once; 1.2 s later a worker leaves by
 // the removal of its entry. Later than drain_ms, bookings still go to it.
 
-#include "../stand_in/world.hpp"
+#include "../world.hpp"
 
 #include <cstdio>
 
