Refuse an answer without a length that a reset cut off

Callers got the first half of an answer as a complete 200, with the upstream's signature and a length of its own; in a stream, some of the events and the end of the stream. An upstream had begun to answer before it had read the whole request, and crashed.

Cause: a socket reports an error once. While the request is still being sent, the pending write receives the reset, and the read sees an ordinary end, which completes a body without a length. The error of the write was only used to decide whether the connection may be used again.

BodyIsWhole now also asks for the error of the write. EPIPE is no sign of a cut: Linux reports it for a reset after the upstream's end of sending.

--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -69,7 +69,15 @@
 
   [[nodiscard]] const ResponseHead& Head() const { return mHead; }
   [[nodiscard]] const std::string& Piece() const { return mPiece; }
+  /// @brief Tells whether the whole response has been read.
+  ///
+  /// A body without a length ends with the connection, and is whole only if the
+  /// upstream ended it: a reset that interrupts the sending of the request does
+  /// not complete the response.
   [[nodiscard]] bool BodyIsWhole() const;
+  /// @brief Returns how far the request was sent, for logs: `sent`,
+  /// `unfinished` or the error of the socket.
+  [[nodiscard]] std::string SendOutcome() const;
   [[nodiscard]] asio::any_io_executor Executor()
   {
     return mSocket->get_executor();
@@ -91,10 +99,13 @@
   {
     std::string mBytes;
     bool mDone = true;
-    bool mFailed = false;
+    error_code mError; ///< that ended the write; none: sent or under way
   };
 
   [[nodiscard]] StepEnd EndOf(const error_code& aError) const;
+  /// Tells whether the connection failed at what reads as the end of a body
+  /// without a length.
+  [[nodiscard]] bool IsCutOff() const;
   void BeginResponse();
   void TakeHead();
   /// Ends a step that exceeded a limit.
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -532,6 +532,7 @@
       { "version", aAttempt.mUpstream.mVersion },
       { "model", aAttempt.mModel },
       { "reason", std::string(net::NameOf(aEnd)) },
+      { "send", aAttempt.mConnection->SendOutcome() },
       { "after_ms",
         std::to_string(
           ToMilliseconds(ReadBootClock() - aAttempt.mSentAt).count()) },
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -124,7 +124,7 @@
     asio::buffer(mSend->mBytes),
     [state = mSend, socket = mSocket](const error_code& aError, std::size_t) {
       state->mDone = true;
-      state->mFailed = static_cast<bool>(aError);
+      state->mError = aError;
     });
 }
 
@@ -212,7 +212,7 @@
     }
   }
   mWatchdog.Clear();
-  if (error) {
+  if (error || IsCutOff()) {
     mBroken = true;
     co_return EndOf(error);
   }
@@ -239,13 +239,33 @@
 bool
 ClientConnection::BodyIsWhole() const
 {
-  return mParser && mParser->is_done();
+  return mParser && mParser->is_done() && !IsCutOff();
+}
+
+bool
+ClientConnection::IsCutOff() const
+{
+  // the socket reports its error once: if the pending write has received it,
+  // the read sees an ordinary end. Broken pipe is the error of a reset that
+  // came after the upstream had ended its answer.
+  const bool wasReset =
+    mSend->mError && mSend->mError != asio::error::broken_pipe;
+  return wasReset && mParser->is_done() && mParser->need_eof();
+}
+
+std::string
+ClientConnection::SendOutcome() const
+{
+  if (mSend->mError) {
+    return mSend->mError.message();
+  }
+  return mSend->mDone ? "sent" : "unfinished";
 }
 
 bool
 ClientConnection::IsReusable() const
 {
-  return !mBroken && mSocket->is_open() && mSend->mDone && !mSend->mFailed &&
+  return !mBroken && mSocket->is_open() && mSend->mDone && !mSend->mError &&
          BodyIsWhole() && mParser->get().keep_alive() && mBuffer.size() == 0;
 }
 
