Tell a cut watch from an outage of the store

Callers' bookings were sent to an upstream that had left more than 2 s before, and were lost with it. The store had cut off the instance's waiting watches, no more, and the upstream left by the removal of its entry.

Cause: each failed call counted as an outage, and the outage ended with the next call that succeeded. For a watch this is the next change: the removal itself ended the "outage" and began the 2.2 s for which missing entries are retained. Watches cut off again and again began it anew each time.

Entries can lapse only while two reports of an upstream fail in a row. So missing entries are retained after a time without answers of three quarters of the reporting interval (new setting upstream_heartbeat_ms), counted from when an answer was due to the first call that the store answers again. After a failure a watch returns at once, so that this call does not wait for a change.

The tests of UpstreamEntryCache pass times to the calls whose meaning has changed; their checks are the same.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -89,6 +89,8 @@
   void OnSharedObjects(const store::ObjectFollower::Objects& aObjects);
   void PublishUpstreams();
   [[nodiscard]] net::Awaitable<void> RunHousekeeping();
+  /// Records that the store answered a call, or another instance's call.
+  void OnStoreAnswered(TimePoint aSentAt);
   void DropExpiredUpstreams();
   void RemoveDueRecords();
   [[nodiscard]] net::Awaitable<void> WriteEvidence(
--- a/include/figslip/membership/upstream_entry_cache.hpp
+++ b/include/figslip/membership/upstream_entry_cache.hpp
@@ -19,11 +19,17 @@
 /// that its upstream is not mistaken for one that has left. Otherwise a missing
 /// entry is dropped at once. Older writes of an upstream that arrive late are
 /// ignored.
+///
+/// A failed call alone is no outage: the store may have cut off one watch or
+/// refused one call. Only a time without answers in which an entry can expire
+/// is one, and its end is the first call that the store answers again.
 class UpstreamEntryCache
 {
 public:
   struct Options
   {
+    /// shortest outage in which the entry of a live upstream can expire
+    Duration mMinOutage = std::chrono::milliseconds(900);
     /// time after the store's recovery within which live upstreams have
     /// written their entries again
     Duration mGracePeriod = std::chrono::milliseconds(2'200);
@@ -34,11 +40,14 @@
   {
   }
 
-  /// @brief Retains missing entries until the store has recovered.
-  void OnStoreLost() { mIsStoreLost = true; }
+  /// @brief Retains missing entries until the store has answered again.
+  /// @param[in] aSince time from which on the store owed an answer
+  void OnStoreLost(TimePoint aSince);
 
-  /// @brief Starts the grace period after an outage.
-  void OnStoreRecovered(TimePoint aNow);
+  /// @brief Records that the store answered a call; starts the grace period if
+  /// an outage is over.
+  /// @param[in] aSentAt when the call was sent
+  void OnStoreAnswered(TimePoint aSentAt);
 
   /// @brief Updates the cache with all entries that the store holds now.
   void OnEntries(const std::vector<ingress::UpstreamEntry>& aEntries,
@@ -63,8 +72,9 @@
 
   Options mOptions;
   std::map<std::string, CachedEntry, std::less<>> mCachedEntries;
-  bool mIsStoreLost = false;
-  std::optional<TimePoint> mRecoveredAt;
+  TimePoint mAnsweredAt;               ///< sending of the last answered call
+  std::optional<TimePoint> mLostSince; ///< none: the store answers
+  std::optional<TimePoint> mGraceUntil;
 };
 
 } // namespace figslip::membership
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -23,7 +23,9 @@
   net::Endpoint mStore;     ///< the platform's store
   int mMemoryMb = 256;      ///< memory of the process, MB
   int mMaxDescriptors = 1024;
-  Duration mGrace{};        ///< from SIGTERM to the end of the process
+  Duration mGrace{}; ///< from SIGTERM to the end of the process
+  /// interval at which upstreams renew their entries in the store
+  Duration mUpstreamHeartbeat = std::chrono::milliseconds(1'200);
   Duration mRevocation{};   ///< a key taken away works no longer than this
   double mRetryShare = 0.0; ///< repeats per request that all instances share
   double mRetrySlack = 0.0; ///< repeats beyond, of all instances together
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -18,8 +18,10 @@
 /// Lists the objects, then watches for changes. Lists again if the store no
 /// longer has the history after the copy's revision or if a watch response
 /// cannot be parsed; a failed list starts over. A call without a response is
-/// retried with backoff on another connection. While the follower is stopped,
-/// the copy can be changed to that of another instance, see
+/// retried with backoff on another connection; a watch does not wait for
+/// changes then, so that its answer tells at once that the store is back. While
+/// the follower is stopped, the copy can be changed to that of another
+/// instance, see
 /// @ref UpdateCopy.
 class ObjectFollower
 {
@@ -53,8 +55,9 @@
     std::function<void(const Objects&)> mOnObjects;
     /// called when the copy is confirmed to be at least as new as `aSentAt`
     std::function<void(TimePoint aSentAt)> mOnConfirmed;
-    /// called on the first failed call after a successful one
-    std::function<void(const std::string& aReason)> mOnLost;
+    /// called on the first failed call after a successful one; `aSince` is the
+    /// time from which on the store owed an answer
+    std::function<void(const std::string& aReason, TimePoint aSince)> mOnLost;
     /// called on the first success after a failed call
     std::function<void()> mOnRegained;
     /// checked after each backoff: if it returns false, the follower waits for
@@ -123,6 +126,8 @@
   {
     std::string mReason;          ///< of the failure; empty on success
     bool mHistoryExpired = false; ///< the revision is too old to watch from
+    /// time for which the store owed an answer when the call failed
+    Duration mOverdue{};
   };
 
   /// Counts starts and stops; a coroutine started in an older generation ends
@@ -135,6 +140,8 @@
                                                  std::int64_t aRevision);
   void Apply(const Changes& aChanges);
   void Confirm(TimePoint aSentAt);
+  [[nodiscard]] static SyncResult FailureOf(const CallResult& aResult,
+                                            TimePoint aSentAt);
   void UpdateLostState(const SyncResult& aResult);
   [[nodiscard]] net::Awaitable<void> AwaitRetry(Generation aGeneration,
                                                 Duration aBackoff);
--- a/include/figslip/store/store_client.hpp
+++ b/include/figslip/store/store_client.hpp
@@ -26,6 +26,7 @@
   std::string mBody;
   std::string mReason;       ///< of the failure, unless `Answered`
   bool mIsOversized = false; ///< the answer was larger than accepted
+  bool mHasTimedOut = false; ///< nothing came in the time for the next step
 };
 
 /// @brief Calls the platform's store, or another instance that relays its copy,
--- a/src/core/membership/upstream_entry_cache.cpp
+++ b/src/core/membership/upstream_entry_cache.cpp
@@ -23,10 +23,24 @@
 } // namespace
 
 void
-UpstreamEntryCache::OnStoreRecovered(TimePoint aNow)
+UpstreamEntryCache::OnStoreLost(TimePoint aSince)
 {
-  mIsStoreLost = false;
-  mRecoveredAt = aNow;
+  const auto since = std::max(aSince, mAnsweredAt);
+  mLostSince = std::min(mLostSince.value_or(since), since);
+}
+
+void
+UpstreamEntryCache::OnStoreAnswered(TimePoint aSentAt)
+{
+  mAnsweredAt = std::max(mAnsweredAt, aSentAt);
+  const bool isBack = mLostSince && aSentAt >= *mLostSince;
+  if (!isBack) {
+    return;
+  }
+  if (aSentAt - *mLostSince >= mOptions.mMinOutage) {
+    mGraceUntil = aSentAt + mOptions.mGracePeriod;
+  }
+  mLostSince.reset();
 }
 
 void
@@ -52,9 +66,7 @@
 bool
 UpstreamEntryCache::Expire(TimePoint aNow)
 {
-  const bool retainMissing =
-    mIsStoreLost ||
-    (mRecoveredAt && aNow < *mRecoveredAt + mOptions.mGracePeriod);
+  const bool retainMissing = mLostSince || (mGraceUntil && aNow < *mGraceUntil);
   if (retainMissing) {
     return false;
   }
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -94,6 +94,15 @@
 /// Maximum number of unreadable objects that are remembered as logged.
 constexpr std::size_t kMaxLoggedObjects = 10'000;
 
+/// Returns the shortest outage in which two reports of an upstream can fail in
+/// a row; its entry expires before the third.
+Duration
+MinOutage(const settings::IngressSettings& aSettings)
+{
+  constexpr int kPercent = 75; // intervals between reports vary
+  return aSettings.mUpstreamHeartbeat * kPercent / 100;
+}
+
 /// Checks that a text names something, as the other instances' names do.
 bool
 IsName(const std::string& aText)
@@ -193,7 +202,7 @@
                    aMetrics,
                    { .mInstance = aSettings.mInstance,
                      .mFailureDomain = aSettings.mFailureDomain })
-  , mRegisteredUpstreams({})
+  , mRegisteredUpstreams({ .mMinOutage = MinOutage(aSettings) })
 {
 }
 
@@ -205,20 +214,16 @@
   auto configuration =
     MakeCallbacks(ObjectKind::Configuration,
                   [this](const auto& aObjects) { OnConfiguration(aObjects); });
-  configuration.mOnConfirmed = [this](TimePoint aSentAt) {
-    if (mNewestVersion >= 0) {
-      mLease.Confirm(aSentAt);
-    }
-    mRelayFollower.OnStoreAnswered();
-  };
-  // the other kinds are not polled while the configuration is lost
-  configuration.mOnLost =
-    [this, onLost = configuration.mOnLost](const std::string& aReason) {
-      mRegisteredUpstreams.OnStoreLost();
-      onLost(aReason);
+  configuration.mOnConfirmed =
+    [this, onConfirmed = configuration.mOnConfirmed](TimePoint aSentAt) {
+      if (mNewestVersion >= 0) {
+        mLease.Confirm(aSentAt);
+      }
+      onConfirmed(aSentAt);
+      mRelayFollower.OnStoreAnswered();
     };
+  // the other kinds are not polled while the configuration is lost
   configuration.mOnRegained = [this, onRegained = configuration.mOnRegained] {
-    mRegisteredUpstreams.OnStoreRecovered(ReadBootClock());
     onRegained();
     for (const auto& follower : mFollowers) {
       follower->RetryNow();
@@ -228,23 +233,12 @@
            .mCallInterval = kConfigurationPollInterval,
            .mListsOnly = true },
          std::move(configuration));
-  auto upstreams =
-    MakeCallbacks(ObjectKind::Upstreams,
-                  [this](const auto& aObjects) { OnUpstreams(aObjects); });
-  const auto onLost = upstreams.mOnLost;
-  const auto onRegained = upstreams.mOnRegained;
-  upstreams.mOnLost = [this, onLost](const std::string& aReason) {
-    mRegisteredUpstreams.OnStoreLost();
-    onLost(aReason);
-  };
-  upstreams.mOnRegained = [this, onRegained] {
-    mRegisteredUpstreams.OnStoreRecovered(ReadBootClock());
-    onRegained();
-  };
   Follow({ .mKind = ObjectKind::Upstreams,
            .mWatchTimeout = milliseconds(2'000),
            .mCallInterval = milliseconds(650) },
-         std::move(upstreams));
+         MakeCallbacks(ObjectKind::Upstreams, [this](const auto& aObjects) {
+           OnUpstreams(aObjects);
+         }));
   Follow(
     { .mKind = ObjectKind::Rollouts, .mWatchTimeout = milliseconds(3'000) },
     MakeCallbacks(ObjectKind::Rollouts,
@@ -275,12 +269,17 @@
   const std::string kind(store::NameOf(aKind));
   return {
     .mOnObjects = std::move(aOnObjects),
-    .mOnConfirmed = [](TimePoint) {},
+    .mOnConfirmed = [this](TimePoint aSentAt) { OnStoreAnswered(aSentAt); },
     .mOnLost =
-      [this, aKind, kind](const std::string& aReason) {
-        log::Write(log::Level::Warning,
-                   "store_lost",
-                   { { "kind", kind }, { "reason", aReason } });
+      [this, aKind, kind](const std::string& aReason, TimePoint aSince) {
+        mRegisteredUpstreams.OnStoreLost(aSince);
+        const auto overdue = ReadBootClock() - aSince;
+        log::Write(
+          log::Level::Warning,
+          "store_lost",
+          { { "kind", kind },
+            { "reason", aReason },
+            { "overdue_ms", std::to_string(overdue / milliseconds(1)) } });
         if (mLostKinds.OnLost(aKind)) {
           mPost([](TrafficState& aState) { aState.mRollouts.OnStoreLost(); });
         }
@@ -288,6 +287,8 @@
     .mOnRegained =
       [this, aKind, kind] {
         log::Write(log::Level::Info, "store_regained", { { "kind", kind } });
+        // a copy of another instance shows too that the store answers
+        OnStoreAnswered(ReadBootClock());
         if (mLostKinds.OnRegained(aKind)) {
           mPost([](TrafficState& aState) {
             aState.mRollouts.OnStoreRegained(ReadBootClock());
@@ -310,10 +311,11 @@
 {
   const auto index = mFollowers.size();
   const auto relays = [&](auto aCallback) {
-    return [this, index, callback = std::move(aCallback)](const auto& aValue) {
-      callback(aValue);
-      mRelayServer.OnNews(*mFollowers.at(index));
-    };
+    return
+      [this, index, callback = std::move(aCallback)](const auto&... aValues) {
+        callback(aValues...);
+        mRelayServer.OnNews(*mFollowers.at(index));
+      };
   };
   aCallbacks.mOnConfirmed = relays(std::move(aCallbacks.mOnConfirmed));
   aCallbacks.mOnLost = relays(std::move(aCallbacks.mOnLost));
@@ -385,6 +387,13 @@
   }
 }
 
+void
+ControlPlane::OnStoreAnswered(TimePoint aSentAt)
+{
+  mRegisteredUpstreams.OnStoreAnswered(aSentAt);
+  DropExpiredUpstreams();
+}
+
 void
 ControlPlane::DropExpiredUpstreams()
 {
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -75,6 +75,9 @@
   settings.mMaxDescriptors =
     static_cast<int>(aReader.Whole("max_descriptors", kDescriptors));
   settings.mGrace = FromSeconds(aReader.Real("grace_s", kSeconds));
+  constexpr double kDefaultHeartbeatMs = 1'200.0;
+  settings.mUpstreamHeartbeat = FromMillis(
+    aReader.Real("upstream_heartbeat_ms", kMillis, kDefaultHeartbeatMs));
   settings.mRevocation = FromMillis(aReader.Real("revocation_ms", kMillis));
   settings.mRetryShare = aReader.Real("retry_share", kShare);
   settings.mRetrySlack = aReader.Real("retry_slack", kCount);
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace figslip::store {
 
@@ -16,6 +17,9 @@
 /// change.
 constexpr auto kCallTimeout = std::chrono::milliseconds(1'200);
 
+/// Wait of a watch that asks whether the store is back.
+constexpr Duration kProbeWait = std::chrono::milliseconds(1);
+
 std::string
 DescribeFailure(const CallResult& aResult)
 {
@@ -80,6 +84,7 @@
 ObjectFollower::Run(Generation aGeneration)
 {
   Duration backoff = mOptions.mInitialBackoff;
+  bool isFirst = true;
   while (aGeneration == mGeneration) {
     SyncResult result;
     const bool lists = !mRevision || mNeedsList || mOptions.mListsOnly;
@@ -91,6 +96,11 @@
     if (aGeneration != mGeneration) {
       break;
     }
+    if (std::exchange(isFirst, false) && mRevision) {
+      // the copy came from elsewhere, and nobody has called the store since
+      result.mOverdue =
+        std::max(result.mOverdue, ReadBootClock() - mConfirmedAt);
+    }
     UpdateLostState(result);
     if (result.mHistoryExpired) {
       mNeedsList = true;
@@ -130,12 +140,23 @@
   return Duration(distribution(mRandom));
 }
 
+ObjectFollower::SyncResult
+ObjectFollower::FailureOf(const CallResult& aResult, TimePoint aSentAt)
+{
+  // an ended connection or a refusal tells nothing of the time before it
+  const auto overdue =
+    aResult.mHasTimedOut
+      ? std::min<Duration>(kCallTimeout, ReadBootClock() - aSentAt)
+      : Duration::zero();
+  return { .mReason = DescribeFailure(aResult), .mOverdue = overdue };
+}
+
 void
 ObjectFollower::UpdateLostState(const SyncResult& aResult)
 {
   const bool isLost = !aResult.mReason.empty();
   if (isLost && !mIsLost) {
-    mCallbacks.mOnLost(aResult.mReason);
+    mCallbacks.mOnLost(aResult.mReason, ReadBootClock() - aResult.mOverdue);
   } else if (!isLost && mIsLost) {
     mCallbacks.mOnRegained();
   }
@@ -153,13 +174,14 @@
   bool hasMore = true;
   while (hasMore) {
     auto request = mDialect.mList(mOptions.mKind, after);
+    const auto pageSentAt = ReadBootClock();
     const auto answer =
       co_await mClient.Call(std::move(request), name, kCallTimeout);
     if (aGeneration != mGeneration) {
       co_return SyncResult{};
     }
     if (answer.mOutcome != CallOutcome::Answered || answer.mStatus != kOk) {
-      co_return SyncResult{ .mReason = DescribeFailure(answer) };
+      co_return FailureOf(answer, pageSentAt);
     }
     auto page = mDialect.mReadPage(answer.mBody);
     if (!page) {
@@ -197,11 +219,10 @@
 {
   const auto sentAt = ReadBootClock();
   const std::string name = "watch " + std::string(NameOf(mOptions.mKind));
-  auto request =
-    mDialect.mWatch(mOptions.mKind, aRevision, mOptions.mWatchTimeout);
-  const auto timeout = std::chrono::duration_cast<StoreClient::Milliseconds>(
-                         mOptions.mWatchTimeout) +
-                       kCallTimeout;
+  const auto wait = mIsLost ? kProbeWait : mOptions.mWatchTimeout;
+  auto request = mDialect.mWatch(mOptions.mKind, aRevision, wait);
+  const auto timeout =
+    std::chrono::duration_cast<StoreClient::Milliseconds>(wait) + kCallTimeout;
   const auto answer = co_await mClient.Call(std::move(request), name, timeout);
   if (aGeneration != mGeneration) {
     co_return SyncResult{};
@@ -212,7 +233,7 @@
   if (answer.mOutcome != CallOutcome::Answered || answer.mStatus != kOk) {
     // a list comes in pages, the changes do not
     mNeedsList = mNeedsList || answer.mIsOversized;
-    co_return SyncResult{ .mReason = DescribeFailure(answer) };
+    co_return FailureOf(answer, sentAt);
   }
   const auto changes = mDialect.mReadChanges(answer.mBody);
   if (!changes) {
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -92,6 +92,7 @@
       endpoint, std::min(Milliseconds(kConnectTimeout), aTimeout));
     if (opened != net::StepEnd::Done) {
       result.mReason = "connect: " + std::string(net::NameOf(opened));
+      result.mHasTimedOut = opened == net::StepEnd::TimedOut;
       co_return result;
     }
   }
@@ -116,6 +117,7 @@
   if (end != net::StepEnd::Done) {
     result.mReason = net::NameOf(end);
     result.mIsOversized = end == net::StepEnd::Oversized;
+    result.mHasTimedOut = end == net::StepEnd::TimedOut;
     co_return result;
   }
   result.mOutcome = CallOutcome::Answered;
--- a/tests/src/unit-ingress.cpp
+++ b/tests/src/unit-ingress.cpp
@@ -374,7 +374,8 @@
 
 TEST_CASE("upstream entries")
 {
-  membership::UpstreamEntryCache guard({ .mGracePeriod = 2s });
+  membership::UpstreamEntryCache guard(
+    { .mMinOutage = 1s, .mGracePeriod = 2s });
   const ingress::UpstreamEntry entry{ .mId = "e1",
                                       .mStartedAtMs = 100,
                                       .mSequence = 5 };
@@ -389,10 +390,10 @@
 
   SUBCASE("that expire while the store is down")
   {
-    guard.OnStoreLost();
+    guard.OnStoreLost(kStart + 1s);
     guard.OnEntries({}, kStart + 5s);
     CHECK(guard.Entries().size() == 1);
-    guard.OnStoreRecovered(kStart + 10s);
+    guard.OnStoreAnswered(kStart + 10s);
 
     SUBCASE("are kept until they are written again")
     {
@@ -407,6 +408,54 @@
       CHECK(guard.Expire(kStart + 12s));
       CHECK(guard.Entries().empty());
     }
+
+    SUBCASE("are removed then though calls fail and succeed again")
+    {
+      for (auto now = kStart + 10s; now < kStart + 12s; now += 100ms) {
+        guard.OnStoreLost(now);
+        guard.OnStoreAnswered(now + 50ms);
+      }
+      CHECK(guard.Expire(kStart + 12s));
+    }
+  }
+
+  SUBCASE("that disappear after a single failed call")
+  {
+    guard.OnStoreAnswered(kStart + 9s);
+    guard.OnStoreLost(kStart + 10s);
+
+    SUBCASE("are removed once another call was answered")
+    {
+      guard.OnStoreAnswered(kStart + 10'080ms);
+      guard.OnEntries({}, kStart + 10'100ms);
+      CHECK(guard.Entries().empty());
+    }
+
+    SUBCASE("are kept until then")
+    {
+      guard.OnEntries({}, kStart + 10'040ms);
+      CHECK(guard.Entries().size() == 1);
+      guard.OnStoreAnswered(kStart + 10'080ms);
+      CHECK(guard.Expire(kStart + 10'100ms));
+    }
+
+    SUBCASE("are kept if the answered one was sent before")
+    {
+      guard.OnStoreAnswered(kStart + 9'900ms);
+      guard.OnEntries({}, kStart + 10'100ms);
+      CHECK(guard.Entries().size() == 1);
+    }
+  }
+
+  SUBCASE("that expire in an outage noticed by one call late are kept")
+  {
+    guard.OnStoreAnswered(kStart + 8s);
+    guard.OnStoreLost(kStart + 8'500ms); // the call timed out at 10 s
+    guard.OnStoreLost(kStart + 10s);
+    guard.OnStoreAnswered(kStart + 10'100ms);
+    guard.OnEntries({}, kStart + 10'200ms);
+    CHECK(guard.Entries().size() == 1);
+    CHECK(guard.Expire(kStart + 12'100ms));
   }
 
   SUBCASE("are not replaced by an older write that arrives late")
