Drop all idle connections to the store after a silent one

Callers' requests were run by the service that a route had left, for 0.75 s past the bound, after the open connections of an instance to the store had fallen silent.

Cause: a call without an answer closed its own connection only. The next poll of the configuration took another idle one, silent too, and waited 1.2 s again, so that the copy grew up to 4 s old.

A call without an answer on a connection that was used before now closes all idle ones. Lists, and watches that ask whether the store is back, are sent again on a new connection after 400 ms; writes are not, as they may have been executed. unit-store_client plays silence with four idle connections and a store that answers late; it tests a new parameter, so it was not seen to fail before.

--- a/include/figslip/store/store_client.hpp
+++ b/include/figslip/store/store_client.hpp
@@ -5,6 +5,8 @@
 #include <figslip/store/store_dialect.hpp>
 
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,9 +52,16 @@
   /// @param[in] aName label of the call in metrics
   /// @param[in] aTimeout for the response head; restarts for each read of the
   ///            body
-  [[nodiscard]] net::Awaitable<CallResult> Call(net::RequestMessage aRequest,
-                                                std::string aName,
-                                                Milliseconds aTimeout);
+  /// @param[in] aResendAfter time without a response head after which a call on
+  ///            a connection that was used before is sent again on a new one;
+  ///            only for calls that may be executed twice; none: never
+  /// @note After a call without a response all idle connections are closed, as
+  ///       they may be silent too.
+  [[nodiscard]] net::Awaitable<CallResult> Call(
+    net::RequestMessage aRequest,
+    std::string aName,
+    Milliseconds aTimeout,
+    std::optional<Milliseconds> aResendAfter = std::nullopt);
 
   /// @brief Returns the executor that runs the connections.
   [[nodiscard]] const net::asio::any_io_executor& Executor() const
@@ -65,8 +74,18 @@
   void SetEndpoint(net::Endpoint aEndpoint);
 
 private:
-  [[nodiscard]] net::Awaitable<CallResult> Exchange(std::string aBytes,
-                                                    Milliseconds aTimeout);
+  using Connection = std::shared_ptr<net::ClientConnection>;
+
+  [[nodiscard]] net::Awaitable<CallResult> Exchange(
+    std::string aBytes,
+    Milliseconds aTimeout,
+    std::optional<Milliseconds> aResendAfter);
+  [[nodiscard]] net::Awaitable<CallResult> ExchangeOnNew(std::string aBytes,
+                                                         Milliseconds aTimeout);
+  [[nodiscard]] net::Awaitable<CallResult> ExchangeOn(Connection aConnection,
+                                                      net::Endpoint aEndpoint,
+                                                      std::string aBytes,
+                                                      Milliseconds aTimeout);
 
   net::asio::any_io_executor mExecutor;
   net::Endpoint mEndpoint;
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -17,6 +17,10 @@
 /// change.
 constexpr auto kCallTimeout = std::chrono::milliseconds(1'200);
 
+/// Time after which a call that the store answers at once is sent again, as an
+/// open connection may have fallen silent.
+constexpr auto kResendAfter = std::chrono::milliseconds(400);
+
 /// Wait of a watch that asks whether the store is back.
 constexpr Duration kProbeWait = std::chrono::milliseconds(1);
 
@@ -175,8 +179,8 @@
   while (hasMore) {
     auto request = mDialect.mList(mOptions.mKind, after);
     const auto pageSentAt = ReadBootClock();
-    const auto answer =
-      co_await mClient.Call(std::move(request), name, kCallTimeout);
+    const auto answer = co_await mClient.Call(
+      std::move(request), name, kCallTimeout, kResendAfter);
     if (aGeneration != mGeneration) {
       co_return SyncResult{};
     }
@@ -223,7 +227,11 @@
   auto request = mDialect.mWatch(mOptions.mKind, aRevision, wait);
   const auto timeout =
     std::chrono::duration_cast<StoreClient::Milliseconds>(wait) + kCallTimeout;
-  const auto answer = co_await mClient.Call(std::move(request), name, timeout);
+  const auto resendAfter =
+    mIsLost ? std::optional<StoreClient::Milliseconds>(kResendAfter)
+            : std::nullopt;
+  const auto answer =
+    co_await mClient.Call(std::move(request), name, timeout, resendAfter);
   if (aGeneration != mGeneration) {
     co_return SyncResult{};
   }
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -59,13 +59,14 @@
 net::Awaitable<CallResult>
 StoreClient::Call(net::RequestMessage aRequest,
                   std::string aName,
-                  Milliseconds aTimeout)
+                  Milliseconds aTimeout,
+                  std::optional<Milliseconds> aResendAfter)
 {
   aRequest.mHeaders.push_back(
     { .mName = "Host",
       .mValue = mEndpoint.mAddress + ":" + std::to_string(mEndpoint.mPort) });
   auto bytes = net::FormatRequest(aRequest);
-  auto result = co_await Exchange(std::move(bytes), aTimeout);
+  auto result = co_await Exchange(std::move(bytes), aTimeout, aResendAfter);
   const bool isBusy =
     result.mStatus == kTooManyRequests || result.mStatus == kUnavailable;
   if (isBusy) {
@@ -81,36 +82,69 @@
 }
 
 net::Awaitable<CallResult>
-StoreClient::Exchange(std::string aBytes, Milliseconds aTimeout)
+StoreClient::Exchange(std::string aBytes,
+                      Milliseconds aTimeout,
+                      std::optional<Milliseconds> aResendAfter)
 {
-  CallResult result;
-  auto connection = mPool.Take(mEndpoint, std::chrono::seconds(60));
   const auto endpoint = mEndpoint;
-  if (!connection) {
-    connection = std::make_shared<net::ClientConnection>(mExecutor);
-    const auto opened = co_await connection->Connect(
-      endpoint, std::min(Milliseconds(kConnectTimeout), aTimeout));
-    if (opened != net::StepEnd::Done) {
-      result.mReason = "connect: " + std::string(net::NameOf(opened));
-      result.mHasTimedOut = opened == net::StepEnd::TimedOut;
-      co_return result;
-    }
+  const auto pooled = mPool.Take(endpoint, std::chrono::seconds(60));
+  if (!pooled) {
+    co_return co_await ExchangeOnNew(std::move(aBytes), aTimeout);
+  }
+  const auto patience = std::min(aResendAfter.value_or(aTimeout), aTimeout);
+  auto result = co_await ExchangeOn(pooled, endpoint, aBytes, patience);
+  const bool isSilent =
+    result.mHasTimedOut && pooled->Head().mStatus == 0; // no head came
+  if (!isSilent) {
+    co_return result;
+  }
+  // the others that were idle may have fallen silent with it
+  mPool.Drop(endpoint);
+  if (patience < aTimeout) {
+    result = co_await ExchangeOnNew(std::move(aBytes), aTimeout - patience);
+  }
+  co_return result;
+}
+
+net::Awaitable<CallResult>
+StoreClient::ExchangeOnNew(std::string aBytes, Milliseconds aTimeout)
+{
+  const auto endpoint = mEndpoint;
+  const auto connection = std::make_shared<net::ClientConnection>(mExecutor);
+  const auto opened = co_await connection->Connect(
+    endpoint, std::min(Milliseconds(kConnectTimeout), aTimeout));
+  if (opened != net::StepEnd::Done) {
+    CallResult result;
+    result.mReason = "connect: " + std::string(net::NameOf(opened));
+    result.mHasTimedOut = opened == net::StepEnd::TimedOut;
+    co_return result;
   }
+  co_return co_await ExchangeOn(
+    connection, endpoint, std::move(aBytes), aTimeout);
+}
+
+net::Awaitable<CallResult>
+StoreClient::ExchangeOn(Connection aConnection,
+                        net::Endpoint aEndpoint,
+                        std::string aBytes,
+                        Milliseconds aTimeout)
+{
+  CallResult result;
   result.mOutcome = CallOutcome::Unknown;
-  connection->StartSend(std::move(aBytes));
-  auto end = co_await connection->ReadHead(aTimeout);
+  aConnection->StartSend(std::move(aBytes));
+  auto end = co_await aConnection->ReadHead(aTimeout);
   // one limit for the whole body: a store that sends a byte now and then must
   // not hold up the call for ever
   const auto bodyDeadline =
     std::chrono::steady_clock::now() +
     std::max(kMinBodyTime, kBodyTimeoutFactor * aTimeout);
-  while (end == net::StepEnd::Done && !connection->BodyIsWhole()) {
+  while (end == net::StepEnd::Done && !aConnection->BodyIsWhole()) {
     const auto left = std::chrono::duration_cast<Milliseconds>(
       bodyDeadline - std::chrono::steady_clock::now());
-    end = co_await connection->ReadBody(std::max(kMinReadTime, left));
-    result.mBody += connection->Piece();
+    end = co_await aConnection->ReadBody(std::max(kMinReadTime, left));
+    result.mBody += aConnection->Piece();
     if (result.mBody.size() > kMaxBodyBytes) {
-      connection->Abort();
+      aConnection->Abort();
       end = net::StepEnd::Oversized;
     }
   }
@@ -121,8 +155,8 @@
     co_return result;
   }
   result.mOutcome = CallOutcome::Answered;
-  result.mStatus = connection->Head().mStatus;
-  mPool.Give(endpoint, connection);
+  result.mStatus = aConnection->Head().mStatus;
+  mPool.Give(aEndpoint, aConnection);
   co_return result;
 }
 
