End watches on connections to the store that a poll found silent

Callers' bookings were sent to a draining upstream 1.3 s past the bound, and were lost when it ended, after the open connections of an instance to the store had fallen silent.

Cause: each follower learnt of the silence by its own call only. A watch of the upstreams that begins on a silent connection waits 2 s and 1.2 s more, so that the list was up to 3.9 s old, though the poll of the configuration had met the silence long before and found that new connections work.

--- a/include/figslip/store/store_client.hpp
+++ b/include/figslip/store/store_client.hpp
@@ -3,8 +3,10 @@
 #include <figslip/metrics/registry.hpp>
 #include <figslip/net/connection_pool.hpp>
 #include <figslip/store/store_dialect.hpp>
+#include <figslip/time/time_point.hpp>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,8 +57,8 @@
   /// @param[in] aResendAfter time without a response head after which a call on
   ///            a connection that was used before is sent again on a new one;
   ///            only for calls that may be executed twice; none: never
-  /// @note After a call without a response all idle connections are closed, as
-  ///       they may be silent too.
+  /// @note A response on the new connection shows that the former ones are
+  ///       silent: all that are idle are closed, and other calls on them end.
   [[nodiscard]] net::Awaitable<CallResult> Call(
     net::RequestMessage aRequest,
     std::string aName,
@@ -86,12 +88,16 @@
                                                       net::Endpoint aEndpoint,
                                                       std::string aBytes,
                                                       Milliseconds aTimeout);
+  /// Ends the calls that run on connections opened before a time.
+  void AbortCallsOnOlder(TimePoint aOpenedAt);
 
   net::asio::any_io_executor mExecutor;
   net::Endpoint mEndpoint;
   metrics::Registry& mMetrics;
   std::string mCounter;
   net::ConnectionPool mPool;
+  /// opening of the connections that calls run on; the epoch: used before
+  std::map<Connection, TimePoint> mInUse;
 };
 
 } // namespace figslip::store
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -1,4 +1,5 @@
 #include <figslip/store/store_client.hpp>
+#include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -92,6 +93,7 @@
     co_return co_await ExchangeOnNew(std::move(aBytes), aTimeout);
   }
   const auto patience = std::min(aResendAfter.value_or(aTimeout), aTimeout);
+  mInUse[pooled] = TimePoint{};
   auto result = co_await ExchangeOn(pooled, endpoint, aBytes, patience);
   const bool isSilent =
     result.mHasTimedOut && pooled->Head().mStatus == 0; // no head came
@@ -101,7 +103,11 @@
   // the others that were idle may have fallen silent with it
   mPool.Drop(endpoint);
   if (patience < aTimeout) {
+    const auto resentAt = ReadBootClock();
     result = co_await ExchangeOnNew(std::move(aBytes), aTimeout - patience);
+    if (result.mOutcome == CallOutcome::Answered) {
+      AbortCallsOnOlder(resentAt - patience);
+    }
   }
   co_return result;
 }
@@ -109,6 +115,7 @@
 net::Awaitable<CallResult>
 StoreClient::ExchangeOnNew(std::string aBytes, Milliseconds aTimeout)
 {
+  const auto openedAt = ReadBootClock();
   const auto endpoint = mEndpoint;
   const auto connection = std::make_shared<net::ClientConnection>(mExecutor);
   const auto opened = co_await connection->Connect(
@@ -119,6 +126,7 @@
     result.mHasTimedOut = opened == net::StepEnd::TimedOut;
     co_return result;
   }
+  mInUse[connection] = openedAt;
   co_return co_await ExchangeOn(
     connection, endpoint, std::move(aBytes), aTimeout);
 }
@@ -148,6 +156,7 @@
       end = net::StepEnd::Oversized;
     }
   }
+  mInUse.erase(aConnection);
   if (end != net::StepEnd::Done) {
     result.mReason = net::NameOf(end);
     result.mIsOversized = end == net::StepEnd::Oversized;
@@ -160,6 +169,16 @@
   co_return result;
 }
 
+void
+StoreClient::AbortCallsOnOlder(TimePoint aOpenedAt)
+{
+  for (const auto& [connection, openedAt] : mInUse) {
+    if (openedAt < aOpenedAt) {
+      connection->Abort();
+    }
+  }
+}
+
 void
 StoreClient::SetEndpoint(net::Endpoint aEndpoint)
 {
--- a/tests/src/unit-store_client.cpp
+++ b/tests/src/unit-store_client.cpp
@@ -118,6 +118,12 @@
     CHECK(list.mResult.mOutcome == CallOutcome::Answered);
     CHECK(list.mTook < 2 * kResendAfter);
 
+    SUBCASE("and ends the watch that waits on one of them")
+    {
+      CHECK(watch.mIsEnded);
+      CHECK(watch.mResult.mOutcome == CallOutcome::Unknown);
+    }
+
     SUBCASE("and the next call is answered at once")
     {
       Calls::Ended next;
