Keep the load reports that state the time of work

X-Server-Load may have a fourth figure. ReadLoad took the rest after the second comma as the number of slots, so a report like 3,0,8,100 was dropped and the requests of other instances were unknown. The figure is kept as mTimeFactor; further figures are ignored.

--- a/include/figslip/ingress/dialect.hpp
+++ b/include/figslip/ingress/dialect.hpp
@@ -51,6 +51,9 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mSlots = 1;
+  /// time that work takes on the upstream's machine at this moment, relative to
+  /// its usual time; nothing if it was not reported
+  std::optional<double> mTimeFactor;
 };
 
 /// @brief Holds what an upstream declares in the head of a response.
