Add the setting overload_control and the interface of account shares

The platform's settings name their contracts; platform/ translates the one under which clients press beyond the usual into the setting, which is off without it. FairShares is the interface between the account queue and the exchange of demand; until that is built, all weights are equal.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -3,6 +3,7 @@
 #include <figslip/admission/drain_plan.hpp>
 #include <figslip/cascade/latency_scale.hpp>
 #include <figslip/cascade/size_policy.hpp>
+#include <figslip/fairshare/fair_shares.hpp>
 #include <figslip/gateway/request_end.hpp>
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
@@ -97,6 +98,7 @@
   ingress::ConfigurationPtr mConfiguration;
   placement::UpstreamSelector mBoard;
   retry::RetryBudget mRetries;
+  fairshare::FairShares mShares; ///< of the client accounts
   rollout::StagedRollout mRollouts;
   cascade::SizePolicy mSizePolicy;
   /// scale of the delays of the largest models beyond the expected ones, by
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -35,6 +35,9 @@
   /// roll-out
   double mExposureShare = 0.0;
   double mExposureSlack = 0.0; ///< requests beyond, of all instances together
+  /// whether requests wait in fair order and upstreams have limits of
+  /// concurrency, for callers that compete for too little capacity
+  bool mOverloadControl = false;
 
   bool operator==(const IngressSettings&) const = default;
 };
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -85,6 +85,7 @@
   settings.mSessionTtl = FromSeconds(aReader.Real("session_ttl_s", kSeconds));
   settings.mExposureShare = aReader.Real("exposure_share", kFraction);
   settings.mExposureSlack = aReader.Real("exposure_slack", kCount);
+  settings.mOverloadControl = aReader.Flag("overload_control", false);
   return settings;
 }
 
--- /dev/null
+++ b/tests/src/unit-settings_dialect.cpp
@@ -0,0 +1,57 @@
+#include <platform/settings_dialect.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace figslip;
+
+namespace {
+
+nlohmann::json
+Translate(const nlohmann::json& aSettings)
+{
+  return nlohmann::json::parse(platform::TranslateSettings(aSettings.dump()));
+}
+
+} // namespace
+
+TEST_CASE("the contracts in the platform's settings")
+{
+  SUBCASE("call for overload control where clients may press")
+  {
+    const auto settings =
+      Translate({ { "platform_contracts", { "base", "pressure" } } });
+    CHECK(settings == nlohmann::json{ { "overload_control", true } });
+
+    SUBCASE("unless the settings say otherwise")
+    {
+      CHECK(Translate({ { "platform_contracts", { "pressure" } },
+                        { "overload_control", false } }) ==
+            nlohmann::json{ { "overload_control", false } });
+    }
+  }
+
+  SUBCASE("leave it off without that contract")
+  {
+    CHECK(Translate({ { "platform_contracts", { "base" } } }) ==
+          nlohmann::json{ { "overload_control", false } });
+  }
+
+  SUBCASE("are optional")
+  {
+    const std::string settings = R"({"instance": "a"})";
+    CHECK(platform::TranslateSettings(settings) == settings);
+  }
+
+  SUBCASE("stay for the findings where they are no list, or the text no object")
+  {
+    for (const std::string text :
+         { R"({"platform_contracts": 3})", "[]", "no JSON" }) {
+      CAPTURE(text);
+      CHECK(platform::TranslateSettings(text) == text);
+    }
+  }
+}
