Let few instances report that the suspects of a crash were served

Each instance that had served a suspect wrote a record of its own within 400 ms, at a time of its own for each part, while a record takes that long to reach the others.

--- a/include/figslip/quarantine/part_quarantine.hpp
+++ b/include/figslip/quarantine/part_quarantine.hpp
@@ -72,7 +72,8 @@
     /// time over which the instances spread their first probes
     Duration mProbeSpread = std::chrono::seconds(30);
     Duration mProbeTimeout = std::chrono::seconds(10);
-    /// time over which the instances spread their reports of served suspects
+    /// time over which the instances of a small fleet spread their reports of
+    /// suspects that were served before the crash
     Duration mClearanceSpread = std::chrono::milliseconds(400);
     std::size_t mMaxCrashes = 256;        ///< bounds the memory
     std::size_t mMaxSuspects = 64;        ///< of one crash
@@ -83,6 +84,11 @@
 
   explicit PartQuarantine(Options aOptions);
 
+  /// @brief Sets the number of instances that share their reports. The more
+  /// there are, the longer each of them waits for the report of another one, so
+  /// that the reports of all do not grow with their number.
+  void SetInstanceCount(int aInstances);
+
   /// @brief Clears parts on which an upstream sent an event.
   void OnServed(const std::vector<PartId>& aParts, TimePoint aNow);
 
@@ -168,10 +174,14 @@
   [[nodiscard]] std::size_t CrashesOf(PartId aPart) const;
   void Release(PartId aPart);
   void Confine(PartId aPart, TimePoint aNow);
-  [[nodiscard]] Duration SpreadOf(PartId aPart, Duration aSpread) const;
+  /// Returns a time within the spread that differs by subject and instance.
+  [[nodiscard]] Duration SpreadOf(std::uint64_t aSubject,
+                                  Duration aSpread) const;
 
   Options mOptions;
   ServedIds mServed;
+  Duration mClearanceSpread;  ///< of suspects that were served before the crash
+  Duration mServedSpread{};   ///< of suspects that are served after it
   std::deque<Crash> mCrashes; ///< oldest first
   std::map<PartId, Entry> mQuarantined;
   std::map<PartId, TimePoint> mCleared; ///< time at which it is reported
--- a/src/core/quarantine/part_quarantine.cpp
+++ b/src/core/quarantine/part_quarantine.cpp
@@ -1,9 +1,12 @@
 #include <figslip/quarantine/part_quarantine.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
 #include <ranges>
+#include <string_view>
 
 namespace figslip::quarantine {
 
@@ -21,6 +24,22 @@
   return std::ranges::includes(aParts, aWanted);
 }
 
+/// Time by which each instance lengthens the spread of the reports of served
+/// suspects. A report reaches all others within half a second or so, and about
+/// that part of the spread's instances send it meanwhile: 12 of any number.
+constexpr Duration kClearanceSpreadPerInstance = std::chrono::milliseconds(40);
+
+/// Instances up to which an instance reports at once that it has served a
+/// suspect, and the time by which each further one lengthens their spread.
+constexpr int kPromptInstances = 10;
+constexpr Duration kServedSpreadPerInstance = std::chrono::milliseconds(10);
+
+std::uint64_t
+HashOf(std::string_view aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
 /// Mixes the bits of a number, so that close numbers give unrelated ones.
 std::uint64_t
 Mix(std::uint64_t aNumber)
@@ -35,7 +54,17 @@
 PartQuarantine::PartQuarantine(Options aOptions)
   : mOptions(aOptions)
   , mServed(aOptions.mServedRetention, aOptions.mMaxServedParts)
+  , mClearanceSpread(aOptions.mClearanceSpread)
+{
+}
+
+void
+PartQuarantine::SetInstanceCount(int aInstances)
 {
+  mClearanceSpread = std::max<Duration>(
+    mOptions.mClearanceSpread, kClearanceSpreadPerInstance * aInstances);
+  mServedSpread =
+    kServedSpreadPerInstance * std::max(0, aInstances - kPromptInstances);
 }
 
 void
@@ -71,7 +100,7 @@
       continue;
     }
     Clear(part, aNow);
-    mCleared.emplace(part, aNow);
+    mCleared.emplace(part, aNow + SpreadOf(part, mServedSpread));
   }
 }
 
@@ -90,9 +119,12 @@
   CrashSuspects suspects{ .mEndpoint = aCrash.mEndpoint,
                           .mAtMs = aCrash.mAtMs,
                           .mParts = {} };
+  // one time for all parts of a crash, so that one record holds them
+  const auto reportAt =
+    aNow + SpreadOf(HashOf(aCrash.mEndpoint), mClearanceSpread);
   for (const auto part : aCrash.mParts) {
     if (mServed.Contains(part, aNow)) {
-      mCleared.emplace(part, aNow + SpreadOf(part, mOptions.mClearanceSpread));
+      mCleared.emplace(part, reportAt);
     } else if (suspects.mParts.size() < mOptions.mMaxSuspects) {
       suspects.mParts.insert(part);
     }
@@ -409,12 +441,12 @@
 }
 
 Duration
-PartQuarantine::SpreadOf(PartId aPart, Duration aSpread) const
+PartQuarantine::SpreadOf(std::uint64_t aSubject, Duration aSpread) const
 {
   const auto steps =
     std::max<std::uint64_t>(1, static_cast<std::uint64_t>(aSpread.count()));
   return Duration(
-    static_cast<Duration::rep>(Mix(aPart ^ mOptions.mSeed) % steps));
+    static_cast<Duration::rep>(Mix(aSubject ^ mOptions.mSeed) % steps));
 }
 
 } // namespace figslip::quarantine
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -106,6 +106,7 @@
   mInstanceCount = count;
   mBoard.SetInstanceCount(count);
   mRollouts.SetInstanceCount(count);
+  mParts.SetInstanceCount(count);
   DivideAllowances();
 }
 
--- a/tests/src/unit-part_quarantine.cpp
+++ b/tests/src/unit-part_quarantine.cpp
@@ -4,8 +4,12 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace figslip;
@@ -271,6 +275,77 @@
   }
 }
 
+// load: a crash beside many sound requests in a fleet of 80 instances, each of
+// which wrote records of its own on the same parts
+TEST_CASE("many instances that served the suspects of a crash")
+{
+  constexpr std::uint64_t kInstances = 80;
+  constexpr auto kTick = 100ms;
+  constexpr auto kPropagation = 400ms;
+  constexpr auto kEnd = 6s;
+  std::vector<PartQuarantine> instances;
+  for (std::uint64_t seed = 1; seed <= kInstances; ++seed) {
+    instances.emplace_back(PartQuarantine::Options{ .mSeed = seed });
+    instances.back().SetInstanceCount(static_cast<int>(kInstances));
+  }
+  std::set<PartId> parts;
+  for (PartId part = 1; part <= 30; ++part) {
+    parts.insert(part);
+  }
+  const CrashSuspects crash{ .mEndpoint = "a", .mAtMs = 1, .mParts = parts };
+
+  // runs the fleet; returns the number of records
+  const auto run = [&](auto aBegin) {
+    std::size_t records = 0;
+    std::multimap<TimePoint, std::vector<PartId>> onTheWay;
+    for (auto now = kStart; now < kStart + kEnd; now += kTick) {
+      const auto arrived = onTheWay.upper_bound(now);
+      for (auto record = onTheWay.begin(); record != arrived; ++record) {
+        for (auto& instance : instances) {
+          instance.OnPeerServed(record->second, now);
+        }
+      }
+      onTheWay.erase(onTheWay.begin(), arrived);
+      if (now == kStart) {
+        aBegin();
+      }
+      for (auto& instance : instances) {
+        auto cleared = instance.TakeCleared(now);
+        if (!cleared.empty()) {
+          ++records;
+          onTheWay.emplace(now + kPropagation, std::move(cleared));
+        }
+      }
+    }
+    return records;
+  };
+
+  SUBCASE("before it: a few of them report it")
+  {
+    const std::vector<PartId> served(parts.begin(), parts.end());
+    const auto records = run([&] {
+      for (auto& instance : instances) {
+        instance.OnServed(served, kStart);
+        instance.OnCrash(crash, kStart);
+      }
+    });
+    CHECK(records >= 1);
+    CHECK(records <= kInstances / 4);
+  }
+
+  SUBCASE("after it: not all of them report it")
+  {
+    const auto records = run([&] {
+      for (auto& instance : instances) {
+        instance.OnCrash(crash, kStart);
+        instance.OnServed({ 1 }, kStart);
+      }
+    });
+    CHECK(records >= 1);
+    CHECK(records <= kInstances * 3 / 4);
+  }
+}
+
 TEST_CASE("a quarantined part has a way back")
 {
   constexpr auto kTerm = 60s;
