Keep connections to upstreams that read a request later

Linux counts the time for which a peer's receive window is closed against TCP_USER_TIMEOUT, although the peer acknowledges the window probes. An upstream that read no body for 3 s lost its connection, and the request ran at a second one while the first still worked on it. ZeroWindowMonitor suspends the timeout while the probes are acknowledged; a lost path still ends the connection.

--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -3,6 +3,7 @@
 #include <figslip/net/asio.hpp>
 #include <figslip/net/message.hpp>
 #include <figslip/net/watchdog.hpp>
+#include <figslip/net/zero_window_monitor.hpp>
 
 #include <array>
 #include <chrono>
@@ -113,6 +114,7 @@
 
   std::shared_ptr<tcp::socket> mSocket;
   Watchdog mWatchdog;
+  ZeroWindowMonitor mZeroWindow;
   boost::beast::flat_buffer mBuffer;
   std::unique_ptr<Parser> mParser; ///< null before the first request
   std::shared_ptr<SendState> mSend;
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -30,10 +30,6 @@
 /// while nothing is read.
 constexpr int kReceiveBufferBytes = 262'144;
 
-/// Time after which unacknowledged bytes end a connection, milliseconds; a
-/// partition shows in no other way.
-constexpr int kUserTimeoutMs = 3'000;
-
 void
 SetOptions(tcp::socket& aSocket)
 {
@@ -81,6 +77,7 @@
                   ignored = open->close(ignored);
                 }
               })
+  , mZeroWindow(mSocket)
   , mBuffer(kMaxUnparsedBytes)
   , mSend(std::make_shared<SendState>())
 {
@@ -126,6 +123,7 @@
       state->mDone = true;
       state->mError = aError;
     });
+  mZeroWindow.Start();
 }
 
 void
--- a/tests/src/unit-client_connection.cpp
+++ b/tests/src/unit-client_connection.cpp
@@ -69,7 +69,8 @@
 net::Awaitable<Outcome>
 Exchange(net::ClientConnection& aConnection,
          std::uint16_t aPort,
-         std::chrono::milliseconds aDelay)
+         std::chrono::milliseconds aDelay,
+         std::chrono::milliseconds aPatience = 5s)
 {
   Outcome outcome;
   const net::Endpoint upstream{ .mAddress = "127.0.0.1", .mPort = aPort };
@@ -77,7 +78,7 @@
   aConnection.StartSend(
     "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kRequestBytes) +
     "\r\n\r\n" + std::string(kRequestBytes, 'b'));
-  outcome.mEnd = co_await aConnection.ReadHead(5s);
+  outcome.mEnd = co_await aConnection.ReadHead(aPatience);
   net::asio::steady_timer timer(aConnection.Executor(), aDelay);
   co_await timer.async_wait(net::asio::use_awaitable);
   while (outcome.mEnd == StepEnd::Done && !aConnection.BodyIsWhole()) {
@@ -186,3 +187,36 @@
     CheckEndings(200ms);
   }
 }
+
+// guards against a second run of a request whose upstream reads its body late:
+// the connection was closed 3 s after the receive window had filled
+TEST_CASE("an upstream that reads the body later than the timeout of the path")
+{
+  net::asio::io_context context(1);
+  tcp::acceptor acceptor(context, tcp::v4());
+  acceptor.set_option(
+    net::asio::socket_base::receive_buffer_size(kWindowBytes));
+  acceptor.bind({ net::asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.listen();
+  auto upstream = std::async(std::launch::async, [&] {
+    auto socket = acceptor.accept();
+    std::this_thread::sleep_for(2 *
+                                std::chrono::milliseconds(net::kUserTimeoutMs));
+    const auto answer = kHead + "Content-Length: 4\r\n\r\nbody";
+    ::send(socket.native_handle(), answer.data(), answer.size(), MSG_NOSIGNAL);
+    ReadAll(socket.native_handle());
+  });
+  net::ClientConnection connection(context.get_executor());
+  Outcome outcome;
+  net::asio::co_spawn(
+    context,
+    Exchange(connection, acceptor.local_endpoint().port(), 0ms, 30s),
+    [&](const std::exception_ptr&, Outcome aOutcome) {
+      outcome = std::move(aOutcome);
+      context.stop();
+    });
+  context.run();
+  upstream.get();
+  CHECK(outcome.mEnd == StepEnd::Done);
+  CHECK(outcome.mBody == "body");
+}
