Let requests without the companions of a quarantined part probe it

A part that no instance had served and that came with two deadly parts was in all crashes, and all sound requests with it were refused for 60 s. Two seconds after its quarantine a request with none of the other suspects of its crashes is a probe now; a crash ends such probes. The instances spread them, so that the crashes of a deadly part do not grow with the instances.

--- a/include/figslip/quarantine/part_quarantine.hpp
+++ b/include/figslip/quarantine/part_quarantine.hpp
@@ -46,6 +46,11 @@
 /// event clears them; a crash leaves only these in quarantine, or, if it had
 /// other suspects, makes them rivals of these until there is more evidence.
 ///
+/// A part may only seem guilty because each of its crashes had another deadly
+/// part as well. After a short time a request with none of these companions may
+/// probe it: an event clears it, and the companions are judged by themselves; a
+/// crash ends such probes.
+///
 /// The quarantine ends after a term. One request may then probe the part: an
 /// event clears it, another crash doubles the term. Instances probe at
 /// different times, so that one of them can warn the others.
@@ -143,6 +148,9 @@
     TimePoint mProbeUntil; ///< no other probe before
     /// parts that were suspects in the same crashes
     std::set<PartId> mRivals;
+    /// other suspects of its crashes; empty if it was the only one of any
+    std::set<PartId> mCompanions;
+    TimePoint mCompanionProbeAt; ///< no probe without companions before
   };
 
   struct Evidence
@@ -169,9 +177,20 @@
   [[nodiscard]] std::vector<std::set<PartId>> MostIncriminated(
     const EvidenceByPart& aEvidence) const;
   void SetRivals(const std::set<PartId>& aGroup);
+  /// Returns the other suspects of the crashes of a group; none if there was a
+  /// crash without any.
+  [[nodiscard]] std::set<PartId> CompanionsOf(
+    const std::set<PartId>& aGroup,
+    const std::set<std::size_t>& aCrashes) const;
+  void SetCompanions(const std::set<PartId>& aGroup,
+                     const std::set<PartId>& aCompanions,
+                     TimePoint aNow);
   /// Judges crashes in which only some of a group of rivals were suspects.
   void NarrowRivals(TimePoint aNow);
   [[nodiscard]] std::size_t CrashesOf(PartId aPart) const;
+  /// Returns the crashes with any of the parts among their suspects.
+  [[nodiscard]] std::set<std::size_t> CrashesWith(
+    const std::set<PartId>& aParts) const;
   void Release(PartId aPart);
   void Confine(PartId aPart, TimePoint aNow);
   /// Returns a time within the spread that differs by subject and instance.
@@ -180,9 +199,10 @@
 
   Options mOptions;
   ServedIds mServed;
-  Duration mClearanceSpread;  ///< of suspects that were served before the crash
-  Duration mServedSpread{};   ///< of suspects that are served after it
-  std::deque<Crash> mCrashes; ///< oldest first
+  Duration mClearanceSpread; ///< of suspects that were served before the crash
+  Duration mServedSpread{};  ///< of suspects that are served after it
+  Duration mCompanionSpread{}; ///< of probes without the companions of a part
+  std::deque<Crash> mCrashes;  ///< oldest first
   std::map<PartId, Entry> mQuarantined;
   std::map<PartId, TimePoint> mCleared; ///< time at which it is reported
   std::vector<PartId> mNewlyQuarantined;
--- a/src/core/quarantine/part_quarantine.cpp
+++ b/src/core/quarantine/part_quarantine.cpp
@@ -34,6 +34,22 @@
 constexpr int kPromptInstances = 10;
 constexpr Duration kServedSpreadPerInstance = std::chrono::milliseconds(10);
 
+/// Time before the first probe without the companions of a part, in which the
+/// reports of its crashes reach all instances.
+constexpr Duration kCompanionDelay = std::chrono::seconds(2);
+
+/// Time by which each instance lengthens the spread of the probes without the
+/// companions of a part. A crash is known to all instances within half a
+/// second, so about two of them probe a deadly part, however many there are.
+constexpr Duration kCompanionSpreadPerInstance = std::chrono::milliseconds(250);
+
+bool
+Intersects(const std::set<PartId>& aLeft, const std::set<PartId>& aRight)
+{
+  return std::ranges::any_of(
+    aLeft, [&](PartId aPart) { return aRight.contains(aPart); });
+}
+
 std::uint64_t
 HashOf(std::string_view aText)
 {
@@ -65,6 +81,7 @@
     mOptions.mClearanceSpread, kClearanceSpreadPerInstance * aInstances);
   mServedSpread =
     kServedSpreadPerInstance * std::max(0, aInstances - kPromptInstances);
+  mCompanionSpread = kCompanionSpreadPerInstance * aInstances;
 }
 
 void
@@ -134,7 +151,13 @@
   }
   for (const auto part : suspects.mParts) {
     const auto entry = mQuarantined.find(part);
-    if (entry != mQuarantined.end() && aNow >= entry->second.mUntil) {
+    if (entry == mQuarantined.end()) {
+      continue;
+    }
+    if (!Intersects(entry->second.mCompanions, suspects.mParts)) {
+      entry->second.mCompanions.clear(); // it crashes upstreams without them
+    }
+    if (aNow >= entry->second.mUntil) {
       Confine(part, aNow);
     }
   }
@@ -193,8 +216,11 @@
       return false;
     }
     const auto& entry = found->second;
-    const bool isProbe =
-      aNow >= entry.mUntil || !ContainsAll(parts, entry.mRivals);
+    const bool lacksCompanions = !entry.mCompanions.empty() &&
+                                 aNow >= entry.mCompanionProbeAt &&
+                                 !Intersects(entry.mCompanions, parts);
+    const bool isProbe = aNow >= entry.mUntil ||
+                         !ContainsAll(parts, entry.mRivals) || lacksCompanions;
     return !isProbe || aNow < entry.mProbeUntil;
   });
 }
@@ -251,15 +277,20 @@
   }
   mDecideAt.reset();
   NarrowRivals(aNow);
-  auto groups = MostIncriminated(Unexplained(aNow));
+  auto evidence = Unexplained(aNow);
+  auto groups = MostIncriminated(evidence);
   while (!groups.empty()) {
     for (const auto& group : groups) {
+      const auto companions =
+        CompanionsOf(group, evidence.at(*group.begin()).mCrashIndexes);
       for (const auto part : group) {
         Confine(part, aNow);
       }
       SetRivals(group);
+      SetCompanions(group, companions, aNow);
     }
-    groups = MostIncriminated(Unexplained(aNow));
+    evidence = Unexplained(aNow);
+    groups = MostIncriminated(evidence);
   }
   // a report may have arrived while the others settled
   const auto unsettled = std::ranges::find_if(mCrashes, [&](const auto& aItem) {
@@ -285,6 +316,39 @@
   }
 }
 
+std::set<PartId>
+PartQuarantine::CompanionsOf(const std::set<PartId>& aGroup,
+                             const std::set<std::size_t>& aCrashes) const
+{
+  std::set<PartId> companions;
+  for (const auto index : aCrashes) {
+    const auto& suspects = mCrashes[index].mSuspects.mParts;
+    std::set<PartId> others;
+    std::ranges::set_difference(
+      suspects, aGroup, std::inserter(others, others.end()));
+    if (others.empty()) {
+      return {};
+    }
+    companions.merge(others);
+  }
+  return companions;
+}
+
+void
+PartQuarantine::SetCompanions(const std::set<PartId>& aGroup,
+                              const std::set<PartId>& aCompanions,
+                              TimePoint aNow)
+{
+  for (const auto part : aGroup) {
+    const auto entry = mQuarantined.find(part); // the bound may have dropped it
+    if (entry != mQuarantined.end()) {
+      entry->second.mCompanions = aCompanions;
+      entry->second.mCompanionProbeAt =
+        aNow + kCompanionDelay + SpreadOf(part, mCompanionSpread);
+    }
+  }
+}
+
 void
 PartQuarantine::NarrowRivals(TimePoint aNow)
 {
@@ -318,6 +382,7 @@
       });
     if (isClear) {
       std::ranges::for_each(absent, [&](PartId aPart) { Release(aPart); });
+      SetCompanions(present, CompanionsOf(present, CrashesWith(present)), aNow);
       continue;
     }
     crash.mIsJudged = true;
@@ -331,6 +396,18 @@
   }
 }
 
+std::set<std::size_t>
+PartQuarantine::CrashesWith(const std::set<PartId>& aParts) const
+{
+  std::set<std::size_t> crashes;
+  for (std::size_t index = 0; index < mCrashes.size(); ++index) {
+    if (Intersects(aParts, mCrashes[index].mSuspects.mParts)) {
+      crashes.insert(index);
+    }
+  }
+  return crashes;
+}
+
 std::size_t
 PartQuarantine::CrashesOf(PartId aPart) const
 {
--- a/tests/src/unit-part_quarantine.cpp
+++ b/tests/src/unit-part_quarantine.cpp
@@ -24,6 +24,7 @@
 constexpr PartId kDeadly = 0xdead;
 constexpr PartId kFirstPart = 0xa1;
 constexpr auto kSettled = 100ms;
+constexpr auto kProbeTimeout = PartQuarantine::Options{}.mProbeTimeout;
 
 /// Reports crashes with the time since `kStart`.
 class Crashes
@@ -275,6 +276,41 @@
   }
 }
 
+// regression: all sound requests were refused for the common part
+TEST_CASE("an unknown part in all crashes of two deadly parts")
+{
+  Crashes world;
+  world.Crash("a", 1s, { kFirstPart, kDeadly });
+  world.Crash("b", 2s, { kFirstPart, 0xfade });
+  CHECK(world.AreQuarantined({ kFirstPart, kDeadly }, 2s));
+  CHECK(world.AreQuarantined({ kFirstPart, 0xfade }, 2s));
+  CHECK(world.IsQuarantined(0xb1, 2s));
+
+  SUBCASE("may be probed without these two seconds later")
+  {
+    CHECK(world.AreQuarantined({ kFirstPart, kDeadly }, 5s));
+    CHECK_FALSE(world.IsQuarantined(0xb1, 5s));
+    world.mParts.OnSent({ kFirstPart, 0xb1 }, kStart + 5s + kSettled);
+    CHECK(world.IsQuarantined(0xb2, 5s));
+
+    SUBCASE("and an answer leaves only the deadly ones")
+    {
+      world.Serve({ kFirstPart, 0xb1 }, 6s);
+      CHECK_FALSE(world.IsQuarantined(0xb2, 6s));
+      world.Crash("c", 7s, { kDeadly });
+      world.Crash("d", 8s, { 0xfade });
+      CHECK(world.AreQuarantined({ kFirstPart, kDeadly }, 8s));
+      CHECK(world.AreQuarantined({ kFirstPart, 0xfade }, 8s));
+    }
+
+    SUBCASE("and a crash ends these probes")
+    {
+      world.Crash("c", 6s, { kFirstPart, 0xb1 });
+      CHECK(world.IsQuarantined(0xb2, 6s + kProbeTimeout));
+    }
+  }
+}
+
 // load: a crash beside many sound requests in a fleet of 80 instances, each of
 // which wrote records of its own on the same parts
 TEST_CASE("many instances that served the suspects of a crash")
