Estimate the speed of upstreams that report the time of work

A quarter of the upstreams of a site takes 1.8 times as long all the time, and each of them at times 2.5 times as long for 600 ms; expected times accounted for neither. SpeedEstimate lets the reported factor return to its mean within 200 ms and learns the lasting factor from the times of requests, drawn to the mean of the service while there are few. Without the fourth figure of the reports, times are as before.

--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -8,6 +8,7 @@
 #include <figslip/placement/prefill_load.hpp>
 #include <figslip/placement/prefix_cache.hpp>
 #include <figslip/placement/rate_share.hpp>
+#include <figslip/placement/speed_estimate.hpp>
 #include <figslip/placement/upstream_health.hpp>
 #include <figslip/placement/upstream_notices.hpp>
 #include <figslip/time/time_point.hpp>
@@ -45,7 +46,10 @@
 struct Choice
 {
   const ingress::UpstreamEntry* mUpstream = nullptr;
-  Duration mTimeToFirstEvent{};    ///< expected
+  Duration mTimeToFirstEvent{}; ///< expected, at the speed of its machine
+  /// expected on a machine of usual speed
+  Duration mUsualTimeToFirstEvent{};
+  Duration mUsualWork{}; ///< part of it that the upstream's work takes
   std::int64_t mPrefillTokens = 0; ///< prompt tokens without a cached prefix
   std::int64_t mCachedTokens = 0;  ///< expected prefix cache hit
 };
@@ -84,10 +88,12 @@
 {
   std::string mUpstream;
   std::string mModel;
-  double mPrefillMs = 0.0;    ///< expected prefill time
+  double mPrefillMs = 0.0;    ///< expected prefill time at the usual speed
   double mDecodeWeight = 0.0; ///< relative decode cost of the model
   bool mIsInPrefill = true;
   TimePoint mSentAt;
+  Duration mUsualWork{};    ///< as in the choice
+  double mTimeFactor = 1.0; ///< of the upstream's machine when it was sent
 };
 
 /// @brief Tracks load, cold start and health of the upstreams and chooses one
@@ -100,6 +106,10 @@
 /// running requests. The load that responses report covers the requests of
 /// other instances.
 ///
+/// Where upstreams report how long work takes on their machines at this moment,
+/// expected times account for it and for the lasting speed of each machine; see
+/// `SpeedEstimate`.
+///
 /// The reported load does not include the length of the prompts that other
 /// instances have queued. Therefore the instances of a failure domain partition
 /// its upstreams, and each instance prefers its own subset until that is
@@ -165,7 +175,8 @@
   [[nodiscard]] Reservation Reserve(const Choice& aChoice,
                                     const PlacementQuery& aQuery,
                                     TimePoint aNow);
-  /// @brief Ends the prefill phase of a request.
+  /// @brief Ends the prefill phase of a request, and learns the speed of its
+  /// upstream from the time it took.
   void OnFirstEvent(Reservation& aReservation, TimePoint aNow);
   /// @brief Removes a request from the load of its upstream.
   void Release(Reservation& aReservation);
@@ -230,6 +241,21 @@
   [[nodiscard]] std::size_t Size() const { return mStates.size(); }
 
 private:
+  /// Parts of the expected time to the first event at the usual speed.
+  struct ExpectedTimes
+  {
+    Duration mWork{};  ///< work of the upstream, which depends on its speed
+    Duration mOther{}; ///< other waits and penalties
+  };
+
+  /// Averages over a service.
+  struct Averages
+  {
+    double mSpeedLog = 0.0;  ///< logarithm of the lasting time factors
+    TimePoint mComputedAt;   ///< of the speed
+    double mPrefillMs = 0.0; ///< of the latest prompts sent, usual speed
+  };
+
   struct State
   {
     ingress::UpstreamEntry mEntry;
@@ -239,6 +265,7 @@
     ingress::ReportedLoad mReportedLoad;
     TimePoint mReportedAt;
     int mInFlightAtReport = 0;
+    SpeedEstimate mSpeed;
     UpstreamHealth mHealth;
     UpstreamNotice mNotice; ///< of the registered incarnation
     /// requests within the rate that the upstream named; empty: it named none
@@ -274,6 +301,24 @@
   /// Returns the time of a model relative to a medium-sized one.
   [[nodiscard]] double ModelCostFactor(std::string_view aService,
                                        std::string_view aModel) const;
+  [[nodiscard]] Averages& AveragesOf(std::string_view aService);
+  /// Returns the expected wait for prefills that the instance whose subset the
+  /// upstream is in has queued there.
+  [[nodiscard]] double OtherSubsetMs(const State& aState) const;
+  /// Returns the mean logarithm of the lasting factors of a service's
+  /// upstreams.
+  [[nodiscard]] double MeanSpeedLog(std::string_view aService) const;
+  /// Recomputes that mean at most every `kMeanSpeedInterval`.
+  void UpdateMeanSpeed(std::string_view aService, TimePoint aNow);
+  /// Returns the prefill time at an upstream relative to the mean of its
+  /// service.
+  [[nodiscard]] double ScaledPrefillMs(const State& aState,
+                                       double aPrefillMs,
+                                       TimePoint aNow) const;
+  void SetExpectedTimes(Choice& aChoice,
+                        const State& aState,
+                        const ExpectedTimes& aUsual,
+                        TimePoint aNow) const;
   [[nodiscard]] Choice Estimate(const State& aState,
                                 const PlacementQuery& aQuery,
                                 double aMeanRunning,
@@ -322,6 +367,7 @@
   UpstreamNotices mNotices;
   std::set<std::string, std::less<>> mDrainedDomains;
   std::map<std::string, PrefillLoad, std::less<>> mPrefillLoads; ///< by service
+  std::map<std::string, Averages, std::less<>> mAverages;        ///< by service
   DomainHealth mDomainHealth{ {} };
   std::mt19937_64 mRandom;
   int mInstanceCount = 1;
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -4,6 +4,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <iterator>
 #include <ranges>
 #include <span>
@@ -39,6 +41,14 @@
 /// its own subset.
 constexpr double kOtherSubsetPrefillMs = 120.0;
 
+/// Mean prefills that this wait is at most, as far as upstreams report the time
+/// of work: 120 ms are right for prompts of 330 ms. With short prompts they
+/// keep work at the own subset, however much faster or emptier others are.
+constexpr double kOtherSubsetPrefills = 0.36;
+
+/// Weight of the newest prompt in the mean prefill.
+constexpr double kPrefillSmoothing = 0.05;
+
 /// Time after a pause over which the requests to the upstream rise to its
 /// slots.
 constexpr Duration kReturnRamp = std::chrono::milliseconds(500);
@@ -47,6 +57,17 @@
 /// with its slot utilization.
 constexpr double kPlainServiceMs = 30.0;
 
+/// Age of the mean speed of a service's upstreams from which it is recomputed.
+/// The speeds change with the samples of many requests.
+constexpr Duration kMeanSpeedInterval = std::chrono::milliseconds(100);
+
+/// Upstreams of usual speed that the mean is drawn towards while few of them
+/// have samples.
+constexpr double kPriorUpstreams = 1.0;
+
+/// Samples from which the speed of an upstream counts fully in the mean.
+constexpr double kFullSamples = 4.0;
+
 Duration
 FromMs(double aMs)
 {
@@ -54,6 +75,12 @@
   return Duration(static_cast<Duration::rep>(aMs * kMicros));
 }
 
+double
+ToMs(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
 } // namespace
 
 UpstreamSelector::UpstreamSelector(Options aOptions)
@@ -116,6 +143,7 @@
   if (isRestarted) {
     aState.mHealth.Reset();
     aState.mCache.Clear();
+    aState.mSpeed.Reset(); // it may run on another machine
   }
   const auto* const service =
     mConfiguration ? mConfiguration->FindService(aEntry.mService) : nullptr;
@@ -276,6 +304,7 @@
   if (available.empty()) {
     return std::nullopt;
   }
+  UpdateMeanSpeed(aQuery.mService, aNow);
   const auto others = std::ranges::partition(
     available, [](const State* aState) { return aState->mIsInOwnSubset; });
   const auto own = std::span(available).first(available.size() - others.size());
@@ -361,13 +390,19 @@
                              static_cast<double>(aChoice.mPrefillTokens) /
                              mOptions.mPrefillTokensPerMs * costFactor,
                            .mDecodeWeight = costFactor,
-                           .mSentAt = aNow };
+                           .mSentAt = aNow,
+                           .mUsualWork = aChoice.mUsualWork,
+                           .mTimeFactor = state.mSpeed.MomentaryFactor(aNow) };
   mDomainHealth.OnSent(state.mEntry.mDomain, aNow);
   ++state.mInFlight;
   state.mPrefillMs += reservation.mPrefillMs;
   state.mDecodeWeight += reservation.mDecodeWeight;
   if (aQuery.mPrompt != nullptr) {
-    mPrefillLoads[state.mEntry.mService].OnSent(reservation.mPrefillMs, aNow);
+    auto& meanPrefillMs = AveragesOf(aQuery.mService).mPrefillMs;
+    meanPrefillMs +=
+      kPrefillSmoothing * (reservation.mPrefillMs - meanPrefillMs);
+    mPrefillLoads[state.mEntry.mService].OnSent(
+      ScaledPrefillMs(state, reservation.mPrefillMs, aNow), aNow);
     state.mCache.Touch(PrefixHashesOf(*aQuery.mPrompt, aQuery.mModel));
   }
   if (state.mRateShare) {
@@ -381,12 +416,16 @@
 }
 
 void
-UpstreamSelector::OnFirstEvent(Reservation& aReservation, TimePoint /*aNow*/)
+UpstreamSelector::OnFirstEvent(Reservation& aReservation, TimePoint aNow)
 {
   const auto found = mStates.find(aReservation.mUpstream);
   if (aReservation.mIsInPrefill && found != mStates.end()) {
     auto& prefillMs = found->second.mPrefillMs;
     prefillMs = std::max(0.0, prefillMs - aReservation.mPrefillMs);
+    found->second.mSpeed.OnSample(aNow - aReservation.mSentAt,
+                                  aReservation.mUsualWork,
+                                  aReservation.mTimeFactor,
+                                  aNow);
   }
   aReservation.mIsInPrefill = false;
 }
@@ -422,6 +461,9 @@
     found->second.mReportedLoad = aLoad;
     found->second.mReportedAt = aNow;
     found->second.mInFlightAtReport = found->second.mInFlight;
+    if (aLoad.mTimeFactor) {
+      found->second.mSpeed.OnReport(*aLoad.mTimeFactor, aNow);
+    }
   }
 }
 
@@ -690,6 +732,82 @@
   return rank == 0 ? kSmallestFactor : rank == last ? kLargestFactor : 1.0;
 }
 
+double
+UpstreamSelector::OtherSubsetMs(const State& aState) const
+{
+  const auto found = mAverages.find(aState.mEntry.mService);
+  if (!aState.mSpeed.IsReported() || found == mAverages.end()) {
+    return kOtherSubsetPrefillMs;
+  }
+  return std::min(kOtherSubsetPrefillMs,
+                  kOtherSubsetPrefills * found->second.mPrefillMs);
+}
+
+double
+UpstreamSelector::MeanSpeedLog(std::string_view aService) const
+{
+  const auto found = mAverages.find(aService);
+  return found == mAverages.end() ? 0.0 : found->second.mSpeedLog;
+}
+
+UpstreamSelector::Averages&
+UpstreamSelector::AveragesOf(std::string_view aService)
+{
+  const auto found = mAverages.find(aService);
+  return found != mAverages.end()
+           ? found->second
+           : mAverages.try_emplace(std::string(aService)).first->second;
+}
+
+void
+UpstreamSelector::UpdateMeanSpeed(std::string_view aService, TimePoint aNow)
+{
+  auto& averages = AveragesOf(aService);
+  if (aNow < averages.mComputedAt + kMeanSpeedInterval) {
+    return;
+  }
+  double sum = 0.0;
+  double weights = kPriorUpstreams;
+  for (const auto& state : mStates | std::views::values) {
+    if (state.mSpeed.IsReported() && state.mEntry.mService == aService) {
+      const double weight =
+        std::min(1.0, state.mSpeed.SampleWeight(aNow) / kFullSamples);
+      sum += weight * state.mSpeed.MeanSampleLog();
+      weights += weight;
+    }
+  }
+  averages.mSpeedLog = sum / weights;
+  averages.mComputedAt = aNow;
+}
+
+double
+UpstreamSelector::ScaledPrefillMs(const State& aState,
+                                  double aPrefillMs,
+                                  TimePoint aNow) const
+{
+  if (!aState.mSpeed.IsReported()) {
+    return aPrefillMs;
+  }
+  // relative to the mean, which the prefill rate stands for
+  const double meanLog = MeanSpeedLog(aState.mEntry.mService);
+  return ToMs(aState.mSpeed.Scale(
+    FromMs(aPrefillMs * std::exp(-meanLog)), meanLog, aNow));
+}
+
+void
+UpstreamSelector::SetExpectedTimes(Choice& aChoice,
+                                   const State& aState,
+                                   const ExpectedTimes& aUsual,
+                                   TimePoint aNow) const
+{
+  aChoice.mUsualWork = aUsual.mWork;
+  aChoice.mUsualTimeToFirstEvent = aUsual.mWork + aUsual.mOther;
+  aChoice.mTimeToFirstEvent =
+    aState.mSpeed.Scale(
+      aUsual.mWork, MeanSpeedLog(aState.mEntry.mService), aNow) +
+    aUsual.mOther;
+}
+
 Choice
 UpstreamSelector::Estimate(const State& aState,
                            const PlacementQuery& aQuery,
@@ -698,7 +816,8 @@
 {
   const auto& entry = aState.mEntry;
   Choice choice{ .mUpstream = &aState.mEntry };
-  double ms = 0.0;
+  double workMs = 0.0;
+  double otherMs = 0.0;
   const auto own = RunningRequests(aState, aNow);
   const auto running =
     HasRecentReport(aState, aNow) ? own : std::max(own, aMeanRunning);
@@ -710,16 +829,16 @@
     const double prefillMs = static_cast<double>(choice.mPrefillTokens) /
                              mOptions.mPrefillTokensPerMs *
                              ModelCostFactor(aQuery.mService, aQuery.mModel);
-    ms = kIdleEngineMs + prefillMs + aState.mPrefillMs +
-         running * kMsPerRunningRequest +
-         (aState.mIsInOwnSubset ? 0.0 : kOtherSubsetPrefillMs);
+    workMs = kIdleEngineMs + prefillMs + aState.mPrefillMs +
+             running * kMsPerRunningRequest;
+    otherMs = aState.mIsInOwnSubset ? 0.0 : OtherSubsetMs(aState);
   } else {
     const double utilization = running / std::max(1, entry.mSlots);
-    ms = kPlainServiceMs * (1.0 + utilization);
+    workMs = kPlainServiceMs * (1.0 + utilization);
   }
-  ms += entry.mDomain == mOptions.mDomain ? 0.0 : kOtherDomainPenaltyMs;
-  ms += aState.mHealth.FailureRate() * kFailureCostMs;
-  choice.mTimeToFirstEvent = FromMs(ms);
+  otherMs += entry.mDomain == mOptions.mDomain ? 0.0 : kOtherDomainPenaltyMs;
+  otherMs += aState.mHealth.FailureRate() * kFailureCostMs;
+  SetExpectedTimes(choice, aState, { FromMs(workMs), FromMs(otherMs) }, aNow);
   return choice;
 }
 
@@ -750,7 +869,9 @@
   const double prefillMs = static_cast<double>(subject) /
                            mOptions.mPrefillTokensPerMs *
                            ModelCostFactor(aQuery.mService, aQuery.mModel);
-  choice.mTimeToFirstEvent -= FromMs(prefillMs * kOwnerCachedFraction);
+  const auto saved = FromMs(prefillMs * kOwnerCachedFraction);
+  const auto other = choice.mUsualTimeToFirstEvent - choice.mUsualWork;
+  SetExpectedTimes(choice, aOwner, { choice.mUsualWork - saved, other }, aNow);
   return choice;
 }
 
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -912,7 +912,7 @@
     aAttempt.mUpstream.mVersion,
     rollout::SampleOf(mRoute->mName,
                       aNow - aAttempt.mSentAt,
-                      aAttempt.mChoice.mTimeToFirstEvent));
+                      aAttempt.mChoice.mUsualTimeToFirstEvent));
 }
 
 void
