Don't take slow machines for a slow version

Where upstreams report the speed of their machines, the time of an attempt is divided by the factor and slow attempts count by upstream. Without such reports the counts are as before.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -238,6 +238,9 @@
   [[nodiscard]] NextStep NextStepAfterFailure() const;
   void RecordHealth(Attempt& aAttempt, placement::AttemptHealth aHealth);
   void RecordFirstEvent(Attempt& aAttempt, TimePoint aNow);
+  /// Returns the speed of the attempt's machine, if its upstream reports it.
+  [[nodiscard]] std::optional<rollout::MachineSpeed> MachineOf(
+    const Attempt& aAttempt) const;
   void RecordFailure(const Attempt& aAttempt,
                      bool aIsBroken,
                      Duration aSilentFor = Duration::zero());
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -223,6 +223,13 @@
   {
     return aNow < mNotices.Of(aUpstream).mPausedUntil;
   }
+  /// @brief Returns the time factor that an upstream has reported last; nothing
+  /// if it reports none.
+  [[nodiscard]] std::optional<double> ReportedTimeFactor(
+    std::string_view aUpstream) const;
+  /// @brief Returns the number of ready upstreams that run the same version of
+  /// the same service.
+  [[nodiscard]] int VersionSize(const ingress::UpstreamEntry& aUpstream) const;
   /// @brief Returns the versions that the ready upstreams of a service run.
   [[nodiscard]] std::set<std::string> VersionsOf(
     std::string_view aService) const;
--- a/include/figslip/rollout/canary_evidence.hpp
+++ b/include/figslip/rollout/canary_evidence.hpp
@@ -29,14 +29,33 @@
   /// time to the first event divided by the expected time; empty if there was
   /// no event
   std::optional<double> mLatencyRatio;
+  /// its upstream if that reports its speed, so that slowness counts by
+  /// upstream; empty: each slow attempt counts
+  std::string mMachine;
+  int mMachineCount = 0; ///< upstreams of the same version
+};
+
+/// @brief Describes the machine of an upstream that reports its speed.
+struct MachineSpeed
+{
+  std::string mUpstream;
+  double mTimeFactor = 1.0; ///< time that work takes, relative to the usual
+  int mCount = 1; ///< upstreams of the same version, this one included
 };
 
 /// @brief Creates the sample of a successful attempt from its latency.
 /// @param[in] aRoute route of the request
 /// @param[in] aElapsed time to the first event
-/// @param[in] aExpected expected time to the first event
+/// @param[in] aExpected expected time to the first event on a machine of usual
+///            speed
+/// @param[in] aMachine if the upstream reports its speed: the time is divided
+/// by
+///            the factor, and slowness counts by upstream
 [[nodiscard]] CanarySample
-SampleOf(std::string aRoute, Duration aElapsed, Duration aExpected);
+SampleOf(std::string aRoute,
+         Duration aElapsed,
+         Duration aExpected,
+         const std::optional<MachineSpeed>& aMachine = std::nullopt);
 
 /// @brief Compares a new version (target) with the other ones (baseline).
 ///
@@ -51,6 +70,10 @@
 /// An attempt given up for its silence has no latency, although it was slow.
 /// It counts as slow if its upstream answered other attempts at that time; a
 /// silent upstream is down instead, which says nothing about the version.
+///
+/// Slowness at a few slow machines is no evidence against a version. Where
+/// upstreams report their speed, slow attempts on the new version count by
+/// upstream; see `ComparisonCounts::Evidence`.
 class CanaryEvidence
 {
 public:
@@ -102,18 +125,24 @@
   {
     std::string mRoute;
     bool mIsDegraded = false;
+    std::string mMachine; ///< as in the sample; empty if it failed
   };
 
   /// Silent attempt whose upstream has not been heard of since.
   struct SilentAttempt
   {
     std::string mRoute;
+    std::string mMachine; ///< as in the sample
     bool mIsTarget = false;
     bool mHadEvent = false;
     TimePoint mEndedAt;
   };
 
   void OnSample(const CanarySample& aSample, bool aIsTarget);
+  /// Returns the upstream by which the slowness of an attempt counts.
+  /// @param[in] aIsExtreme it is more than a slow machine explains
+  [[nodiscard]] static std::string MachineOf(const CanarySample& aSample,
+                                             bool aIsExtreme);
   /// Returns the usual latency ratio on a route, at most 1.
   [[nodiscard]] double UsualRatio(const std::string& aRoute) const;
   /// Adds an attempt to its window, and removes the oldest one of a full
@@ -129,6 +158,9 @@
   [[nodiscard]] bool IsRepeatedAbort(const CanarySample& aSample);
   /// Returns the counts with the latest attempts on the new version only.
   [[nodiscard]] ComparisonCounts RecentCounts() const;
+  static void CountTarget(RouteCounts& aCounts,
+                          const Attempt& aAttempt,
+                          int aChange);
 
   std::deque<Attempt> mTargetAttempts;
   std::deque<Attempt> mBaselineAttempts;
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -552,6 +552,24 @@
   return found == mStates.end() ? 0 : found->second.mInFlight;
 }
 
+std::optional<double>
+UpstreamSelector::ReportedTimeFactor(std::string_view aUpstream) const
+{
+  const auto found = mStates.find(aUpstream);
+  return found == mStates.end() ? std::nullopt
+                                : found->second.mReportedLoad.mTimeFactor;
+}
+
+int
+UpstreamSelector::VersionSize(const ingress::UpstreamEntry& aUpstream) const
+{
+  return static_cast<int>(std::ranges::count_if(
+    mStates | std::views::values, [&](const auto& aState) {
+      return aState.mEntry.mService == aUpstream.mService &&
+             aState.mEntry.mVersion == aUpstream.mVersion && IsReady(aState);
+    }));
+}
+
 std::set<std::string>
 UpstreamSelector::VersionsOf(std::string_view aService) const
 {
--- a/src/core/rollout/canary_evidence.cpp
+++ b/src/core/rollout/canary_evidence.cpp
@@ -28,6 +28,19 @@
 /// Added to both times, so that small absolute delays have little effect.
 constexpr Duration kLatencyOffset = std::chrono::milliseconds(50);
 
+/// Bounds of a reported time factor. A false report hides no slowness beyond.
+constexpr double kMinTimeFactor = 0.5;
+constexpr double kMaxTimeFactor = 4.0;
+
+/// Number of upstreams of a version from which slowness at one is compared with
+/// that at the others.
+constexpr int kMinMachines = 3;
+
+/// Latency ratio, as a multiple of the usual one, that no slow machine
+/// explains: they take about twice the usual time. With fewer upstreams, only
+/// slowness beyond this counts each time.
+constexpr double kExtremeRatio = 5.0;
+
 /// Log evidence at which a version is rejected.
 constexpr double kRejectionThreshold = 5.25;
 
@@ -59,14 +72,23 @@
 } // namespace
 
 CanarySample
-SampleOf(std::string aRoute, Duration aElapsed, Duration aExpected)
+SampleOf(std::string aRoute,
+         Duration aElapsed,
+         Duration aExpected,
+         const std::optional<MachineSpeed>& aMachine)
 {
-  const auto took = static_cast<double>((aElapsed + kLatencyOffset).count());
+  auto took = static_cast<double>(aElapsed.count());
+  if (aMachine) {
+    took /= std::clamp(aMachine->mTimeFactor, kMinTimeFactor, kMaxTimeFactor);
+  }
+  took += static_cast<double>(kLatencyOffset.count());
   const auto expected =
     static_cast<double>((aExpected + kLatencyOffset).count());
   return { .mRoute = std::move(aRoute),
            .mFailed = false,
-           .mLatencyRatio = took / expected };
+           .mLatencyRatio = took / expected,
+           .mMachine = aMachine ? aMachine->mUpstream : std::string(),
+           .mMachineCount = aMachine ? aMachine->mCount : 0 };
 }
 
 void
@@ -92,9 +114,10 @@
   if (isRepeated) {
     return;
   }
-  const bool isSlow =
-    aSample.mLatencyRatio &&
-    *aSample.mLatencyRatio > kSlowRatio * UsualRatio(aSample.mRoute);
+  const double ratio = aSample.mLatencyRatio
+                         ? *aSample.mLatencyRatio / UsualRatio(aSample.mRoute)
+                         : 0.0;
+  const bool isSlow = ratio > kSlowRatio;
   if (aSample.mLatencyRatio && !aIsTarget) {
     auto& ratios = mBaselineRatios[aSample.mRoute];
     ratios.push_back(*aSample.mLatencyRatio);
@@ -102,10 +125,21 @@
       ratios.pop_front();
     }
   }
-  Add({ .mRoute = aSample.mRoute, .mIsDegraded = aSample.mFailed || isSlow },
+  Add({ .mRoute = aSample.mRoute,
+        .mIsDegraded = aSample.mFailed || isSlow,
+        .mMachine = aSample.mFailed
+                      ? std::string()
+                      : MachineOf(aSample, ratio > kExtremeRatio) },
       aIsTarget);
 }
 
+std::string
+CanaryEvidence::MachineOf(const CanarySample& aSample, bool aIsExtreme)
+{
+  const bool isAlone = aSample.mMachineCount < kMinMachines;
+  return isAlone && aIsExtreme ? std::string() : aSample.mMachine;
+}
+
 double
 CanaryEvidence::UsualRatio(const std::string& aRoute) const
 {
@@ -141,8 +175,7 @@
   auto& counts = mOwn.mRoutes[aAttempt.mRoute];
   const int degraded = aAttempt.mIsDegraded ? aChange : 0;
   if (aIsTarget) {
-    counts.mTarget += aChange;
-    counts.mTargetDegraded += degraded;
+    CountTarget(counts, aAttempt, aChange);
   } else {
     counts.mOthers += aChange;
     counts.mOthersDegraded += degraded;
@@ -152,21 +185,45 @@
   }
 }
 
+void
+CanaryEvidence::CountTarget(RouteCounts& aCounts,
+                            const Attempt& aAttempt,
+                            int aChange)
+{
+  const int degraded = aAttempt.mIsDegraded ? aChange : 0;
+  aCounts.mTarget += aChange;
+  if (aAttempt.mMachine.empty()) {
+    aCounts.mTargetDegraded += degraded;
+    return;
+  }
+  auto& machine = aCounts.mMachines[aAttempt.mMachine];
+  machine.mAttempts += aChange;
+  machine.mSlow += degraded;
+  if (machine == MachineCounts{}) {
+    aCounts.mMachines.erase(aAttempt.mMachine);
+  }
+}
+
 void
 CanaryEvidence::AddSilent(const SilentAttempt& aAttempt)
 {
   if (!aAttempt.mHadEvent) {
-    Add({ .mRoute = aAttempt.mRoute, .mIsDegraded = true }, aAttempt.mIsTarget);
+    Add({ .mRoute = aAttempt.mRoute,
+          .mIsDegraded = true,
+          .mMachine = aAttempt.mMachine },
+        aAttempt.mIsTarget);
     return;
   }
   // the attempt was added as a sound one when its first event came
   auto& window = aAttempt.mIsTarget ? mTargetAttempts : mBaselineAttempts;
   const auto sound = std::ranges::find_if(window, [&](const Attempt& aOther) {
-    return !aOther.mIsDegraded && aOther.mRoute == aAttempt.mRoute;
+    return !aOther.mIsDegraded && aOther.mRoute == aAttempt.mRoute &&
+           (aAttempt.mMachine.empty() || aOther.mMachine == aAttempt.mMachine);
   });
   if (sound != window.end()) {
     Count(*sound, aAttempt.mIsTarget, -1);
     sound->mIsDegraded = true;
+    sound->mMachine = aAttempt.mMachine;
     Count(*sound, aAttempt.mIsTarget, 1);
   }
 }
@@ -175,6 +232,7 @@
 CanaryEvidence::OnSilence(const CanarySample& aSample, bool aIsTarget)
 {
   const SilentAttempt attempt{ .mRoute = aSample.mRoute,
+                               .mMachine = MachineOf(aSample, true),
                                .mIsTarget = aIsTarget,
                                .mHadEvent = aSample.mHadEvent,
                                .mEndedAt = aSample.mAbortedAt };
@@ -244,13 +302,12 @@
   for (auto& route : counts.mRoutes | std::views::values) {
     route.mTarget = 0;
     route.mTargetDegraded = 0;
+    route.mMachines.clear();
   }
   const auto skipped =
     std::max<std::ptrdiff_t>(0, std::ssize(mTargetAttempts) - kRecentAttempts);
   for (const auto& attempt : mTargetAttempts | std::views::drop(skipped)) {
-    auto& route = counts.mRoutes[attempt.mRoute];
-    ++route.mTarget;
-    route.mTargetDegraded += attempt.mIsDegraded ? 1 : 0;
+    CountTarget(counts.mRoutes[attempt.mRoute], attempt, 1);
   }
   return counts;
 }
@@ -281,8 +338,8 @@
     return merged.Text();
   }
   const auto recent = RecentCounts();
-  if (recent.Evidence() >= kRecentThreshold + mCaution) {
-    return "lately " + recent.Text();
+  if (recent.EvidenceAmong(merged) >= kRecentThreshold + mCaution) {
+    return "lately " + recent.TextAmong(merged);
   }
   return std::nullopt;
 }
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -55,6 +55,11 @@
 constexpr const char* kTargetDegradedField = "target_degraded";
 constexpr const char* kOthersField = "others";
 constexpr const char* kOthersDegradedField = "others_degraded";
+/// Attempts and slow ones on the new version by upstream; absent where the
+/// upstreams do not report the speed of their machines.
+constexpr const char* kMachinesField = "machines";
+constexpr const char* kAttemptsField = "attempts";
+constexpr const char* kSlowField = "slow";
 
 /// JSON fields of an instance's registration.
 constexpr const char* kDomainField = "failure_domain";
@@ -140,6 +145,20 @@
            : -1;
 }
 
+std::map<std::string, rollout::MachineCounts>
+ReadMachines(const nlohmann::json& aRoute)
+{
+  std::map<std::string, rollout::MachineCounts> machines;
+  if (!aRoute.is_object() || !aRoute.contains(kMachinesField)) {
+    return machines;
+  }
+  for (const auto& [upstream, fields] : aRoute[kMachinesField].items()) {
+    machines[upstream] = { .mAttempts = CountOf(fields, kAttemptsField),
+                           .mSlow = CountOf(fields, kSlowField) };
+  }
+  return machines;
+}
+
 rollout::ComparisonCounts
 ReadCounts(const nlohmann::json& aRoutes)
 {
@@ -150,7 +169,8 @@
                                 CountOf(fields, kTargetDegradedField),
                               .mOthers = CountOf(fields, kOthersField),
                               .mOthersDegraded =
-                                CountOf(fields, kOthersDegradedField) };
+                                CountOf(fields, kOthersDegradedField),
+                              .mMachines = ReadMachines(fields) };
   }
   return counts;
 }
@@ -164,6 +184,11 @@
                       { kTargetDegradedField, counts.mTargetDegraded },
                       { kOthersField, counts.mOthers },
                       { kOthersDegradedField, counts.mOthersDegraded } };
+    for (const auto& [upstream, machine] : counts.mMachines) {
+      routes[route][kMachinesField][upstream] = {
+        { kAttemptsField, machine.mAttempts }, { kSlowField, machine.mSlow }
+      };
+    }
   }
   return routes;
 }
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -912,7 +912,8 @@
     aAttempt.mUpstream.mVersion,
     rollout::SampleOf(mRoute->mName,
                       aNow - aAttempt.mSentAt,
-                      aAttempt.mChoice.mUsualTimeToFirstEvent));
+                      aAttempt.mChoice.mUsualTimeToFirstEvent,
+                      MachineOf(aAttempt)));
 }
 
 void
@@ -920,6 +921,7 @@
                            bool aIsBroken,
                            Duration aSilentFor)
 {
+  const auto machine = MachineOf(aAttempt);
   mState.mRollouts.OnSample(
     mService,
     aAttempt.mUpstream.mVersion,
@@ -929,7 +931,21 @@
       .mAbortedAt = ReadBootClock(),
       .mSilentFor = aSilentFor,
       .mHadEvent = aAttempt.mHadEvent,
-      .mLatencyRatio = std::nullopt });
+      .mLatencyRatio = std::nullopt,
+      .mMachine = machine ? machine->mUpstream : std::string(),
+      .mMachineCount = machine ? machine->mCount : 0 });
+}
+
+std::optional<rollout::MachineSpeed>
+RequestFlow::MachineOf(const Attempt& aAttempt) const
+{
+  const auto& upstream = aAttempt.mUpstream;
+  const auto factor = mState.mBoard.ReportedTimeFactor(upstream.mId);
+  return factor ? std::optional(rollout::MachineSpeed{
+                    .mUpstream = upstream.mId,
+                    .mTimeFactor = *factor,
+                    .mCount = mState.mBoard.VersionSize(upstream) })
+                : std::nullopt;
 }
 
 } // namespace figslip::gateway
