Let one instance at a time succeed a failed source of the relay

When the source of a domain failed, each follower polled all instances before it, found none with a copy, and called the store at the same moment. An instance of a domain that was cut off from the store followed one of another domain for a single poll and then tried the store again.

--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -48,6 +48,7 @@
   {
     SourceFailure mKind = SourceFailure::Unreachable;
     std::string mReason;
+    std::string mFollowed; ///< instance that the other one follows; or empty
   };
 
   [[nodiscard]] net::Awaitable<void> Run();
@@ -55,7 +56,10 @@
   [[nodiscard]] net::Awaitable<void> FindInstances();
   /// Asks an instance for news and takes them.
   /// @return why it cannot be followed; nothing: it is
-  [[nodiscard]] net::Awaitable<std::optional<Failure>> Ask(Peer aPeer);
+  [[nodiscard]] net::Awaitable<std::optional<Failure>> Ask(AskInstance aStep);
+  /// Returns the time for the answer to a poll.
+  [[nodiscard]] std::chrono::milliseconds TimeoutOf(const AskInstance& aStep,
+                                                    const Poll& aPoll) const;
   void OnFailed(const Peer& aPeer, const Failure& aFailure);
   /// @return why the answer could not be used
   [[nodiscard]] std::optional<std::string> Take(const Peer& aPeer,
@@ -63,8 +67,9 @@
                                                 TimePoint aSentAt);
   [[nodiscard]] std::optional<std::string> Check(const PollAnswer& aAnswer,
                                                  TimePoint aSentAt) const;
-  void FollowStore(const std::string& aReason);
+  void TurnToStore(const std::string& aReason);
   void FollowPeer(const Peer& aPeer);
+  [[nodiscard]] CopyState State() const;
   [[nodiscard]] bool HasCopy() const;
   [[nodiscard]] bool HasLostStore() const;
   /// Returns the time since the configuration was confirmed.
@@ -74,12 +79,14 @@
   net::asio::io_context& mContext;
   const Followers& mFollowers;
   RelayServer& mServer;
+  const std::string mFailureDomain;
   SourceChoice mChoice;
   store::StoreClient mClient;
   std::string mClientPeer;            ///< where the client calls
   std::optional<std::string> mSource; ///< instance followed; none: the store
   std::uint64_t mEpoch = 0;           ///< of the process asked last
   std::map<store::ObjectKind, std::uint64_t> mSequences; ///< in that epoch
+  std::map<std::string, std::string> mLoggedFailures;    ///< reason by instance
   bool mHasStarted = false;
   bool mAwaitsStore = false; ///< the other kinds wait for the configuration
   bool mIsServing = true;
--- a/include/figslip/relay/relay_messages.hpp
+++ b/include/figslip/relay/relay_messages.hpp
@@ -21,7 +21,8 @@
   std::map<store::ObjectKind, std::uint64_t> mSequences;
   /// revision of the follower's copy, from whatever source; empty: no copy
   std::map<store::ObjectKind, std::int64_t> mRevisions;
-  Duration mWait{}; ///< longest time without news
+  Duration mWait{};        ///< longest time without news
+  bool mIsForeign = false; ///< the follower is of another failure domain
 };
 
 /// @brief Holds what is new of one kind.
@@ -42,6 +43,7 @@
   std::uint64_t mEpoch = 0;
   bool mIsDirect = false; ///< the copy comes from the store and is current
   std::vector<KindNews> mKinds;
+  std::string mSource; ///< instance that the answering one follows; or empty
 };
 
 /// @brief Lists all kinds that are passed on.
--- a/include/figslip/relay/relay_server.hpp
+++ b/include/figslip/relay/relay_server.hpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace figslip::relay {
@@ -32,6 +34,10 @@
   /// @brief Sets whether the copy comes from the store itself.
   void SetDirect(bool aIsDirect);
 
+  /// @brief Sets the instance that this one follows, which an answer without
+  /// a copy names; empty: none, or none that is known to have a copy.
+  void SetSource(std::string aInstance) { mSource = std::move(aInstance); }
+
   /// @brief Notes that a copy may have changed, or was confirmed.
   void OnNews(const store::ObjectFollower& aFollower);
 
@@ -56,6 +62,8 @@
   std::uint64_t mNews = 0; ///< counts reasons to answer
   std::vector<std::shared_ptr<net::asio::steady_timer>> mWaiting;
   bool mIsDirect = false;
+  std::string mSource;   ///< instance that is followed; or empty
+  int mForeignPolls = 0; ///< of other failure domains that wait
   int mLargeAnswers = 0; ///< whole copies of many objects that are being sent
 };
 
--- a/src/shell/relay/relay_codec.cpp
+++ b/src/shell/relay/relay_codec.cpp
@@ -146,6 +146,9 @@
   }
   poll.waitMs =
     static_cast<std::int32_t>(aPoll.mWait / std::chrono::milliseconds(1));
+  if (aPoll.mIsForeign) {
+    poll.__set_isForeign(true);
+  }
   return Encode(poll);
 }
 
@@ -160,7 +163,8 @@
   Poll poll{ .mEpoch = static_cast<std::uint64_t>(message.epoch),
              .mSequences = {},
              .mRevisions = {},
-             .mWait = std::chrono::milliseconds(std::max(0, message.waitMs)) };
+             .mWait = std::chrono::milliseconds(std::max(0, message.waitMs)),
+             .mIsForeign = message.__isset.isForeign && message.isForeign };
   for (const auto& cursor : message.cursors) {
     if (const auto* const kind = KindOf(cursor.kind)) {
       if (cursor.sequence != 0) {
@@ -183,6 +187,9 @@
   std::ranges::transform(aAnswer.mKinds,
                          std::back_inserter(answer.kinds),
                          [](const auto& aNews) { return ToWire(aNews); });
+  if (!aAnswer.mSource.empty()) {
+    answer.__set_source(aAnswer.mSource);
+  }
   return Encode(answer);
 }
 
@@ -196,7 +203,8 @@
   const auto& message = decoded.assume_value();
   PollAnswer answer{ .mEpoch = static_cast<std::uint64_t>(message.epoch),
                      .mIsDirect = message.isDirect,
-                     .mKinds = {} };
+                     .mKinds = {},
+                     .mSource = message.source };
   for (const auto& news : message.kinds) {
     if (const auto* const kind = KindOf(news.kind)) {
       answer.mKinds.push_back(FromWire(*kind, news));
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <ranges>
+#include <utility>
 
 namespace figslip::relay {
 
@@ -34,11 +35,8 @@
 /// Time for the answer of a poll beyond its wait.
 constexpr auto kAnswerLimit = milliseconds(300);
 
-/// Oldest confirmation of the configuration with which another instance is
-/// followed. The store's own follower confirms it each 1.45 s; a source that
-/// has lost the store shows by this before a change is due everywhere, 2 s
-/// after it was made.
-constexpr Duration kMaxAge = milliseconds(1'750);
+/// Shortest time for the answer of a possible successor of the source.
+constexpr auto kSuccessorAnswerLimit = milliseconds(50);
 
 constexpr unsigned kOk = 200;
 
@@ -81,6 +79,7 @@
   : mContext(aContext)
   , mFollowers(aFollowers)
   , mServer(aServer)
+  , mFailureDomain(aOptions.mFailureDomain)
   , mChoice(std::move(aOptions))
   , mClient(aContext.get_executor(), {}, aMetrics, "figslip_relay_calls_total")
 {
@@ -125,18 +124,24 @@
     const auto now = ReadBootClock();
     // without a copy yet, other instances are asked for a short time only
     const bool mayAsk = HasCopy() || now < mayFindUntil;
-    auto peer = std::optional<Peer>();
+    SourceStep step = FollowStore{ "no instance has a copy yet" };
     if (mayAsk) {
-      peer = mChoice.Next(HasLostStore(), now);
+      step = mChoice.Next(State(), now);
     }
-    if (!peer) {
-      FollowStore("no instance is to be asked");
+    if (const auto* const store = std::get_if<FollowStore>(&step)) {
+      TurnToStore(std::string(store->mReason));
       co_await net::Sleep(kLook);
       continue;
     }
-    const auto failure = co_await Ask(*peer);
+    if (const auto* const wait = std::get_if<AwaitSuccessor>(&step)) {
+      co_await net::Sleep(wait->mUntil - now);
+      continue;
+    }
+    const auto ask = std::get<AskInstance>(step);
+    const auto failure = co_await Ask(ask);
     if (!failure) {
-      mChoice.OnAnswered(peer->mInstance);
+      mChoice.OnAnswered(ask.mPeer, ReadBootClock());
+      mServer.SetSource(ask.mPeer.mInstance);
       continue;
     }
     const bool isStarting =
@@ -145,7 +150,7 @@
       co_await net::Sleep(kFindPoll);
       continue;
     }
-    OnFailed(*peer, *failure);
+    OnFailed(ask.mPeer, *failure);
   }
 }
 
@@ -154,29 +159,39 @@
 {
   const auto age =
     HasCopy() ? std::to_string(CopyAge() / milliseconds(1)) : std::string();
-  log::Write(log::Level::Info,
-             "source_failed",
-             { { "source", aPeer.mInstance },
-               { "reason", aFailure.mReason },
-               // empty: no copy yet
-               { "copy_age_ms", age } });
-  mChoice.OnFailed(aPeer.mInstance, aFailure.mKind, ReadBootClock());
-  if (HasCopy() && CopyAge() > kMaxAge) {
-    FollowStore(aFailure.mReason);
+  // an instance without a copy is asked again and again
+  auto& logged = mLoggedFailures[aPeer.mInstance];
+  if (std::exchange(logged, aFailure.mReason) != aFailure.mReason) {
+    log::Write(log::Level::Info,
+               "source_failed",
+               { { "source", aPeer.mInstance },
+                 { "reason", aFailure.mReason },
+                 // empty: no copy yet
+                 { "copy_age_ms", age } });
+  }
+  mChoice.OnFailed(
+    aPeer.mInstance, aFailure.mKind, ReadBootClock(), aFailure.mFollowed);
+  if (mChoice.IsWithoutSource()) {
+    mServer.SetSource({});
+  }
+  if (HasCopy() && CopyAge() > kMaxCopyAge) {
+    TurnToStore(aFailure.mReason);
   }
 }
 
 net::Awaitable<std::optional<RelayFollower::Failure>>
-RelayFollower::Ask(Peer aPeer)
+RelayFollower::Ask(AskInstance aStep)
 {
-  const auto endpoint = ParseEndpoint(aPeer.mAddress);
+  const auto& peer = aStep.mPeer;
+  const auto endpoint = ParseEndpoint(peer.mAddress);
   if (!endpoint) {
     Failure failure{ .mKind = SourceFailure::Unreachable,
-                     .mReason = "no address: " + aPeer.mAddress };
+                     .mReason = "no address: " + peer.mAddress,
+                     .mFollowed = {} };
     co_return failure;
   }
-  if (mClientPeer != aPeer.mInstance + "@" + aPeer.mAddress) {
-    mClientPeer = aPeer.mInstance + "@" + aPeer.mAddress;
+  if (mClientPeer != peer.mInstance + "@" + peer.mAddress) {
+    mClientPeer = peer.mInstance + "@" + peer.mAddress;
     mClient.SetEndpoint(*endpoint);
     mEpoch = 0;
     mSequences.clear();
@@ -185,7 +200,8 @@
   Poll poll{ .mEpoch = mEpoch,
              .mSequences = mSequences,
              .mRevisions = {},
-             .mWait = mSequences.empty() ? Duration::zero() : WaitOf() };
+             .mWait = mSequences.empty() ? Duration::zero() : WaitOf(),
+             .mIsForeign = peer.mFailureDomain != mFailureDomain };
   for (const auto& follower : mFollowers) {
     if (const auto revision = follower->Revision()) {
       poll.mRevisions[follower->Kind()] = *revision;
@@ -195,13 +211,12 @@
                                .mTarget = "/v1/relay",
                                .mHeaders = {},
                                .mBody = EncodePoll(poll) };
-  const auto limit =
-    HasCopy()
-      ? std::chrono::duration_cast<milliseconds>(poll.mWait) + kAnswerLimit
-      : kFindAnswerLimit;
+  const auto limit = TimeoutOf(aStep, poll);
   const auto sentAt = ReadBootClock();
   const auto result = co_await mClient.Call(std::move(request), "poll", limit);
-  Failure failure{ .mKind = SourceFailure::Unreachable, .mReason = {} };
+  Failure failure{ .mKind = SourceFailure::Unreachable,
+                   .mReason = {},
+                   .mFollowed = {} };
   if (result.mOutcome != store::CallOutcome::Answered) {
     failure.mReason = result.mReason;
     co_return failure;
@@ -215,14 +230,32 @@
     failure.mReason = error::JoinMessages(answer.assume_error());
     co_return failure;
   }
-  const auto refusal = Take(aPeer, answer.assume_value(), sentAt);
+  const auto refusal = Take(peer, answer.assume_value(), sentAt);
   if (!refusal) {
     co_return std::nullopt;
   }
-  failure = { .mKind = SourceFailure::NoCopy, .mReason = *refusal };
+  failure = { .mKind = SourceFailure::NoCopy,
+              .mReason = *refusal,
+              .mFollowed = answer.assume_value().mSource };
   co_return failure;
 }
 
+milliseconds
+RelayFollower::TimeoutOf(const AskInstance& aStep, const Poll& aPoll) const
+{
+  if (!HasCopy()) {
+    return kFindAnswerLimit;
+  }
+  const auto usual =
+    std::chrono::duration_cast<milliseconds>(aPoll.mWait) + kAnswerLimit;
+  if (!aStep.mUntil) {
+    return usual;
+  }
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(*aStep.mUntil - ReadBootClock());
+  return std::clamp(left, kSuccessorAnswerLimit, kAnswerLimit);
+}
+
 std::optional<std::string>
 RelayFollower::Check(const PollAnswer& aAnswer, TimePoint aSentAt) const
 {
@@ -240,7 +273,7 @@
       return "its copy is older";
     }
     const bool isLease = follower->Kind() == ObjectKind::Configuration;
-    if (isLease && now - (aSentAt + news->mConfirmed) > kMaxAge) {
+    if (isLease && now - (aSentAt + news->mConfirmed) > kMaxCopyAge) {
       return "its copy was confirmed too long ago";
     }
   }
@@ -276,7 +309,7 @@
 }
 
 void
-RelayFollower::FollowStore(const std::string& aReason)
+RelayFollower::TurnToStore(const std::string& aReason)
 {
   const bool isFollowed = mHasStarted && !mSource;
   if (isFollowed) {
@@ -289,6 +322,9 @@
                { "reason", aReason } });
   mHasStarted = true;
   mSource.reset();
+  mLoggedFailures.clear();
+  mChoice.OnStoreFollowed();
+  mServer.SetSource({});
   mSequences.clear(); // the own copy goes on from here
   // the other kinds follow with its first answer, so that an outage costs the
   // calls of one kind
@@ -323,6 +359,7 @@
                { "before", mSource.value_or("store") },
                { "reason", "it follows the store and is up to date" } });
   mSource = aPeer.mInstance;
+  mLoggedFailures.clear();
   mAwaitsStore = false;
   for (const auto& follower : mFollowers) {
     follower->Stop();
@@ -330,6 +367,15 @@
   mServer.SetDirect(false);
 }
 
+CopyState
+RelayFollower::State() const
+{
+  return { .mHasCopy = HasCopy(),
+           .mFollowsStore = mHasStarted && !mSource,
+           .mHasLostStore = HasLostStore(),
+           .mAge = HasCopy() ? CopyAge() : Duration::zero() };
+}
+
 bool
 RelayFollower::HasCopy() const
 {
@@ -357,7 +403,7 @@
 RelayFollower::WaitOf() const
 {
   // an answer is due before the copy is too old
-  return std::clamp(kMaxAge - CopyAge(), kShortestWait, kLongestWait);
+  return std::clamp(kMaxCopyAge - CopyAge(), kShortestWait, kLongestWait);
 }
 
 } // namespace figslip::relay
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -23,6 +23,11 @@
 constexpr std::size_t kLargeCopy = 500;
 constexpr int kMaxLargeAnswers = 2;
 
+/// Followers of other failure domains whose polls wait at the same time. After
+/// an outage all instances look for the first one that has the store back; its
+/// link has to carry its own domain as well.
+constexpr int kMaxForeignPolls = 32;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 
@@ -146,6 +151,7 @@
   };
   auto answer = AnswerTo(aPoll, aArrivedAt);
   auto now = ReadBootClock();
+  mForeignPolls += aPoll.mIsForeign ? 1 : 0;
   while (isKnown(answer) && news == mNews && now < until) {
     const auto timer =
       std::make_shared<net::asio::steady_timer>(mContext, until - now);
@@ -155,6 +161,7 @@
       net::asio::redirect_error(net::asio::use_awaitable, ignored));
     now = ReadBootClock();
   }
+  mForeignPolls -= aPoll.mIsForeign ? 1 : 0;
   answer = AnswerTo(aPoll, aArrivedAt);
   co_return answer;
 }
@@ -181,18 +188,28 @@
 PollAnswer
 RelayServer::AnswerTo(const Poll& aPoll, TimePoint aArrivedAt) const
 {
-  PollAnswer answer{ .mEpoch = mEpoch, .mIsDirect = false, .mKinds = {} };
+  PollAnswer answer{
+    .mEpoch = mEpoch, .mIsDirect = false, .mKinds = {}, .mSource = {}
+  };
   answer.mIsDirect =
     mIsDirect && std::ranges::all_of(mFollowers, [](const auto& aFollower) {
       return aFollower->Revision() && !aFollower->IsLost();
     });
+  const bool isNewGuest = aPoll.mIsForeign && aPoll.mEpoch != mEpoch;
+  if (isNewGuest && mForeignPolls >= kMaxForeignPolls) {
+    answer.mIsDirect = false;
+    return answer;
+  }
   if (!answer.mIsDirect) {
+    answer.mSource = mSource;
     return answer;
   }
   for (const auto& follower : mFollowers) {
     auto news = NewsFor(aPoll, follower->Kind());
     if (!news) {
-      return { .mEpoch = mEpoch, .mIsDirect = false, .mKinds = {} };
+      return {
+        .mEpoch = mEpoch, .mIsDirect = false, .mKinds = {}, .mSource = {}
+      };
     }
     answer.mKinds.push_back(
       { .mKind = follower->Kind(),
--- a/tests/src/unit-relay.cpp
+++ b/tests/src/unit-relay.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace figslip;
@@ -60,6 +62,21 @@
   return choice;
 }
 
+/// Returns the instance that one which follows the store asks; none: it goes on
+/// with the store.
+std::optional<Peer>
+NextOf(const SourceChoice& aChoice, bool aHasLostStore, TimePoint aNow)
+{
+  const auto step = aChoice.Next({ .mHasCopy = true,
+                                   .mFollowsStore = true,
+                                   .mHasLostStore = aHasLostStore,
+                                   .mAge = 100ms },
+                                 aNow);
+  const auto* const ask = std::get_if<relay::AskInstance>(&step);
+  REQUIRE((ask || std::holds_alternative<relay::FollowStore>(step)));
+  return ask ? std::optional(ask->mPeer) : std::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("changes of a copy")
@@ -191,16 +208,16 @@
     choices.push_back(MakeChoice(name, peers));
   }
   const auto isDirect = [&](const SourceChoice& aChoice) {
-    return !aChoice.Next(false, kStart);
+    return !NextOf(aChoice, false, kStart);
   };
   REQUIRE(std::ranges::count_if(choices, isDirect) == 1);
   const auto follower = std::ranges::find_if_not(choices, isDirect);
-  const auto source = follower->Next(false, kStart)->mInstance;
+  const auto source = NextOf(*follower, false, kStart)->mInstance;
 
   SUBCASE("follow the same one of them, which follows the store")
   {
     for (const auto& choice : choices) {
-      const auto next = choice.Next(false, kStart);
+      const auto next = NextOf(choice, false, kStart);
       CHECK((!next || next->mInstance == source));
     }
   }
@@ -211,27 +228,28 @@
       choice.OnFailed(source, SourceFailure::Unreachable, kStart);
     }
     CHECK(std::ranges::count_if(choices, isDirect) == 2);
-    CHECK(follower->Next(false, kStart + 3s)->mInstance == source);
+    CHECK(NextOf(*follower, false, kStart + 3s)->mInstance == source);
   }
 
   SUBCASE("ask one that fails again and again less often")
   {
     follower->OnFailed(source, SourceFailure::Unreachable, kStart);
     follower->OnFailed(source, SourceFailure::Unreachable, kStart + 3s);
-    const auto next = follower->Next(false, kStart + 8s);
+    const auto next = NextOf(*follower, false, kStart + 8s);
     CHECK((!next || next->mInstance != source));
-    CHECK(follower->Next(false, kStart + 9s)->mInstance == source);
-    follower->OnAnswered(source);
+    CHECK(NextOf(*follower, false, kStart + 9s)->mInstance == source);
+    follower->OnAnswered({ source, "a", "10.0.0.1:1" }, kStart + 9s);
+    follower->OnStoreFollowed();
     follower->OnFailed(source, SourceFailure::Unreachable, kStart + 10s);
-    CHECK(follower->Next(false, kStart + 13s)->mInstance == source);
+    CHECK(NextOf(*follower, false, kStart + 13s)->mInstance == source);
   }
 
   SUBCASE("ask one without a copy again soon, however often it had none")
   {
     for (auto now = kStart; now < kStart + 10s; now += 500ms) {
-      CHECK(follower->Next(false, now)->mInstance == source);
+      CHECK(NextOf(*follower, false, now)->mInstance == source);
       follower->OnFailed(source, SourceFailure::NoCopy, now);
-      const auto next = follower->Next(false, now + 499ms);
+      const auto next = NextOf(*follower, false, now + 499ms);
       CHECK((!next || next->mInstance != source));
     }
   }
@@ -239,10 +257,10 @@
   SUBCASE("ask those of other domains once the store is lost")
   {
     auto alone = MakeChoice("i-9", { { "i-4", "b", "10.0.0.4:1" } });
-    CHECK_FALSE(alone.Next(false, kStart));
-    CHECK(alone.Next(true, kStart)->mInstance == "i-4");
+    CHECK_FALSE(NextOf(alone, false, kStart));
+    CHECK(NextOf(alone, true, kStart)->mInstance == "i-4");
     alone.OnFailed("i-4", SourceFailure::Unreachable, kStart);
-    CHECK_FALSE(alone.Next(true, kStart));
+    CHECK_FALSE(NextOf(alone, true, kStart));
 
     SUBCASE("a few of them, however many there are")
     {
@@ -255,7 +273,7 @@
       }
       alone.OnPeers(many);
       int asked = 0;
-      while (const auto next = alone.Next(true, kStart)) {
+      while (const auto next = NextOf(alone, true, kStart)) {
         alone.OnFailed(next->mInstance, SourceFailure::NoCopy, kStart);
         ++asked;
       }
@@ -270,8 +288,11 @@
                           .mSequences = { { store::ObjectKind::Drains, 7 } },
                           .mRevisions = { { store::ObjectKind::Drains, 40 },
                                           { store::ObjectKind::Shared, 44 } },
-                          .mWait = 500ms };
-  relay::PollAnswer answer{ .mEpoch = 5, .mIsDirect = true, .mKinds = {} };
+                          .mWait = 500ms,
+                          .mIsForeign = true };
+  relay::PollAnswer answer{
+    .mEpoch = 5, .mIsDirect = true, .mKinds = {}, .mSource = "i-1"
+  };
   answer.mKinds.push_back({ .mKind = store::ObjectKind::Upstreams,
                             .mDelta = { .mSequence = 9,
                                         .mIsWhole = true,
@@ -288,10 +309,12 @@
     CHECK(read.assume_value().mSequences == poll.mSequences);
     CHECK(read.assume_value().mRevisions == poll.mRevisions);
     CHECK(read.assume_value().mWait == poll.mWait);
+    CHECK(read.assume_value().mIsForeign);
     const auto told = relay::DecodeAnswer(relay::EncodeAnswer(answer));
     REQUIRE(told.has_value());
     CHECK(told.assume_value().mEpoch == 5);
     CHECK(told.assume_value().mIsDirect);
+    CHECK(told.assume_value().mSource == "i-1");
     REQUIRE(told.assume_value().mKinds.size() == 1);
     const auto& news = told.assume_value().mKinds[0];
     CHECK(news.mKind == store::ObjectKind::Upstreams);
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -19,6 +19,8 @@
   2: required list<RelayCursor> cursors
   /** Longest time without news, milliseconds. */
   3: required i32 waitMs
+  /** The follower is of another failure domain; absent: it is not. */
+  4: optional bool isForeign
 }
 
 /** Holds one object; its contents are JSON texts. */
@@ -50,4 +52,6 @@
   /** The copy comes from the store itself and is current. */
   2: required bool isDirect
   3: required list<RelayedKind> kinds
+  /** Instance that the answering one follows; absent: none. */
+  4: optional string source
 }
