Leave out crash reports that another instance has published

Each instance that lost requests at a crashed upstream wrote a record of each request and one of the suspected parts. In a fleet of more than ten instances a report now waits for a time of its own, at most 0.75 s and the 0.25 s of the housekeeping, and is dropped if another instance publishes the same first; parts that others have published are left out. The second crash of a request or of a part is published at once, so that all instances refuse it as soon as before.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -8,6 +8,7 @@
 #include <figslip/quarantine/crash_records.hpp>
 #include <figslip/quarantine/part_records.hpp>
 #include <figslip/quarantine/record_tracker.hpp>
+#include <figslip/quarantine/suspect_reports.hpp>
 #include <figslip/relay/relay_follower.hpp>
 #include <figslip/relay/relay_server.hpp>
 #include <figslip/settings/ingress_settings.hpp>
@@ -49,7 +50,8 @@
 
   /// @brief Publishes to all instances that a request ran on an upstream when
   /// the upstream crashed.
-  /// @note Not published if many requests were in flight there.
+  /// @note Not published if many requests were in flight there, or if another
+  /// instance publishes it first.
   void ReportCrash(const quarantine::CrashReport& aReport);
 
   /// @brief Publishes this instance's counts on a roll-out to all instances.
@@ -61,7 +63,8 @@
   void ShareSessions(const rollout::SessionReport& aReport);
 
   /// @brief Publishes to all instances which parts may have caused a crash.
-  /// @note Reports of one crash are published together, after a short delay.
+  /// @note Reports of one crash are published together, after a short delay,
+  /// without the parts that another instance has published by then.
   void ReportSuspects(const quarantine::CrashSuspects& aCrash);
 
   /// @brief Removes the published crashes of requests that were served.
@@ -104,6 +107,7 @@
     const store::Object& aObject);
   /// Removes this instance's counts of roll-outs that are decided or gone.
   void RemoveOldEvidence();
+  void PublishCrashes();
   void PublishParts();
   void CreatePartRecord(const nlohmann::json& aRecord);
   [[nodiscard]] net::Awaitable<void> Register();
@@ -133,7 +137,7 @@
   std::map<std::string, std::int64_t> mLoggedRevisions;
   std::int64_t mNewestVersion = -1;    ///< of the configuration
   std::int64_t mLastReadRevision = -1; ///< of the configuration
-  quarantine::CrashRecords mCrashes{ {} };
+  quarantine::CrashRecords mCrashes;
   std::set<std::string> mOwnEvidence; ///< services with counts in the store
   std::int64_t mLastEvidenceRevision = -1; ///< of own counts seen in lists
   /// services with an undecided roll-out; unknown before the first list
@@ -144,8 +148,7 @@
   std::map<std::string, std::int64_t> mSessionRevisions;
   quarantine::RecordTracker mPartRecords{ {} };
   std::int64_t mLastPartRecord = 0; ///< number in its name
-  /// not published yet, by upstream
-  std::map<std::string, quarantine::CrashSuspects> mSuspects;
+  quarantine::SuspectReports mSuspects;
   std::vector<quarantine::PartId> mServedParts; ///< not published yet
 };
 
--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/quarantine/quarantine.hpp>
 #include <figslip/quarantine/record_tracker.hpp>
+#include <figslip/quarantine/report_spread.hpp>
 
 #include <cstdint>
 #include <map>
@@ -14,17 +15,42 @@
 
 /// @brief Tracks the crash reports that instances share in the store.
 ///
-/// A record is a named object with the number of requests in flight.
+/// A record is a named object with the number of requests in flight. An
+/// instance of a large fleet delays its reports by a time of its own, and
+/// leaves out those that another one publishes for the same upstream and
+/// request meanwhile. A report of a request that has crashed another upstream
+/// is not delayed.
 class CrashRecords
 {
 public:
-  using Options = RecordTracker::Options;
+  struct Options
+  {
+    Duration mRetention = std::chrono::seconds(60); ///< age at the removal
+    std::uint64_t mSeed = 0;      ///< different in each instance
+    std::size_t mMaxPending = 64; ///< bounds the memory; others are dropped
+  };
 
   explicit CrashRecords(Options aOptions)
-    : mTracker(aOptions)
+    : mOptions(aOptions)
+    , mTracker({ .mRetention = aOptions.mRetention })
+    , mSpread(aOptions.mSeed)
+  {
+  }
+
+  /// @brief Sets the number of instances that share their reports.
+  void SetInstanceCount(int aInstances)
   {
+    mSpread.SetInstanceCount(aInstances);
   }
 
+  /// @brief Takes a report that this instance is to publish.
+  /// @return whether it is held or known; false: there is no room
+  bool OnOwnReport(const CrashReport& aReport, TimePoint aNow);
+
+  /// @brief Returns the reports to publish now, each of them once; their
+  /// records are tracked.
+  [[nodiscard]] std::vector<CrashReport> TakeDue(TimePoint aNow);
+
   /// @brief Returns the name of the record of a report.
   [[nodiscard]] static std::string NameOf(const CrashReport& aReport);
 
@@ -50,7 +76,7 @@
   [[nodiscard]] std::vector<CrashReport> Withdrawn() const;
 
   /// @brief Returns the names of the records of some requests, each of them
-  /// once; they are to be removed.
+  /// once; they are to be removed. Reports that are held are dropped.
   [[nodiscard]] std::vector<std::string> TakeRecordsOf(
     const std::set<std::uint64_t>& aFingerprints);
 
@@ -63,7 +89,16 @@
   [[nodiscard]] std::size_t Size() const { return mTracker.Size(); }
 
 private:
+  struct Pending
+  {
+    CrashReport mReport;
+    TimePoint mDueAt;
+  };
+
+  Options mOptions;
   RecordTracker mTracker;
+  ReportSpread mSpread;
+  std::map<std::string, Pending, std::less<>> mPending; ///< by record
 };
 
 } // namespace figslip::quarantine
--- a/include/figslip/quarantine/record_tracker.hpp
+++ b/include/figslip/quarantine/record_tracker.hpp
@@ -56,6 +56,14 @@
   [[nodiscard]] std::vector<std::string> TakeIf(
     const std::function<bool(const std::string&)>& aMatches);
 
+  /// @brief Checks whether a name with a prefix is tracked.
+  [[nodiscard]] bool HasPrefix(std::string_view aPrefix) const;
+
+  [[nodiscard]] bool Contains(std::string_view aName) const
+  {
+    return mRecords.contains(aName);
+  }
+
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
 
 private:
--- a/src/core/quarantine/crash_records.cpp
+++ b/src/core/quarantine/crash_records.cpp
@@ -1,10 +1,12 @@
 #include <figslip/quarantine/crash_records.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
 #include <ranges>
 #include <set>
+#include <utility>
 
 namespace figslip::quarantine {
 
@@ -22,6 +24,13 @@
   return { text.data(), end.ptr };
 }
 
+/// Returns the first part of the names of all records of a request.
+std::string
+PrefixOf(std::uint64_t aFingerprint)
+{
+  return std::string(kNamePrefix) + ToHex(aFingerprint) + ".";
+}
+
 /// Parses a name of the form crash.FINGERPRINT.UPSTREAM.
 std::optional<CrashReport>
 Parse(std::string_view aName)
@@ -48,8 +57,49 @@
 std::string
 CrashRecords::NameOf(const CrashReport& aReport)
 {
-  return std::string(kNamePrefix) + ToHex(aReport.mFingerprint) + "." +
-         aReport.mUpstream;
+  return PrefixOf(aReport.mFingerprint) + aReport.mUpstream;
+}
+
+bool
+CrashRecords::OnOwnReport(const CrashReport& aReport, TimePoint aNow)
+{
+  auto name = NameOf(aReport);
+  if (mTracker.Contains(name) || mPending.contains(name)) {
+    return true;
+  }
+  if (mPending.size() >= mOptions.mMaxPending) {
+    return false;
+  }
+  bool isRepeated = mTracker.HasPrefix(PrefixOf(aReport.mFingerprint));
+  for (auto& pending : mPending | std::views::values) {
+    if (pending.mReport.mFingerprint == aReport.mFingerprint) {
+      pending.mDueAt = aNow;
+      isRepeated = true;
+    }
+  }
+  const auto dueAt = isRepeated ? aNow : aNow + mSpread.DelayOf(name);
+  mPending.emplace(std::move(name),
+                   Pending{ .mReport = aReport, .mDueAt = dueAt });
+  return true;
+}
+
+std::vector<CrashReport>
+CrashRecords::TakeDue(TimePoint aNow)
+{
+  std::vector<CrashReport> due;
+  std::erase_if(mPending, [&](const auto& aItem) {
+    const auto& [name, pending] = aItem;
+    if (mTracker.Contains(name)) {
+      return true; // another instance has published it
+    }
+    if (pending.mDueAt > aNow) {
+      return false;
+    }
+    mTracker.OnOwnRecord(name, aNow);
+    due.push_back(pending.mReport);
+    return true;
+  });
+  return due;
 }
 
 bool
@@ -71,6 +121,11 @@
     if (auto report = Parse(name)) {
       report->mSeenAt = aNow;
       report->mInFlight = aRecords.at(name);
+      for (auto& pending : mPending | std::views::values) {
+        if (pending.mReport.mFingerprint == report->mFingerprint) {
+          pending.mDueAt = std::min(pending.mDueAt, aNow);
+        }
+      }
       reports.push_back(std::move(*report));
     }
   }
@@ -92,6 +147,9 @@
 std::vector<std::string>
 CrashRecords::TakeRecordsOf(const std::set<std::uint64_t>& aFingerprints)
 {
+  std::erase_if(mPending, [&](const auto& aItem) {
+    return aFingerprints.contains(aItem.second.mReport.mFingerprint);
+  });
   return mTracker.TakeIf([&](const std::string& aName) {
     const auto report = Parse(aName);
     return report && aFingerprints.contains(report->mFingerprint);
--- a/src/core/quarantine/record_tracker.cpp
+++ b/src/core/quarantine/record_tracker.cpp
@@ -38,6 +38,13 @@
   return added;
 }
 
+bool
+RecordTracker::HasPrefix(std::string_view aPrefix) const
+{
+  const auto found = mRecords.lower_bound(aPrefix);
+  return found != mRecords.end() && found->first.starts_with(aPrefix);
+}
+
 std::vector<std::string>
 RecordTracker::TakeIf(const std::function<bool(const std::string&)>& aMatches)
 {
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -6,6 +6,7 @@
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <random>
 #include <ranges>
@@ -72,10 +73,7 @@
 
 /// Maximum number of crashes that are published in a housekeeping interval; the
 /// others follow later.
-constexpr int kMaxCrashesPerInterval = 4;
-
-/// Maximum number of crashes that wait to be published.
-constexpr std::size_t kMaxUnpublishedCrashes = 64;
+constexpr std::size_t kMaxCrashesPerInterval = 4;
 
 constexpr unsigned kFirstClientError = 400;
 
@@ -120,6 +118,13 @@
   return std::uniform_int_distribution<std::uint64_t>(1)(device);
 }
 
+/// Returns a number that differs by instance.
+std::uint64_t
+SeedOf(const std::string& aInstance)
+{
+  return std::hash<std::string>{}(aInstance);
+}
+
 std::string
 EvidenceName(std::string_view aService, std::string_view aInstance)
 {
@@ -203,6 +208,8 @@
                    { .mInstance = aSettings.mInstance,
                      .mFailureDomain = aSettings.mFailureDomain })
   , mRegisteredUpstreams({ .mMinOutage = MinOutage(aSettings) })
+  , mCrashes({ .mSeed = SeedOf(aSettings.mInstance) })
+  , mSuspects({ .mSeed = SeedOf(aSettings.mInstance) })
 {
 }
 
@@ -383,6 +390,7 @@
     co_await net::Sleep(kHousekeepingInterval);
     DropExpiredUpstreams();
     RemoveDueRecords();
+    PublishCrashes();
     PublishParts();
   }
 }
@@ -421,10 +429,9 @@
 void
 ControlPlane::PublishParts()
 {
-  for (int count = 0; count < kMaxCrashesPerInterval && !mSuspects.empty();
-       ++count) {
-    CreatePartRecord(quarantine::FormatCrashRecord(mSuspects.begin()->second));
-    mSuspects.erase(mSuspects.begin());
+  for (const auto& crash :
+       mSuspects.TakeDue(kMaxCrashesPerInterval, ReadBootClock())) {
+    CreatePartRecord(quarantine::FormatCrashRecord(crash));
   }
   if (!mServedParts.empty()) {
     CreatePartRecord(
@@ -558,6 +565,8 @@
       std::clamp<Duration>(kRetryBackoffPerInstance * places.size(),
                            kMinRetryBackoffLimit,
                            kMaxRetryBackoffLimit));
+  mCrashes.SetInstanceCount(static_cast<int>(places.size()));
+  mSuspects.SetInstanceCount(static_cast<int>(places.size()));
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   const auto withdrawn = mCrashes.Withdrawn();
   std::vector<quarantine::CrashSuspects> suspects;
@@ -566,6 +575,7 @@
        mPartRecords.OnRecords(partRecords, ReadBootClock())) {
     const auto& record = aObjects.at(name).mSpec;
     if (auto crash = quarantine::ReadCrashRecord(record)) {
+      mSuspects.OnPublished(*crash, ReadBootClock());
       suspects.push_back(std::move(*crash));
     }
     std::ranges::copy(quarantine::ReadServedRecord(record),
@@ -627,12 +637,24 @@
 void
 ControlPlane::ReportCrash(const quarantine::CrashReport& aReport)
 {
-  const auto name = quarantine::CrashRecords::NameOf(aReport);
-  const bool isPublished = aReport.mInFlight <= kMaxSharedInFlight &&
-                           mCrashes.OnOwnRecord(name, ReadBootClock());
-  if (isPublished) {
+  if (aReport.mInFlight > kMaxSharedInFlight) {
+    return;
+  }
+  if (!mCrashes.OnOwnReport(aReport, ReadBootClock())) {
+    log::Write(log::Level::Warning,
+               "crash_report_dropped",
+               { { "upstream", aReport.mUpstream } });
+  }
+  PublishCrashes();
+}
+
+void
+ControlPlane::PublishCrashes()
+{
+  for (const auto& report : mCrashes.TakeDue(ReadBootClock())) {
+    const auto name = quarantine::CrashRecords::NameOf(report);
     StartWrite(
-      mDialect.mCreateShared(name, { { kInFlightField, aReport.mInFlight } }),
+      mDialect.mCreateShared(name, { { kInFlightField, report.mInFlight } }),
       "create crash record");
   }
 }
@@ -769,11 +791,10 @@
 void
 ControlPlane::ReportSuspects(const quarantine::CrashSuspects& aCrash)
 {
-  auto found = mSuspects.find(aCrash.mEndpoint);
-  if (found != mSuspects.end()) {
-    found->second.mParts.insert(aCrash.mParts.begin(), aCrash.mParts.end());
-  } else if (mSuspects.size() < kMaxUnpublishedCrashes) {
-    mSuspects.emplace(aCrash.mEndpoint, aCrash);
+  if (!mSuspects.OnOwn(aCrash, ReadBootClock())) {
+    log::Write(log::Level::Warning,
+               "crash_report_dropped",
+               { { "upstream", aCrash.mEndpoint } });
   }
 }
 
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -1,11 +1,16 @@
 #include <figslip/quarantine/crash_records.hpp>
 #include <figslip/quarantine/quarantine.hpp>
+#include <figslip/quarantine/suspect_reports.hpp>
 
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace figslip;
 using namespace std::chrono_literals;
@@ -129,6 +134,142 @@
   CHECK(quarantine.Reports(kStart + 20min).empty());
 }
 
+// load: many instances lose requests at the same upstream; a record of each
+TEST_CASE("crash reports of many instances")
+{
+  constexpr int kInstances = 80;
+  constexpr auto kTick = 250ms;
+  constexpr auto kPropagation = 400ms;
+  std::vector<CrashRecords> instances;
+  for (std::uint64_t seed = 1; seed <= kInstances; ++seed) {
+    instances.emplace_back(CrashRecords::Options{ .mSeed = seed });
+    instances.back().SetInstanceCount(kInstances);
+  }
+  const quarantine::CrashReport first{ .mFingerprint = 1, .mUpstream = "a" };
+  const quarantine::CrashReport second{ .mFingerprint = 1, .mUpstream = "b" };
+
+  SUBCASE("of the same request merge within a second")
+  {
+    std::size_t written = 0;
+    std::optional<TimePoint> writtenAt;
+    for (auto& instance : instances) {
+      CHECK(instance.OnOwnReport(first, kStart));
+    }
+    for (auto now = kStart; now <= kStart + 1s; now += kTick) {
+      for (auto& instance : instances) {
+        if (writtenAt && now >= *writtenAt + kPropagation) {
+          instance.OnRecords({ { CrashRecords::NameOf(first), 1 } }, now);
+        }
+        const auto due = instance.TakeDue(now).size();
+        written += due;
+        writtenAt = due > 0 && !writtenAt ? now : writtenAt;
+      }
+    }
+    CHECK(written >= 1);
+    CHECK(written <= kInstances / 2);
+  }
+
+  SUBCASE("of the second crash of a request are not delayed")
+  {
+    auto& seesBoth = instances[0];
+    CHECK(seesBoth.OnOwnReport(first, kStart));
+    CHECK(seesBoth.OnOwnReport(second, kStart));
+    CHECK(seesBoth.TakeDue(kStart).size() == 2);
+
+    auto& hearsOfFirst = instances[1];
+    hearsOfFirst.OnRecords({ { CrashRecords::NameOf(first), 1 } }, kStart);
+    CHECK(hearsOfFirst.OnOwnReport(second, kStart));
+    CHECK(hearsOfFirst.TakeDue(kStart).size() == 1);
+
+    auto& hearsOfSecond = instances[2];
+    CHECK(hearsOfSecond.OnOwnReport(first, kStart));
+    hearsOfSecond.OnRecords({ { CrashRecords::NameOf(second), 1 } }, kStart);
+    CHECK(hearsOfSecond.TakeDue(kStart).size() == 1);
+  }
+
+  SUBCASE("of a request that was served meanwhile are dropped")
+  {
+    CHECK(instances[0].OnOwnReport(first, kStart));
+    CHECK(instances[0].TakeRecordsOf({ 1 }).empty());
+    CHECK(instances[0].TakeDue(kStart + 1s).empty());
+  }
+
+  SUBCASE("are not delayed in a small fleet")
+  {
+    instances[0].SetInstanceCount(10);
+    CHECK(instances[0].OnOwnReport(first, kStart));
+    CHECK(instances[0].TakeDue(kStart).size() == 1);
+  }
+}
+
+// load: as above; the suspected parts of the requests
+TEST_CASE("suspects of a crash that many instances report")
+{
+  using quarantine::CrashSuspects;
+  quarantine::SuspectReports reports({ .mSeed = 1 });
+  reports.SetInstanceCount(80);
+  const CrashSuspects crash{ .mEndpoint = "a", .mAtMs = 1, .mParts = { 1, 2 } };
+  CHECK(reports.OnOwn(crash, kStart));
+
+  SUBCASE("are published within a second, once")
+  {
+    const auto due = reports.TakeDue(4, kStart + 750ms);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0] == crash);
+    CHECK(reports.OnOwn(crash, kStart + 800ms));
+    CHECK(reports.PendingCount() == 0);
+  }
+
+  SUBCASE("leave out those that another instance has published")
+  {
+    reports.OnPublished({ .mEndpoint = "a", .mAtMs = 300, .mParts = { 2, 3 } },
+                        kStart);
+    const auto due = reports.TakeDue(4, kStart + 750ms);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].mParts == std::set<quarantine::PartId>{ 1 });
+  }
+
+  SUBCASE("are not published if another instance has published them all")
+  {
+    reports.OnPublished(crash, kStart);
+    CHECK(reports.PendingCount() == 0);
+  }
+
+  SUBCASE("are published if the other crash of the upstream was before")
+  {
+    reports.OnPublished(
+      { .mEndpoint = "a", .mAtMs = -3'000, .mParts = { 1, 2 } }, kStart);
+    CHECK(reports.TakeDue(4, kStart + 750ms).size() == 1);
+  }
+
+  SUBCASE("are not delayed if another upstream crashed with one of them")
+  {
+    SUBCASE("before")
+    {
+      quarantine::SuspectReports late({ .mSeed = 1 });
+      late.SetInstanceCount(80);
+      late.OnPublished({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 1 } },
+                       kStart);
+      CHECK(late.OnOwn(crash, kStart));
+      CHECK(late.TakeDue(4, kStart).size() == 1);
+    }
+
+    SUBCASE("meanwhile")
+    {
+      reports.OnPublished({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 1 } },
+                          kStart);
+      CHECK(reports.TakeDue(4, kStart).size() == 1);
+    }
+
+    SUBCASE("here")
+    {
+      CHECK(reports.OnOwn({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 1 } },
+                          kStart));
+      CHECK(reports.TakeDue(4, kStart).size() == 2);
+    }
+  }
+}
+
 TEST_CASE("crash records in the store")
 {
   CrashRecords records({ .mRetention = 60s });
