Back off from writes to the store with the number of instances

A write now backs off further with each attempt and with the registered instances, spread by chance, and from its second failure on waits until the store has answered this instance or its source. A newer write of the same object replaces it, and the removal of a record whose creation was not executed is not sent.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -11,6 +11,7 @@
 #include <figslip/quarantine/suspect_reports.hpp>
 #include <figslip/relay/relay_follower.hpp>
 #include <figslip/relay/relay_server.hpp>
+#include <figslip/retry/write_backoff.hpp>
 #include <figslip/settings/ingress_settings.hpp>
 #include <figslip/store/lost_kinds.hpp>
 #include <figslip/store/object_follower.hpp>
@@ -19,8 +20,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -112,13 +115,40 @@
   void CreatePartRecord(const nlohmann::json& aRecord);
   [[nodiscard]] net::Awaitable<void> Register();
   [[nodiscard]] nlohmann::json Registration() const;
+  using WriteStatePtr = std::shared_ptr<retry::WriteState>;
+
   /// Writes with retries until the store accepts the write.
-  /// @return the status of the answer; 0: all attempts failed
+  /// @param[in] aState may be replaced meanwhile; the write then ends
+  /// @return the status of the answer; 0: not written
   [[nodiscard]] net::Awaitable<unsigned> WriteWithRetries(
     net::RequestMessage aRequest,
-    std::string aName);
-  /// Writes with retries in the background.
-  void StartWrite(net::RequestMessage aRequest, std::string aName);
+    std::string aName,
+    WriteStatePtr aState,
+    retry::WriteUrgency aUrgency = retry::WriteUrgency::Background);
+  /// Waits until the store has answered a call that was sent later, as seen by
+  /// this instance or its source.
+  [[nodiscard]] net::Awaitable<void> AwaitStore(TimePoint aFailedAt,
+                                                TimePoint aStartedAt);
+  /// Creates an object with retries in the background.
+  void StartCreation(const std::string& aObject,
+                     const nlohmann::json& aSpec,
+                     std::string aCall);
+  /// Removes an object with retries in the background.
+  void StartRemoval(const std::string& aObject, std::string aCall);
+  /// Removes an object, unless it was not written in the end.
+  [[nodiscard]] net::Awaitable<void> Remove(std::string aObject,
+                                            std::string aCall,
+                                            WriteStatePtr aState,
+                                            WriteStatePtr aEarlier);
+  /// Makes a write the latest one of an object.
+  /// @return state of the write, and of the one that it replaces, if any
+  std::pair<WriteStatePtr, WriteStatePtr> ReplaceWrite(
+    const std::string& aObject,
+    bool aIsCreation);
+  /// Forgets a write that has ended.
+  void EndWrite(const std::string& aObject, const WriteStatePtr& aState);
+  /// Returns a random number in [0, 1).
+  [[nodiscard]] double Random();
   void LogUnreadable(const store::Object& aObject,
                      std::string_view aKind,
                      const error::Findings& aFindings);
@@ -149,6 +179,13 @@
   quarantine::RecordTracker mPartRecords{ {} };
   std::int64_t mLastPartRecord = 0; ///< number in its name
   quarantine::SuspectReports mSuspects;
+  retry::WriteBackoff mWriteBackoff{ {} };
+  /// writes that have not ended, by object
+  std::map<std::string, WriteStatePtr> mWrites;
+  int mInstanceCount = 1; ///< registered instances
+  /// a call that was sent then has been answered
+  TimePoint mStoreAnsweredAt;
+  std::minstd_rand mRandom{ std::random_device{}() };
   std::vector<quarantine::PartId> mServedParts; ///< not published yet
 };
 
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -22,9 +22,9 @@
 /// Timeout of a write to the store.
 constexpr auto kWriteTimeout = milliseconds(1'500);
 
-/// Backoff before the first retry of a failed write; it grows linearly.
-constexpr auto kWriteBackoff = milliseconds(400);
-constexpr int kMaxWriteAttempts = 12;
+/// Interval at which a write that waits for another one, or for the end of an
+/// outage, looks again.
+constexpr auto kWriteLook = milliseconds(100);
 
 /// Timeout of the first attempt to register, for which the start of the relay
 /// waits.
@@ -398,6 +398,7 @@
 void
 ControlPlane::OnStoreAnswered(TimePoint aSentAt)
 {
+  mStoreAnsweredAt = std::max(mStoreAnsweredAt, aSentAt);
   mRegisteredUpstreams.OnStoreAnswered(aSentAt);
   DropExpiredUpstreams();
 }
@@ -419,10 +420,10 @@
 {
   const auto now = ReadBootClock();
   for (const auto& name : mCrashes.TakeExpired(now)) {
-    StartWrite(mDialect.mRemoveShared(name), "remove crash record");
+    StartRemoval(name, "remove crash record");
   }
   for (const auto& name : mPartRecords.TakeExpired(now)) {
-    StartWrite(mDialect.mRemoveShared(name), "remove part record");
+    StartRemoval(name, "remove part record");
   }
 }
 
@@ -449,7 +450,7 @@
   const auto name =
     quarantine::PartRecordName(mSettings.mInstance, mLastPartRecord);
   mPartRecords.OnOwnRecord(name, ReadBootClock());
-  StartWrite(mDialect.mCreateShared(name, aRecord), "create part record");
+  StartCreation(name, aRecord, "create part record");
 }
 
 void
@@ -565,8 +566,9 @@
       std::clamp<Duration>(kRetryBackoffPerInstance * places.size(),
                            kMinRetryBackoffLimit,
                            kMaxRetryBackoffLimit));
-  mCrashes.SetInstanceCount(static_cast<int>(places.size()));
-  mSuspects.SetInstanceCount(static_cast<int>(places.size()));
+  mInstanceCount = static_cast<int>(places.size());
+  mCrashes.SetInstanceCount(mInstanceCount);
+  mSuspects.SetInstanceCount(mInstanceCount);
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   const auto withdrawn = mCrashes.Withdrawn();
   std::vector<quarantine::CrashSuspects> suspects;
@@ -653,9 +655,8 @@
 {
   for (const auto& report : mCrashes.TakeDue(ReadBootClock())) {
     const auto name = quarantine::CrashRecords::NameOf(report);
-    StartWrite(
-      mDialect.mCreateShared(name, { { kInFlightField, report.mInFlight } }),
-      "create crash record");
+    StartCreation(
+      name, { { kInFlightField, report.mInFlight } }, "create crash record");
   }
 }
 
@@ -665,7 +666,7 @@
   for (const auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
     log::Write(
       log::Level::Info, "crash_record_withdrawn", { { "record", name } });
-    StartWrite(mDialect.mRemoveShared(name), "withdraw crash record");
+    StartRemoval(name, "withdraw crash record");
   }
 }
 
@@ -726,7 +727,7 @@
                                     "share withdrawn sessions"),
                         net::asio::detached);
   } else if (mOwnSessions.erase(name) > 0) {
-    StartWrite(mDialect.mRemoveShared(name), "remove withdrawn sessions");
+    StartRemoval(name, "remove withdrawn sessions");
   }
 }
 
@@ -738,12 +739,21 @@
   const bool isKnown = !mOwnSessions.insert(aName).second;
   auto request = isKnown ? mDialect.mReplaceShared(aName, aSpec)
                          : mDialect.mCreateShared(aName, aSpec);
-  const auto status = co_await WriteWithRetries(std::move(request), aCall);
-  if (status == kConflict) {
-    // an earlier process of this name may have left one
-    request = mDialect.mReplaceShared(aName, aSpec);
-    co_await WriteWithRetries(std::move(request), aCall);
+  const auto [state, earlier] = ReplaceWrite(aName, !isKnown);
+  while (earlier && earlier->IsInFlight()) {
+    co_await net::Sleep(kWriteLook);
+  }
+  const auto status =
+    co_await WriteWithRetries(std::move(request), aCall, state);
+  // an earlier process of this name may have left one, or the write that
+  // created it was replaced
+  const bool isOther = status == kConflict || status == kNotFound;
+  if (isOther && !state->IsReplaced()) {
+    request = status == kConflict ? mDialect.mReplaceShared(aName, aSpec)
+                                  : mDialect.mCreateShared(aName, aSpec);
+    co_await WriteWithRetries(std::move(request), aCall, state);
   }
+  EndWrite(aName, state);
 }
 
 std::optional<rollout::SessionReport>
@@ -780,9 +790,8 @@
   std::erase_if(mOwnEvidence, [this](const std::string& aService) {
     const bool isOld = !mOpenRollouts->contains(aService);
     if (isOld) {
-      StartWrite(
-        mDialect.mRemoveShared(EvidenceName(aService, mSettings.mInstance)),
-        "remove roll-out evidence");
+      StartRemoval(EvidenceName(aService, mSettings.mInstance),
+                   "remove roll-out evidence");
     }
     return isOld;
   });
@@ -826,14 +835,18 @@
   // that start together discover each other
   mRelayFollower.Start();
   auto status = result.mStatus;
+  const auto state = std::make_shared<retry::WriteState>(true);
   const bool isDone = result.mOutcome == store::CallOutcome::Answered;
   if (!isDone) {
-    status = co_await WriteWithRetries(std::move(request), call);
+    status = co_await WriteWithRetries(
+      std::move(request), call, state, retry::WriteUrgency::Prompt);
   }
   if (status == kConflict) {
     // an earlier process of this name may have registered another address
     request = mDialect.mReplaceShared(name, Registration());
-    co_await WriteWithRetries(std::move(request), "register instance again");
+    const std::string again = "register instance again";
+    co_await WriteWithRetries(
+      std::move(request), again, state, retry::WriteUrgency::Prompt);
   }
 }
 
@@ -860,12 +873,19 @@
 }
 
 net::Awaitable<unsigned>
-ControlPlane::WriteWithRetries(net::RequestMessage aRequest, std::string aName)
+ControlPlane::WriteWithRetries(net::RequestMessage aRequest,
+                               std::string aName,
+                               WriteStatePtr aState,
+                               retry::WriteUrgency aUrgency)
 {
-  for (int attempt = 0; attempt < kMaxWriteAttempts; ++attempt) {
+  const auto startedAt = ReadBootClock();
+  int attempts = 0;
+  while (!aState->IsReplaced()) {
     auto request = aRequest;
+    aState->OnSent();
     const auto result =
       co_await mClient.Call(std::move(request), aName, kWriteTimeout);
+    aState->OnEnded(result.mOutcome != store::CallOutcome::Unavailable);
     const bool isWritten =
       result.mOutcome == store::CallOutcome::Answered &&
       (result.mStatus < kFirstClientError || result.mStatus == kConflict ||
@@ -879,17 +899,111 @@
                  { "status", std::to_string(result.mStatus) },
                  { "reason", result.mReason },
                  { "answer", result.mBody.substr(0, kMaxLoggedAnswerBytes) } });
-    co_await net::Sleep(kWriteBackoff * (attempt + 1));
+    ++attempts;
+    const auto failedAt = ReadBootClock();
+    const bool mayRetry =
+      mWriteBackoff.MayRetry(aUrgency, attempts, failedAt - startedAt);
+    if (!mayRetry) {
+      log::Write(
+        log::Level::Warning,
+        "write_abandoned",
+        { { "call", aName }, { "attempts", std::to_string(attempts) } });
+      co_return 0;
+    }
+    co_await net::Sleep(
+      mWriteBackoff.Before(aUrgency, attempts, mInstanceCount, Random()));
+    if (retry::WriteBackoff::AwaitsStore(aUrgency, attempts)) {
+      co_await AwaitStore(failedAt, startedAt);
+    }
   }
+  log::Write(log::Level::Info, "write_replaced", { { "call", aName } });
   co_return 0;
 }
 
+net::Awaitable<void>
+ControlPlane::AwaitStore(TimePoint aFailedAt, TimePoint aStartedAt)
+{
+  bool hasWaited = false;
+  auto now = ReadBootClock();
+  while (mStoreAnsweredAt <= aFailedAt &&
+         mWriteBackoff.MayWait(now - aStartedAt)) {
+    hasWaited = true;
+    co_await net::Sleep(kWriteLook);
+    now = ReadBootClock();
+  }
+  if (hasWaited) {
+    co_await net::Sleep(mWriteBackoff.AfterOutage(mInstanceCount, Random()));
+  }
+}
+
 void
-ControlPlane::StartWrite(net::RequestMessage aRequest, std::string aName)
+ControlPlane::StartCreation(const std::string& aObject,
+                            const nlohmann::json& aSpec,
+                            std::string aCall)
+{
+  const auto state = ReplaceWrite(aObject, true).first;
+  net::asio::co_spawn(
+    mContext,
+    WriteWithRetries(
+      mDialect.mCreateShared(aObject, aSpec), std::move(aCall), state),
+    [this, aObject, state](const std::exception_ptr&, unsigned) {
+      EndWrite(aObject, state);
+    });
+}
+
+void
+ControlPlane::StartRemoval(const std::string& aObject, std::string aCall)
+{
+  auto [state, earlier] = ReplaceWrite(aObject, false);
+  net::asio::co_spawn(
+    mContext,
+    Remove(aObject, std::move(aCall), std::move(state), std::move(earlier)),
+    net::asio::detached);
+}
+
+net::Awaitable<void>
+ControlPlane::Remove(std::string aObject,
+                     std::string aCall,
+                     WriteStatePtr aState,
+                     WriteStatePtr aEarlier)
+{
+  // a creation that is in flight may be executed after a removal
+  while (aEarlier && aEarlier->IsInFlight()) {
+    co_await net::Sleep(kWriteLook);
+  }
+  if (aEarlier && aEarlier->IsUnwritten()) {
+    log::Write(log::Level::Info, "write_replaced", { { "call", aCall } });
+  } else {
+    co_await WriteWithRetries(
+      mDialect.mRemoveShared(aObject), std::move(aCall), aState);
+  }
+  EndWrite(aObject, aState);
+}
+
+std::pair<ControlPlane::WriteStatePtr, ControlPlane::WriteStatePtr>
+ControlPlane::ReplaceWrite(const std::string& aObject, bool aIsCreation)
+{
+  auto state = std::make_shared<retry::WriteState>(aIsCreation);
+  auto earlier = std::exchange(mWrites[aObject], state);
+  if (earlier) {
+    earlier->OnReplaced();
+  }
+  return { std::move(state), std::move(earlier) };
+}
+
+void
+ControlPlane::EndWrite(const std::string& aObject, const WriteStatePtr& aState)
+{
+  const auto found = mWrites.find(aObject);
+  if (found != mWrites.end() && found->second == aState) {
+    mWrites.erase(found);
+  }
+}
+
+double
+ControlPlane::Random()
 {
-  net::asio::co_spawn(mContext,
-                      WriteWithRetries(std::move(aRequest), std::move(aName)),
-                      [](const std::exception_ptr&, unsigned) {});
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
 }
 
 void
