--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -8,8 +8,10 @@
 #include <figslip/quarantine/crash_records.hpp>
 #include <figslip/quarantine/part_records.hpp>
 #include <figslip/quarantine/record_tracker.hpp>
+#include <figslip/quarantine/suspect_reports.hpp>
 #include <figslip/relay/relay_follower.hpp>
 #include <figslip/relay/relay_server.hpp>
+#include <figslip/retry/write_backoff.hpp>
 #include <figslip/settings/ingress_settings.hpp>
 #include <figslip/store/lost_kinds.hpp>
 #include <figslip/store/object_follower.hpp>
@@ -18,8 +20,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -49,7 +53,8 @@
 
   /// @brief Publishes to all instances that a request ran on an upstream when
   /// the upstream crashed.
-  /// @note Not published if many requests were in flight there.
+  /// @note Not published if many requests were in flight there, or if another
+  /// instance publishes it first.
   void ReportCrash(const quarantine::CrashReport& aReport);
 
   /// @brief Publishes this instance's counts on a roll-out to all instances.
@@ -61,7 +66,8 @@
   void ShareSessions(const rollout::SessionReport& aReport);
 
   /// @brief Publishes to all instances which parts may have caused a crash.
-  /// @note Reports of one crash are published together, after a short delay.
+  /// @note Reports of one crash are published together, after a short delay,
+  /// without the parts that another instance has published by then.
   void ReportSuspects(const quarantine::CrashSuspects& aCrash);
 
   /// @brief Removes the published crashes of requests that were served.
@@ -104,17 +110,45 @@
     const store::Object& aObject);
   /// Removes this instance's counts of roll-outs that are decided or gone.
   void RemoveOldEvidence();
+  void PublishCrashes();
   void PublishParts();
   void CreatePartRecord(const nlohmann::json& aRecord);
   [[nodiscard]] net::Awaitable<void> Register();
   [[nodiscard]] nlohmann::json Registration() const;
+  using WriteStatePtr = std::shared_ptr<retry::WriteState>;
+
   /// Writes with retries until the store accepts the write.
-  /// @return the status of the answer; 0: all attempts failed
+  /// @param[in] aState may be replaced meanwhile; the write then ends
+  /// @return the status of the answer; 0: not written
   [[nodiscard]] net::Awaitable<unsigned> WriteWithRetries(
     net::RequestMessage aRequest,
-    std::string aName);
-  /// Writes with retries in the background.
-  void StartWrite(net::RequestMessage aRequest, std::string aName);
+    std::string aName,
+    WriteStatePtr aState,
+    retry::WriteUrgency aUrgency = retry::WriteUrgency::Background);
+  /// Waits until the store has answered a call that was sent later, as seen by
+  /// this instance or its source.
+  [[nodiscard]] net::Awaitable<void> AwaitStore(TimePoint aFailedAt,
+                                                TimePoint aStartedAt);
+  /// Creates an object with retries in the background.
+  void StartCreation(const std::string& aObject,
+                     const nlohmann::json& aSpec,
+                     std::string aCall);
+  /// Removes an object with retries in the background.
+  void StartRemoval(const std::string& aObject, std::string aCall);
+  /// Removes an object, unless it was not written in the end.
+  [[nodiscard]] net::Awaitable<void> Remove(std::string aObject,
+                                            std::string aCall,
+                                            WriteStatePtr aState,
+                                            WriteStatePtr aEarlier);
+  /// Makes a write the latest one of an object.
+  /// @return state of the write, and of the one that it replaces, if any
+  std::pair<WriteStatePtr, WriteStatePtr> ReplaceWrite(
+    const std::string& aObject,
+    bool aIsCreation);
+  /// Forgets a write that has ended.
+  void EndWrite(const std::string& aObject, const WriteStatePtr& aState);
+  /// Returns a random number in [0, 1).
+  [[nodiscard]] double Random();
   void LogUnreadable(const store::Object& aObject,
                      std::string_view aKind,
                      const error::Findings& aFindings);
@@ -133,7 +167,7 @@
   std::map<std::string, std::int64_t> mLoggedRevisions;
   std::int64_t mNewestVersion = -1;    ///< of the configuration
   std::int64_t mLastReadRevision = -1; ///< of the configuration
-  quarantine::CrashRecords mCrashes{ {} };
+  quarantine::CrashRecords mCrashes;
   std::set<std::string> mOwnEvidence; ///< services with counts in the store
   std::int64_t mLastEvidenceRevision = -1; ///< of own counts seen in lists
   /// services with an undecided roll-out; unknown before the first list
@@ -144,8 +178,14 @@
   std::map<std::string, std::int64_t> mSessionRevisions;
   quarantine::RecordTracker mPartRecords{ {} };
   std::int64_t mLastPartRecord = 0; ///< number in its name
-  /// not published yet, by upstream
-  std::map<std::string, quarantine::CrashSuspects> mSuspects;
+  quarantine::SuspectReports mSuspects;
+  retry::WriteBackoff mWriteBackoff{ {} };
+  /// writes that have not ended, by object
+  std::map<std::string, WriteStatePtr> mWrites;
+  int mInstanceCount = 1; ///< registered instances
+  /// a call that was sent then has been answered
+  TimePoint mStoreAnsweredAt;
+  std::minstd_rand mRandom{ std::random_device{}() };
   std::vector<quarantine::PartId> mServedParts; ///< not published yet
 };
 
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -6,6 +6,7 @@
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <random>
 #include <ranges>
@@ -21,9 +22,9 @@
 /// Timeout of a write to the store.
 constexpr auto kWriteTimeout = milliseconds(1'500);
 
-/// Backoff before the first retry of a failed write; it grows linearly.
-constexpr auto kWriteBackoff = milliseconds(400);
-constexpr int kMaxWriteAttempts = 12;
+/// Interval at which a write that waits for another one, or for the end of an
+/// outage, looks again.
+constexpr auto kWriteLook = milliseconds(100);
 
 /// Timeout of the first attempt to register, for which the start of the relay
 /// waits.
@@ -77,10 +78,7 @@
 
 /// Maximum number of crashes that are published in a housekeeping interval; the
 /// others follow later.
-constexpr int kMaxCrashesPerInterval = 4;
-
-/// Maximum number of crashes that wait to be published.
-constexpr std::size_t kMaxUnpublishedCrashes = 64;
+constexpr std::size_t kMaxCrashesPerInterval = 4;
 
 constexpr unsigned kFirstClientError = 400;
 
@@ -125,6 +123,13 @@
   return std::uniform_int_distribution<std::uint64_t>(1)(device);
 }
 
+/// Returns a number that differs by instance.
+std::uint64_t
+SeedOf(const std::string& aInstance)
+{
+  return std::hash<std::string>{}(aInstance);
+}
+
 std::string
 EvidenceName(std::string_view aService, std::string_view aInstance)
 {
@@ -228,6 +233,8 @@
                    { .mInstance = aSettings.mInstance,
                      .mFailureDomain = aSettings.mFailureDomain })
   , mRegisteredUpstreams({ .mMinOutage = MinOutage(aSettings) })
+  , mCrashes({ .mSeed = SeedOf(aSettings.mInstance) })
+  , mSuspects({ .mSeed = SeedOf(aSettings.mInstance) })
 {
 }
 
@@ -408,6 +415,7 @@
     co_await net::Sleep(kHousekeepingInterval);
     DropExpiredUpstreams();
     RemoveDueRecords();
+    PublishCrashes();
     PublishParts();
   }
 }
@@ -415,6 +423,7 @@
 void
 ControlPlane::OnStoreAnswered(TimePoint aSentAt)
 {
+  mStoreAnsweredAt = std::max(mStoreAnsweredAt, aSentAt);
   mRegisteredUpstreams.OnStoreAnswered(aSentAt);
   DropExpiredUpstreams();
 }
@@ -436,20 +445,19 @@
 {
   const auto now = ReadBootClock();
   for (const auto& name : mCrashes.TakeExpired(now)) {
-    StartWrite(mDialect.mRemoveShared(name), "remove crash record");
+    StartRemoval(name, "remove crash record");
   }
   for (const auto& name : mPartRecords.TakeExpired(now)) {
-    StartWrite(mDialect.mRemoveShared(name), "remove part record");
+    StartRemoval(name, "remove part record");
   }
 }
 
 void
 ControlPlane::PublishParts()
 {
-  for (int count = 0; count < kMaxCrashesPerInterval && !mSuspects.empty();
-       ++count) {
-    CreatePartRecord(quarantine::FormatCrashRecord(mSuspects.begin()->second));
-    mSuspects.erase(mSuspects.begin());
+  for (const auto& crash :
+       mSuspects.TakeDue(kMaxCrashesPerInterval, ReadBootClock())) {
+    CreatePartRecord(quarantine::FormatCrashRecord(crash));
   }
   if (!mServedParts.empty()) {
     CreatePartRecord(
@@ -467,7 +475,7 @@
   const auto name =
     quarantine::PartRecordName(mSettings.mInstance, mLastPartRecord);
   mPartRecords.OnOwnRecord(name, ReadBootClock());
-  StartWrite(mDialect.mCreateShared(name, aRecord), "create part record");
+  StartCreation(name, aRecord, "create part record");
 }
 
 void
@@ -583,6 +591,9 @@
       std::clamp<Duration>(kRetryBackoffPerInstance * places.size(),
                            kMinRetryBackoffLimit,
                            kMaxRetryBackoffLimit));
+  mInstanceCount = static_cast<int>(places.size());
+  mCrashes.SetInstanceCount(mInstanceCount);
+  mSuspects.SetInstanceCount(mInstanceCount);
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   const auto withdrawn = mCrashes.Withdrawn();
   std::vector<quarantine::CrashSuspects> suspects;
@@ -591,6 +602,7 @@
        mPartRecords.OnRecords(partRecords, ReadBootClock())) {
     const auto& record = aObjects.at(name).mSpec;
     if (auto crash = quarantine::ReadCrashRecord(record)) {
+      mSuspects.OnPublished(*crash, ReadBootClock());
       suspects.push_back(std::move(*crash));
     }
     std::ranges::copy(quarantine::ReadServedRecord(record),
@@ -652,13 +664,24 @@
 void
 ControlPlane::ReportCrash(const quarantine::CrashReport& aReport)
 {
-  const auto name = quarantine::CrashRecords::NameOf(aReport);
-  const bool isPublished = aReport.mInFlight <= kMaxSharedInFlight &&
-                           mCrashes.OnOwnRecord(name, ReadBootClock());
-  if (isPublished) {
-    StartWrite(
-      mDialect.mCreateShared(name, { { kInFlightField, aReport.mInFlight } }),
-      "create crash record");
+  if (aReport.mInFlight > kMaxSharedInFlight) {
+    return;
+  }
+  if (!mCrashes.OnOwnReport(aReport, ReadBootClock())) {
+    log::Write(log::Level::Warning,
+               "crash_report_dropped",
+               { { "upstream", aReport.mUpstream } });
+  }
+  PublishCrashes();
+}
+
+void
+ControlPlane::PublishCrashes()
+{
+  for (const auto& report : mCrashes.TakeDue(ReadBootClock())) {
+    const auto name = quarantine::CrashRecords::NameOf(report);
+    StartCreation(
+      name, { { kInFlightField, report.mInFlight } }, "create crash record");
   }
 }
 
@@ -668,7 +691,7 @@
   for (const auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
     log::Write(
       log::Level::Info, "crash_record_withdrawn", { { "record", name } });
-    StartWrite(mDialect.mRemoveShared(name), "withdraw crash record");
+    StartRemoval(name, "withdraw crash record");
   }
 }
 
@@ -729,7 +752,7 @@
                                     "share withdrawn sessions"),
                         net::asio::detached);
   } else if (mOwnSessions.erase(name) > 0) {
-    StartWrite(mDialect.mRemoveShared(name), "remove withdrawn sessions");
+    StartRemoval(name, "remove withdrawn sessions");
   }
 }
 
@@ -741,12 +764,21 @@
   const bool isKnown = !mOwnSessions.insert(aName).second;
   auto request = isKnown ? mDialect.mReplaceShared(aName, aSpec)
                          : mDialect.mCreateShared(aName, aSpec);
-  const auto status = co_await WriteWithRetries(std::move(request), aCall);
-  if (status == kConflict) {
-    // an earlier process of this name may have left one
-    request = mDialect.mReplaceShared(aName, aSpec);
-    co_await WriteWithRetries(std::move(request), aCall);
+  const auto [state, earlier] = ReplaceWrite(aName, !isKnown);
+  while (earlier && earlier->IsInFlight()) {
+    co_await net::Sleep(kWriteLook);
+  }
+  const auto status =
+    co_await WriteWithRetries(std::move(request), aCall, state);
+  // an earlier process of this name may have left one, or the write that
+  // created it was replaced
+  const bool isOther = status == kConflict || status == kNotFound;
+  if (isOther && !state->IsReplaced()) {
+    request = status == kConflict ? mDialect.mReplaceShared(aName, aSpec)
+                                  : mDialect.mCreateShared(aName, aSpec);
+    co_await WriteWithRetries(std::move(request), aCall, state);
   }
+  EndWrite(aName, state);
 }
 
 std::optional<rollout::SessionReport>
@@ -783,9 +815,8 @@
   std::erase_if(mOwnEvidence, [this](const std::string& aService) {
     const bool isOld = !mOpenRollouts->contains(aService);
     if (isOld) {
-      StartWrite(
-        mDialect.mRemoveShared(EvidenceName(aService, mSettings.mInstance)),
-        "remove roll-out evidence");
+      StartRemoval(EvidenceName(aService, mSettings.mInstance),
+                   "remove roll-out evidence");
     }
     return isOld;
   });
@@ -794,11 +825,10 @@
 void
 ControlPlane::ReportSuspects(const quarantine::CrashSuspects& aCrash)
 {
-  auto found = mSuspects.find(aCrash.mEndpoint);
-  if (found != mSuspects.end()) {
-    found->second.mParts.insert(aCrash.mParts.begin(), aCrash.mParts.end());
-  } else if (mSuspects.size() < kMaxUnpublishedCrashes) {
-    mSuspects.emplace(aCrash.mEndpoint, aCrash);
+  if (!mSuspects.OnOwn(aCrash, ReadBootClock())) {
+    log::Write(log::Level::Warning,
+               "crash_report_dropped",
+               { { "upstream", aCrash.mEndpoint } });
   }
 }
 
@@ -830,14 +860,18 @@
   // that start together discover each other
   mRelayFollower.Start();
   auto status = result.mStatus;
+  const auto state = std::make_shared<retry::WriteState>(true);
   const bool isDone = result.mOutcome == store::CallOutcome::Answered;
   if (!isDone) {
-    status = co_await WriteWithRetries(std::move(request), call);
+    status = co_await WriteWithRetries(
+      std::move(request), call, state, retry::WriteUrgency::Prompt);
   }
   if (status == kConflict) {
     // an earlier process of this name may have registered another address
     request = mDialect.mReplaceShared(name, Registration());
-    co_await WriteWithRetries(std::move(request), "register instance again");
+    const std::string again = "register instance again";
+    co_await WriteWithRetries(
+      std::move(request), again, state, retry::WriteUrgency::Prompt);
   }
 }
 
@@ -864,12 +898,19 @@
 }
 
 net::Awaitable<unsigned>
-ControlPlane::WriteWithRetries(net::RequestMessage aRequest, std::string aName)
+ControlPlane::WriteWithRetries(net::RequestMessage aRequest,
+                               std::string aName,
+                               WriteStatePtr aState,
+                               retry::WriteUrgency aUrgency)
 {
-  for (int attempt = 0; attempt < kMaxWriteAttempts; ++attempt) {
+  const auto startedAt = ReadBootClock();
+  int attempts = 0;
+  while (!aState->IsReplaced()) {
     auto request = aRequest;
+    aState->OnSent();
     const auto result =
       co_await mClient.Call(std::move(request), aName, kWriteTimeout);
+    aState->OnEnded(result.mOutcome != store::CallOutcome::Unavailable);
     const bool isWritten =
       result.mOutcome == store::CallOutcome::Answered &&
       (result.mStatus < kFirstClientError || result.mStatus == kConflict ||
@@ -883,17 +924,111 @@
                  { "status", std::to_string(result.mStatus) },
                  { "reason", result.mReason },
                  { "answer", result.mBody.substr(0, kMaxLoggedAnswerBytes) } });
-    co_await net::Sleep(kWriteBackoff * (attempt + 1));
+    ++attempts;
+    const auto failedAt = ReadBootClock();
+    const bool mayRetry =
+      mWriteBackoff.MayRetry(aUrgency, attempts, failedAt - startedAt);
+    if (!mayRetry) {
+      log::Write(
+        log::Level::Warning,
+        "write_abandoned",
+        { { "call", aName }, { "attempts", std::to_string(attempts) } });
+      co_return 0;
+    }
+    co_await net::Sleep(
+      mWriteBackoff.Before(aUrgency, attempts, mInstanceCount, Random()));
+    if (retry::WriteBackoff::AwaitsStore(aUrgency, attempts)) {
+      co_await AwaitStore(failedAt, startedAt);
+    }
   }
+  log::Write(log::Level::Info, "write_replaced", { { "call", aName } });
   co_return 0;
 }
 
+net::Awaitable<void>
+ControlPlane::AwaitStore(TimePoint aFailedAt, TimePoint aStartedAt)
+{
+  bool hasWaited = false;
+  auto now = ReadBootClock();
+  while (mStoreAnsweredAt <= aFailedAt &&
+         mWriteBackoff.MayWait(now - aStartedAt)) {
+    hasWaited = true;
+    co_await net::Sleep(kWriteLook);
+    now = ReadBootClock();
+  }
+  if (hasWaited) {
+    co_await net::Sleep(mWriteBackoff.AfterOutage(mInstanceCount, Random()));
+  }
+}
+
 void
-ControlPlane::StartWrite(net::RequestMessage aRequest, std::string aName)
+ControlPlane::StartCreation(const std::string& aObject,
+                            const nlohmann::json& aSpec,
+                            std::string aCall)
+{
+  const auto state = ReplaceWrite(aObject, true).first;
+  net::asio::co_spawn(
+    mContext,
+    WriteWithRetries(
+      mDialect.mCreateShared(aObject, aSpec), std::move(aCall), state),
+    [this, aObject, state](const std::exception_ptr&, unsigned) {
+      EndWrite(aObject, state);
+    });
+}
+
+void
+ControlPlane::StartRemoval(const std::string& aObject, std::string aCall)
+{
+  auto [state, earlier] = ReplaceWrite(aObject, false);
+  net::asio::co_spawn(
+    mContext,
+    Remove(aObject, std::move(aCall), std::move(state), std::move(earlier)),
+    net::asio::detached);
+}
+
+net::Awaitable<void>
+ControlPlane::Remove(std::string aObject,
+                     std::string aCall,
+                     WriteStatePtr aState,
+                     WriteStatePtr aEarlier)
+{
+  // a creation that is in flight may be executed after a removal
+  while (aEarlier && aEarlier->IsInFlight()) {
+    co_await net::Sleep(kWriteLook);
+  }
+  if (aEarlier && aEarlier->IsUnwritten()) {
+    log::Write(log::Level::Info, "write_replaced", { { "call", aCall } });
+  } else {
+    co_await WriteWithRetries(
+      mDialect.mRemoveShared(aObject), std::move(aCall), aState);
+  }
+  EndWrite(aObject, aState);
+}
+
+std::pair<ControlPlane::WriteStatePtr, ControlPlane::WriteStatePtr>
+ControlPlane::ReplaceWrite(const std::string& aObject, bool aIsCreation)
+{
+  auto state = std::make_shared<retry::WriteState>(aIsCreation);
+  auto earlier = std::exchange(mWrites[aObject], state);
+  if (earlier) {
+    earlier->OnReplaced();
+  }
+  return { std::move(state), std::move(earlier) };
+}
+
+void
+ControlPlane::EndWrite(const std::string& aObject, const WriteStatePtr& aState)
+{
+  const auto found = mWrites.find(aObject);
+  if (found != mWrites.end() && found->second == aState) {
+    mWrites.erase(found);
+  }
+}
+
+double
+ControlPlane::Random()
 {
-  net::asio::co_spawn(mContext,
-                      WriteWithRetries(std::move(aRequest), std::move(aName)),
-                      [](const std::exception_ptr&, unsigned) {});
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
 }
 
 void
