Check the send queue of a connection only while the connection exists

A timer that had expired in the turn of the event loop in which its connection was destroyed still ran its check, on freed memory.

The monitor uses the watchdog, whose callback ends with its owner. The new test needs the address sanitizer to show the fault.

--- a/include/figslip/net/zero_window_monitor.hpp
+++ b/include/figslip/net/zero_window_monitor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <figslip/net/asio.hpp>
+#include <figslip/net/watchdog.hpp>
 
 #include <memory>
 
@@ -29,11 +30,12 @@
   void Start();
 
 private:
+  void OnInterval();
   /// Returns whether the connection has to be watched any longer.
   [[nodiscard]] bool Check();
 
   std::weak_ptr<tcp::socket> mSocket;
-  asio::steady_timer mTimer;
+  Watchdog mInterval;        ///< until the next check
   bool mIsSuspended = false; ///< the timeout is not in force
 };
 
--- a/src/shell/net/zero_window_monitor.cpp
+++ b/src/shell/net/zero_window_monitor.cpp
@@ -49,19 +49,22 @@
 ZeroWindowMonitor::ZeroWindowMonitor(
   const std::shared_ptr<tcp::socket>& aSocket)
   : mSocket(aSocket)
-  , mTimer(aSocket->get_executor())
+  , mInterval(aSocket->get_executor(), [this] { OnInterval(); })
 {
 }
 
 void
 ZeroWindowMonitor::Start()
 {
-  mTimer.expires_after(kInterval);
-  mTimer.async_wait([this](const error_code& aError) {
-    if (!aError && Check()) {
-      Start();
-    }
-  });
+  mInterval.Set(kInterval);
+}
+
+void
+ZeroWindowMonitor::OnInterval()
+{
+  if (Check()) {
+    Start();
+  }
 }
 
 bool
--- a/tests/src/unit-client_connection.cpp
+++ b/tests/src/unit-client_connection.cpp
@@ -7,8 +7,10 @@
 #include <array>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
+#include <tuple>
 
 using namespace figslip;
 using namespace std::chrono_literals;
@@ -220,3 +222,26 @@
   CHECK(outcome.mEnd == StepEnd::Done);
   CHECK(outcome.mBody == "body");
 }
+
+// guards against a check of the send queue that runs after its connection was
+// destroyed: its timer had expired in the same turn of the event loop
+TEST_CASE("connections that are destroyed when a check of them is due")
+{
+  net::asio::io_context context(1);
+  tcp::acceptor acceptor(context, { tcp::v4(), 0 });
+  auto connection =
+    std::make_unique<net::ClientConnection>(context.get_executor());
+  std::string accepted;
+  const auto play = [&]() -> net::Awaitable<void> {
+    const net::Endpoint upstream{ .mAddress = "127.0.0.1",
+                                  .mPort = acceptor.local_endpoint().port() };
+    std::ignore = co_await connection->Connect(upstream, 1s);
+    connection->StartSend("GET / HTTP/1.1\r\n\r\n");
+    // the timer of the check and this one expire in the same turn
+    std::this_thread::sleep_for(1'100ms);
+    net::asio::post(context, [&] { connection.reset(); });
+  };
+  net::asio::co_spawn(context, play(), net::asio::detached);
+  context.run_for(3s);
+  CHECK_FALSE(connection);
+}
