--- a/tests/src/unit-report.cpp
+++ b/tests/src/unit-report.cpp
@@ -109,6 +109,13 @@
 
 TEST_CASE("the text exposition form")
 {
+  SUBCASE("has the last value of a gauge")
+  {
+    metrics::Registry registry;
+    registry.GaugeOf("g", { { "a", "x" } }).Set(3.0);
+    registry.GaugeOf("g", { { "a", "x" } }).Set(1.5);
+    CHECK(registry.Print() == "# TYPE g gauge\ng{a=\"x\"} 1.5\n");
+  }
   SUBCASE("is parsed with escaped labels and histograms")
   {
     metrics::Registry registry;
