--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 generate:
 	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/peer.thrift
 	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/relay.thrift
+	thrift --gen cpp:no_skeleton -out generated/gen-cpp thrift/demand.thrift
 
 # longer, with new seeds, each printed: make soak ROUNDS=20
 soak: build
--- a/include/figslip/membership/instance_location.hpp
+++ b/include/figslip/membership/instance_location.hpp
@@ -4,11 +4,13 @@
 
 namespace figslip::membership {
 
-/// @brief Holds the failure domain in which an instance runs.
+/// @brief Holds where an instance runs.
 struct InstanceLocation
 {
   std::string mName;
   std::string mFailureDomain;
+  /// IP number and port at which it serves other instances; empty: unknown
+  std::string mAddress;
 
   bool operator==(const InstanceLocation&) const = default;
 };
