Exchange the demand of accounts between instances

While an instance is short of capacity, or has heard of one that is, it sends its table to two others every 500 ms, at the internal port of the setting demand_exchange, and gets what it lacks in their answers. It runs where overload control is on only. Changes of shares are logged and counted.

history-account_shares runs two instances: what one is told changes the shares of the other, and expires there after the first is killed.

--- a/include/figslip/gateway/ingress_daemon.hpp
+++ b/include/figslip/gateway/ingress_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/fairshare/demand_exchange.hpp>
 #include <figslip/gateway/control_plane.hpp>
 #include <figslip/gateway/frontend.hpp>
 #include <figslip/gateway/traffic_state.hpp>
@@ -59,6 +60,7 @@
   std::shared_ptr<TrafficState> mTraffic;
   std::shared_ptr<ControlPlane> mControl;
   std::shared_ptr<Frontend> mFrontend;
+  std::shared_ptr<fairshare::DemandExchange> mDemandExchange; ///< null: none
   kernel::Kernel mKernel;
 };
 
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -124,6 +124,8 @@
   void RecordPause(const ingress::UpstreamEntry& aUpstream,
                    double aSeconds,
                    TimePoint aNow);
+  /// Calculates the shares of the client accounts and reports their changes.
+  void UpdateShares(TimePoint aNow);
   /// Logs the quarantined parts and reports those that were cleared.
   void ReportParts(TimePoint aNow);
   /// Divides the common limits among the instances if their number has changed.
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -5,6 +5,7 @@
 #include <figslip/time/time_point.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,8 @@
   /// whether requests wait in fair order and upstreams have limits of
   /// concurrency, for callers that compete for too little capacity
   bool mOverloadControl = false;
+  /// where other instances exchange the demand of accounts; empty: no exchange
+  std::optional<net::Endpoint> mDemandExchange;
 
   bool operator==(const IngressSettings&) const = default;
 };
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -527,7 +527,8 @@
       }
       peers.push_back(std::move(peer));
       places.push_back({ .mName = peers.back().mInstance,
-                         .mFailureDomain = peers.back().mFailureDomain });
+                         .mFailureDomain = peers.back().mFailureDomain,
+                         .mAddress = peers.back().mAddress });
     } else if (name.starts_with(kEvidencePrefix)) {
       auto report = ReadEvidence(object.mSpec);
       const auto instance = json::TextOr(object.mSpec, kInstanceField, "");
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -102,6 +102,14 @@
   mKernel.Register(
     { .mName = "frontend", .mStart = [this] { return mFrontend->Start(); } },
     mFrontend);
+  const auto& settings = mOptions.mSettings;
+  if (settings.mOverloadControl && settings.mDemandExchange) {
+    mDemandExchange = std::make_shared<fairshare::DemandExchange>(
+      mTrafficContext, mTraffic->mShares, mMetrics, *settings.mDemandExchange);
+    mKernel.Register({ .mName = "demand_exchange",
+                       .mStart = [this] { return mDemandExchange->Start(); } },
+                     mDemandExchange);
+  }
 }
 
 Result<void>
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 #include <random>
+#include <ranges>
 
 namespace figslip::gateway {
 
@@ -36,6 +37,22 @@
 /// which a wrongly quarantined request is refused.
 constexpr auto kCrashRetention = std::chrono::seconds(60);
 
+/// Accounts over their share that a log line names, those with the most demand.
+constexpr std::size_t kMaxLoggedAccounts = 8;
+
+/// Formats accounts as `name demand/allocation`, separated by commas.
+std::string
+FormatOverShare(const std::vector<fairshare::OverShare>& aAccounts)
+{
+  std::string text;
+  for (const auto& account : aAccounts | std::views::take(kMaxLoggedAccounts)) {
+    text += text.empty() ? "" : ", ";
+    text += account.mAccount + " " + std::to_string(account.mDemand) + "/" +
+            std::to_string(account.mAllocation);
+  }
+  return text;
+}
+
 } // namespace
 
 TrafficState::TrafficState(const settings::IngressSettings& aSettings,
@@ -53,6 +70,9 @@
   , mRetries({ .mRetryRatio = aSettings.mRetryShare * kRetryShareFraction,
                .mAllowance = 0.0,
                .mWindow = aSettings.mRetryWindow })
+  , mShares({ .mInstance = aSettings.mInstance,
+              .mIsEnabled = aSettings.mOverloadControl,
+              .mFirstSequence = ReadClock().time_since_epoch().count() })
   , mRollouts(
       { .mInstance = aSettings.mInstance,
         .mSessionTtl = aSettings.mSessionTtl,
@@ -92,6 +112,7 @@
 {
   const auto now = ReadBootClock();
   mBoard.SetInstances(aInstances);
+  mShares.OnInstances(aInstances);
   mInstances.OnRegistered(static_cast<int>(aInstances.size()), now);
   UpdateInstanceCount(now);
 }
@@ -194,6 +215,25 @@
   }
   mParts.OnTick(now);
   ReportParts(now);
+  UpdateShares(now);
+}
+
+void
+TrafficState::UpdateShares(TimePoint aNow)
+{
+  mShares.OnTick(aNow);
+  for (const auto& change : mShares.TakeChanges(aNow)) {
+    mMetrics
+      .GaugeOf("figslip_share_accounts_over",
+               { { "service", change.mService } })
+      .Set(static_cast<double>(change.mAccounts.size()));
+    log::Write(log::Level::Info,
+               "shares_changed",
+               { { "service", change.mService },
+                 { "capacity_per_s", std::to_string(change.mCapacity) },
+                 { "over_share", std::to_string(change.mAccounts.size()) },
+                 { "accounts", FormatOverShare(change.mAccounts) } });
+  }
 }
 
 void
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -37,25 +37,40 @@
 }
 
 net::Endpoint
-ReadEndpoint(ObjectReader& aReader, std::string_view aField)
+ParseEndpoint(ObjectReader& aReader,
+              std::string_view aField,
+              const std::string& aText)
 {
-  const auto text = aReader.Name(aField);
-  const auto colon = text.rfind(':');
-  net::Endpoint endpoint{ .mAddress = text.substr(0, colon) };
-  const auto* const end = text.data() + text.size();
+  const auto colon = aText.rfind(':');
+  net::Endpoint endpoint{ .mAddress = aText.substr(0, colon) };
+  const auto* const end = aText.data() + aText.size();
   const auto* const digits =
-    colon == std::string::npos ? end : text.data() + colon + 1;
+    colon == std::string::npos ? end : aText.data() + colon + 1;
   const auto parsed = std::from_chars(digits, end, endpoint.mPort);
   const bool isGood = parsed.ec == std::errc{} && parsed.ptr == end &&
                       endpoint.mPort > 0 && http::IsIpNumber(endpoint.mAddress);
-  if (!text.empty() && !isGood) {
+  if (!aText.empty() && !isGood) {
     aReader.Report(error::ErrorKind::BadSetting,
                    aField,
-                   "\"" + text + "\" is no IP number with a port");
+                   "\"" + aText + "\" is no IP number with a port");
   }
   return endpoint;
 }
 
+net::Endpoint
+ReadEndpoint(ObjectReader& aReader, std::string_view aField)
+{
+  return ParseEndpoint(aReader, aField, aReader.Name(aField));
+}
+
+std::optional<net::Endpoint>
+ReadOptionalEndpoint(ObjectReader& aReader, std::string_view aField)
+{
+  const auto text = aReader.Text(aField, "");
+  return text.empty() ? std::nullopt
+                      : std::optional(ParseEndpoint(aReader, aField, text));
+}
+
 IngressSettings
 ReadSettings(ObjectReader& aReader)
 {
@@ -86,6 +101,7 @@
   settings.mExposureShare = aReader.Real("exposure_share", kFraction);
   settings.mExposureSlack = aReader.Real("exposure_slack", kCount);
   settings.mOverloadControl = aReader.Flag("overload_control", false);
+  settings.mDemandExchange = ReadOptionalEndpoint(aReader, "demand_exchange");
   return settings;
 }
 
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -58,6 +58,9 @@
     /// puts relays before the engines, and before the store of each instance
     bool mIsRelayed = false;
     int mMemoryMb = 256; ///< in the settings of each instance
+    /// lets instances control overload and exchange demand, each at a loopback
+    /// address of its own and all at the same port; the first at 127.0.0.1
+    bool mOverloadControl = false;
   };
 
   /// Keeps a port from other test programs; empty if another one has it.
@@ -92,6 +95,8 @@
   {
     return mInstances.at(aIndex).mCallerPort;
   }
+  /// Returns the port at which all instances exchange demand.
+  [[nodiscard]] int ExchangePort() const { return mExchangePort; }
   /// Returns the most memory that the process of an instance has held, MB.
   [[nodiscard]] double PeakMemoryMb(std::size_t aIndex);
   void Restart(std::size_t aIndex);
@@ -168,6 +173,8 @@
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
   std::vector<Running> mInstances;
+  std::vector<PortClaim> mExchangeClaim;
+  int mExchangePort = 0;
   std::deque<std::atomic<int>> mEngineStarts; ///< by engine
   int mVersion = 0;
 };
