--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -1,4 +1,5 @@
 #include <figslip/settings/entry_settings.hpp>
+#include <figslip/settings/ingress_settings.hpp>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -135,3 +136,46 @@
           "[manifest.wrong_type.102] : expected an object, found array");
   }
 }
+
+TEST_CASE("where an instance exchanges the demand of accounts")
+{
+  Json settings = { { "instance", "entry-1" },
+                    { "failure_domain", "a" },
+                    { "failure_domains", Json::array() },
+                    { "callers", "127.0.0.1:1" },
+                    { "readiness", "127.0.0.1:2" },
+                    { "metrics", "127.0.0.1:3" },
+                    { "peers", "127.0.0.1:4" },
+                    { "store", "127.0.0.1:5" },
+                    { "memory_mb", 256 },
+                    { "max_descriptors", 1024 },
+                    { "grace_s", 8 },
+                    { "revocation_ms", 5000 },
+                    { "retry_share", 0.9 },
+                    { "retry_slack", 50 },
+                    { "retry_window_s", 10 },
+                    { "session_ttl_s", 5 },
+                    { "exposure_share", 0.15 },
+                    { "exposure_slack", 30 } };
+  SUBCASE("is nowhere unless the settings say so")
+  {
+    const auto parsed =
+      figslip::settings::ParseIngressSettings(settings.dump());
+    REQUIRE(parsed);
+    CHECK_FALSE(parsed.assume_value().mDemandExchange);
+  }
+  SUBCASE("is an IP number with a port")
+  {
+    settings["demand_exchange"] = "127.0.0.1:6";
+    const auto parsed =
+      figslip::settings::ParseIngressSettings(settings.dump());
+    REQUIRE(parsed);
+    CHECK(parsed.assume_value().mDemandExchange ==
+          figslip::net::Endpoint{ .mAddress = "127.0.0.1", .mPort = 6 });
+  }
+  SUBCASE("is a finding otherwise")
+  {
+    settings["demand_exchange"] = "a.example:6";
+    CHECK_FALSE(figslip::settings::ParseIngressSettings(settings.dump()));
+  }
+}
