--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -194,32 +194,34 @@
       return "127.0.0.1:" + std::to_string(aPort);
     };
     const auto name = "entry-" + std::to_string(number);
-    json settings = { { "instance", name },
-                      { "failure_domain", "a" },
-                      { "failure_domains",
-                        { { { "name", "a" }, { "region", "r" } } } },
-                      { "callers", address(running.mCallerPort) },
-                      { "readiness", address(running.mReadinessPort) },
-                      { "metrics", address(FreePort(running.mPortClaims)) },
-                      { "peers", address(FreePort(running.mPortClaims)) },
-                      { "store", address(storePort) },
-                      { "memory_mb", aOptions.mMemoryMb },
-                      { "max_descriptors", 1024 },
-                      { "grace_s", 8 },
-                      { "revocation_ms", 5000 },
-                      { "retry_share", 0.9 },
-                      { "retry_slack", 50 },
-                      { "retry_window_s", 10 },
-                      { "session_ttl_s", 5 },
-                      { "exposure_share", 0.15 },
-                      { "exposure_slack", 30 } };
+    const json settings = {
+      { "instance", name },
+      { "failure_domain", "a" },
+      { "failure_domains", { { { "name", "a" }, { "region", "r" } } } },
+      { "callers", address(running.mCallerPort) },
+      { "readiness", address(running.mReadinessPort) },
+      { "metrics", address(FreePort(running.mPortClaims)) },
+      { "peers", address(FreePort(running.mPortClaims)) },
+      { "store", address(storePort) },
+      { "memory_mb", aOptions.mMemoryMb },
+      { "max_descriptors", 1024 },
+      { "grace_s", 8 },
+      { "revocation_ms", 5000 },
+      { "retry_share", 0.9 },
+      { "retry_slack", 50 },
+      { "retry_window_s", 10 },
+      { "session_ttl_s", 5 },
+      { "exposure_share", 0.15 },
+      { "exposure_slack", 30 }
+    };
+    auto written = settings;
     if (aOptions.mOverloadControl) {
       const auto own = "127.0.0." + std::to_string(number + 1) + ":";
-      settings["overload_control"] = true;
-      settings["peers"] = own + std::to_string(FreePort(running.mPortClaims));
-      settings["demand_exchange"] = own + std::to_string(mExchangePort);
+      written["overload_control"] = true;
+      written["peers"] = own + std::to_string(FreePort(running.mPortClaims));
+      written["demand_exchange"] = own + std::to_string(mExchangePort);
     }
-    running.mSettings = WriteTemporaryFile(name + ".json", settings.dump());
+    running.mSettings = WriteTemporaryFile(name + ".json", written.dump());
     mInstances.push_back(std::move(running));
     Restart(static_cast<std::size_t>(number));
   }
