--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -180,6 +180,7 @@
     PutEngine(index);
   }
   PutConfiguration({ "key-1" });
+  mExchangePort = FreePort(mExchangeClaim);
   for (int number = 0; number < aOptions.mInstances; ++number) {
     if (aOptions.mIsRelayed) {
       mStoreRelays.push_back(std::make_unique<Relay>(mStore.Port()));
@@ -213,7 +214,14 @@
       { "exposure_share", 0.15 },
       { "exposure_slack", 30 }
     };
-    running.mSettings = WriteTemporaryFile(name + ".json", settings.dump());
+    auto written = settings;
+    if (aOptions.mOverloadControl) {
+      const auto own = "127.0.0." + std::to_string(number + 1) + ":";
+      written["overload_control"] = true;
+      written["peers"] = own + std::to_string(FreePort(running.mPortClaims));
+      written["demand_exchange"] = own + std::to_string(mExchangePort);
+    }
+    running.mSettings = WriteTemporaryFile(name + ".json", written.dump());
     mInstances.push_back(std::move(running));
     Restart(static_cast<std::size_t>(number));
   }
