Return rejected requests to their former place in the fair queue

A request that an upstream rejects as full has not run, so it returns to its former rank and its admission is taken back: its account pays once, and the measured rate does not count it. Priorities are numbers now, as routes and accounts of the platform have them.

Expected waits count work instead of requests, the measured rate of the account, and the more urgent requests that will overtake. Before, a less urgent request was accepted and refused after it had waited for most of its time. A full queue evicts a less urgent request of the same account rather than refuse an urgent one.

unit-admission and fuzz-admission pass.

--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/admission/arrival_rate.hpp>
 #include <figslip/admission/service_rate.hpp>
 #include <figslip/routing/request.hpp>
 #include <figslip/time/time_point.hpp>
@@ -25,8 +26,12 @@
   std::string mAccount;
   double mShare = 1.0; ///< weight of the client account, > 0
   double mCost = 1.0;  ///< expected work, in one unit for all requests, > 0
-  routing::Priority mPriority = routing::Priority::Normal;
-  TimePoint mDeadline;
+  int mPriority = 0;   ///< within the account; lower goes first
+  TimePoint mDeadline; ///< latest time of the admission
+  /// arrival number of a request that returns to the queue; empty: a new one
+  std::optional<std::uint64_t> mFormerArrival;
+  /// an upstream rejected it after its admission, which is taken back
+  bool mWasRejected = false;
 };
 
 /// @brief Lists the results of an attempt to admit a waiting request.
@@ -51,8 +56,10 @@
 class FairQueue
 {
 public:
-  /// @brief Adds a request behind those of its account with the same priority.
-  void Push(QueuedRequest aRequest, TimePoint aNow);
+  /// @brief Adds a request behind those of its account with the same priority,
+  /// or at its former position if it returns.
+  /// @return its arrival number
+  std::uint64_t Push(QueuedRequest aRequest, TimePoint aNow);
 
   /// @brief Offers capacity to the waiting requests in fair order.
   /// @param[in] aTry tries to reserve capacity for a request
@@ -69,12 +76,24 @@
 
   /// @brief Removes requests that are expected to miss their deadline.
   /// @return their tickets
-  std::vector<routing::TicketId> RemoveUnmeetable(TimePoint aNow);
+  std::vector<routing::TicketId> RemoveUnmeetable(TimePoint aNow)
+  {
+    return RemoveUnmeetable(
+      aNow, [](const QueuedRequest& aRequest) { return aRequest.mDeadline; });
+  }
+
+  /// @brief Removes requests that are expected to be admitted too late.
+  /// @param[in] aDeadlineOf returns the latest time of an admission
+  /// @return their tickets
+  std::vector<routing::TicketId> RemoveUnmeetable(
+    TimePoint aNow,
+    const std::function<TimePoint(const QueuedRequest&)>& aDeadlineOf);
 
   /// @brief Evicts a waiting request from a full queue in favour of a new one.
   ///
   /// Chooses the account with the most waiting requests per weight and evicts
-  /// its newest request of the lowest priority.
+  /// its newest request of the lowest priority. If that is the account of the
+  /// new request, only a less urgent request is evicted.
   /// @return ticket of the evicted request; nothing if the new request has to
   /// be rejected instead
   std::optional<routing::TicketId> EvictFor(const QueuedRequest& aNew);
@@ -99,14 +118,17 @@
 
 private:
   /// Orders the requests of an account: priority, then arrival.
-  using Rank = std::pair<routing::Priority, std::uint64_t>;
+  using Rank = std::pair<int, std::uint64_t>;
 
   /// Holds the waiting requests of one account in one capacity class.
   struct Flow
   {
     double mStartTag = 0.0; ///< virtual start time of its next request
     double mShare = 1.0;
+    double mWork = 0.0; ///< sum of the costs of the waiting requests
     std::map<Rank, QueuedRequest> mWaiting;
+    std::map<int, ArrivalRate> mArrivals; ///< by priority
+    ServiceRate mRate;                    ///< while requests of the flow wait
   };
 
   /// Holds all waiting requests of one capacity class.
@@ -136,14 +158,50 @@
   using ClassQueues = std::map<std::string, ClassQueue, std::less<>>;
 
   [[nodiscard]] static Flow* NextFlow(ClassQueue& aQueue);
-  /// Estimates the number of requests admitted up to and including a request
-  /// of an account with `aAhead` requests of the same account before it.
-  [[nodiscard]] static double RequestsServedBefore(const ClassQueue& aQueue,
-                                                   std::string_view aAccount,
-                                                   double aShare,
-                                                   std::size_t aAhead);
-  [[nodiscard]] static std::optional<Duration>
-  EstimateWait(const ClassQueue& aQueue, double aRequests, TimePoint aNow);
+  /// Holds what the estimate of a wait needs of another account's flow.
+  struct Competitor
+  {
+    double mWork = 0.0;
+    double mShare = 1.0;
+  };
+
+  /// Returns the flows that compete with the flow of an account.
+  [[nodiscard]] static std::vector<Competitor> CompetitorsOf(
+    const ClassQueue& aQueue,
+    std::string_view aAccount);
+  /// Estimates the work admitted up to and including a request.
+  /// @param[in] aOwnWork of the request and those of its account before it
+  [[nodiscard]] static double WorkUpTo(
+    const std::vector<Competitor>& aCompetitors,
+    double aShare,
+    double aOwnWork);
+  /// Describes the wait of a request whose own flow is known.
+  struct WaitQuery
+  {
+    double mOwnWork = 0.0; ///< of the request and those before it in its flow
+    double mShare = 1.0;
+    double mServiceRate = 0.0;       ///< of the class, work per second
+    std::optional<double> mFlowRate; ///< of its flow, as measured
+    /// work per second of requests that arrive and overtake it
+    double mOvertakingRate = 0.0;
+  };
+
+  [[nodiscard]] static Duration EstimateWait(
+    const std::vector<Competitor>& aCompetitors,
+    const WaitQuery& aQuery);
+  /// Returns the work per second that arrives with more urgent priorities.
+  [[nodiscard]] static double OvertakingRate(const Flow& aFlow,
+                                             int aPriority,
+                                             TimePoint aNow);
+  /// Returns the waiting requests of a flow that can't be admitted in time.
+  [[nodiscard]] static std::vector<routing::TicketId> UnmeetableOf(
+    const ClassQueue& aQueue,
+    const std::string& aAccount,
+    const std::function<TimePoint(const QueuedRequest&)>& aDeadlineOf,
+    TimePoint aNow);
+  /// Returns the last request of an account over all capacity classes.
+  [[nodiscard]] std::pair<routing::TicketId, Rank> LastOf(
+    std::string_view aAccount) const;
   static void AdvanceVirtualTime(ClassQueue& aQueue, Flow& aFlow, double aCost);
   std::optional<routing::TicketId> AdmitFrom(
     ClassQueue& aQueue,
--- a/include/figslip/admission/service_rate.hpp
+++ b/include/figslip/admission/service_rate.hpp
@@ -18,9 +18,13 @@
   void Begin(TimePoint aNow);
 
   /// @brief Counts one admitted request.
-  void OnAdmission(TimePoint aNow);
+  /// @param[in] aWork of the request, in the unit of `PerSecond`
+  void OnAdmission(TimePoint aNow, double aWork = 1.0);
 
-  /// @brief Returns the admissions per second.
+  /// @brief Takes back an admission that an upstream has rejected.
+  void OnRejection(double aWork);
+
+  /// @brief Returns the work admitted per second.
   /// @return nothing until enough requests were admitted for an estimate
   [[nodiscard]] std::optional<double> PerSecond(TimePoint aNow) const;
 
@@ -28,7 +32,7 @@
   /// Returns the factor by which the sums have decayed since the last update.
   [[nodiscard]] double DecayFactorAt(TimePoint aNow) const;
 
-  double mDecayedAdmissions = 0.0;
+  double mDecayedWork = 0.0;
   double mDecayedSeconds = 0.0;
   std::uint64_t mAdmissions = 0; ///< without decay
   TimePoint mUpdatedAt;
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -9,7 +9,16 @@
 
 namespace figslip::admission {
 
-void
+namespace {
+
+/// Least fraction of the rate of an account that is expected to be left for its
+/// less urgent requests. While few requests wait, a burst of urgent ones for
+/// less than a second must not get the others refused.
+constexpr double kMinRateLeft = 0.1;
+
+} // namespace
+
+std::uint64_t
 FairQueue::Push(QueuedRequest aRequest, TimePoint aNow)
 {
   assert(aRequest.mShare > 0.0 && aRequest.mCost > 0.0);
@@ -23,17 +32,30 @@
   if (flow.mWaiting.empty()) {
     // an idle account accumulates no credit
     flow.mStartTag = std::max(flow.mStartTag, queue.mVirtualTime);
+    flow.mRate.Begin(aNow);
+  }
+  if (aRequest.mWasRejected) {
+    flow.mStartTag -= aRequest.mCost / aRequest.mShare;
+    queue.mRate.OnRejection(aRequest.mCost);
+    flow.mRate.OnRejection(aRequest.mCost);
   }
   flow.mShare = aRequest.mShare;
+  flow.mWork += aRequest.mCost;
   ++queue.mWaiting;
   auto& backlog = mBacklogs[aRequest.mAccount];
   ++backlog.mWaiting;
   backlog.mShare = aRequest.mShare;
-  const Rank rank{ aRequest.mPriority, mNextArrival++ };
+  if (!aRequest.mFormerArrival) {
+    flow.mArrivals[aRequest.mPriority].OnArrival(aNow, aRequest.mCost);
+  }
+  const auto arrival =
+    aRequest.mFormerArrival ? *aRequest.mFormerArrival : mNextArrival++;
+  const Rank rank{ aRequest.mPriority, arrival };
   mLocations[aRequest.mTicket] = { .mCapacityClass = aRequest.mCapacityClass,
                                    .mAccount = aRequest.mAccount,
                                    .mRank = rank };
   flow.mWaiting.emplace(rank, std::move(aRequest));
+  return arrival;
 }
 
 FairQueue::Flow*
@@ -52,7 +74,8 @@
 void
 FairQueue::AdvanceVirtualTime(ClassQueue& aQueue, Flow& aFlow, double aCost)
 {
-  aQueue.mVirtualTime = aFlow.mStartTag;
+  // a request that was rejected returns with a start tag before this time
+  aQueue.mVirtualTime = std::max(aQueue.mVirtualTime, aFlow.mStartTag);
   aFlow.mStartTag += aCost / aFlow.mShare;
 }
 
@@ -64,7 +87,11 @@
   const auto& [capacityClass, account, rank] = location.mapped();
   const auto position = mClassQueues.find(capacityClass);
   auto& queue = position->second;
-  queue.mFlows.at(account).mWaiting.erase(rank);
+  auto& erasedFrom = queue.mFlows.at(account);
+  const auto request = erasedFrom.mWaiting.extract(rank);
+  erasedFrom.mWork = erasedFrom.mWaiting.empty()
+                       ? 0.0
+                       : erasedFrom.mWork - request.mapped().mCost;
   --queue.mWaiting;
   if (queue.mWaiting == 0) {
     mClassQueues.erase(position);
@@ -97,7 +124,8 @@
   }
   if (result == AdmissionResult::Admitted) {
     AdvanceVirtualTime(aQueue, flow, request.mCost);
-    aQueue.mRate.OnAdmission(aNow);
+    aQueue.mRate.OnAdmission(aNow, request.mCost);
+    flow.mRate.OnAdmission(aNow, request.mCost);
   }
   Erase(ticket);
   return ticket;
@@ -138,41 +166,59 @@
   return true;
 }
 
+std::vector<FairQueue::Competitor>
+FairQueue::CompetitorsOf(const ClassQueue& aQueue, std::string_view aAccount)
+{
+  std::vector<Competitor> competitors;
+  for (const auto& [account, flow] : aQueue.mFlows) {
+    if (account != aAccount && !flow.mWaiting.empty()) {
+      competitors.push_back({ .mWork = flow.mWork, .mShare = flow.mShare });
+    }
+  }
+  return competitors;
+}
+
 double
-FairQueue::RequestsServedBefore(const ClassQueue& aQueue,
-                                std::string_view aAccount,
-                                double aShare,
-                                std::size_t aAhead)
+FairQueue::WorkUpTo(const std::vector<Competitor>& aCompetitors,
+                    double aShare,
+                    double aOwnWork)
 {
-  const auto own = static_cast<double>(aAhead + 1);
   return std::transform_reduce(
-    aQueue.mFlows.begin(),
-    aQueue.mFlows.end(),
-    own,
+    aCompetitors.begin(),
+    aCompetitors.end(),
+    aOwnWork,
     std::plus(),
-    [&](const auto& aEntry) {
-      const auto& [account, flow] = aEntry;
+    [&](const Competitor& aOther) {
       // while the requests of this account are served, another flow is served
-      // in proportion to its weight, at most as often as it has requests
-      const auto waiting = static_cast<double>(flow.mWaiting.size());
-      return account == aAccount
-               ? 0.0
-               : std::min(waiting, own * flow.mShare / aShare);
+      // in proportion to its weight, at most until its requests are served
+      return std::min(aOther.mWork, aOwnWork * aOther.mShare / aShare);
     });
 }
 
-std::optional<Duration>
-FairQueue::EstimateWait(const ClassQueue& aQueue,
-                        double aRequests,
-                        TimePoint aNow)
+Duration
+FairQueue::EstimateWait(const std::vector<Competitor>& aCompetitors,
+                        const WaitQuery& aQuery)
 {
   constexpr double kMaxSeconds = 1e6;
-  const auto rate = aQueue.mRate.PerSecond(aNow);
-  if (!rate) {
-    return std::nullopt;
-  }
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(std::min(kMaxSeconds, aRequests / *rate)));
+  const auto work = WorkUpTo(aCompetitors, aQuery.mShare, aQuery.mOwnWork);
+  // the measured rate covers what other accounts will send meanwhile
+  const auto modelled = aQuery.mServiceRate * aQuery.mOwnWork / work;
+  const auto ownRate = std::min(modelled, aQuery.mFlowRate.value_or(modelled));
+  const auto rateLeft =
+    std::max(ownRate * kMinRateLeft, ownRate - aQuery.mOvertakingRate);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    std::min(kMaxSeconds, aQuery.mOwnWork / rateLeft)));
+}
+
+double
+FairQueue::OvertakingRate(const Flow& aFlow, int aPriority, TimePoint aNow)
+{
+  return std::transform_reduce(
+    aFlow.mArrivals.begin(),
+    aFlow.mArrivals.lower_bound(aPriority),
+    0.0,
+    std::plus(),
+    [&](const auto& aEntry) { return aEntry.second.PerSecond(aNow); });
 }
 
 std::optional<Duration>
@@ -183,42 +229,95 @@
     return std::nullopt;
   }
   const auto& queue = position->second;
+  const auto rate = queue.mRate.PerSecond(aNow);
+  if (!rate) {
+    return std::nullopt;
+  }
+  WaitQuery query{ .mOwnWork = aRequest.mCost,
+                   .mShare = aRequest.mShare,
+                   .mServiceRate = *rate };
   const auto flow = queue.mFlows.find(aRequest.mAccount);
-  std::size_t ahead = 0;
   if (flow != queue.mFlows.end()) {
     const auto& waiting = flow->second.mWaiting;
-    ahead = static_cast<std::size_t>(
-      std::distance(waiting.begin(),
-                    waiting.upper_bound({ aRequest.mPriority, mNextArrival })));
+    const auto end = waiting.upper_bound(
+      { aRequest.mPriority, aRequest.mFormerArrival.value_or(mNextArrival) });
+    query.mOwnWork = std::transform_reduce(
+      waiting.begin(),
+      end,
+      query.mOwnWork,
+      std::plus(),
+      [](const auto& aEntry) { return aEntry.second.mCost; });
+    query.mFlowRate = flow->second.mRate.PerSecond(aNow);
+    query.mOvertakingRate =
+      OvertakingRate(flow->second, aRequest.mPriority, aNow);
   }
-  const auto requests =
-    RequestsServedBefore(queue, aRequest.mAccount, aRequest.mShare, ahead);
-  return EstimateWait(queue, requests, aNow);
+  return EstimateWait(CompetitorsOf(queue, aRequest.mAccount), query);
 }
 
 std::vector<routing::TicketId>
-FairQueue::RemoveUnmeetable(TimePoint aNow)
+FairQueue::UnmeetableOf(
+  const ClassQueue& aQueue,
+  const std::string& aAccount,
+  const std::function<TimePoint(const QueuedRequest&)>& aDeadlineOf,
+  TimePoint aNow)
 {
+  const auto& flow = aQueue.mFlows.at(aAccount);
+  const auto rate = aQueue.mRate.PerSecond(aNow);
+  const auto flowRate = flow.mRate.PerSecond(aNow);
+  const auto competitors = CompetitorsOf(aQueue, aAccount);
   std::vector<routing::TicketId> unmeetable;
-  for (const auto& [capacityClass, queue] : mClassQueues) {
-    for (const auto& [account, flow] : queue.mFlows) {
-      std::size_t ahead = 0;
-      for (const auto& request : flow.mWaiting | std::views::values) {
-        const auto requests =
-          RequestsServedBefore(queue, account, flow.mShare, ahead);
-        const auto wait = EstimateWait(queue, requests, aNow);
-        if (wait && aNow + *wait > request.mDeadline) {
-          unmeetable.push_back(request.mTicket);
-        } else {
-          ++ahead;
-        }
-      }
+  double ownWork = 0.0; // of the requests that keep waiting
+  std::optional<int> priority;
+  double overtaking = 0.0;
+  for (const auto& request : flow.mWaiting | std::views::values) {
+    const auto upTo = ownWork + request.mCost;
+    if (request.mPriority != priority) {
+      priority = request.mPriority;
+      overtaking = OvertakingRate(flow, request.mPriority, aNow);
+    }
+    const auto wait = rate ? EstimateWait(competitors,
+                                          { .mOwnWork = upTo,
+                                            .mShare = flow.mShare,
+                                            .mServiceRate = *rate,
+                                            .mFlowRate = flowRate,
+                                            .mOvertakingRate = overtaking })
+                           : Duration::zero();
+    if (aNow + wait > aDeadlineOf(request)) {
+      unmeetable.push_back(request.mTicket);
+    } else {
+      ownWork = upTo;
+    }
+  }
+  return unmeetable;
+}
+
+std::vector<routing::TicketId>
+FairQueue::RemoveUnmeetable(
+  TimePoint aNow,
+  const std::function<TimePoint(const QueuedRequest&)>& aDeadlineOf)
+{
+  std::vector<routing::TicketId> unmeetable;
+  for (const auto& queue : mClassQueues | std::views::values) {
+    for (const auto& account : queue.mFlows | std::views::keys) {
+      std::ranges::copy(UnmeetableOf(queue, account, aDeadlineOf, aNow),
+                        std::back_inserter(unmeetable));
     }
   }
   std::ranges::for_each(unmeetable, [this](auto aTicket) { Erase(aTicket); });
   return unmeetable;
 }
 
+std::pair<routing::TicketId, FairQueue::Rank>
+FairQueue::LastOf(std::string_view aAccount) const
+{
+  auto ofAccount = mLocations | std::views::filter([&](const auto& aEntry) {
+                     return aEntry.second.mAccount == aAccount;
+                   });
+  const auto last = std::ranges::max_element(
+    ofAccount, {}, [](const auto& aEntry) { return aEntry.second.mRank; });
+  return { last->first, last->second.mRank };
+}
+
 std::optional<routing::TicketId>
 FairQueue::EvictFor(const QueuedRequest& aNew)
 {
@@ -226,20 +325,21 @@
     return static_cast<double>(aEntry.second.mWaiting) / aEntry.second.mShare;
   };
   const auto largest = std::ranges::max_element(mBacklogs, {}, perWeight);
+  if (largest == mBacklogs.end()) {
+    return std::nullopt;
+  }
   const auto own = mBacklogs.find(aNew.mAccount);
   const auto ownWaiting = own == mBacklogs.end() ? 0 : own->second.mWaiting;
   const auto ownPerWeight = static_cast<double>(ownWaiting + 1) / aNew.mShare;
-  if (largest == mBacklogs.end() || largest == own ||
-      ownPerWeight >= perWeight(*largest)) {
+  const bool isOwn = largest == own || ownPerWeight >= perWeight(*largest);
+  if (isOwn && ownWaiting == 0) {
+    return std::nullopt;
+  }
+  const auto [ticket, rank] = LastOf(isOwn ? aNew.mAccount : largest->first);
+  // the account must not gain from sending many requests of little urgency
+  if (isOwn && rank.first <= aNew.mPriority) {
     return std::nullopt;
   }
-  const auto isOfLargest = [&](const auto& aEntry) {
-    return aEntry.second.mAccount == largest->first;
-  };
-  auto ofLargest = mLocations | std::views::filter(isOfLargest);
-  const auto last = std::ranges::max_element(
-    ofLargest, {}, [](const auto& aEntry) { return aEntry.second.mRank; });
-  const auto ticket = last->first;
   Erase(ticket);
   return ticket;
 }
--- a/src/core/admission/service_rate.cpp
+++ b/src/core/admission/service_rate.cpp
@@ -32,15 +32,22 @@
 }
 
 void
-ServiceRate::OnAdmission(TimePoint aNow)
+ServiceRate::OnAdmission(TimePoint aNow, double aWork)
 {
   const auto decay = DecayFactorAt(aNow);
-  mDecayedAdmissions = mDecayedAdmissions * decay + 1.0;
+  mDecayedWork = mDecayedWork * decay + aWork;
   mDecayedSeconds = mDecayedSeconds * decay + ElapsedSeconds(mUpdatedAt, aNow);
   mUpdatedAt = std::max(mUpdatedAt, aNow);
   ++mAdmissions;
 }
 
+void
+ServiceRate::OnRejection(double aWork)
+{
+  mDecayedWork = std::max(0.0, mDecayedWork - aWork);
+  mAdmissions -= std::min<std::uint64_t>(mAdmissions, 1);
+}
+
 std::optional<double>
 ServiceRate::PerSecond(TimePoint aNow) const
 {
@@ -49,10 +56,10 @@
   const auto decay = DecayFactorAt(aNow);
   const auto seconds =
     mDecayedSeconds * decay + ElapsedSeconds(mUpdatedAt, aNow);
-  if (mAdmissions < kMinAdmissions || seconds <= 0.0) {
+  if (mAdmissions < kMinAdmissions || seconds <= 0.0 || mDecayedWork <= 0.0) {
     return std::nullopt;
   }
-  return mDecayedAdmissions * decay / seconds;
+  return mDecayedWork * decay / seconds;
 }
 
 } // namespace figslip::admission
--- a/src/core/routing/router_queue.cpp
+++ b/src/core/routing/router_queue.cpp
@@ -81,7 +81,7 @@
     .mShare = mSnapshot->mManifest->FindAccount(request.mAccount)->mShare,
     .mCost =
       static_cast<double>(std::max<std::int64_t>(1, request.mExpectedTokens)),
-    .mPriority = request.mPriority,
+    .mPriority = static_cast<int>(request.mPriority),
     .mDeadline = request.mDeadline
   };
   const auto wait = mQueue.ExpectedWait(waiting, aNow);
--- a/tests/src/fuzz-admission.cpp
+++ b/tests/src/fuzz-admission.cpp
@@ -46,7 +46,7 @@
            .mAccount = "account-" + std::to_string(account),
            .mShare = 1.0 + account,
            .mCost = *rc::gen::inRange(1, 100) * 1.0,
-           .mPriority = static_cast<routing::Priority>(*rc::gen::inRange(0, 3)),
+           .mPriority = *rc::gen::inRange(0, 3),
            .mDeadline =
              aNow + std::chrono::milliseconds(*rc::gen::inRange(0, 5000)) };
 }
--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -141,6 +141,15 @@
       CHECK(queue.EvictFor(fromHeavy) == std::nullopt);
     }
 
+    SUBCASE("evicts a less urgent request of the same account, so that the "
+            "urgent ones of a large account are not refused for the others")
+    {
+      const QueuedRequest urgent{ .mCapacityClass = "small",
+                                  .mAccount = "heavy",
+                                  .mPriority = -1 };
+      CHECK(queue.EvictFor(urgent) == TicketId{ 1000 });
+    }
+
     SUBCASE("keeps no flow of an account without waiting requests")
     {
       CHECK(AdmitUpTo(queue, 10'000).size() == 1200);
@@ -183,12 +192,33 @@
       queue.Push({ .mTicket = ticket,
                    .mCapacityClass = "small",
                    .mAccount = "salon",
-                   .mPriority = priorities[ticket] },
+                   .mPriority = static_cast<int>(priorities[ticket]) },
                  kStart);
     }
     CHECK(AdmitUpTo(queue, 5) == std::vector<TicketId>{ 2, 4, 1, 3, 0 });
   }
 
+  SUBCASE("returns a request that an upstream rejected to its former place")
+  {
+    const auto push = [&](TicketId aTicket, const std::string& aAccount) {
+      QueuedRequest request{ .mTicket = aTicket,
+                             .mCapacityClass = "small",
+                             .mAccount = aAccount,
+                             .mDeadline = kFarDeadline };
+      request.mFormerArrival = queue.Push(request, kStart);
+      return request;
+    };
+    auto first = push(1, "salon");
+    for (const TicketId ticket : { 2, 3, 4 }) {
+      (void)push(ticket, ticket == 3 ? "salon" : "school");
+    }
+    REQUIRE(AdmitUpTo(queue, 1) == std::vector<TicketId>{ 1 });
+    first.mWasRejected = true;
+    (void)queue.Push(first, kStart);
+    // the account pays once: it is not set back behind the other one
+    CHECK(AdmitUpTo(queue, 4) == std::vector<TicketId>{ 1, 2, 3, 4 });
+  }
+
   SUBCASE("with a measured service rate")
   {
     PushMany(queue, "salon", 1.0, 1, 100);
