Let requests wait for slots in the order of the account queue

With overload_control, a request without a free slot polled every 10 ms until its time was over, in no order, and used up its attempts at full upstreams. It now waits in gateway::SlotQueue, is tried when a slot becomes free, and is refused as soon as it is expected to wait for too long, with a Retry-After computed from the queue. A request that a full upstream rejects returns to its former place. Without overload_control nothing changes.

--- a/include/figslip/admission/account_queue.hpp
+++ b/include/figslip/admission/account_queue.hpp
@@ -121,6 +121,9 @@
   /// @brief Adds a request, or refuses it at once.
   [[nodiscard]] OfferResult Offer(OfferedRequest aRequest, TimePoint aNow);
 
+  /// @brief See `FairQueue::IssueArrival`.
+  [[nodiscard]] std::uint64_t IssueArrival() { return mQueue.IssueArrival(); }
+
   /// @brief Offers capacity to the waiting requests; see `FairQueue::Admit`.
   std::vector<routing::TicketId> Admit(
     const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -61,6 +61,10 @@
   /// @return its arrival number
   std::uint64_t Push(QueuedRequest aRequest, TimePoint aNow);
 
+  /// @brief Returns the arrival number of a request that is admitted without
+  /// waiting, for its return if an upstream rejects it.
+  [[nodiscard]] std::uint64_t IssueArrival() { return mNextArrival++; }
+
   /// @brief Offers capacity to the waiting requests in fair order.
   /// @param[in] aTry tries to reserve capacity for a request
   /// @return tickets that left the queue, admitted or unschedulable, in order
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -45,6 +45,14 @@
   /// start of the instance.
   static constexpr auto kSlotPollInterval = std::chrono::milliseconds(10);
 
+  /// Lists how the request continues after a search for a slot.
+  enum class SlotStep
+  {
+    Planned, ///< `mPlanned` has a slot
+    Again,   ///< check the request again
+    Failed   ///< `mLastFailure` tells why it gets no slot
+  };
+
   /// Lists how the request continues after an attempt.
   enum class NextStep
   {
@@ -110,9 +118,12 @@
   /// Responds with a status of the gateway. The status does not promise that
   /// the request has not run if it may have run.
   [[nodiscard]] net::Awaitable<void> Refuse(RequestEnd aEnd);
-  /// Returns after how many seconds the caller should come back if all
-  /// upstreams that may serve it are pausing or at the rate that they named.
-  [[nodiscard]] std::optional<std::string> EarliestReturn(RequestEnd aEnd);
+  /// Returns the value of Retry-After: as the queue and the upstreams state it,
+  /// or else that of the outcome.
+  [[nodiscard]] std::string RetryAfterOf(const EndDescription& aEnd);
+  /// Returns after what time the caller should come back if all upstreams that
+  /// may serve it are pausing or at the rate that they named.
+  [[nodiscard]] std::optional<Duration> EarliestReturn(RequestEnd aEnd);
   /// Aborts the connection of a caller that has received part of a stream.
   [[nodiscard]] net::Awaitable<void> AbortStream();
 
@@ -120,6 +131,43 @@
   /// @return nothing if no upstream can accept the request now
   [[nodiscard]] std::optional<Attempt> PlanAttempt(TimePoint aNow);
 
+  /// @name Wait for a slot under overload control
+  /// @{
+  /// Plans the request, in the queue if others wait for the same slots or none
+  /// is free.
+  [[nodiscard]] net::Awaitable<SlotStep> AwaitSlot();
+  /// Lets a request that a full upstream rejected pause before it is planned
+  /// again, and obtains the retry for it.
+  [[nodiscard]] net::Awaitable<SlotStep> PrepareReturn();
+  /// Waits in the queue until `mPlanned` has a slot or the wait ends.
+  [[nodiscard]] net::Awaitable<WaitEnd> WaitInQueue();
+  /// Waits in the queue for a replacement of an answer.
+  /// @return null if none was planned
+  [[nodiscard]] net::Awaitable<std::shared_ptr<Replacement>>
+  AwaitReplacementSlot();
+  /// Plans the request into `mPlanned`.
+  [[nodiscard]] admission::AdmissionResult TryPlan();
+  [[nodiscard]] bool MayQueue(placement::NoChoiceReason aReason,
+                              TimePoint aNow);
+  /// Returns whether a request that a full upstream rejected may return to the
+  /// queue.
+  [[nodiscard]] bool MayReturn(TimePoint aNow) const;
+  [[nodiscard]] admission::OfferedRequest MakeOffer(TimePoint aNow);
+  /// Names the upstreams that the request may use; requests with the same name
+  /// wait for the same slots.
+  [[nodiscard]] std::string CapacityClass() const;
+  /// Returns the latest time at which a slot is worth the wait.
+  [[nodiscard]] TimePoint LatestAdmission() const;
+  /// Lets upstreams that rejected the request as full be chosen again.
+  void ForgetFullUpstreams();
+  /// Ends the wait in the queue and frees a slot that was reserved in it.
+  void LeaveQueue();
+  /// @}
+  /// Returns the name of the client account; empty on a public route.
+  [[nodiscard]] const std::string& AccountName() const;
+  /// Returns the priority of the account, or else that of the route.
+  [[nodiscard]] int Priority() const;
+
   /// @name Replacement of the running attempt
   /// @{
   /// Calls `OnSilence` when this time passes without `mSilence.Clear`.
@@ -129,6 +177,8 @@
   void OnSilence();
   [[nodiscard]] net::Awaitable<void> ReplaceSilentAttempt(
     std::shared_ptr<Replacement> aFirst);
+  /// Makes a planned attempt the replacement of the running one.
+  [[nodiscard]] std::shared_ptr<Replacement> MakeReplacement(Attempt aPlanned);
   /// Plans a replacement of the running attempt.
   /// @return null if no upstream can accept it now
   [[nodiscard]] std::shared_ptr<Replacement> PlanReplacement();
@@ -269,7 +319,18 @@
   TimePoint mDeadline;
   TimePoint mSlotDeadline; ///< end of the wait for a slot
   std::set<std::string> mAvoidedUpstreams;
-  Attempt* mRunning = nullptr; ///< null between attempts
+  Attempt* mRunning = nullptr;     ///< null between attempts
+  std::optional<Attempt> mPlanned; ///< with a slot that the queue reserved
+  routing::TicketId mTicket = 0;   ///< of the wait in the queue; 0: none
+  /// rank in the queue; empty: neither waited nor planned yet
+  std::optional<std::uint64_t> mQueueArrival;
+  bool mWasQueued = false;   ///< the last attempt was admitted by the queue
+  bool mIsReturning = false; ///< a full upstream rejected the last attempt
+  int mReturns = 0;          ///< rejections by full upstreams
+  /// upstreams that rejected the request as full
+  std::set<std::string> mFullUpstreams;
+  std::optional<Duration> mRetryAfter; ///< as the queue stated it
+  double mWork = 1.0;                  ///< expected, in the unit of the queue
   std::shared_ptr<Replacement> mReplacement;
   net::Watchdog mSilence; ///< of the running attempt
   Duration mSilencePatience{};
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -5,6 +5,7 @@
 #include <figslip/cascade/size_policy.hpp>
 #include <figslip/fairshare/fair_shares.hpp>
 #include <figslip/gateway/request_end.hpp>
+#include <figslip/gateway/slot_queue.hpp>
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/freshness_lease.hpp>
@@ -82,6 +83,10 @@
                   const ingress::ResponseMetadata& aResponse,
                   TimePoint aSentAt);
 
+  /// @brief Removes a request from the load of its upstream, so that another
+  /// one may be admitted.
+  void ReleaseSlot(placement::Reservation& aReservation);
+
   /// @brief Checks whether callers can be served.
   ///
   /// Requires a configuration, a list of upstreams and a held lease, and that
@@ -99,6 +104,7 @@
   placement::UpstreamSelector mBoard;
   retry::RetryBudget mRetries;
   fairshare::FairShares mShares; ///< of the client accounts
+  SlotQueue mQueue; ///< used where the setting `overload_control` is on
   rollout::StagedRollout mRollouts;
   cascade::SizePolicy mSizePolicy;
   /// scale of the delays of the largest models beyond the expected ones, by
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
@@ -103,7 +104,7 @@
   mRunning = &aAttempt;
   const auto next = co_await Exchange(aAttempt);
   mRunning = nullptr;
-  mState.mBoard.Release(aAttempt.mLoad);
+  mState.ReleaseSlot(aAttempt.mLoad);
   if (aAttempt.mIsSent) {
     mState.mRollouts.OnEnded(mService, mSession, ReadBootClock());
   }
@@ -173,6 +174,9 @@
   }
   if (mTransmissions == 0) {
     mState.mRetries.OnFirstAttempt(mService, now);
+    if (mState.mSettings.mOverloadControl) {
+      mState.mShares.OnAdmitted(mService, AccountName(), mWork, now);
+    }
   }
   ++mTransmissions;
   ++mAttempts;
@@ -271,11 +275,44 @@
     LogNoSlot(mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now), now);
     return nullptr;
   }
+  return MakeReplacement(std::move(*planned));
+}
+
+std::shared_ptr<RequestFlow::Replacement>
+RequestFlow::MakeReplacement(Attempt aPlanned)
+{
   mReplacement = std::make_shared<Replacement>();
-  mReplacement->mAttempt = std::move(*planned);
+  mReplacement->mAttempt = std::move(aPlanned);
   return mReplacement;
 }
 
+net::Awaitable<std::shared_ptr<RequestFlow::Replacement>>
+RequestFlow::AwaitReplacementSlot()
+{
+  if (!mState.mQueue.HasWaiting(CapacityClass())) {
+    if (auto replacement = PlanReplacement()) {
+      co_return replacement;
+    }
+  }
+  const auto mayQueue = [this] {
+    const auto now = ReadBootClock();
+    const auto reason =
+      mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
+    return !mCaller.HasLeft() && !mIsInterrupted && MayQueue(reason, now);
+  };
+  auto end = WaitEnd::PlanAgain;
+  while (end == WaitEnd::PlanAgain && mayQueue()) {
+    end = co_await WaitInQueue();
+    if (end == WaitEnd::PlanAgain) {
+      co_await net::Sleep(kSlotPollInterval); // what blocks it may last
+    }
+  }
+  if (!mPlanned) {
+    co_return nullptr;
+  }
+  co_return MakeReplacement(*std::exchange(mPlanned, std::nullopt));
+}
+
 net::Awaitable<bool>
 RequestFlow::Replace(std::shared_ptr<Replacement> aFirst,
                      ReplaceOptions aOptions)
@@ -303,7 +340,13 @@
 net::Awaitable<bool>
 RequestFlow::ReplaceAnswer(ReplaceOptions aOptions)
 {
-  auto first = PlanReplacement();
+  std::shared_ptr<Replacement> first;
+  if (aOptions.mWaitsForSlot && mState.mSettings.mOverloadControl) {
+    first = co_await AwaitReplacementSlot();
+    aOptions.mWaitsForSlot = false;
+  } else {
+    first = PlanReplacement();
+  }
   while (!first && aOptions.mWaitsForSlot && !mCaller.HasLeft() &&
          ReadBootClock() < mSlotDeadline) {
     co_await net::Sleep(kSlotPollInterval);
@@ -449,7 +492,15 @@
 {
   LogFailure(aAttempt, "rejected");
   --mAttempts;
-  ++mRejections;
+  const bool isFull = aAttempt.mConnection->Head().mStatus == kUnavailable;
+  if (mState.mSettings.mOverloadControl && isFull && &aAttempt == mRunning) {
+    // the request has not run and keeps its rank among those that wait
+    mIsReturning = true;
+    ++mReturns;
+    mFullUpstreams.insert(aAttempt.mUpstream.mId);
+  } else {
+    ++mRejections;
+  }
   RecordHealth(aAttempt, AttemptHealth::Rejected);
   mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
   mLastFailure =
@@ -468,7 +519,7 @@
   if (attempt.mConnection) {
     attempt.mConnection->Abort();
   }
-  mState.mBoard.Release(attempt.mLoad);
+  mState.ReleaseSlot(attempt.mLoad);
   if (attempt.mIsSent) {
     mState.mRollouts.OnEnded(mService, mSession, ReadBootClock());
   }
@@ -550,9 +601,7 @@
       .mUpstream = aAttempt.mUpstream.mId,
       .mAccount = mAccount == nullptr ? std::string() : mAccount->mName,
       .mModel = mRoute->mModels.empty() ? std::string() : aAttempt.mModel,
-      .mPriority = mAccount != nullptr && mAccount->mPriority
-                     ? *mAccount->mPriority
-                     : mRoute->mPriority,
+      .mPriority = Priority(),
       .mLastEventId = last });
   return net::FormatRequest(message);
 }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -28,6 +28,16 @@
 constexpr auto kMaxCrashCheckTime = milliseconds(120);
 constexpr auto kCrashCheckPollInterval = milliseconds(5);
 
+/// Part of the timeout for which a request may wait for a slot; the rest is
+/// left for its attempts. Callers give up on `Retry-After` after the same part.
+constexpr int kSlotWaitDivisor = 3;
+
+/// Pause before a request returns to the queue after its second rejection; it
+/// doubles with each further one. The first return may find another upstream
+/// free at once; later ones must not be sent to full upstreams in a loop.
+constexpr auto kReturnPause = milliseconds(10);
+constexpr auto kMaxReturnPause = milliseconds(160);
+
 /// Attempts that upstreams may reject, in addition to the attempts that may
 /// run.
 constexpr int kMaxRejections = 3;
@@ -106,6 +116,7 @@
         mRunning->mConnection->Abort();
       }
       CancelReplacement();
+      LeaveQueue();
     });
     co_await AwaitReadiness();
     const auto refusal = Admit();
@@ -178,6 +189,11 @@
       !mState.mDrain->Admits(now, mDeadline, mRoute->IsRetryable())) {
     return RequestEnd::Stopping;
   }
+  if (mState.mSettings.mOverloadControl) {
+    mWork =
+      admission::ExpectedWork(mFacts.mPromptTokens, mFacts.mMaxOutputTokens);
+    mState.mShares.OnOffered(mService, AccountName(), mWork, now);
+  }
   return std::nullopt;
 }
 
@@ -203,6 +219,7 @@
     mRunning->mConnection->Abort();
   }
   CancelReplacement();
+  LeaveQueue();
 }
 
 net::Awaitable<void>
@@ -235,7 +252,17 @@
       IsReplaced() ? std::exchange(mReplacement, nullptr) : nullptr;
     std::optional<Attempt> planned;
     Attempt* attempt = replacement ? &replacement->mAttempt : nullptr;
-    if (attempt == nullptr) {
+    if (attempt == nullptr && mState.mSettings.mOverloadControl) {
+      const auto step = co_await AwaitSlot();
+      if (step == SlotStep::Again) {
+        continue;
+      }
+      if (step == SlotStep::Failed) {
+        break;
+      }
+      planned = std::exchange(mPlanned, std::nullopt);
+      attempt = &*planned;
+    } else if (attempt == nullptr) {
       planned = PlanAttempt(now);
       attempt = planned ? &*planned : nullptr;
     }
@@ -261,7 +288,8 @@
     co_await AwaitCrashCheck();
     const bool mayGoOn =
       next == NextStep::Replaced ||
-      (next == NextStep::Retry && TryAcquireRetry(ReadBootClock()));
+      (next == NextStep::Retry &&
+       (MayReturn(ReadBootClock()) || TryAcquireRetry(ReadBootClock())));
     if (!mayGoOn) {
       break;
     }
@@ -277,6 +305,234 @@
   }
 }
 
+net::Awaitable<RequestFlow::SlotStep>
+RequestFlow::AwaitSlot()
+{
+  if (mIsReturning) {
+    const auto step = co_await PrepareReturn();
+    if (step != SlotStep::Planned) {
+      co_return step;
+    }
+  }
+  const bool mustQueue = mState.mQueue.HasWaiting(CapacityClass());
+  if (!mustQueue && TryPlan() == admission::AdmissionResult::Admitted) {
+    if (!mQueueArrival) {
+      mQueueArrival = mState.mQueue.IssueArrival();
+    }
+    mWasQueued = false;
+    co_return SlotStep::Planned;
+  }
+  ForgetFullUpstreams();
+  const auto now = ReadBootClock();
+  const auto reason =
+    mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
+  if (!MayQueue(reason, now)) {
+    LogNoSlot(reason, now);
+    if (mState.IsStopping()) {
+      mLastFailure = RequestEnd::Stopping;
+    } else if (mSends == 0) {
+      mLastFailure = reason == placement::NoChoiceReason::NoUpstream
+                       ? RequestEnd::NoUpstream
+                       : RequestEnd::NoCapacity;
+    }
+    co_return SlotStep::Failed;
+  }
+  const auto end = co_await WaitInQueue();
+  if (end == WaitEnd::Stopping) {
+    mLastFailure = RequestEnd::Stopping;
+  } else if (end == WaitEnd::Refused && mSends == 0) {
+    mLastFailure = RequestEnd::NoCapacity;
+  }
+  if (end == WaitEnd::PlanAgain) {
+    co_return SlotStep::Again;
+  }
+  co_return end == WaitEnd::Admitted ? SlotStep::Planned : SlotStep::Failed;
+}
+
+net::Awaitable<RequestFlow::SlotStep>
+RequestFlow::PrepareReturn()
+{
+  const auto pause =
+    mReturns < 2
+      ? milliseconds(0)
+      : std::min<milliseconds>(kMaxReturnPause,
+                               kReturnPause * (1 << std::min(mReturns - 2, 4)));
+  const auto until = ReadBootClock() + pause;
+  while (ReadBootClock() < until && !mCaller.HasLeft() && !mIsInterrupted &&
+         !mState.IsStopping()) {
+    co_await net::Sleep(kSlotPollInterval);
+  }
+  if (mCaller.HasLeft() || mIsInterrupted) {
+    co_return SlotStep::Again;
+  }
+  if (mReturns > 1) {
+    ForgetFullUpstreams();
+  }
+  const auto now = ReadBootClock();
+  if (TryAcquireRetry(now)) {
+    mIsReturning = false;
+    co_return SlotStep::Planned;
+  }
+  if (!MayReturn(now)) {
+    co_return SlotStep::Failed;
+  }
+  // the budget of retries fills up again while time is left
+  co_await net::Sleep(kSlotPollInterval);
+  co_return SlotStep::Again;
+}
+
+bool
+RequestFlow::MayReturn(TimePoint aNow) const
+{
+  return mIsReturning && !mFinalRefusal && !mIsInterrupted &&
+         !mState.IsStopping() && aNow < LatestAdmission();
+}
+
+net::Awaitable<WaitEnd>
+RequestFlow::WaitInQueue()
+{
+  const auto now = ReadBootClock();
+  mState.mShares.OnShortage(mService, now);
+  SlotQueue::Request request;
+  request.mOffered = MakeOffer(now);
+  request.mAttemptId = mFacts.mAttemptId;
+  request.mExecutor = mCaller.Executor();
+  request.mTry = [this] { return TryPlan(); };
+  mTicket = request.mOffered.mQueued.mTicket;
+  const auto outcome = co_await mState.mQueue.Wait(std::move(request));
+  mTicket = 0;
+  mRetryAfter = outcome.mRetryAfter;
+  if (outcome.mArrival) {
+    mQueueArrival = outcome.mArrival;
+  }
+  mWasQueued = outcome.mEnd == WaitEnd::Admitted;
+  const bool isLost = !mPlanned || mCaller.HasLeft() || mIsInterrupted;
+  if (mWasQueued && isLost) {
+    LeaveQueue();
+    co_return WaitEnd::PlanAgain;
+  }
+  co_return outcome.mEnd;
+}
+
+void
+RequestFlow::LeaveQueue()
+{
+  mState.mQueue.Cancel(mTicket);
+  if (mPlanned) {
+    mState.ReleaseSlot(mPlanned->mLoad);
+    mPlanned.reset();
+  }
+}
+
+admission::OfferedRequest
+RequestFlow::MakeOffer(TimePoint aNow)
+{
+  const auto inTimeBy = mArrivedAt + mRoute->mTargetLatency -
+                        mState.mQueue.ExpectedFirstEvent(mService);
+  const auto& account = AccountName();
+  return { .mQueued = { .mTicket = mState.mQueue.IssueTicket(),
+                        .mCapacityClass = CapacityClass(),
+                        .mAccount = account,
+                        .mShare = mState.mShares.WeightOf(mService, account),
+                        .mCost = mWork,
+                        .mPriority = Priority(),
+                        .mFormerArrival = mQueueArrival,
+                        .mWasRejected = std::exchange(mWasQueued, false) },
+           .mService = mService,
+           .mBytes = mCaller.Request().mBody.size(),
+           // a request that has just come is not refused without an estimate
+           .mInTimeBy = std::max(inTimeBy, aNow),
+           .mLateBy = LatestAdmission(),
+           .mHash = HashOf(mFacts.mAttemptId) };
+}
+
+std::string
+RequestFlow::CapacityClass() const
+{
+  auto name = mService;
+  const auto now = ReadBootClock();
+  for (const auto& version : mState.mBoard.VersionsOf(mService)) {
+    if (mState.mRollouts.Allows(mService, version, mSession, now)) {
+      name += " version " + version;
+    }
+  }
+  for (const auto& region : mRoute->mAllowedRegions) {
+    name += " region " + region;
+  }
+  return name;
+}
+
+TimePoint
+RequestFlow::LatestAdmission() const
+{
+  return mArrivedAt + (mDeadline - mArrivedAt) / kSlotWaitDivisor;
+}
+
+const std::string&
+RequestFlow::AccountName() const
+{
+  static const std::string sNone; // of a public route
+  return mAccount == nullptr ? sNone : mAccount->mName;
+}
+
+int
+RequestFlow::Priority() const
+{
+  return mAccount != nullptr && mAccount->mPriority ? *mAccount->mPriority
+                                                    : mRoute->mPriority;
+}
+
+void
+RequestFlow::ForgetFullUpstreams()
+{
+  for (const auto& upstream : std::exchange(mFullUpstreams, {})) {
+    mAvoidedUpstreams.erase(upstream);
+  }
+}
+
+admission::AdmissionResult
+RequestFlow::TryPlan()
+{
+  using admission::AdmissionResult;
+  const auto now = ReadBootClock();
+  const bool isBlocked =
+    mIsInterrupted || mCaller.HasLeft() || now + kMinAttemptTime >= mDeadline ||
+    HoldOfSession(now) || mState.mParts.IsQuarantined(mParts, now);
+  if (isBlocked) {
+    return AdmissionResult::Unschedulable;
+  }
+  mPlanned = PlanAttempt(now);
+  if (mPlanned) {
+    mState.mQueue.OnPlanned(mService, mPlanned->mChoice.mTimeToFirstEvent);
+    return AdmissionResult::Admitted;
+  }
+  const auto reason =
+    mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
+  return reason == placement::NoChoiceReason::NoUpstream
+           ? AdmissionResult::Unschedulable
+           : AdmissionResult::NoCapacity;
+}
+
+bool
+RequestFlow::MayQueue(placement::NoChoiceReason aReason, TimePoint aNow)
+{
+  using placement::NoChoiceReason;
+  // a request that may run only once waits only while it has not run
+  const bool mayStillRun = mRoute->IsRetryable() || !mMayHaveRun;
+  if (aReason == NoChoiceReason::NoUpstream || mState.IsStopping() ||
+      !mayStillRun) {
+    return false;
+  }
+  const bool isUntilKnownTime = aReason == NoChoiceReason::AllPausing ||
+                                aReason == NoChoiceReason::AllLimited;
+  const auto from =
+    isUntilKnownTime
+      ? mState.mBoard.EarliestReturn(MakePlacementQuery(""), aNow)
+          .value_or(aNow)
+      : aNow;
+  return from < LatestAdmission();
+}
+
 std::optional<rollout::SessionHold>
 RequestFlow::HoldOfSession(TimePoint aNow) const
 {
@@ -471,7 +727,22 @@
   return std::nullopt;
 }
 
-std::optional<std::string>
+std::string
+RequestFlow::RetryAfterOf(const EndDescription& aEnd)
+{
+  const bool lacksCapacity =
+    aEnd.mEnd == RequestEnd::NoCapacity || aEnd.mEnd == RequestEnd::Rejected;
+  const auto queue = lacksCapacity ? mRetryAfter : std::nullopt;
+  const auto upstreams = EarliestReturn(aEnd.mEnd);
+  if (!queue && !upstreams) {
+    return std::string(aEnd.mRetryAfter);
+  }
+  const auto time = std::max(queue.value_or(Duration::zero()),
+                             upstreams.value_or(Duration::zero()));
+  return std::to_string(std::chrono::duration<double>(time).count());
+}
+
+std::optional<Duration>
 RequestFlow::EarliestReturn(RequestEnd aEnd)
 {
   const bool lacksUpstream = aEnd == RequestEnd::NoUpstream ||
@@ -492,9 +763,7 @@
     return std::nullopt;
   }
   const auto wait = *end - now;
-  const auto spread =
-    wait + placement::ReturnOffset(wait, HashOf(mFacts.mAttemptId));
-  return std::to_string(std::chrono::duration<double>(spread).count());
+  return wait + placement::ReturnOffset(wait, HashOf(mFacts.mAttemptId));
 }
 
 net::Awaitable<void>
@@ -512,9 +781,8 @@
   const auto& description = Describe(end);
   net::Headers headers;
   if (description.PromisesNotRun()) {
-    headers.push_back({ .mName = "Retry-After",
-                        .mValue = EarliestReturn(end).value_or(
-                          std::string(description.mRetryAfter)) });
+    headers.push_back(
+      { .mName = "Retry-After", .mValue = RetryAfterOf(description) });
   }
   const std::string body = std::string(description.mName) + "\n";
   co_await mCaller.Respond(
@@ -564,12 +832,20 @@
         { { "route", route }, { "late", std::string(NameOf(lateness)) } })
       .Add();
   }
+  if (mState.mSettings.mOverloadControl && mRoute != nullptr) {
+    mState.mMetrics
+      .CounterOf("figslip_account_requests_total",
+                 { { "account", AccountName() },
+                   { "outcome", std::string(description.mName) } })
+      .Add();
+  }
   log::Write(
     log::Level::Info,
     isServed ? "request_served" : "request_failed",
     { { "request", mFacts.mAttemptId },
       { "end", std::string(description.mName) },
       { "route", route },
+      { "account", AccountName() }, // empty: public route, or not admitted
       { "took_ms", FormatMilliseconds(now - mArrivedAt) },
       // empty: no event was relayed to the caller
       { "first_event_ms",
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -29,6 +29,10 @@
 constexpr double kAnswerMemoryFraction = 0.25;
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
+/// Fraction of the memory of the process that the bodies of requests which wait
+/// for a slot may occupy. Each is copied once when it is sent.
+constexpr double kWaitingMemoryFraction = 0.1;
+
 /// Time from the end of a process until its successor is registered.
 constexpr auto kRestartTime = std::chrono::seconds(2);
 
@@ -53,6 +57,15 @@
   , mRetries({ .mRetryRatio = aSettings.mRetryShare * kRetryShareFraction,
                .mAllowance = 0.0,
                .mWindow = aSettings.mRetryWindow })
+  , mQueue(
+      aMetrics,
+      { .mMaxBytes = static_cast<std::size_t>(
+          aSettings.mMemoryMb * kBytesPerMegabyte * kWaitingMemoryFraction),
+        .mIsStopping = [this] { return IsStopping(); },
+        .mIsOverShare =
+          [this](std::string_view aService, std::string_view aAccount) {
+            return mShares.IsOverShare(aService, aAccount);
+          } })
   , mRollouts(
       { .mInstance = aSettings.mInstance,
         .mSessionTtl = aSettings.mSessionTtl,
@@ -77,6 +90,7 @@
 {
   mConfiguration = std::move(aConfiguration);
   mBoard.OnConfiguration(mConfiguration);
+  mQueue.ReplanAll();
 }
 
 void
@@ -84,6 +98,14 @@
 {
   mHasUpstreams = true;
   mBoard.OnUpstreams(aEntries, ReadBootClock());
+  mQueue.OnCapacityChange();
+}
+
+void
+TrafficState::ReleaseSlot(placement::Reservation& aReservation)
+{
+  mBoard.Release(aReservation);
+  mQueue.OnCapacityChange();
 }
 
 void
@@ -204,6 +226,7 @@
   const auto now = ReadBootClock();
   if (aResponse.mLoad) {
     mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, now);
+    mQueue.OnCapacityChange();
   }
   if (aResponse.mIsLeaving && mBoard.OnLeaving(aUpstream, now)) {
     mPool.Drop({ .mAddress = aUpstream.mAddress, .mPort = aUpstream.mPort });
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -167,12 +167,13 @@
 } // namespace
 
 IngressWorld::IngressWorld(Options aOptions)
+  : mOptions(std::move(aOptions))
 {
-  for (int number = 1; number <= aOptions.mEngines; ++number) {
+  for (int number = 1; number <= mOptions.mEngines; ++number) {
     mEngineStarts.emplace_back(1);
     mEngines.push_back(
       std::make_unique<EngineStandIn>("e-" + std::to_string(number)));
-    if (aOptions.mIsRelayed) {
+    if (mOptions.mIsRelayed) {
       mEngineRelays.push_back(std::make_unique<Relay>(mEngines.back()->Port()));
     }
   }
@@ -180,12 +181,12 @@
     PutEngine(index);
   }
   PutConfiguration({ "key-1" });
-  for (int number = 0; number < aOptions.mInstances; ++number) {
-    if (aOptions.mIsRelayed) {
+  for (int number = 0; number < mOptions.mInstances; ++number) {
+    if (mOptions.mIsRelayed) {
       mStoreRelays.push_back(std::make_unique<Relay>(mStore.Port()));
     }
     const int storePort =
-      aOptions.mIsRelayed ? mStoreRelays.back()->Port() : mStore.Port();
+      mOptions.mIsRelayed ? mStoreRelays.back()->Port() : mStore.Port();
     Running running;
     running.mCallerPort = FreePort(running.mPortClaims);
     running.mReadinessPort = FreePort(running.mPortClaims);
@@ -202,7 +203,8 @@
       { "metrics", address(FreePort(running.mPortClaims)) },
       { "peers", address(FreePort(running.mPortClaims)) },
       { "store", address(storePort) },
-      { "memory_mb", aOptions.mMemoryMb },
+      { "memory_mb", mOptions.mMemoryMb },
+      { "overload_control", mOptions.mOverloadControl },
       { "max_descriptors", 1024 },
       { "grace_s", 8 },
       { "revocation_ms", 5000 },
@@ -307,22 +309,27 @@
                  { "max_attempts", aAttempts },
                  { "resumable", std::string(aType) == "streaming" } };
   };
+  auto accounts =
+    json::array({ { { "name", "studio" }, { "api_keys", aKeys } } });
+  if (!mOptions.mSchoolKey.empty()) {
+    accounts.push_back(
+      { { "name", "school" }, { "api_keys", { mOptions.mSchoolKey } } });
+  }
   ++mVersion;
-  aStore.Put(
-    "config",
-    "main",
-    { { "version", mVersion },
-      { "routes",
-        { route("chat", "/chat/", "streaming", 3),
-          route("booking", "/book/", "non_idempotent", 1),
-          route("lookup", "/look/", "idempotent", 3) } },
-      { "services", { { { "name", "engines" } } } },
-      { "limits",
-        { { "max_header_bytes", 4096 },
-          { "max_body_bytes", 2048 },
-          { "header_timeout_ms", 500 },
-          { "idle_timeout_ms", 2000 } } },
-      { "tenants", { { { "name", "studio" }, { "api_keys", aKeys } } } } });
+  aStore.Put("config",
+             "main",
+             { { "version", mVersion },
+               { "routes",
+                 { route("chat", "/chat/", "streaming", 3),
+                   route("booking", "/book/", "non_idempotent", 1),
+                   route("lookup", "/look/", "idempotent", 3) } },
+               { "services", { { { "name", "engines" } } } },
+               { "limits",
+                 { { "max_header_bytes", 4096 },
+                   { "max_body_bytes", 2048 },
+                   { "header_timeout_ms", 500 },
+                   { "idle_timeout_ms", 2000 } } },
+               { "tenants", accounts } });
 }
 
 void
@@ -340,7 +347,7 @@
                { "address", "127.0.0.1:" + std::to_string(port) },
                { "zone", "a" },
                { "version", aVersion },
-               { "slots", 8 },
+               { "slots", mOptions.mEngineSlots },
                { "state", aState },
                { "cold_remaining_ms", 0 },
                { "born", mEngineStarts.at(aIndex).load() },
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -57,7 +57,11 @@
     int mEngines = 2;
     /// puts relays before the engines, and before the store of each instance
     bool mIsRelayed = false;
-    int mMemoryMb = 256; ///< in the settings of each instance
+    int mMemoryMb = 256;           ///< in the settings of each instance
+    bool mOverloadControl = false; ///< likewise
+    int mEngineSlots = 8;
+    /// API key of a second account, "school"; empty: there is none
+    std::string mSchoolKey;
   };
 
   /// Keeps a port from other test programs; empty if another one has it.
@@ -163,6 +167,7 @@
     std::unique_ptr<Process> mProcess;
   };
 
+  Options mOptions;
   StoreStandIn mStore;
   std::vector<std::unique_ptr<EngineStandIn>> mEngines;
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
--- /dev/null
+++ b/tests/src/history-slot_queue.cpp
@@ -0,0 +1,160 @@
+#include <harness/ingress_world.hpp>
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace figslip;
+using namespace std::chrono_literals;
+using test::CallerAnswer;
+using test::IngressWorld;
+using Behaviour = test::EngineStandIn::Behaviour;
+
+namespace {
+
+const std::string kSchoolKey = "key-school";
+
+bool
+Eventually(const std::function<bool()>& aCondition)
+{
+  const auto until = std::chrono::steady_clock::now() + 10s;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > until) {
+      return false;
+    }
+    std::this_thread::sleep_for(5ms);
+  }
+  return true;
+}
+
+/// Tells whether a 503 says when to come back.
+bool
+IsTruthfulRefusal(const CallerAnswer& aAnswer)
+{
+  return aAnswer.mStatus == 503 &&
+         aAnswer.mHead.find("Retry-After: ") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("under overload control, with an engine of two slots")
+{
+  IngressWorld world({ .mEngines = 1,
+                       .mOverloadControl = true,
+                       .mEngineSlots = 2,
+                       .mSchoolKey = kSchoolKey });
+  auto& engine = world.Engine(0);
+
+  // Load: 60 callers of one account send without a pause, which is several
+  // times what the engine serves. Guards against an account that takes all
+  // slots from another one.
+  SUBCASE("an account that floods it does not keep out another one")
+  {
+    engine.SetPause(15ms);
+    std::atomic<bool> isOver = false;
+    std::atomic<int> served = 0;
+    std::atomic<int> refused = 0;
+    std::atomic<int> others = 0;
+    std::vector<std::thread> flood;
+    for (int caller = 0; caller < 60; ++caller) {
+      flood.emplace_back([&, caller] {
+        for (int call = 0; !isOver; ++call) {
+          const auto name =
+            "flood-" + std::to_string(caller) + "-" + std::to_string(call);
+          const auto answer = world.Send(0, "POST", "/chat/1", name);
+          ++(answer.mStatus == 200
+               ? served
+               : (IsTruthfulRefusal(answer) ? refused : others));
+        }
+      });
+    }
+    const bool isFlooded = Eventually([&] { return refused >= 60; });
+    int schoolServed = 0;
+    constexpr int kSchoolCalls = 20;
+    for (int call = 0; call < kSchoolCalls; ++call) {
+      const auto name = "school-" + std::to_string(call);
+      const auto answer = world.Send(0, "POST", "/chat/1", name, kSchoolKey);
+      schoolServed += answer.mStatus == 200 && answer.mIsWhole ? 1 : 0;
+    }
+    isOver = true;
+    for (auto& caller : flood) {
+      caller.join();
+    }
+    MESSAGE("served ", served.load(), ", refused ", refused.load());
+    CHECK(isFlooded);
+    CHECK(schoolServed == kSchoolCalls);
+    CHECK(served > 0);
+    CHECK(others == 0);
+    for (const auto& [name, runs] : world.CountRuns()) {
+      CHECK(runs == 1);
+    }
+  }
+
+  // Guards against requests that use up their attempts at full upstreams: an
+  // upstream that is full for a moment has not run them.
+  SUBCASE("a request that it rejects as full is sent again and runs once")
+  {
+    engine.SetBehaviour(Behaviour::Refuse);
+    std::string path = "/look/1";
+    SUBCASE("if it may run many times") {}
+    SUBCASE("if it may run only once")
+    {
+      path = "/book/1";
+    }
+    auto answer = std::async(
+      std::launch::async, [&] { return world.Send(0, "POST", path, "one"); });
+    // more than the attempts and rejections that a request has otherwise
+    CHECK(Eventually([&] { return engine.Arrivals() > 6; }));
+    engine.SetBehaviour(Behaviour::Good);
+    CHECK(answer.get().mStatus == 200);
+    CHECK(world.RunsOf("one") == 1);
+  }
+
+  SUBCASE("while both slots are in use")
+  {
+    engine.HoldHeads("/look/");
+    std::vector<std::future<CallerAnswer>> running;
+    for (const auto* const name : { "first", "second" }) {
+      running.push_back(std::async(std::launch::async, [&world, name] {
+        return world.Send(0, "GET", "/look/1", name);
+      }));
+    }
+    REQUIRE(Eventually([&] { return engine.Runs().size() == 2; }));
+
+    // Guards against slots that are spent on callers who have left.
+    SUBCASE("a request whose caller leaves is not sent")
+    {
+      const auto call =
+        IngressWorld::FormatCall("GET", "/look/1", "left", kSchoolKey);
+      CHECK(world.SendRaw(0, call, 100ms).mStatus == 0);
+      engine.HoldHeads("");
+      CHECK(world.Send(0, "GET", "/look/1", "next").mStatus == 200);
+      CHECK(world.RunsOf("left") == 0);
+    }
+
+    // Guards against callers that learn late that they must go elsewhere.
+    SUBCASE("a request that waits is refused when the instance stops")
+    {
+      auto waiting = std::async(std::launch::async, [&] {
+        return world.Send(0, "GET", "/look/1", "waiting", kSchoolKey);
+      });
+      std::this_thread::sleep_for(100ms);
+      world.Instance(0).Signal(SIGTERM);
+      const auto answer = waiting.get();
+      CHECK(IsTruthfulRefusal(answer));
+      CHECK(answer.mBody == "stopping\n");
+      CHECK(world.RunsOf("waiting") == 0);
+      engine.HoldHeads("");
+    }
+    for (auto& answer : running) {
+      CHECK(answer.get().mStatus == 200);
+    }
+  }
+}
