--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -153,6 +153,8 @@
   /// queue.
   [[nodiscard]] bool MayReturn(TimePoint aNow) const;
   [[nodiscard]] admission::OfferedRequest MakeOffer(TimePoint aNow);
+  /// Returns whether others wait for the same slots.
+  [[nodiscard]] bool MustQueue() const;
   /// Names the upstreams that the request may use; requests with the same name
   /// wait for the same slots.
   [[nodiscard]] std::string CapacityClass() const;
--- a/include/figslip/gateway/slot_queue.hpp
+++ b/include/figslip/gateway/slot_queue.hpp
@@ -65,6 +65,8 @@
   SlotQueue& operator=(const SlotQueue&) = delete;
   ~SlotQueue() = default;
 
+  [[nodiscard]] bool Empty() const { return mWaiting.empty(); }
+
   /// @brief Checks whether any request of a capacity class waits.
   [[nodiscard]] bool HasWaiting(std::string_view aCapacityClass) const
   {
@@ -121,7 +123,7 @@
   admission::AccountQueue mQueue;
   std::map<routing::TicketId, std::shared_ptr<Waiting>> mWaiting;
   std::map<std::string, Duration, std::less<>> mFirstEvents; ///< by service
-  std::optional<net::asio::any_io_executor> mExecutor;
+  net::asio::any_io_executor mExecutor; ///< of the first request that waited
   routing::TicketId mLastTicket = 0;
   bool mIsTicking = false;
   bool mIsAdmissionPosted = false;
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -289,7 +289,7 @@
 net::Awaitable<std::shared_ptr<RequestFlow::Replacement>>
 RequestFlow::AwaitReplacementSlot()
 {
-  if (!mState.mQueue.HasWaiting(CapacityClass())) {
+  if (!MustQueue()) {
     if (auto replacement = PlanReplacement()) {
       co_return replacement;
     }
@@ -307,10 +307,11 @@
       co_await net::Sleep(kSlotPollInterval); // what blocks it may last
     }
   }
-  if (!mPlanned) {
+  auto planned = std::exchange(mPlanned, std::nullopt);
+  if (!planned) {
     co_return nullptr;
   }
-  co_return MakeReplacement(*std::exchange(mPlanned, std::nullopt));
+  co_return MakeReplacement(std::move(*planned));
 }
 
 net::Awaitable<bool>
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -314,8 +314,7 @@
       co_return step;
     }
   }
-  const bool mustQueue = mState.mQueue.HasWaiting(CapacityClass());
-  if (!mustQueue && TryPlan() == admission::AdmissionResult::Admitted) {
+  if (!MustQueue() && TryPlan() == admission::AdmissionResult::Admitted) {
     if (!mQueueArrival) {
       mQueueArrival = mState.mQueue.IssueArrival();
     }
@@ -446,6 +445,12 @@
            .mHash = HashOf(mFacts.mAttemptId) };
 }
 
+bool
+RequestFlow::MustQueue() const
+{
+  return !mState.mQueue.Empty() && mState.mQueue.HasWaiting(CapacityClass());
+}
+
 std::string
 RequestFlow::CapacityClass() const
 {
--- a/src/shell/gateway/slot_queue.cpp
+++ b/src/shell/gateway/slot_queue.cpp
@@ -103,7 +103,7 @@
     co_await timer.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, ignored));
   }
-  outcome.mEnd = *waiting->mEnd;
+  outcome.mEnd = waiting->mEnd.value_or(WaitEnd::PlanAgain);
   outcome.mArrival = offered.mArrival;
   outcome.mRetryAfter = waiting->mRetryAfter;
   co_return outcome;
@@ -201,7 +201,7 @@
     return;
   }
   mIsAdmissionPosted = true;
-  net::asio::post(*mExecutor, [this] {
+  net::asio::post(mExecutor, [this] {
     mIsAdmissionPosted = false;
     Admit();
   });
--- a/tests/src/history-slot_queue.cpp
+++ b/tests/src/history-slot_queue.cpp
@@ -62,8 +62,10 @@
     std::atomic<int> served = 0;
     std::atomic<int> refused = 0;
     std::atomic<int> others = 0;
+    constexpr int kCallers = 60;
     std::vector<std::thread> flood;
-    for (int caller = 0; caller < 60; ++caller) {
+    flood.reserve(kCallers);
+    for (int caller = 0; caller < kCallers; ++caller) {
       flood.emplace_back([&, caller] {
         for (int call = 0; !isOver; ++call) {
           const auto name =
@@ -75,7 +77,7 @@
         }
       });
     }
-    const bool isFlooded = Eventually([&] { return refused >= 60; });
+    const bool isFlooded = Eventually([&] { return refused >= kCallers; });
     int schoolServed = 0;
     constexpr int kSchoolCalls = 20;
     for (int call = 0; call < kSchoolCalls; ++call) {
