End the returns of a rejected request while time is left

A request that full upstreams kept rejecting was sent again until its deadline, because the check of the returns was followed by the check of other retries, which does not count these rejections.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -152,6 +152,9 @@
   /// Returns whether a request that a full upstream rejected may return to the
   /// queue.
   [[nodiscard]] bool MayReturn(TimePoint aNow) const;
+  /// Returns whether the request continues after an attempt that did not
+  /// answer it.
+  [[nodiscard]] bool MayRetry(TimePoint aNow);
   [[nodiscard]] admission::OfferedRequest MakeOffer(TimePoint aNow);
   /// Returns whether others wait for the same slots.
   [[nodiscard]] bool MustQueue() const;
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -286,10 +286,8 @@
       co_return;
     }
     co_await AwaitCrashCheck();
-    const bool mayGoOn =
-      next == NextStep::Replaced ||
-      (next == NextStep::Retry &&
-       (MayReturn(ReadBootClock()) || TryAcquireRetry(ReadBootClock())));
+    const bool mayGoOn = next == NextStep::Replaced ||
+                         (next == NextStep::Retry && MayRetry(ReadBootClock()));
     if (!mayGoOn) {
       break;
     }
@@ -368,23 +366,32 @@
     ForgetFullUpstreams();
   }
   const auto now = ReadBootClock();
+  if (!MayReturn(now)) {
+    if (mState.IsStopping()) {
+      mLastFailure = RequestEnd::Stopping;
+    }
+    co_return SlotStep::Failed;
+  }
   if (TryAcquireRetry(now)) {
     mIsReturning = false;
     co_return SlotStep::Planned;
   }
-  if (!MayReturn(now)) {
-    co_return SlotStep::Failed;
-  }
   // the budget of retries fills up again while time is left
   co_await net::Sleep(kSlotPollInterval);
   co_return SlotStep::Again;
 }
 
+bool
+RequestFlow::MayRetry(TimePoint aNow)
+{
+  return mIsReturning ? MayReturn(aNow) : TryAcquireRetry(aNow);
+}
+
 bool
 RequestFlow::MayReturn(TimePoint aNow) const
 {
-  return mIsReturning && !mFinalRefusal && !mIsInterrupted &&
-         !mState.IsStopping() && aNow < LatestAdmission();
+  return !mFinalRefusal && !mIsInterrupted && !mState.IsStopping() &&
+         aNow < LatestAdmission();
 }
 
 net::Awaitable<WaitEnd>
--- a/tests/src/history-slot_queue.cpp
+++ b/tests/src/history-slot_queue.cpp
@@ -119,6 +119,17 @@
     CHECK(world.RunsOf("one") == 1);
   }
 
+  // Guards against a request that is sent again until its deadline: it may
+  // return for a third of its timeout, in which its pauses allow 14 sends.
+  SUBCASE("a request that it always rejects is refused with time left")
+  {
+    engine.SetBehaviour(Behaviour::Refuse);
+    const auto answer = world.Send(0, "POST", "/book/1", "never");
+    CHECK(IsTruthfulRefusal(answer));
+    CHECK(engine.Arrivals() <= 14);
+    CHECK(world.RunsOf("never") == 0);
+  }
+
   SUBCASE("while both slots are in use")
   {
     engine.HoldHeads("/look/");
