--- a/include/figslip/metrics/registry.hpp
+++ b/include/figslip/metrics/registry.hpp
@@ -91,7 +91,7 @@
   auto operator<=>(const Label&) const = default;
 };
 
-/// @brief Stores all counters and histograms of a daemon; thread-safe.
+/// @brief Stores all counters, gauges and histograms of a daemon; thread-safe.
 ///
 /// Look-ups lock a mutex. Metrics are never removed, so the returned references
 /// stay valid for the lifetime of the registry.
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -61,6 +61,9 @@
     /// lets instances control overload and exchange demand, each at a loopback
     /// address of its own and all at the same port; the first at 127.0.0.1
     bool mOverloadControl = false;
+    int mEngineSlots = 8;
+    /// API key of a second account, "school"; empty: there is none
+    std::string mSchoolKey;
   };
 
   /// Keeps a port from other test programs; empty if another one has it.
@@ -168,6 +171,7 @@
     std::unique_ptr<Process> mProcess;
   };
 
+  Options mOptions;
   StoreStandIn mStore;
   std::vector<std::unique_ptr<EngineStandIn>> mEngines;
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
