Limit the requests in flight at each upstream by its reports

With overload_control, an instance keeps at most an adaptive number of requests in flight at an upstream (ConcurrencyLimit), and in all outside its own subset (SpreadLimit). Each of 27 instances could fill all slots of an engine by itself, as reports were dropped after 1.5 s under load. A report now stays in use with decaying weight while requests are in flight there. Changes are counted in figslip_upstream_limit_total; decreases are logged as upstream_limit.

--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -82,6 +82,10 @@
                   const ingress::ResponseMetadata& aResponse,
                   TimePoint aSentAt);
 
+  /// @brief Records that an upstream rejected a request as it is full.
+  /// @param[in] aSentAt time at which the request was sent
+  void OnRejected(const ingress::UpstreamEntry& aUpstream, TimePoint aSentAt);
+
   /// @brief Checks whether callers can be served.
   ///
   /// Requires a configuration, a list of upstreams and a held lease, and that
@@ -117,6 +121,10 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  /// Logs and counts a change of a concurrency limit.
+  void RecordLimit(const ingress::UpstreamEntry& aUpstream,
+                   placement::LimitChange aChange,
+                   TimePoint aNow);
   void RecordMaxRate(const ingress::UpstreamEntry& aUpstream,
                      std::optional<double> aMaxRate,
                      TimePoint aSentAt,
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -4,6 +4,7 @@
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/upstream_entry.hpp>
 #include <figslip/membership/instance_location.hpp>
+#include <figslip/placement/concurrency_limit.hpp>
 #include <figslip/placement/domain_health.hpp>
 #include <figslip/placement/prefill_load.hpp>
 #include <figslip/placement/prefix_cache.hpp>
@@ -91,6 +92,8 @@
   double mPrefillMs = 0.0;    ///< expected prefill time at the usual speed
   double mDecodeWeight = 0.0; ///< relative decode cost of the model
   bool mIsInPrefill = true;
+  bool mIsOutside = false; ///< the upstream was not in the own subset
+  std::string mService;    ///< if it was not
   TimePoint mSentAt;
   Duration mUsualWork{};    ///< as in the choice
   double mTimeFactor = 1.0; ///< of the upstream's machine when it was sent
@@ -130,6 +133,9 @@
     std::ptrdiff_t mOwnSampleSize = 8;
     /// likewise for upstreams outside the own subset
     std::ptrdiff_t mOtherSampleSize = 4;
+    /// keeps the requests in flight within adaptive limits; see
+    /// `ConcurrencyLimit`
+    bool mOverloadControl = false;
     std::uint64_t mSeed = 1; ///< of the random samples
   };
 
@@ -181,9 +187,18 @@
   /// @brief Removes a request from the load of its upstream.
   void Release(Reservation& aReservation);
   /// @brief Stores the load that an upstream reports in a response.
-  void OnReportedLoad(std::string_view aUpstream,
-                      const ingress::ReportedLoad& aLoad,
-                      TimePoint aNow);
+  /// @param[in] aSentAt time at which the request was sent
+  /// @return change of the concurrency limit
+  LimitChange OnReportedLoad(std::string_view aUpstream,
+                             const ingress::ReportedLoad& aLoad,
+                             TimePoint aSentAt,
+                             TimePoint aNow);
+  /// @brief Records that an upstream rejected a request as it is full.
+  /// @param[in] aSentAt time at which the request was sent
+  /// @return change of the concurrency limit
+  LimitChange OnRejected(std::string_view aUpstream,
+                         TimePoint aSentAt,
+                         TimePoint aNow);
   /// @brief Records that a response has said that its upstream is leaving.
   ///
   /// The incarnation receives no further requests, whatever lists of upstreams
@@ -244,6 +259,9 @@
   /// @brief Returns the number of open requests of this instance on an
   /// upstream.
   [[nodiscard]] int InFlight(std::string_view aUpstream) const;
+  /// @brief Returns the concurrency limit of this instance at an upstream; its
+  /// slots without overload control.
+  [[nodiscard]] int LimitOf(std::string_view aUpstream, TimePoint aNow) const;
   /// @brief Returns the number of registered upstreams.
   [[nodiscard]] std::size_t Size() const { return mStates.size(); }
 
@@ -255,12 +273,16 @@
     Duration mOther{}; ///< other waits and penalties
   };
 
-  /// Averages over a service.
-  struct Averages
+  /// State of a service as a whole.
+  struct ServiceState
   {
-    double mSpeedLog = 0.0;  ///< logarithm of the lasting time factors
+    double mSpeedLog = 0.0;  ///< mean logarithm of the lasting time factors
     TimePoint mComputedAt;   ///< of the speed
-    double mPrefillMs = 0.0; ///< of the latest prompts sent, usual speed
+    double mPrefillMs = 0.0; ///< mean of the latest prompts, usual speed
+    /// limits the own requests outside the own subset, as all instances may
+    /// send there at once
+    SpreadLimit mOutsideLimit;
+    int mOutsideInFlight = 0;
   };
 
   struct State
@@ -273,6 +295,7 @@
     TimePoint mReportedAt;
     int mInFlightAtReport = 0;
     SpeedEstimate mSpeed;
+    ConcurrencyLimit mLimit;
     UpstreamHealth mHealth;
     UpstreamNotice mNotice; ///< of the registered incarnation
     /// requests within the rate that the upstream named; empty: it named none
@@ -281,6 +304,7 @@
     TimePoint mColdUntil;
     TimePoint mNextColdRequestAt; ///< earliest next request while cold
     bool mIsInOwnSubset = false;
+    int mSubsetSharers = 1; ///< instances whose subset it is in
   };
 
   /// Returns whether the upstream is registered as ready and is not leaving.
@@ -293,6 +317,13 @@
   [[nodiscard]] double RunningRequests(const State& aState,
                                        TimePoint aNow) const;
   [[nodiscard]] bool HasRecentReport(const State& aState, TimePoint aNow) const;
+  /// Returns the weight of the last report, [0, 1].
+  [[nodiscard]] double ReportWeight(const State& aState, TimePoint aNow) const;
+  /// Returns the requests that are too many at an upstream by its last report.
+  [[nodiscard]] static int WaitingFor(const State& aState);
+  /// Returns the bounds of this instance's concurrency limit at an upstream.
+  [[nodiscard]] static ConcurrencyLimit::Bounds LimitBounds(
+    const State& aState);
   [[nodiscard]] static bool IsPausing(const State& aState, TimePoint aNow);
   /// Returns the own requests that may be open on an upstream; fewer for a time
   /// after a pause.
@@ -308,7 +339,11 @@
   /// Returns the time of a model relative to a medium-sized one.
   [[nodiscard]] double ModelCostFactor(std::string_view aService,
                                        std::string_view aModel) const;
-  [[nodiscard]] Averages& AveragesOf(std::string_view aService);
+  [[nodiscard]] ServiceState& ServiceOf(std::string_view aService);
+  /// Returns whether a request may be sent to an upstream outside the own
+  /// subset.
+  [[nodiscard]] bool MayUseOutside(std::string_view aService,
+                                   TimePoint aNow) const;
   /// Returns the expected wait for prefills that the instance whose subset the
   /// upstream is in has queued there.
   [[nodiscard]] double OtherSubsetMs(const State& aState) const;
@@ -374,7 +409,7 @@
   UpstreamNotices mNotices;
   std::set<std::string, std::less<>> mDrainedDomains;
   std::map<std::string, PrefillLoad, std::less<>> mPrefillLoads; ///< by service
-  std::map<std::string, Averages, std::less<>> mAverages;        ///< by service
+  std::map<std::string, ServiceState, std::less<>> mServices;    ///< by name
   DomainHealth mDomainHealth{ {} };
   std::mt19937_64 mRandom;
   int mInstanceCount = 1;
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -18,6 +18,17 @@
 /// Age from which a reported load is ignored.
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(1500);
 
+/// Age from which the weight of a report decays, with overload control, while
+/// requests are in flight at the upstream: their answers bring the next report,
+/// and under load they take longer than a report is recent. The others that it
+/// tells of end meanwhile, in a few seconds.
+constexpr Duration kFullWeightAge = std::chrono::milliseconds(1500);
+constexpr std::chrono::duration<double> kReportDecayTime{ 3.0 };
+
+/// Age from which it decays without requests in flight, to nothing at the
+/// maximum age.
+constexpr Duration kIdleFullWeightAge = std::chrono::milliseconds(500);
+
 /// Fraction of an engine's token capacity that holds cached prefixes under
 /// load.
 constexpr double kPrefixCacheFraction = 0.6;
@@ -126,7 +137,12 @@
   for (const auto& upstreams : groups | std::views::values) {
     for (const auto& id :
          SubsetOf(mOptions.mInstance, mDomainPeers, upstreams)) {
-      mStates.find(id)->second.mIsInOwnSubset = true;
+      auto& state = mStates.find(id)->second;
+      state.mIsInOwnSubset = true;
+      // all instances use all upstreams where they outnumber them
+      state.mSubsetSharers = upstreams.size() < mDomainPeers.size()
+                               ? static_cast<int>(mDomainPeers.size())
+                               : 1;
     }
   }
 }
@@ -144,6 +160,7 @@
     aState.mHealth.Reset();
     aState.mCache.Clear();
     aState.mSpeed.Reset(); // it may run on another machine
+    aState.mLimit.Reset();
   }
   const auto* const service =
     mConfiguration ? mConfiguration->FindService(aEntry.mService) : nullptr;
@@ -282,11 +299,12 @@
 {
   std::vector<const State*> available;
   std::vector<const State*> avoided;
+  const bool mayUseOutside = MayUseOutside(aQuery.mService, aNow);
   for (const auto& state : mStates | std::views::values) {
     const bool isAvailable =
-      IsCandidate(state, aQuery) && !IsPausing(state, aNow) &&
-      HasFreeSlot(state, aNow) && IsWithinRate(state, aNow) &&
-      IsWithinColdRate(state, aNow);
+      (state.mIsInOwnSubset || mayUseOutside) && IsCandidate(state, aQuery) &&
+      !IsPausing(state, aNow) && HasFreeSlot(state, aNow) &&
+      IsWithinRate(state, aNow) && IsWithinColdRate(state, aNow);
     if (isAvailable) {
       const bool isAvoided =
         state.mHealth.IsAvoided(aNow) || IsPartitioned(state, aQuery, aNow);
@@ -332,6 +350,7 @@
                                   TimePoint aNow) const
 {
   auto reason = NoChoiceReason::NoUpstream;
+  const bool mayUseOutside = MayUseOutside(aQuery.mService, aNow);
   for (const auto& state : mStates | std::views::values) {
     if (!IsCandidate(state, aQuery)) {
       continue;
@@ -340,7 +359,8 @@
       reason = std::max(reason, NoChoiceReason::AllPausing);
       continue;
     }
-    if (!HasFreeSlot(state, aNow)) {
+    const bool isInReach = state.mIsInOwnSubset || mayUseOutside;
+    if (!isInReach || !HasFreeSlot(state, aNow)) {
       return NoChoiceReason::AllFull;
     }
     reason = std::max(reason,
@@ -394,11 +414,18 @@
                            .mUsualWork = aChoice.mUsualWork,
                            .mTimeFactor = state.mSpeed.MomentaryFactor(aNow) };
   mDomainHealth.OnSent(state.mEntry.mDomain, aNow);
+  state.mLimit.OnSent(LimitBounds(state), aNow);
+  if (!state.mIsInOwnSubset) {
+    auto& service = ServiceOf(state.mEntry.mService);
+    ++service.mOutsideInFlight;
+    reservation.mIsOutside = true;
+    reservation.mService = state.mEntry.mService;
+  }
   ++state.mInFlight;
   state.mPrefillMs += reservation.mPrefillMs;
   state.mDecodeWeight += reservation.mDecodeWeight;
   if (aQuery.mPrompt != nullptr) {
-    auto& meanPrefillMs = AveragesOf(aQuery.mService).mPrefillMs;
+    auto& meanPrefillMs = ServiceOf(aQuery.mService).mPrefillMs;
     meanPrefillMs +=
       kPrefillSmoothing * (reservation.mPrefillMs - meanPrefillMs);
     mPrefillLoads[state.mEntry.mService].OnSent(
@@ -433,6 +460,10 @@
 void
 UpstreamSelector::Release(Reservation& aReservation)
 {
+  if (std::exchange(aReservation.mIsOutside, false)) {
+    auto& inFlight = ServiceOf(aReservation.mService).mOutsideInFlight;
+    inFlight = std::max(0, inFlight - 1);
+  }
   const auto found = mStates.find(aReservation.mUpstream);
   if (found == mStates.end()) {
     return;
@@ -451,20 +482,51 @@
   }
 }
 
-void
+LimitChange
 UpstreamSelector::OnReportedLoad(std::string_view aUpstream,
                                  const ingress::ReportedLoad& aLoad,
+                                 TimePoint aSentAt,
                                  TimePoint aNow)
 {
   const auto found = mStates.find(aUpstream);
-  if (found != mStates.end()) {
-    found->second.mReportedLoad = aLoad;
-    found->second.mReportedAt = aNow;
-    found->second.mInFlightAtReport = found->second.mInFlight;
-    if (aLoad.mTimeFactor) {
-      found->second.mSpeed.OnReport(*aLoad.mTimeFactor, aNow);
-    }
+  if (found == mStates.end()) {
+    return LimitChange::None;
+  }
+  auto& state = found->second;
+  state.mReportedLoad = aLoad;
+  state.mReportedAt = aNow;
+  state.mInFlightAtReport = state.mInFlight;
+  if (aLoad.mTimeFactor) {
+    state.mSpeed.OnReport(*aLoad.mTimeFactor, aNow);
+  }
+  if (!mOptions.mOverloadControl) {
+    return LimitChange::None;
+  }
+  const int waiting = WaitingFor(state);
+  if (!state.mIsInOwnSubset) {
+    auto& service = ServiceOf(state.mEntry.mService);
+    service.mOutsideLimit.OnReport(
+      aLoad.mWaiting > 0, service.mOutsideInFlight, aNow);
   }
+  return state.mLimit.OnReport(
+    waiting, state.mInFlight, aSentAt, LimitBounds(state), aNow);
+}
+
+LimitChange
+UpstreamSelector::OnRejected(std::string_view aUpstream,
+                             TimePoint aSentAt,
+                             TimePoint aNow)
+{
+  const auto found = mStates.find(aUpstream);
+  if (!mOptions.mOverloadControl || found == mStates.end()) {
+    return LimitChange::None;
+  }
+  auto& state = found->second;
+  if (!state.mIsInOwnSubset) {
+    auto& service = ServiceOf(state.mEntry.mService);
+    service.mOutsideLimit.OnReport(true, service.mOutsideInFlight, aNow);
+  }
+  return state.mLimit.OnRejected(aSentAt, LimitBounds(state), aNow);
 }
 
 bool
@@ -570,6 +632,19 @@
     }));
 }
 
+int
+UpstreamSelector::LimitOf(std::string_view aUpstream, TimePoint aNow) const
+{
+  const auto found = mStates.find(aUpstream);
+  if (found == mStates.end()) {
+    return 0;
+  }
+  const auto& state = found->second;
+  return mOptions.mOverloadControl
+           ? state.mLimit.Value(LimitBounds(state), aNow)
+           : state.mEntry.mSlots;
+}
+
 std::set<std::string>
 UpstreamSelector::VersionsOf(std::string_view aService) const
 {
@@ -658,12 +733,60 @@
 double
 UpstreamSelector::RunningRequests(const State& aState, TimePoint aNow) const
 {
+  const double weight = ReportWeight(aState, aNow);
   double others = 0.0;
-  if (HasRecentReport(aState, aNow)) {
+  if (weight > 0.0) {
     others = aState.mReportedLoad.mRunning + aState.mReportedLoad.mWaiting -
              aState.mInFlightAtReport;
   }
-  return aState.mInFlight + std::max(0.0, others);
+  return aState.mInFlight + std::max(0.0, others) * weight;
+}
+
+double
+UpstreamSelector::ReportWeight(const State& aState, TimePoint aNow) const
+{
+  if (!mOptions.mOverloadControl) {
+    return HasRecentReport(aState, aNow) ? 1.0 : 0.0;
+  }
+  if (aState.mReportedAt == TimePoint{}) {
+    return 0.0;
+  }
+  using Seconds = std::chrono::duration<double>;
+  const auto age = aNow - aState.mReportedAt;
+  if (aState.mInFlight > 0) {
+    return age <= kFullWeightAge
+             ? 1.0
+             : std::exp(-(Seconds(age - kFullWeightAge) / kReportDecayTime));
+  }
+  return std::clamp(Seconds(kMaxReportAge - age) /
+                      Seconds(kMaxReportAge - kIdleFullWeightAge),
+                    0.0,
+                    1.0);
+}
+
+int
+UpstreamSelector::WaitingFor(const State& aState)
+{
+  // the last slots belong to the instance whose subset it is in
+  const auto& load = aState.mReportedLoad;
+  const int kept = aState.mIsInOwnSubset ? 0 : 1;
+  const int excess =
+    load.mRunning + load.mWaiting + kept - aState.mEntry.mSlots;
+  return std::max(load.mWaiting, kept > 0 ? excess : 0);
+}
+
+ConcurrencyLimit::Bounds
+UpstreamSelector::LimitBounds(const State& aState)
+{
+  // low outside the own subset, where all other instances may send, too
+  const int slots = std::max(1, aState.mEntry.mSlots);
+  const int initial =
+    aState.mIsInOwnSubset
+      ? (slots + aState.mSubsetSharers - 1) / aState.mSubsetSharers
+      : 1;
+  return { .mInitial = initial,
+           .mMax = slots,
+           .mMayPause = !aState.mIsInOwnSubset };
 }
 
 bool
@@ -707,8 +830,13 @@
 bool
 UpstreamSelector::HasFreeSlot(const State& aState, TimePoint aNow) const
 {
-  return RunningRequests(aState, aNow) < aState.mEntry.mSlots &&
-         aState.mInFlight < MaxInFlight(aState, aNow);
+  const bool isFree = RunningRequests(aState, aNow) < aState.mEntry.mSlots &&
+                      aState.mInFlight < MaxInFlight(aState, aNow);
+  if (!isFree || !mOptions.mOverloadControl) {
+    return isFree;
+  }
+  return aState.mLimit.IsOpen(aNow) &&
+         aState.mInFlight < aState.mLimit.Value(LimitBounds(aState), aNow);
 }
 
 bool
@@ -753,8 +881,8 @@
 double
 UpstreamSelector::OtherSubsetMs(const State& aState) const
 {
-  const auto found = mAverages.find(aState.mEntry.mService);
-  if (!aState.mSpeed.IsReported() || found == mAverages.end()) {
+  const auto found = mServices.find(aState.mEntry.mService);
+  if (!aState.mSpeed.IsReported() || found == mServices.end()) {
     return kOtherSubsetPrefillMs;
   }
   return std::min(kOtherSubsetPrefillMs,
@@ -764,24 +892,33 @@
 double
 UpstreamSelector::MeanSpeedLog(std::string_view aService) const
 {
-  const auto found = mAverages.find(aService);
-  return found == mAverages.end() ? 0.0 : found->second.mSpeedLog;
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? 0.0 : found->second.mSpeedLog;
+}
+
+bool
+UpstreamSelector::MayUseOutside(std::string_view aService, TimePoint aNow) const
+{
+  const auto found = mServices.find(aService);
+  return !mOptions.mOverloadControl || found == mServices.end() ||
+         found->second.mOutsideInFlight <
+           found->second.mOutsideLimit.Value(aNow);
 }
 
-UpstreamSelector::Averages&
-UpstreamSelector::AveragesOf(std::string_view aService)
+UpstreamSelector::ServiceState&
+UpstreamSelector::ServiceOf(std::string_view aService)
 {
-  const auto found = mAverages.find(aService);
-  return found != mAverages.end()
+  const auto found = mServices.find(aService);
+  return found != mServices.end()
            ? found->second
-           : mAverages.try_emplace(std::string(aService)).first->second;
+           : mServices.try_emplace(std::string(aService)).first->second;
 }
 
 void
 UpstreamSelector::UpdateMeanSpeed(std::string_view aService, TimePoint aNow)
 {
-  auto& averages = AveragesOf(aService);
-  if (aNow < averages.mComputedAt + kMeanSpeedInterval) {
+  auto& service = ServiceOf(aService);
+  if (aNow < service.mComputedAt + kMeanSpeedInterval) {
     return;
   }
   double sum = 0.0;
@@ -794,8 +931,8 @@
       weights += weight;
     }
   }
-  averages.mSpeedLog = sum / weights;
-  averages.mComputedAt = aNow;
+  service.mSpeedLog = sum / weights;
+  service.mComputedAt = aNow;
 }
 
 double
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -451,6 +451,9 @@
   --mAttempts;
   ++mRejections;
   RecordHealth(aAttempt, AttemptHealth::Rejected);
+  if (aAttempt.mConnection->Head().mStatus != kMisdirected) {
+    mState.OnRejected(aAttempt.mUpstream, aAttempt.mSentAt);
+  }
   mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
   mLastFailure =
     mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -49,6 +49,7 @@
   , mBoard({ .mInstance = aSettings.mInstance,
              .mDomain = aSettings.mFailureDomain,
              .mRegions = aSettings.mRegions,
+             .mOverloadControl = aSettings.mOverloadControl,
              .mSeed = std::random_device{}() })
   , mRetries({ .mRetryRatio = aSettings.mRetryShare * kRetryShareFraction,
                .mAllowance = 0.0,
@@ -203,7 +204,10 @@
 {
   const auto now = ReadBootClock();
   if (aResponse.mLoad) {
-    mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, now);
+    RecordLimit(
+      aUpstream,
+      mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, aSentAt, now),
+      now);
   }
   if (aResponse.mIsLeaving && mBoard.OnLeaving(aUpstream, now)) {
     mPool.Drop({ .mAddress = aUpstream.mAddress, .mPort = aUpstream.mPort });
@@ -225,6 +229,38 @@
   }
 }
 
+void
+TrafficState::OnRejected(const ingress::UpstreamEntry& aUpstream,
+                         TimePoint aSentAt)
+{
+  const auto now = ReadBootClock();
+  RecordLimit(aUpstream, mBoard.OnRejected(aUpstream.mId, aSentAt, now), now);
+}
+
+void
+TrafficState::RecordLimit(const ingress::UpstreamEntry& aUpstream,
+                          placement::LimitChange aChange,
+                          TimePoint aNow)
+{
+  if (aChange == placement::LimitChange::None) {
+    return;
+  }
+  const std::string reason(placement::NameOf(aChange));
+  mMetrics
+    .CounterOf("figslip_upstream_limit_total",
+               { { "service", aUpstream.mService }, { "reason", reason } })
+    .Add();
+  if (aChange == placement::LimitChange::Grown) {
+    return; // with nearly each answer under load
+  }
+  log::Write(log::Level::Info,
+             "upstream_limit",
+             { { "service", aUpstream.mService },
+               { "upstream", aUpstream.mId },
+               { "limit", std::to_string(mBoard.LimitOf(aUpstream.mId, aNow)) },
+               { "reason", reason } });
+}
+
 void
 TrafficState::RecordMaxRate(const ingress::UpstreamEntry& aUpstream,
                             std::optional<double> aMaxRate,
--- a/tests/harness/engine_load.hpp
+++ b/tests/harness/engine_load.hpp
@@ -60,6 +60,7 @@
         placement::UpstreamSelector::Options{
           .mInstance = "entry-" + std::to_string(index),
           .mDomain = DomainOf(index),
+          .mOverloadControl = aOptions.mOverloadControl,
           .mSeed = static_cast<std::uint64_t>(index) + 1 }));
       mSelectors.back()->OnConfiguration(MakeConfiguration());
       mSelectors.back()->OnUpstreams(mEntries, kStart);
@@ -121,10 +122,11 @@
   {
     return static_cast<double>(mRejected) / std::max(1, mSent);
   }
-  /// Returns the fraction of the attempts that waited for a slot at an engine.
-  [[nodiscard]] double WaitedFraction() const
+  /// Returns the mean number of requests that wait at an engine, in the latter
+  /// three quarters.
+  [[nodiscard]] double MeanWaiting() const
   {
-    return static_cast<double>(mWaited) / std::max(1, mSent);
+    return mQueued / std::max(1, mSlotTicks) / mOptions.mEngines;
   }
   /// Returns the fraction of the slots in use in the latter three quarters.
   [[nodiscard]] double Utilization() const
@@ -294,6 +296,7 @@
       ++mSlotTicks;
       for (const auto& engine : mEngines) {
         mUsedSlots += engine.mRunning;
+        mQueued += static_cast<double>(engine.mQueue.size());
       }
     }
   }
@@ -347,7 +350,6 @@
     if (engine.mRunning < mOptions.mSlots) {
       Start(job, aNow);
     } else if (std::ssize(engine.mQueue) < mOptions.mQueue) {
-      ++mWaited;
       engine.mQueue.push_back(job);
     } else {
       ++mRejected;
@@ -355,6 +357,10 @@
       At(aNow + kTick / 10, [this, job, aRequest](TimePoint aLater) {
         Report(*job, aLater);
         auto& sender = *mSelectors[job->mInstance];
+        if (mOptions.mOverloadControl) {
+          (void)sender.OnRejected(
+            mEntries[job->mEngine].mId, job->mSentAt, aLater);
+        }
         sender.Release(job->mReservation);
         mWaiting[job->mInstance].push_front(aRequest);
       });
@@ -406,8 +412,8 @@
     if (mOptions.mReportsFactor) {
       load.mTimeFactor = isLying ? 0.01 : FactorAt(engine, aNow);
     }
-    mSelectors[aJob.mInstance]->OnReportedLoad(
-      mEntries[aJob.mEngine].mId, load, aNow);
+    (void)mSelectors[aJob.mInstance]->OnReportedLoad(
+      mEntries[aJob.mEngine].mId, load, aJob.mSentAt, aNow);
   }
 
   EngineLoadOptions mOptions;
@@ -423,8 +429,8 @@
   int mArrived = 0;
   int mSent = 0;
   int mRejected = 0;
-  int mWaited = 0;
   double mUsedSlots = 0.0;
+  double mQueued = 0.0;
   int mSlotTicks = 0;
 };
 
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -360,7 +360,7 @@
   {
     selector.OnUpstreams({ MakeEntry("only") }, kStart);
     selector.OnReportedLoad(
-      "only", { .mRunning = 20, .mWaiting = 4, .mSlots = 24 }, kStart);
+      "only", { .mRunning = 20, .mWaiting = 4, .mSlots = 24 }, kStart, kStart);
     CHECK_FALSE(selector.Choose(query, kStart));
     CHECK(selector.ExplainNoChoice(query, kStart) == NoChoiceReason::AllFull);
     // an old load report is ignored
@@ -447,6 +447,7 @@
     for (int upstream = 1; upstream < 90; ++upstream) {
       selector.OnReportedLoad("e" + std::to_string(upstream),
                               { .mRunning = 5, .mWaiting = 0, .mSlots = 24 },
+                              kStart,
                               kStart);
     }
     const auto choice = selector.Choose(query, kStart);
