Prefer engines whose memory is expected to hold the request

With overload_control, the uncached tokens of the prompts and the expected outputs of the own requests, and the mean of those for each request of other instances, are compared with the capacity. An engine that would exceed it is used only if there is no other: it would crash or preempt runs.

unit-placement: without the rule the request goes to the engine that has the prompt cached, 390,000 of 400,000 tokens in use.

--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -84,6 +84,14 @@
   return "unknown";
 }
 
+/// @brief Returns the tokens that a request occupies in the memory of an
+/// engine.
+[[nodiscard]] constexpr std::int64_t
+TokensOf(const PlacementQuery& aQuery)
+{
+  return aQuery.mPromptTokens + aQuery.mOutputTokens;
+}
+
 /// @brief Accounts for one request on an upstream until it is released.
 struct Reservation
 {
@@ -92,8 +100,9 @@
   double mPrefillMs = 0.0;    ///< expected prefill time at the usual speed
   double mDecodeWeight = 0.0; ///< relative decode cost of the model
   bool mIsInPrefill = true;
-  bool mIsOutside = false; ///< the upstream was not in the own subset
-  std::string mService;    ///< if it was not
+  bool mIsOutside = false;  ///< the upstream was not in the own subset
+  std::string mService;     ///< if it was not
+  std::int64_t mTokens = 0; ///< of the uncached prompt and the output
   TimePoint mSentAt;
   Duration mUsualWork{};    ///< as in the choice
   double mTimeFactor = 1.0; ///< of the upstream's machine when it was sent
@@ -283,6 +292,7 @@
     /// send there at once
     SpreadLimit mOutsideLimit;
     int mOutsideInFlight = 0;
+    double mRequestTokens = 0.0; ///< mean of the latest requests
   };
 
   struct State
@@ -291,6 +301,7 @@
     int mInFlight = 0;
     double mPrefillMs = 0.0;    ///< of own requests in prefill
     double mDecodeWeight = 0.0; ///< of own requests
+    std::int64_t mTokens = 0;   ///< of own requests
     ingress::ReportedLoad mReportedLoad;
     TimePoint mReportedAt;
     int mInFlightAtReport = 0;
@@ -375,6 +386,11 @@
                                      const PlacementQuery& aQuery,
                                      double aMeanRunning,
                                      TimePoint aNow) const;
+  /// Leaves out the engines whose memory a request would exceed, unless there
+  /// are no others.
+  void PreferFreeMemory(std::vector<const State*>& aAvailable,
+                        const PlacementQuery& aQuery,
+                        TimePoint aNow) const;
   /// Returns the upstreams that may receive the request now.
   [[nodiscard]] std::vector<const State*> AvailableFor(
     const PlacementQuery& aQuery,
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -57,7 +57,7 @@
 /// keep work at the own subset, however much faster or emptier others are.
 constexpr double kOtherSubsetPrefills = 0.36;
 
-/// Weight of the newest prompt in the mean prefill.
+/// Weight of the newest prompt in the mean prefill and the mean tokens.
 constexpr double kPrefillSmoothing = 0.05;
 
 /// Time after a pause over which the requests to the upstream rise to its
@@ -311,10 +311,49 @@
       (isAvoided ? avoided : available).push_back(&state);
     }
   }
+  PreferFreeMemory(available, aQuery, aNow);
   // an upstream that failed recently is better than none
   return available.empty() ? avoided : available;
 }
 
+void
+UpstreamSelector::PreferFreeMemory(std::vector<const State*>& aAvailable,
+                                   const PlacementQuery& aQuery,
+                                   TimePoint aNow) const
+{
+  const auto* const service =
+    mConfiguration ? mConfiguration->FindService(aQuery.mService) : nullptr;
+  const auto known = mServices.find(aQuery.mService);
+  const bool isBounded =
+    mOptions.mOverloadControl && service != nullptr && service->mEngine &&
+    service->mEngine->mCapacityTokens > 0 && known != mServices.end();
+  if (!isBounded) {
+    return;
+  }
+  const auto capacity = static_cast<double>(service->mEngine->mCapacityTokens);
+  std::vector<ingress::PromptPart> prefixes;
+  const auto full =
+    std::ranges::partition(aAvailable, [&](const State* aState) {
+      const double others = RunningRequests(*aState, aNow) - aState->mInFlight;
+      const double held = static_cast<double>(aState->mTokens) +
+                          others * known->second.mRequestTokens;
+      auto tokens = TokensOf(aQuery);
+      if (held + static_cast<double>(tokens) <= capacity ||
+          aQuery.mPrompt == nullptr) {
+        return held + static_cast<double>(tokens) <= capacity;
+      }
+      if (prefixes.empty()) {
+        prefixes = PrefixHashesOf(*aQuery.mPrompt, aQuery.mModel);
+      }
+      tokens -=
+        std::min(aQuery.mPromptTokens, aState->mCache.CachedTokens(prefixes));
+      return held + static_cast<double>(tokens) <= capacity;
+    });
+  if (full.size() < aAvailable.size()) {
+    aAvailable.erase(full.begin(), full.end());
+  }
+}
+
 std::optional<Choice>
 UpstreamSelector::Choose(const PlacementQuery& aQuery, TimePoint aNow)
 {
@@ -422,12 +461,21 @@
     reservation.mService = state.mEntry.mService;
   }
   ++state.mInFlight;
+  // prefixes that requests share are held once
+  reservation.mTokens = TokensOf(aQuery) - aChoice.mCachedTokens;
+  state.mTokens += reservation.mTokens;
   state.mPrefillMs += reservation.mPrefillMs;
   state.mDecodeWeight += reservation.mDecodeWeight;
   if (aQuery.mPrompt != nullptr) {
-    auto& meanPrefillMs = ServiceOf(aQuery.mService).mPrefillMs;
-    meanPrefillMs +=
-      kPrefillSmoothing * (reservation.mPrefillMs - meanPrefillMs);
+    auto& service = ServiceOf(aQuery.mService);
+    service.mPrefillMs +=
+      kPrefillSmoothing * (reservation.mPrefillMs - service.mPrefillMs);
+    const auto tokens = static_cast<double>(reservation.mTokens);
+    service.mRequestTokens =
+      service.mRequestTokens <= 0.0
+        ? tokens
+        : service.mRequestTokens +
+            kPrefillSmoothing * (tokens - service.mRequestTokens);
     mPrefillLoads[state.mEntry.mService].OnSent(
       ScaledPrefillMs(state, reservation.mPrefillMs, aNow), aNow);
     state.mCache.Touch(PrefixHashesOf(*aQuery.mPrompt, aQuery.mModel));
@@ -470,6 +518,8 @@
   }
   auto& state = found->second;
   state.mInFlight = std::max(0, state.mInFlight - 1);
+  state.mTokens = std::max<std::int64_t>(
+    0, state.mTokens - std::exchange(aReservation.mTokens, 0));
   state.mDecodeWeight =
     std::max(0.0, state.mDecodeWeight - aReservation.mDecodeWeight);
   if (aReservation.mIsInPrefill) {
@@ -479,6 +529,7 @@
   if (state.mInFlight == 0) {
     state.mPrefillMs = 0.0;
     state.mDecodeWeight = 0.0;
+    state.mTokens = 0;
   }
 }
 
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -380,6 +380,58 @@
   }
 }
 
+TEST_CASE("the memory of an engine under overload control")
+{
+  UpstreamSelector selector(
+    { .mInstance = "self", .mDomain = "a", .mOverloadControl = true });
+  selector.OnConfiguration(MakeConfiguration());
+  selector.OnUpstreams({ MakeEntry("full"), MakeEntry("other") }, kStart);
+  // the subject is cached, the rest is not
+  std::vector<ingress::PromptPart> prompt = { { 1, 90'000 }, { 2, 90'000 } };
+  const placement::PlacementQuery query{ .mService = "engines",
+                                         .mModel = "large",
+                                         .mPrompt = &prompt,
+                                         .mPromptTokens = 180'000,
+                                         .mOutputTokens = 10'000 };
+  const std::set<std::string> notFull = { "other" };
+  auto onFull = query;
+  onFull.mExcludedUpstreams = &notFull;
+  std::vector<placement::Reservation> held;
+  for (std::uint64_t count = 0; count < 3; ++count) { // 390,000 tokens in all
+    prompt[1].mId = 10 + count;
+    held.push_back(
+      selector.Reserve(*selector.Choose(onFull, kStart), query, kStart));
+    selector.OnFirstEvent(held.back(), kStart);
+  }
+  // the full one has cached the prompt; the other one would take 4.5 s
+  selector.OnReportedLoad(
+    "other", { .mRunning = 1, .mWaiting = 0, .mSlots = 24 }, kStart, kStart);
+
+  prompt[1].mId = 2;
+
+  SUBCASE("is not exceeded while another engine has capacity")
+  {
+    CHECK(selector.Choose(query, kStart)->mUpstream->mId == "other");
+  }
+  SUBCASE("is exceeded rather than nothing is served")
+  {
+    CHECK(selector.Choose(onFull, kStart)->mUpstream->mId == "full");
+  }
+  SUBCASE("is free again when the requests have ended")
+  {
+    std::ranges::for_each(held, [&](auto& aHeld) { selector.Release(aHeld); });
+    CHECK(selector.Choose(query, kStart)->mUpstream->mId == "full");
+  }
+  SUBCASE("holds the requests of other instances, too")
+  {
+    std::ranges::for_each(held, [&](auto& aHeld) { selector.Release(aHeld); });
+    // 3 requests of the size of the own ones and this one do not fit
+    selector.OnReportedLoad(
+      "full", { .mRunning = 20, .mWaiting = 0, .mSlots = 24 }, kStart, kStart);
+    CHECK(selector.Choose(query, kStart)->mUpstream->mId == "other");
+  }
+}
+
 TEST_CASE("many instances and one upstream that returns cold")
 {
   // guards against overload of a cold upstream that 35 instances discover at
