--- a/include/figslip/metrics/registry.hpp
+++ b/include/figslip/metrics/registry.hpp
@@ -31,6 +31,23 @@
   std::atomic<std::uint64_t> mValue{ 0 };
 };
 
+/// @brief Value that rises and falls; thread-safe.
+class Gauge
+{
+public:
+  /// @brief Replaces the value.
+  void Set(double aValue) { mValue.store(aValue, std::memory_order_relaxed); }
+
+  /// @brief Returns the current value.
+  [[nodiscard]] double Value() const
+  {
+    return mValue.load(std::memory_order_relaxed);
+  }
+
+private:
+  std::atomic<double> mValue{ 0.0 };
+};
+
 /// @brief Histogram of durations with fixed bucket bounds; thread-safe.
 ///
 /// The buckets are stored per interval; `Registry::Print` writes them as
@@ -74,7 +91,7 @@
   auto operator<=>(const Label&) const = default;
 };
 
-/// @brief Stores all counters and histograms of a daemon; thread-safe.
+/// @brief Stores all counters, gauges and histograms of a daemon; thread-safe.
 ///
 /// Look-ups lock a mutex. Metrics are never removed, so the returned references
 /// stay valid for the lifetime of the registry.
@@ -87,6 +104,12 @@
   [[nodiscard]] Counter& CounterOf(std::string_view aName,
                                    std::vector<Label> aLabels = {});
 
+  /// @brief Returns the gauge with this name and these labels, which is created
+  /// on first use.
+  /// @note The order of the labels is part of the identity of the metric.
+  [[nodiscard]] Gauge& GaugeOf(std::string_view aName,
+                               std::vector<Label> aLabels = {});
+
   /// @brief Returns the histogram with this name and these labels, which is
   /// created on first use.
   /// @note The order of the labels is part of the identity of the metric.
@@ -107,6 +130,7 @@
 
   mutable std::mutex mMutex;
   std::map<Key, std::unique_ptr<Counter>> mCounters;
+  std::map<Key, std::unique_ptr<Gauge>> mGauges;
   std::map<Key, std::unique_ptr<LatencyHistogram>> mHistograms;
 };
 
--- a/src/core/metrics/registry.cpp
+++ b/src/core/metrics/registry.cpp
@@ -97,6 +97,17 @@
   return *counter;
 }
 
+Gauge&
+Registry::GaugeOf(std::string_view aName, std::vector<Label> aLabels)
+{
+  const std::lock_guard lock(mMutex);
+  auto& gauge = mGauges[{ std::string(aName), std::move(aLabels) }];
+  if (gauge == nullptr) {
+    gauge = std::make_unique<Gauge>();
+  }
+  return *gauge;
+}
+
 LatencyHistogram&
 Registry::HistogramOf(std::string_view aName, std::vector<Label> aLabels)
 {
@@ -123,6 +134,15 @@
         << '\n';
   }
   previous = {};
+  for (const auto& [key, gauge] : mGauges) {
+    if (key.mName != previous) {
+      out << "# TYPE " << key.mName << " gauge\n";
+      previous = key.mName;
+    }
+    out << key.mName << FormatLabels(key.mLabels) << ' ' << gauge->Value()
+        << '\n';
+  }
+  previous = {};
   for (const auto& [key, histogram] : mHistograms) {
     if (key.mName != previous) {
       out << "# TYPE " << key.mName << " histogram\n";
