Scale the timeout of a stalled stream by the speed of its upstream

The expected time of the choice is scaled where the upstream reports the time of work; the timeout never falls below the unscaled one, so that requests at fast machines are not given up sooner.

--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -563,9 +563,11 @@
 Duration
 RequestFlow::HeadPatience(const Attempt& aAttempt) const
 {
+  // an upstream on a fast machine is not given up sooner than others
+  const auto expected = std::max(aAttempt.mChoice.mTimeToFirstEvent,
+                                 aAttempt.mChoice.mUsualTimeToFirstEvent);
   return IsStream()
-           ? aAttempt.mChoice.mTimeToFirstEvent * kFirstEventTimeoutFactor +
-               kFirstEventTimeoutSlack
+           ? expected * kFirstEventTimeoutFactor + kFirstEventTimeoutSlack
            : Scale(mRoute->mTargetLatency, kPlainTimeoutFraction);
 }
 
