--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -121,6 +121,8 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  /// Sets the metrics on the speed of upstreams.
+  void ReportSpeeds(TimePoint aNow);
   /// Logs and counts a change of a concurrency limit.
   void RecordLimit(const ingress::UpstreamEntry& aUpstream,
                    placement::LimitChange aChange,
@@ -139,6 +141,8 @@
   /// Divides the allowances of retries and of requests to new versions among
   /// the registered instances.
   void DivideAllowances();
+
+  TimePoint mSpeedsReportedAt;
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -108,6 +108,15 @@
   double mTimeFactor = 1.0; ///< of the upstream's machine when it was sent
 };
 
+/// @brief Holds the factors of the expected times at a service's upstreams.
+struct SpeedSummary
+{
+  std::string mService;
+  double mMin = 1.0;
+  double mMedian = 1.0;
+  double mMax = 1.0;
+};
+
 /// @brief Tracks load, cold start and health of the upstreams and chooses one
 /// for each request.
 ///
@@ -251,6 +260,9 @@
   /// if it reports none.
   [[nodiscard]] std::optional<double> ReportedTimeFactor(
     std::string_view aUpstream) const;
+  /// @brief Returns the factors of the expected times of each service with
+  /// upstreams that report the speed of their machines.
+  [[nodiscard]] std::vector<SpeedSummary> SpeedSummaries(TimePoint aNow) const;
   /// @brief Returns the number of ready upstreams that run the same version of
   /// the same service.
   [[nodiscard]] int VersionSize(const ingress::UpstreamEntry& aUpstream) const;
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -337,17 +337,17 @@
       const double others = RunningRequests(*aState, aNow) - aState->mInFlight;
       const double held = static_cast<double>(aState->mTokens) +
                           others * known->second.mRequestTokens;
-      auto tokens = TokensOf(aQuery);
-      if (held + static_cast<double>(tokens) <= capacity ||
-          aQuery.mPrompt == nullptr) {
-        return held + static_cast<double>(tokens) <= capacity;
+      const auto free = static_cast<std::int64_t>(capacity - held);
+      const auto tokens = TokensOf(aQuery);
+      if (tokens <= free || aQuery.mPrompt == nullptr) {
+        return tokens <= free;
       }
       if (prefixes.empty()) {
         prefixes = PrefixHashesOf(*aQuery.mPrompt, aQuery.mModel);
       }
-      tokens -=
+      const auto cached =
         std::min(aQuery.mPromptTokens, aState->mCache.CachedTokens(prefixes));
-      return held + static_cast<double>(tokens) <= capacity;
+      return tokens - cached <= free;
     });
   if (full.size() < aAvailable.size()) {
     aAvailable.erase(full.begin(), full.end());
@@ -696,6 +696,29 @@
            : state.mEntry.mSlots;
 }
 
+std::vector<SpeedSummary>
+UpstreamSelector::SpeedSummaries(TimePoint aNow) const
+{
+  std::map<std::string_view, std::vector<double>> factors;
+  for (const auto& state : mStates | std::views::values) {
+    if (state.mSpeed.IsReported()) {
+      const auto& service = state.mEntry.mService;
+      factors[service].push_back(
+        std::exp(state.mSpeed.LastingLog(MeanSpeedLog(service), aNow)) *
+        state.mSpeed.MomentaryFactor(aNow));
+    }
+  }
+  std::vector<SpeedSummary> summaries;
+  for (auto& [service, values] : factors) {
+    std::ranges::sort(values);
+    summaries.push_back({ .mService = std::string(service),
+                          .mMin = values.front(),
+                          .mMedian = values[values.size() / 2],
+                          .mMax = values.back() });
+  }
+  return summaries;
+}
+
 std::set<std::string>
 UpstreamSelector::VersionsOf(std::string_view aService) const
 {
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -36,6 +36,9 @@
 /// which a wrongly quarantined request is refused.
 constexpr auto kCrashRetention = std::chrono::seconds(60);
 
+/// Interval of the metrics on the speed of upstreams; they are read less often.
+constexpr auto kSpeedReportInterval = std::chrono::seconds(1);
+
 } // namespace
 
 TrafficState::TrafficState(const settings::IngressSettings& aSettings,
@@ -195,6 +198,28 @@
   }
   mParts.OnTick(now);
   ReportParts(now);
+  ReportSpeeds(now);
+}
+
+void
+TrafficState::ReportSpeeds(TimePoint aNow)
+{
+  if (aNow < mSpeedsReportedAt + kSpeedReportInterval) {
+    return;
+  }
+  mSpeedsReportedAt = aNow;
+  for (const auto& summary : mBoard.SpeedSummaries(aNow)) {
+    const auto set = [&](const char* aStatistic, double aValue) {
+      mMetrics
+        .GaugeOf(
+          "figslip_upstream_speed",
+          { { "service", summary.mService }, { "statistic", aStatistic } })
+        .Set(aValue);
+    };
+    set("min", summary.mMin);
+    set("median", summary.mMedian);
+    set("max", summary.mMax);
+  }
 }
 
 void
