Check the bounds of counts by upstream from other instances

A report with more slow attempts than attempts, or more than the route has, would decide a roll-out alone.

--- a/tests/harness/engine_load.hpp
+++ b/tests/harness/engine_load.hpp
@@ -51,6 +51,7 @@
       InitEngine(index);
     }
     std::vector<membership::InstanceLocation> instances;
+    instances.reserve(mWaiting.size());
     for (int index = 0; index < aOptions.mInstances; ++index) {
       instances.push_back({ .mName = "entry-" + std::to_string(index),
                             .mFailureDomain = DomainOf(index) });
--- a/tests/src/unit-uneven_rollout.cpp
+++ b/tests/src/unit-uneven_rollout.cpp
@@ -237,3 +237,29 @@
     CHECK(RolledBack({ .mFailing = 0.4 }) == kSeeds);
   }
 }
+
+TEST_CASE("counts by upstream from outside")
+{
+  rollout::ComparisonCounts counts;
+  auto& route = counts.mRoutes["chat"];
+  route = { .mTarget = 5,
+            .mTargetDegraded = 1,
+            .mMachines = { { "e1", { 4, 4 } } } };
+
+  SUBCASE("are plausible within the attempts of the route")
+  {
+    CHECK(counts.IsPlausible());
+  }
+  SUBCASE("are rejected beyond them, as a false report would decide")
+  {
+    route.mMachines["e2"] = { 2, 0 };
+    CHECK_FALSE(counts.IsPlausible());
+  }
+  SUBCASE("are rejected if negative or with more slow attempts than attempts")
+  {
+    route.mMachines["e1"] = { 1, 2 };
+    CHECK_FALSE(counts.IsPlausible());
+    route.mMachines["e1"] = { -1, -1 };
+    CHECK_FALSE(counts.IsPlausible());
+  }
+}
