--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -86,6 +86,9 @@
   /// @brief Removes a request from the load of its upstream, so that another
   /// one may be admitted.
   void ReleaseSlot(placement::Reservation& aReservation);
+  /// @brief Records that an upstream rejected a request as it is full.
+  /// @param[in] aSentAt time at which the request was sent
+  void OnRejected(const ingress::UpstreamEntry& aUpstream, TimePoint aSentAt);
 
   /// @brief Checks whether callers can be served.
   ///
@@ -123,6 +126,12 @@
   TimePoint mStartedAt; ///< start of the process
 
 private:
+  /// Sets the metrics on the speed of upstreams.
+  void ReportSpeeds(TimePoint aNow);
+  /// Logs and counts a change of a concurrency limit.
+  void RecordLimit(const ingress::UpstreamEntry& aUpstream,
+                   placement::LimitChange aChange,
+                   TimePoint aNow);
   void RecordMaxRate(const ingress::UpstreamEntry& aUpstream,
                      std::optional<double> aMaxRate,
                      TimePoint aSentAt,
@@ -139,6 +148,8 @@
   /// Divides the allowances of retries and of requests to new versions among
   /// the registered instances.
   void DivideAllowances();
+
+  TimePoint mSpeedsReportedAt;
 };
 
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -503,6 +503,9 @@
     ++mRejections;
   }
   RecordHealth(aAttempt, AttemptHealth::Rejected);
+  if (aAttempt.mConnection->Head().mStatus != kMisdirected) {
+    mState.OnRejected(aAttempt.mUpstream, aAttempt.mSentAt);
+  }
   mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
   mLastFailure =
     mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
@@ -610,9 +613,11 @@
 Duration
 RequestFlow::HeadPatience(const Attempt& aAttempt) const
 {
+  // an upstream on a fast machine is not given up sooner than others
+  const auto expected = std::max(aAttempt.mChoice.mTimeToFirstEvent,
+                                 aAttempt.mChoice.mUsualTimeToFirstEvent);
   return IsStream()
-           ? aAttempt.mChoice.mTimeToFirstEvent * kFirstEventTimeoutFactor +
-               kFirstEventTimeoutSlack
+           ? expected * kFirstEventTimeoutFactor + kFirstEventTimeoutSlack
            : Scale(mRoute->mTargetLatency, kPlainTimeoutFraction);
 }
 
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -57,6 +57,9 @@
   return text;
 }
 
+/// Interval of the metrics on the speed of upstreams; they are read less often.
+constexpr auto kSpeedReportInterval = std::chrono::seconds(1);
+
 } // namespace
 
 TrafficState::TrafficState(const settings::IngressSettings& aSettings,
@@ -70,6 +73,7 @@
   , mBoard({ .mInstance = aSettings.mInstance,
              .mDomain = aSettings.mFailureDomain,
              .mRegions = aSettings.mRegions,
+             .mOverloadControl = aSettings.mOverloadControl,
              .mSeed = std::random_device{}() })
   , mRetries({ .mRetryRatio = aSettings.mRetryShare * kRetryShareFraction,
                .mAllowance = 0.0,
@@ -238,6 +242,7 @@
   mParts.OnTick(now);
   ReportParts(now);
   UpdateShares(now);
+  ReportSpeeds(now);
 }
 
 void
@@ -258,6 +263,27 @@
   }
 }
 
+void
+TrafficState::ReportSpeeds(TimePoint aNow)
+{
+  if (aNow < mSpeedsReportedAt + kSpeedReportInterval) {
+    return;
+  }
+  mSpeedsReportedAt = aNow;
+  for (const auto& summary : mBoard.SpeedSummaries(aNow)) {
+    const auto set = [&](const char* aStatistic, double aValue) {
+      mMetrics
+        .GaugeOf(
+          "figslip_upstream_speed",
+          { { "service", summary.mService }, { "statistic", aStatistic } })
+        .Set(aValue);
+    };
+    set("min", summary.mMin);
+    set("median", summary.mMedian);
+    set("max", summary.mMax);
+  }
+}
+
 void
 TrafficState::OnResponse(const ingress::UpstreamEntry& aUpstream,
                          const ingress::ResponseMetadata& aResponse,
@@ -265,7 +291,10 @@
 {
   const auto now = ReadBootClock();
   if (aResponse.mLoad) {
-    mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, now);
+    RecordLimit(
+      aUpstream,
+      mBoard.OnReportedLoad(aUpstream.mId, *aResponse.mLoad, aSentAt, now),
+      now);
     mQueue.OnCapacityChange();
   }
   if (aResponse.mIsLeaving && mBoard.OnLeaving(aUpstream, now)) {
@@ -288,6 +317,38 @@
   }
 }
 
+void
+TrafficState::OnRejected(const ingress::UpstreamEntry& aUpstream,
+                         TimePoint aSentAt)
+{
+  const auto now = ReadBootClock();
+  RecordLimit(aUpstream, mBoard.OnRejected(aUpstream.mId, aSentAt, now), now);
+}
+
+void
+TrafficState::RecordLimit(const ingress::UpstreamEntry& aUpstream,
+                          placement::LimitChange aChange,
+                          TimePoint aNow)
+{
+  if (aChange == placement::LimitChange::None) {
+    return;
+  }
+  const std::string reason(placement::NameOf(aChange));
+  mMetrics
+    .CounterOf("figslip_upstream_limit_total",
+               { { "service", aUpstream.mService }, { "reason", reason } })
+    .Add();
+  if (aChange == placement::LimitChange::Grown) {
+    return; // with nearly each answer under load
+  }
+  log::Write(log::Level::Info,
+             "upstream_limit",
+             { { "service", aUpstream.mService },
+               { "upstream", aUpstream.mId },
+               { "limit", std::to_string(mBoard.LimitOf(aUpstream.mId, aNow)) },
+               { "reason", reason } });
+}
+
 void
 TrafficState::RecordMaxRate(const ingress::UpstreamEntry& aUpstream,
                             std::optional<double> aMaxRate,
