Watch without a wait when the store is followed anew

A successor of a source had the revision of its last poll until its first watch returned, up to 8 s later. Followers with a later revision refused its copy ("its copy is older") and turned to the store as well.

--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -19,10 +19,11 @@
 /// longer has the history after the copy's revision or if a watch response
 /// cannot be parsed; a failed list starts over. A call without a response is
 /// retried with backoff on another connection; a watch does not wait for
-/// changes then, so that its answer tells at once that the store is back. While
-/// the follower is stopped, the copy can be changed to that of another
-/// instance, see
-/// @ref UpdateCopy.
+/// changes then, so that its answer tells at once that the store is back. Nor
+/// does the first watch of a copy of another instance: followers of that
+/// instance may have a later revision, and take no copy with an older one.
+/// While the follower is stopped, the copy can be changed to that of another
+/// instance, see @ref UpdateCopy.
 class ObjectFollower
 {
 public:
@@ -137,7 +138,8 @@
   [[nodiscard]] net::Awaitable<void> Run(Generation aGeneration);
   [[nodiscard]] net::Awaitable<SyncResult> List(Generation aGeneration);
   [[nodiscard]] net::Awaitable<SyncResult> Watch(Generation aGeneration,
-                                                 std::int64_t aRevision);
+                                                 std::int64_t aRevision,
+                                                 bool aIsFirst);
   void Apply(const Changes& aChanges);
   void Confirm(TimePoint aSentAt);
   [[nodiscard]] static SyncResult FailureOf(const CallResult& aResult,
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -21,7 +21,7 @@
 /// open connection may have fallen silent.
 constexpr auto kResendAfter = std::chrono::milliseconds(500);
 
-/// Wait of a watch that asks whether the store is back.
+/// Wait of a watch that asks whether the store is back, or for its revision.
 constexpr Duration kProbeWait = std::chrono::milliseconds(1);
 
 std::string
@@ -95,7 +95,7 @@
     if (lists) {
       result = co_await List(aGeneration);
     } else {
-      result = co_await Watch(aGeneration, *mRevision);
+      result = co_await Watch(aGeneration, *mRevision, isFirst);
     }
     if (aGeneration != mGeneration) {
       break;
@@ -219,11 +219,14 @@
 }
 
 net::Awaitable<ObjectFollower::SyncResult>
-ObjectFollower::Watch(Generation aGeneration, std::int64_t aRevision)
+ObjectFollower::Watch(Generation aGeneration,
+                      std::int64_t aRevision,
+                      bool aIsFirst)
 {
   const auto sentAt = ReadBootClock();
   const std::string name = "watch " + std::string(NameOf(mOptions.mKind));
-  const auto wait = mIsLost ? kProbeWait : mOptions.mWatchTimeout;
+  const bool waits = !mIsLost && !aIsFirst;
+  const auto wait = waits ? mOptions.mWatchTimeout : kProbeWait;
   auto request = mDialect.mWatch(mOptions.mKind, aRevision, wait);
   const auto timeout =
     std::chrono::duration_cast<StoreClient::Milliseconds>(wait) + kCallTimeout;
