--- a/tests/src/history-relay_source.cpp
+++ b/tests/src/history-relay_source.cpp
@@ -64,7 +64,9 @@
 
 } // namespace
 
-// guards against all instances of a domain calling the store at the same moment
+// guards against all instances of a domain calling the store at the same
+// moment; the stand-in answers within a few ms, so that unit-relay_takeover is
+// stricter
 TEST_CASE("the instance that follows the store for others is killed")
 {
   IngressWorld world({ .mInstances = static_cast<int>(kInstances) });
