--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -167,6 +167,7 @@
 } // namespace
 
 IngressWorld::IngressWorld(Options aOptions)
+  : mOptions(aOptions)
 {
   for (int number = 1; number <= aOptions.mEngines; ++number) {
     mEngineStarts.emplace_back(1);
@@ -189,30 +190,31 @@
     Running running;
     running.mCallerPort = FreePort(running.mPortClaims);
     running.mReadinessPort = FreePort(running.mPortClaims);
+    running.mMetricsPort = FreePort(running.mPortClaims);
+    running.mPeersPort = FreePort(running.mPortClaims);
     const auto address = [](int aPort) {
       return "127.0.0.1:" + std::to_string(aPort);
     };
     const auto name = "entry-" + std::to_string(number);
-    const json settings = {
-      { "instance", name },
-      { "failure_domain", "a" },
-      { "failure_domains", { { { "name", "a" }, { "region", "r" } } } },
-      { "callers", address(running.mCallerPort) },
-      { "readiness", address(running.mReadinessPort) },
-      { "metrics", address(FreePort(running.mPortClaims)) },
-      { "peers", address(FreePort(running.mPortClaims)) },
-      { "store", address(storePort) },
-      { "memory_mb", aOptions.mMemoryMb },
-      { "max_descriptors", 1024 },
-      { "grace_s", 8 },
-      { "revocation_ms", 5000 },
-      { "retry_share", 0.9 },
-      { "retry_slack", 50 },
-      { "retry_window_s", 10 },
-      { "session_ttl_s", 5 },
-      { "exposure_share", 0.15 },
-      { "exposure_slack", 30 }
-    };
+    const json settings = { { "instance", name },
+                            { "failure_domain", "a" },
+                            { "failure_domains",
+                              { { { "name", "a" }, { "region", "r" } } } },
+                            { "callers", address(running.mCallerPort) },
+                            { "readiness", address(running.mReadinessPort) },
+                            { "metrics", address(running.mMetricsPort) },
+                            { "peers", address(running.mPeersPort) },
+                            { "store", address(storePort) },
+                            { "memory_mb", aOptions.mMemoryMb },
+                            { "max_descriptors", aOptions.mMaxDescriptors },
+                            { "grace_s", 8 },
+                            { "revocation_ms", 5000 },
+                            { "retry_share", 0.9 },
+                            { "retry_slack", 50 },
+                            { "retry_window_s", 10 },
+                            { "session_ttl_s", 5 },
+                            { "exposure_share", 0.15 },
+                            { "exposure_slack", 30 } };
     running.mSettings = WriteTemporaryFile(name + ".json", settings.dump());
     mInstances.push_back(std::move(running));
     Restart(static_cast<std::size_t>(number));
@@ -235,6 +237,19 @@
   throw std::runtime_error("the process of the instance has ended");
 }
 
+int
+IngressWorld::OpenSockets(std::size_t aIndex)
+{
+  const std::filesystem::directory_iterator descriptors(
+    "/proc/" + std::to_string(Instance(aIndex).Id()) + "/fd");
+  return static_cast<int>(
+    std::ranges::count_if(descriptors, [](const auto& aEntry) {
+      std::error_code closed; // it may have been closed since
+      const auto target = std::filesystem::read_symlink(aEntry.path(), closed);
+      return target.string().starts_with("socket:");
+    }));
+}
+
 void
 IngressWorld::Restart(std::size_t aIndex)
 {
@@ -318,10 +333,10 @@
           route("lookup", "/look/", "idempotent", 3) } },
       { "services", { { { "name", "engines" } } } },
       { "limits",
-        { { "max_header_bytes", 4096 },
-          { "max_body_bytes", 2048 },
+        { { "max_header_bytes", mOptions.mMaxHeaderBytes },
+          { "max_body_bytes", mOptions.mMaxBodyBytes },
           { "header_timeout_ms", 500 },
-          { "idle_timeout_ms", 2000 } } },
+          { "idle_timeout_ms", mOptions.mIdleTimeoutMs } } },
       { "tenants", { { { "name", "studio" }, { "api_keys", aKeys } } } } });
 }
 
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -58,6 +58,10 @@
     /// puts relays before the engines, and before the store of each instance
     bool mIsRelayed = false;
     int mMemoryMb = 256; ///< in the settings of each instance
+    int mMaxDescriptors = 1024;
+    int mMaxHeaderBytes = 4096; ///< of a caller's request; in configurations
+    int mMaxBodyBytes = 2048;
+    int mIdleTimeoutMs = 2000;
   };
 
   /// Keeps a port from other test programs; empty if another one has it.
@@ -92,8 +96,22 @@
   {
     return mInstances.at(aIndex).mCallerPort;
   }
+  [[nodiscard]] int ReadinessPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mReadinessPort;
+  }
+  [[nodiscard]] int MetricsPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mMetricsPort;
+  }
+  [[nodiscard]] int PeersPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mPeersPort;
+  }
   /// Returns the most memory that the process of an instance has held, MB.
   [[nodiscard]] double PeakMemoryMb(std::size_t aIndex);
+  /// Counts the sockets that the process of an instance holds open.
+  [[nodiscard]] int OpenSockets(std::size_t aIndex);
   void Restart(std::size_t aIndex);
   /// Starts an instance without waiting until it is ready.
   void Start(std::size_t aIndex);
@@ -158,11 +176,14 @@
   {
     int mCallerPort = 0;
     int mReadinessPort = 0;
+    int mMetricsPort = 0;
+    int mPeersPort = 0;
     std::vector<PortClaim> mPortClaims;
     std::string mSettings;
     std::unique_ptr<Process> mProcess;
   };
 
+  Options mOptions;
   StoreStandIn mStore;
   std::vector<std::unique_ptr<EngineStandIn>> mEngines;
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
