Take memory and descriptors from a budget before callers' bytes are buffered

Connections were not limited in number, bodies were stored whole for all of them, and a header field cost ten times its bytes unseen. Now a connection takes memory for each piece before it is parsed, by the count of fields for a head, and reads through a buffer that the thread shares. Readiness and metrics accept 8 KB heads and no body; the internal port has its own part. A caller that takes nothing of a stream for 3 s is given up, before its upstream aborts.

--- a/include/figslip/gateway/frontend.hpp
+++ b/include/figslip/gateway/frontend.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/admission/connection_budget.hpp>
 #include <figslip/admission/drain_plan.hpp>
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/gateway/traffic_state.hpp>
@@ -30,6 +31,7 @@
 
 private:
   using Connection = std::shared_ptr<net::CallerConnection>;
+  using Budget = std::shared_ptr<admission::ConnectionBudget>;
   using Handler = net::Awaitable<void> (Frontend::*)(Connection);
 
   [[nodiscard]] net::Awaitable<void> ServeCaller(Connection aConnection);
@@ -46,6 +48,14 @@
   [[nodiscard]] bool IsReading() const;
   void InterruptRequests();
 
+  /// Creates a budget whose yielding connections are logged and counted.
+  /// @param[in] aPlace where they are served, for logs and metrics
+  [[nodiscard]] Budget MakeBudget(
+    const std::string& aPlace,
+    admission::ConnectionBudget::Options aOptions);
+  void OnYielded(const std::string& aPlace,
+                 const admission::YieldedConnection& aConnection);
+
   net::asio::io_context& mContext;
   TrafficState& mState;
   std::set<Connection> mCallers;
--- a/include/figslip/net/connection_pool.hpp
+++ b/include/figslip/net/connection_pool.hpp
@@ -47,6 +47,12 @@
   /// @brief Closes all idle connections to an endpoint.
   void Drop(const Endpoint& aEndpoint);
 
+  /// @brief Returns the number of idle connections.
+  [[nodiscard]] std::size_t Size() const { return mSize; }
+
+  /// @brief Closes the connection that has been idle for the longest time.
+  void DropOldest();
+
 private:
   struct Idle
   {
@@ -58,6 +64,7 @@
   [[nodiscard]] Clock::duration IdleTimeOf(const ResponseHead& aHead) const;
 
   Options mOptions;
+  std::size_t mSize = 0;
   std::map<Endpoint, std::deque<Idle>> mIdle; ///< the longest idle first
 };
 
--- a/include/figslip/net/listener.hpp
+++ b/include/figslip/net/listener.hpp
@@ -16,11 +16,15 @@
 /// @brief Listens on an endpoint and serves each connection by itself.
 ///
 /// Accepts as long as the context runs; a failed accept, as when descriptors
-/// have run out, is tried again after a pause.
+/// have run out, is tried again after a pause. The kernel's buffers of the
+/// connections have a fixed size, see `kKernelBufferBytes`.
+/// @param[in] aBudget of the connections; those that it does not admit are
+///            closed
 /// @return a finding where the endpoint cannot be listened on
 [[nodiscard]] Result<void>
 Listen(asio::io_context& aContext,
        const Endpoint& aEndpoint,
+       std::shared_ptr<admission::ConnectionBudget> aBudget,
        ServeConnection aServe);
 
 } // namespace figslip::net
--- a/include/figslip/relay/relay_server.hpp
+++ b/include/figslip/relay/relay_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/admission/connection_budget.hpp>
 #include <figslip/net/asio.hpp>
 #include <figslip/net/caller_connection.hpp>
 #include <figslip/relay/change_log.hpp>
@@ -27,7 +28,10 @@
               std::uint64_t aEpoch);
 
   /// @brief Opens the address for other instances.
-  [[nodiscard]] Result<void> Start(const net::Endpoint& aEndpoint);
+  /// @param[in] aLimits of the process; connections of other instances take
+  ///            their part
+  [[nodiscard]] Result<void> Start(const net::Endpoint& aEndpoint,
+                                   const admission::ConnectionLimits& aLimits);
 
   /// @brief Sets whether the copy comes from the store itself.
   void SetDirect(bool aIsDirect);
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -39,6 +39,13 @@
   /// concurrency, for callers that compete for too little capacity
   bool mOverloadControl = false;
 
+  /// part of the memory for what callers send and for what they have not taken
+  /// of whole answers
+  double mCallerMemoryShare = 0.375;
+  /// time after which a caller that takes none of a stream is given up, as its
+  /// upstream would abort the stream
+  Duration mUnreadStreamTimeout = std::chrono::seconds(3);
+
   bool operator==(const IngressSettings&) const = default;
 };
 
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -252,7 +252,11 @@
          MakeCallbacks(ObjectKind::Shared, [this](const auto& aObjects) {
            OnSharedObjects(aObjects);
          }));
-  auto started = mRelayServer.Start(mSettings.mPeers);
+  auto started = mRelayServer.Start(
+    mSettings.mPeers,
+    admission::DivideConnectionLimits(mSettings.mMemoryMb,
+                                      mSettings.mMaxDescriptors,
+                                      mSettings.mCallerMemoryShare));
   if (!started) {
     return started;
   }
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -22,6 +22,15 @@
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
 
+/// Limits of requests for readiness and metrics: no body, and a head that load
+/// balancers and collectors of metrics do not exceed.
+constexpr ingress::CallerLimits kProbeLimits{ .mMaxHeaderBytes = 8'192,
+                                              .mMaxBodyBytes = 0 };
+
+/// Time after which a request comes back that found no memory, seconds. Those
+/// that hold it without progress have yielded by then.
+constexpr std::string_view kMemoryRetryAfter = "1";
+
 unsigned
 StatusOf(net::ReadEnd aEnd)
 {
@@ -32,6 +41,8 @@
       return kBodyTooLarge;
     case net::ReadEnd::TooSlow:
       return kTimeout;
+    case net::ReadEnd::Yielded:
+      return kUnavailable;
     case net::ReadEnd::Whole:
     case net::ReadEnd::Closed:
     case net::ReadEnd::BadRequest:
@@ -55,22 +66,74 @@
 {
 }
 
+Frontend::Budget
+Frontend::MakeBudget(const std::string& aPlace,
+                     admission::ConnectionBudget::Options aOptions)
+{
+  aOptions.mOnYielded =
+    [this, aPlace](const admission::YieldedConnection& aConnection) {
+      OnYielded(aPlace, aConnection);
+    };
+  return std::make_shared<admission::ConnectionBudget>(std::move(aOptions));
+}
+
+void
+Frontend::OnYielded(const std::string& aPlace,
+                    const admission::YieldedConnection& aConnection)
+{
+  const std::string phase(aConnection.mIsNew ? "new"
+                                             : NameOf(aConnection.mPhase));
+  const std::string shortage(NameOf(aConnection.mShortage));
+  mState.mMetrics
+    .CounterOf(
+      "figslip_connections_yielded_total",
+      { { "place", aPlace }, { "phase", phase }, { "short_of", shortage } })
+    .Add();
+  log::Write(log::Level::Warning,
+             "connection_yielded",
+             { { "place", aPlace },
+               { "phase", phase },
+               { "short_of", shortage },
+               { "address", aConnection.mAddress },
+               { "bytes", std::to_string(aConnection.mBytes) } });
+}
+
 Result<void>
 Frontend::Start()
 {
+  const auto& settings = mState.mSettings;
+  const auto limits = admission::DivideConnectionLimits(
+    settings.mMemoryMb, settings.mMaxDescriptors, settings.mCallerMemoryShare);
+  const auto callers = MakeBudget(
+    "callers",
+    { .mMaxBytes = limits.mCallerBytes,
+      .mMaxDescriptors = limits.mCallerDescriptors,
+      .mMaxConnections = limits.mCallerConnections,
+      .mCountPooled = [this] { return static_cast<int>(mState.mPool.Size()); },
+      .mClosePooled = [this] { mState.mPool.DropOldest(); } });
+  const admission::ConnectionBudget::Options probes{
+    .mMaxBytes = limits.mProbeBytes, .mMaxDescriptors = limits.mProbeDescriptors
+  };
   error::Findings findings;
-  const auto listen = [&](const net::Endpoint& aEndpoint, Handler aServe) {
-    auto started =
-      net::Listen(mContext, aEndpoint, [this, aServe](Connection aConnection) {
-        return (this->*aServe)(std::move(aConnection));
-      });
+  const auto listen = [&](const net::Endpoint& aEndpoint,
+                          Budget aBudget,
+                          Handler aServe) {
+    auto started = net::Listen(mContext,
+                               aEndpoint,
+                               std::move(aBudget),
+                               [this, aServe](Connection aConnection) {
+                                 return (this->*aServe)(std::move(aConnection));
+                               });
     if (!started) {
       std::ranges::move(started.assume_error(), std::back_inserter(findings));
     }
   };
-  listen(mState.mSettings.mCallers, &Frontend::ServeCaller);
-  listen(mState.mSettings.mReadiness, &Frontend::ServeReadiness);
-  listen(mState.mSettings.mMetrics, &Frontend::ServeMetrics);
+  listen(settings.mCallers, callers, &Frontend::ServeCaller);
+  listen(settings.mReadiness,
+         MakeBudget("readiness", probes),
+         &Frontend::ServeReadiness);
+  listen(
+    settings.mMetrics, MakeBudget("metrics", probes), &Frontend::ServeMetrics);
   if (!findings.empty()) {
     return outcome::failure(std::move(findings));
   }
@@ -81,11 +144,15 @@
 Frontend::ServeCaller(Connection aConnection)
 {
   mCallers.insert(aConnection);
+  aConnection->SetStreamTimeout(mState.mSettings.mUnreadStreamTimeout);
   bool goesOn = true;
   bool hasLeft = false;
   while (goesOn) {
     const auto limits = CurrentLimits(mState);
-    const auto end = co_await aConnection->Read(limits);
+    auto end = co_await aConnection->Read(limits);
+    if (end == net::ReadEnd::Whole && !aConnection->BeginRun()) {
+      end = net::ReadEnd::Yielded; // it has not run
+    }
     if (end == net::ReadEnd::Whole) {
       const auto flow = std::make_shared<RequestFlow>(mState, aConnection);
       mFlows.insert(flow);
@@ -101,6 +168,10 @@
     }
   }
   mCallers.erase(aConnection);
+  if (aConnection->HasStalled()) {
+    mState.mMetrics.CounterOf("figslip_callers_stalled_total", {}).Add();
+    log::Write(log::Level::Info, "caller_stalled", {});
+  }
   if (hasLeft) {
     aConnection->Abort();
   } else {
@@ -119,16 +190,19 @@
   log::Write(log::Level::Info,
              "request_unread",
              { { "status", std::to_string(status) } });
-  const net::Headers headers;
+  net::Headers headers;
+  if (aEnd == net::ReadEnd::Yielded) {
+    headers.push_back(
+      { .mName = "Retry-After", .mValue = std::string(kMemoryRetryAfter) });
+  }
   co_await aConnection->Respond(status, headers, "", true);
 }
 
 net::Awaitable<void>
 Frontend::ServeReadiness(Connection aConnection)
 {
-  const ingress::CallerLimits limits;
   while (true) {
-    const auto end = co_await aConnection->Read(limits);
+    const auto end = co_await aConnection->Read(kProbeLimits);
     if (end != net::ReadEnd::Whole) {
       break;
     }
@@ -146,8 +220,7 @@
 net::Awaitable<void>
 Frontend::ServeMetrics(Connection aConnection)
 {
-  const ingress::CallerLimits limits;
-  const auto end = co_await aConnection->Read(limits);
+  const auto end = co_await aConnection->Read(kProbeLimits);
   if (end == net::ReadEnd::Whole) {
     const net::Headers headers = { { .mName = "Content-Type",
                                      .mValue = "text/plain; version=0.0.4" } };
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -3,6 +3,8 @@
 #include <figslip/net/sleep.hpp>
 #include <figslip/time/wall_clock.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <thread>
 
@@ -23,6 +25,22 @@
 /// than the caller sent it.
 constexpr auto kLeaseMargin = milliseconds(150);
 
+/// Size from which memory is returned to the system as soon as it is freed,
+/// bytes. By default the bound grows with the blocks that are freed, so that
+/// the process would keep the memory of large bodies. Ordinary bodies are
+/// smaller.
+constexpr int kReturnedBytes = 131'072;
+
+void
+BoundFreeMemory()
+{
+  const bool isSet = mallopt(M_MMAP_THRESHOLD, kReturnedBytes) == 1 &&
+                     mallopt(M_TRIM_THRESHOLD, kReturnedBytes) == 1;
+  if (!isSet) {
+    log::Write(log::Level::Warning, "free_memory_unbounded", {});
+  }
+}
+
 } // namespace
 
 IngressDaemon::IngressDaemon(Options aOptions)
@@ -108,6 +126,7 @@
 IngressDaemon::Run()
 {
   std::signal(SIGPIPE, SIG_IGN);
+  BoundFreeMemory();
   // installed before callers can connect: a signal without a handler ends the
   // process
   mSignals.add(SIGTERM);
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -692,6 +692,8 @@
                     std::exchange(aAttempt.mConnection, nullptr));
   mCaller.StopWatching();
   RecordEnd(RequestEnd::Served);
+  // from now on the budget of connections counts what the caller does not take
+  memory.Resize(0);
   co_await mCaller.Respond(status, headers, body, ClosesConnection());
   co_return NextStep::Ended;
 }
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -1,16 +1,62 @@
 #include <figslip/net/caller_connection.hpp>
+#include <figslip/time/wall_clock.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <limits>
 
 namespace figslip::net {
 
 namespace {
 
-/// Time for a caller to take the bytes of one write.
-constexpr auto kWriteLimit = std::chrono::seconds(10);
+/// Time in which a caller takes some of the bytes of an answer that is whole.
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+
+/// Bytes that one read takes from the kernel. They are parsed at once or stored
+/// in the connection, so that connections that wait need no buffer.
+constexpr std::size_t kReadBytes = 65'536;
+
+/// Memory of a header field beyond its bytes, in the parser, in the request and
+/// in the copy for an upstream.
+constexpr std::size_t kFieldBytes = 256;
+
+/// Copies of a head: as received, in the parser, in the request.
+constexpr std::size_t kHeadCopies = 3;
+
+/// Copies of a request that runs: as read, and as sent to an upstream.
+constexpr std::size_t kRunningCopies = 2;
+
+/// Most bytes of a body's framing, such as the size of a chunk or trailers,
+/// that are received and not parsed. Larger ones are no use to anyone.
+constexpr std::size_t kMaxFramingBytes = 8'192;
+
+/// Memory of the kernel for bytes that are not read or not taken. The kernel
+/// doubles the sizes that `Listen` sets.
+constexpr std::size_t kKernelBytes = 2UL * kKernelBufferBytes;
+
+/// Growth of the memory of a body whose length is not stated.
+constexpr std::size_t kBodyGrowth = 2;
+
+/// Capacity of the buffer for unparsed bytes that a connection keeps when it is
+/// empty.
+constexpr std::size_t kKeptCapacity = 4'096;
+
+/// Returns the buffer of the thread for bytes that have just been read.
+std::array<char, kReadBytes>&
+ReadBuffer()
+{
+  static thread_local std::array<char, kReadBytes> tBuffer;
+  return tBuffer;
+}
+
+std::string_view
+ViewOf(const boost::beast::flat_buffer& aBuffer)
+{
+  return { static_cast<const char*>(aBuffer.data().data()), aBuffer.size() };
+}
 
 /// Time to read what a caller still sends after the last response.
 constexpr auto kLingerLimit = std::chrono::seconds(1);
@@ -21,6 +67,23 @@
   return { aText.data(), aText.size() };
 }
 
+/// Returns whether a head that has arrived in part can become no request: it
+/// begins with no method, or has a line that ends without CR.
+/// @param[in] aChecked bytes that were checked before
+bool
+IsHopeless(std::string_view aInput, std::size_t aChecked)
+{
+  if (!aInput.empty() &&
+      std::isalpha(static_cast<unsigned char>(aInput.front())) == 0) {
+    return true;
+  }
+  auto end = aInput.find('\n', aChecked);
+  while (end != std::string_view::npos && end > 0 && aInput[end - 1] == '\r') {
+    end = aInput.find('\n', end + 1);
+  }
+  return end != std::string_view::npos;
+}
+
 bool
 IsAmbiguous(const http::fields& aFields)
 {
@@ -67,14 +130,75 @@
 CallerConnection::CallerConnection(tcp::socket aSocket)
   : mSocket(std::move(aSocket))
   , mWatchdog(mSocket.get_executor(), [this] { OnTooSlow(); })
+  , mStreamTimeout(kWriteTimeout)
 {
   error_code ignored; // the option only tunes
   ignored = mSocket.set_option(tcp::no_delay(true), ignored);
 }
 
+bool
+CallerConnection::Join(admission::ConnectionBudget& aBudget,
+                       std::string aAddress)
+{
+  mMember.emplace(
+    aBudget,
+    std::move(aAddress),
+    [this](admission::Shortage aShortage) { OnYield(aShortage); },
+    ReadBootClock());
+  return mMember->IsAdmitted();
+}
+
+void
+CallerConnection::OnYield(admission::Shortage aShortage)
+{
+  if (aShortage == admission::Shortage::Descriptors) {
+    Abort();
+    return;
+  }
+  // the coroutine that reads checks `HasYielded` after each wait
+  mParser.reset();
+  mInput = {};
+  mBuffer.clear();
+  mBuffer.shrink_to_fit();
+  error_code ignored; // only the read can be pending here
+  ignored = mSocket.cancel(ignored);
+}
+
+bool
+CallerConnection::Resize(std::size_t aBytes)
+{
+  return !mMember || mMember->Resize(aBytes, ReadBootClock());
+}
+
+bool
+CallerConnection::BeginRun()
+{
+  if (!mMember) {
+    return true;
+  }
+  const auto now = ReadBootClock();
+  const auto bytes =
+    mHeadCost + mBuffer.capacity() + kRunningCopies * mRequest.mBody.size();
+  return mMember->Resize(bytes, now) &&
+         mMember->Enter(admission::ConnectionPhase::Running, now);
+}
+
 Awaitable<ReadEnd>
 CallerConnection::Read(const ingress::CallerLimits& aLimits)
 {
+  mRequest = {};
+  mParser.reset();
+  mHeadCost = 0;
+  if (mBuffer.size() == 0 && mBuffer.capacity() > kKeptCapacity) {
+    mBuffer.shrink_to_fit();
+  }
+  const bool isAdmitted =
+    !mMember ||
+    (mMember->Enter(admission::ConnectionPhase::Idle, ReadBootClock()) &&
+     Resize(mBuffer.capacity()));
+  if (!isAdmitted) {
+    co_return ReadEnd::Closed;
+  }
   error_code error;
   const bool hasBegun = mBuffer.size() > 0;
   if (!hasBegun) {
@@ -87,49 +211,216 @@
       co_return ReadEnd::Closed;
     }
   }
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(aLimits.mMaxHeaderBytes));
-  parser.body_limit(aLimits.mMaxBodyBytes);
+  if (mMember &&
+      !mMember->Enter(admission::ConnectionPhase::Reading, ReadBootClock())) {
+    co_return ReadEnd::Closed;
+  }
   mIsReading = true;
   mWatchdog.Set(aLimits.mHeaderTimeout);
-  co_await http::async_read_header(
-    mSocket, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  auto end = co_await ReadHead(aLimits);
   mIsReading = false;
-  if (error) {
-    co_return EndOf(error);
-  }
-  if (IsAmbiguous(parser.get())) {
+  if (end != ReadEnd::Whole) {
     mWatchdog.Clear();
-    co_return ReadEnd::BadRequest;
+    co_return end;
   }
-  if (EqualNames(ToStd(parser.get()[http::field::expect]), "100-continue")) {
+  if (EqualNames(ToStd(mParser->get()[http::field::expect]), "100-continue")) {
+    KeepInput();
     std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    const bool sent = co_await Write(std::move(interim));
-    if (!sent) {
-      co_return ReadEnd::Closed;
+    const bool sent = co_await Write(std::move(interim), {}, kWriteTimeout);
+    mInput = ViewOf(mBuffer);
+    if (!sent || HasYielded()) {
+      co_return sent ? ReadEnd::Yielded : ReadEnd::Closed;
     }
   }
   mIsReading = true;
   mWatchdog.Set(aLimits.mIdleTimeout);
-  co_await http::async_read(
-    mSocket, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  end = co_await ReadBody(aLimits);
   mIsReading = false;
   mWatchdog.Clear();
+  if (end != ReadEnd::Whole) {
+    co_return end;
+  }
+  TakeRequest();
+  KeepInput();
+  co_return mRequest.mTarget.starts_with('/') ? ReadEnd::Whole
+                                              : ReadEnd::BadRequest;
+}
+
+Awaitable<ReadEnd>
+CallerConnection::ReadHead(const ingress::CallerLimits& aLimits)
+{
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  mParser.emplace();
+  mParser->header_limit(static_cast<std::uint32_t>(aLimits.mMaxHeaderBytes));
+  mParser->body_limit(aLimits.mMaxBodyBytes);
+  mInput = ViewOf(mBuffer);
+  auto found = mInput.find(kHeadEnd);
+  std::size_t checked = 0;
+  while (found == std::string_view::npos) {
+    const auto searched = mInput.size();
+    if (IsHopeless(mInput, checked)) {
+      co_return ReadEnd::BadRequest;
+    }
+    checked = searched;
+    if (searched >= aLimits.mMaxHeaderBytes) {
+      co_return ReadEnd::HeaderTooLarge;
+    }
+    const auto error = co_await Receive();
+    if (HasYielded()) {
+      co_return ReadEnd::Yielded;
+    }
+    if (error) {
+      co_return EndOf(error);
+    }
+    found =
+      mInput.find(kHeadEnd, searched - std::min(searched, kHeadEnd.size() - 1));
+  }
+  const auto size = found + kHeadEnd.size();
+  co_return size > aLimits.mMaxHeaderBytes ? ReadEnd::HeaderTooLarge
+                                           : ParseHead(size);
+}
+
+ReadEnd
+CallerConnection::ParseHead(std::size_t aSize)
+{
+  const auto head = mInput.substr(0, aSize);
+  const auto fields = static_cast<std::size_t>(std::ranges::count(head, '\n'));
+  mHeadCost = kHeadCopies * aSize + kFieldBytes * fields;
+  if (!Resize(mHeadCost + mBuffer.capacity())) {
+    return ReadEnd::Yielded;
+  }
+  error_code error;
+  mParser->put(asio::buffer(head.data(), head.size()), error);
+  if (error) {
+    return EndOf(error);
+  }
+  Consume(aSize);
+  return IsAmbiguous(mParser->get()) ? ReadEnd::BadRequest : ReadEnd::Whole;
+}
+
+Awaitable<ReadEnd>
+CallerConnection::ReadBody(const ingress::CallerLimits& aLimits)
+{
+  auto end = ParseBody(aLimits);
+  while (end == ReadEnd::Whole && !mParser->is_done()) {
+    const auto error = co_await Receive();
+    if (HasYielded()) {
+      co_return ReadEnd::Yielded;
+    }
+    end = error ? EndOf(error) : ParseBody(aLimits);
+  }
+  co_return end;
+}
+
+ReadEnd
+CallerConnection::ParseBody(const ingress::CallerLimits& aLimits)
+{
+  auto& body = mParser->get().body();
+  const auto most = std::min(body.size() + mInput.size(),
+                             static_cast<std::size_t>(aLimits.mMaxBodyBytes));
+  auto cost = most;
+  if (mParser->chunked()) {
+    cost = std::max(body.capacity(), most);
+    if (most > body.capacity() && !body.empty()) {
+      cost = std::max(most, kBodyGrowth * body.capacity());
+    }
+  }
+  if (!Resize(mHeadCost + mBuffer.capacity() + cost)) {
+    return ReadEnd::Yielded;
+  }
+  error_code error;
+  while (!error && !mInput.empty() && !mParser->is_done()) {
+    const auto parsed =
+      mParser->put(asio::buffer(mInput.data(), mInput.size()), error);
+    Consume(parsed);
+  }
+  if (error == http::error::need_more) {
+    error = {};
+  }
   if (error) {
-    co_return EndOf(error);
+    return EndOf(error);
   }
-  auto& message = parser.get();
+  const bool isFraming =
+    !mParser->is_done() && mInput.size() > kMaxFramingBytes;
+  return isFraming ? ReadEnd::BadRequest : ReadEnd::Whole;
+}
+
+void
+CallerConnection::TakeRequest()
+{
+  auto& message = mParser->get();
   mKeepsAlive = message.keep_alive();
   mRequest = { .mMethod = std::string(message.method_string()),
                .mTarget = std::string(message.target()),
                .mHeaders = {},
                .mBody = std::move(message.body()) };
+  mRequest.mHeaders.reserve(static_cast<std::size_t>(
+    std::ranges::distance(message.begin(), message.end())));
   for (const auto& field : message) {
     mRequest.mHeaders.push_back({ .mName = std::string(field.name_string()),
                                   .mValue = std::string(field.value()) });
   }
-  co_return mRequest.mTarget.starts_with('/') ? ReadEnd::Whole
-                                              : ReadEnd::BadRequest;
+  mParser.reset();
+}
+
+Awaitable<error_code>
+CallerConnection::Receive()
+{
+  KeepInput();
+  error_code error;
+  auto& bytes = ReadBuffer();
+  while (true) {
+    co_await mSocket.async_wait(
+      tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return error;
+    }
+    const auto read =
+      ::recv(mSocket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (read == 0) {
+      co_return http::make_error_code(http::error::end_of_stream);
+    }
+    if (read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      continue;
+    }
+    if (read < 0) {
+      co_return error_code(errno, boost::system::system_category());
+    }
+    const auto size = static_cast<std::size_t>(read);
+    if (mMember) {
+      mMember->OnProgress(size, ReadBootClock());
+    }
+    mInput = { bytes.data(), size };
+    if (mBuffer.size() > 0) {
+      // the buffer is as large as the rest of a head or of a body's framing
+      asio::buffer_copy(mBuffer.prepare(size), asio::buffer(bytes, size));
+      mBuffer.commit(size);
+      mInput = ViewOf(mBuffer);
+    }
+    co_return error_code();
+  }
+}
+
+void
+CallerConnection::Consume(std::size_t aBytes)
+{
+  if (mBuffer.size() > 0) {
+    mBuffer.consume(aBytes);
+    mInput = ViewOf(mBuffer);
+  } else {
+    mInput.remove_prefix(aBytes);
+  }
+}
+
+void
+CallerConnection::KeepInput()
+{
+  if (mBuffer.size() == 0 && !mInput.empty()) {
+    const auto size = mInput.size();
+    asio::buffer_copy(mBuffer.prepare(size), asio::buffer(mInput.data(), size));
+    mBuffer.commit(size);
+  }
+  mInput = {};
 }
 
 ReadEnd
@@ -180,7 +471,13 @@
         self->Watch();
       }
       if (isOpen) {
-        return; // the next request is already there
+        // the next request is already there; it fills the kernel's buffer at
+        // most, until it is read
+        if (self->mMember) {
+          self->mMember->Record(self->mMember->Bytes() + kKernelBytes,
+                                ReadBootClock());
+        }
+        return;
       }
       self->mHasLeft = true;
       self->mWatching = false;
@@ -201,17 +498,69 @@
   }
 }
 
+long
+CallerConnection::SendNow(std::string_view aBytes, std::string_view aBody)
+{
+  std::array<iovec, 2> pieces = {
+    iovec{ const_cast<char*>(aBytes.data()), aBytes.size() },
+    iovec{ const_cast<char*>(aBody.data()), aBody.size() }
+  };
+  msghdr message{};
+  message.msg_iov = pieces.data();
+  message.msg_iovlen = pieces.size();
+  const auto sent =
+    ::sendmsg(mSocket.native_handle(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+  const bool isFull = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return isFull ? 0 : sent;
+}
+
 Awaitable<bool>
-CallerConnection::Write(std::string aBytes, std::string_view aBody)
+CallerConnection::Write(std::string aBytes,
+                        std::string_view aBody,
+                        Duration aTimeout)
 {
+  std::string_view bytes = aBytes;
+  std::string_view body = aBody;
+  std::size_t held = 0;
   error_code error;
-  mWatchdog.Set(kWriteLimit);
-  const std::array<asio::const_buffer, 2> buffers = { asio::buffer(aBytes),
-                                                      asio::buffer(aBody) };
-  co_await asio::async_write(
-    mSocket, buffers, asio::redirect_error(asio::use_awaitable, error));
-  mWatchdog.Clear();
-  co_return !error;
+  while (true) {
+    const auto sent = SendNow(bytes, body);
+    if (sent < 0) {
+      co_return false;
+    }
+    auto taken = static_cast<std::size_t>(sent);
+    const auto ofBytes = std::min(taken, bytes.size());
+    bytes.remove_prefix(ofBytes);
+    body.remove_prefix(taken - ofBytes);
+    if (bytes.empty() && body.empty()) {
+      break;
+    }
+    if (mMember) {
+      const auto now = ReadBootClock();
+      mMember->OnProgress(taken, now);
+      if (held == 0) {
+        held = aBytes.size() + aBody.size() + kKernelBytes;
+        mMember->Record(mMember->Bytes() + held, now);
+      }
+      if (HasYielded()) {
+        co_return false;
+      }
+    }
+    mWatchdog.Set(aTimeout);
+    co_await mSocket.async_wait(
+      tcp::socket::wait_write,
+      asio::redirect_error(asio::use_awaitable, error));
+    mWatchdog.Clear();
+    if (error) {
+      mHasStalled = mWatchdog.HasExpired();
+      co_return false;
+    }
+  }
+  if (mMember && held > 0) {
+    const auto now = ReadBootClock();
+    mMember->Record(mMember->Bytes() - std::min(held, mMember->Bytes()), now);
+  }
+  co_return true;
 }
 
 Awaitable<bool>
@@ -220,10 +569,15 @@
                           std::string_view aBody,
                           bool aClose)
 {
+  if (mMember && mMember->IsAdmitted()) {
+    // no request runs any more, so that the connection may yield
+    (void)mMember->Enter(admission::ConnectionPhase::Answering,
+                         ReadBootClock());
+  }
   std::string text;
   AppendHead(text, aStatus, aHeaders, aClose);
   text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
-  co_return co_await Write(std::move(text), aBody);
+  co_return co_await Write(std::move(text), aBody, kWriteTimeout);
 }
 
 Awaitable<bool>
@@ -238,34 +592,36 @@
   if (!aFirst.empty()) {
     text += Chunk(aFirst);
   }
-  co_return co_await Write(std::move(text));
+  co_return co_await Write(std::move(text), {}, mStreamTimeout);
 }
 
 Awaitable<bool>
 CallerConnection::SendPiece(std::string_view aBytes)
 {
   auto text = Chunk(aBytes);
-  co_return co_await Write(std::move(text));
+  co_return co_await Write(std::move(text), {}, mStreamTimeout);
 }
 
 Awaitable<bool>
 CallerConnection::EndStream()
 {
   std::string text = "0\r\n\r\n";
-  co_return co_await Write(std::move(text));
+  co_return co_await Write(std::move(text), {}, mStreamTimeout);
 }
 
 Awaitable<void>
 CallerConnection::CloseGracefully()
 {
+  if (mMember && mMember->IsAdmitted()) {
+    (void)mMember->Enter(admission::ConnectionPhase::Closing, ReadBootClock());
+  }
   error_code error;
   error = mSocket.shutdown(tcp::socket::shutdown_send, error);
   mWatchdog.Set(kLingerLimit);
-  std::array<char, 4096> sink{};
   while (!error) {
-    const auto buffer = asio::buffer(sink);
-    co_await mSocket.async_read_some(
-      buffer, asio::redirect_error(asio::use_awaitable, error));
+    mInput = {};
+    mBuffer.clear();
+    error = co_await Receive();
   }
   mWatchdog.Clear();
   Abort();
--- a/src/shell/net/connection_pool.cpp
+++ b/src/shell/net/connection_pool.cpp
@@ -25,10 +25,11 @@
   while (!idle.empty()) {
     auto last = std::move(idle.back());
     idle.pop_back();
+    --mSize;
     if (now >= last.mUntil || now - last.mSince > aMaxIdle) {
       // those before it have been idle for longer
-      std::erase_if(idle,
-                    [&](const Idle& aIdle) { return now >= aIdle.mUntil; });
+      mSize -= std::erase_if(
+        idle, [&](const Idle& aIdle) { return now >= aIdle.mUntil; });
       return nullptr;
     }
     if (!last.mConnection->IsStale()) {
@@ -49,8 +50,10 @@
   const auto until = now + IdleTimeOf(aConnection->Head());
   auto& idle = mIdle[aEndpoint];
   idle.push_back({ std::move(aConnection), now, until });
+  ++mSize;
   if (idle.size() > mOptions.mMaxIdlePerEndpoint) {
     idle.pop_front();
+    --mSize;
   }
 }
 
@@ -59,7 +62,8 @@
 {
   const auto now = Clock::now();
   for (auto& idle : mIdle | std::views::values) {
-    std::erase_if(idle, [&](const Idle& aIdle) { return now >= aIdle.mUntil; });
+    mSize -= std::erase_if(
+      idle, [&](const Idle& aIdle) { return now >= aIdle.mUntil; });
   }
   std::erase_if(mIdle,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
@@ -68,7 +72,25 @@
 void
 ConnectionPool::Drop(const Endpoint& aEndpoint)
 {
-  mIdle.erase(aEndpoint);
+  const auto found = mIdle.find(aEndpoint);
+  if (found != mIdle.end()) {
+    mSize -= found->second.size();
+    mIdle.erase(found);
+  }
+}
+
+void
+ConnectionPool::DropOldest()
+{
+  const auto oldest =
+    std::ranges::min_element(mIdle, {}, [](const auto& aEntry) {
+      const auto& idle = aEntry.second;
+      return idle.empty() ? Clock::time_point::max() : idle.front().mSince;
+    });
+  if (oldest != mIdle.end() && !oldest->second.empty()) {
+    oldest->second.pop_front();
+    --mSize;
+  }
 }
 
 ConnectionPool::Clock::duration
--- a/src/shell/net/listener.cpp
+++ b/src/shell/net/listener.cpp
@@ -8,58 +8,123 @@
 
 namespace {
 
-constexpr int kBacklog = 4'096;
+/// Connections that wait to be accepted. What they have sent is counted only
+/// then.
+constexpr int kBacklog = 1'024;
+
+/// Connections that are accepted at once, before those that were accepted are
+/// served.
+constexpr int kMaxBatch = 16;
 
 /// Pause after a failed accept.
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 
+/// Accepts the connections that wait at an endpoint.
+class Acceptor
+{
+public:
+  Acceptor(tcp::acceptor aAcceptor,
+           std::shared_ptr<admission::ConnectionBudget> aBudget,
+           ServeConnection aServe)
+    : mAcceptor(std::move(aAcceptor))
+    , mBudget(std::move(aBudget))
+    , mServe(std::move(aServe))
+  {
+  }
+
+  [[nodiscard]] Awaitable<void> Run();
+
+private:
+  void Serve(tcp::socket aSocket, const tcp::endpoint& aClient);
+
+  tcp::acceptor mAcceptor;
+  std::shared_ptr<admission::ConnectionBudget> mBudget;
+  ServeConnection mServe;
+};
+
 Awaitable<void>
-Accept(std::shared_ptr<tcp::acceptor> aAcceptor, ServeConnection aServe)
+Acceptor::Run()
 {
-  while (aAcceptor->is_open()) {
+  while (mAcceptor.is_open()) {
     error_code error;
-    tcp::socket socket(aAcceptor->get_executor());
-    co_await aAcceptor->async_accept(
-      socket, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
+    co_await mAcceptor.async_wait(
+      tcp::acceptor::wait_read,
+      asio::redirect_error(asio::use_awaitable, error));
+    for (int number = 0; number < kMaxBatch && !error; ++number) {
+      tcp::socket socket(mAcceptor.get_executor());
+      tcp::endpoint client;
+      error = mAcceptor.accept(socket, client, error);
+      if (!error) {
+        Serve(std::move(socket), client);
+      }
+    }
+    if (error && error != asio::error::would_block) {
       co_await Sleep(kAcceptPause);
-      continue;
     }
-    auto connection = std::make_shared<CallerConnection>(std::move(socket));
-    asio::co_spawn(
-      aAcceptor->get_executor(), aServe(std::move(connection)), asio::detached);
   }
 }
 
+void
+Acceptor::Serve(tcp::socket aSocket, const tcp::endpoint& aClient)
+{
+  auto connection = std::make_shared<CallerConnection>(std::move(aSocket));
+  if (!connection->Join(*mBudget, aClient.address().to_string())) {
+    return; // destroyed and thereby closed
+  }
+  asio::co_spawn(
+    mAcceptor.get_executor(), mServe(std::move(connection)), asio::detached);
+}
+
+Awaitable<void>
+Accept(std::shared_ptr<Acceptor> aAcceptor)
+{
+  co_await aAcceptor->Run();
+}
+
 } // namespace
 
 Result<void>
 Listen(asio::io_context& aContext,
        const Endpoint& aEndpoint,
+       std::shared_ptr<admission::ConnectionBudget> aBudget,
        ServeConnection aServe)
 {
   const auto place = aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
   error_code error;
   const auto address = asio::ip::make_address(aEndpoint.mAddress, error);
-  auto acceptor = std::make_shared<tcp::acceptor>(aContext);
+  tcp::acceptor acceptor(aContext);
   const tcp::endpoint endpoint(address, aEndpoint.mPort);
   if (!error) {
-    error = acceptor->open(endpoint.protocol(), error);
+    error = acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    error = acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    // accepted connections inherit them
+    error = acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kKernelBufferBytes), error);
   }
   if (!error) {
-    error = acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    error = acceptor.set_option(
+      asio::socket_base::send_buffer_size(kKernelBufferBytes), error);
   }
   if (!error) {
-    error = acceptor->bind(endpoint, error);
+    error = acceptor.non_blocking(true, error);
   }
   if (!error) {
-    error = acceptor->listen(kBacklog, error);
+    error = acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    error = acceptor.listen(kBacklog, error);
   }
   if (error) {
     return Failure(error::ErrorKind::ConnectFailed, place, error.message());
   }
-  asio::co_spawn(
-    aContext, Accept(std::move(acceptor), std::move(aServe)), asio::detached);
+  asio::co_spawn(aContext,
+                 Accept(std::make_shared<Acceptor>(
+                   std::move(acceptor), std::move(aBudget), std::move(aServe))),
+                 asio::detached);
   return outcome::success();
 }
 
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -20,6 +20,8 @@
 constexpr json::Range<double> kMillis{ 1.0, 3'600'000.0 };
 constexpr json::Range<double> kShare{ 0.0, 10.0 };
 constexpr json::Range<double> kFraction{ 0.0, 1.0 };
+/// The rest is for answers that are received, a quarter, and the process.
+constexpr json::Range<double> kMemoryShare{ 0.01, 0.5 };
 constexpr json::Range<double> kCount{ 0.0, 1e9 };
 
 Duration
@@ -86,6 +88,12 @@
   settings.mExposureShare = aReader.Real("exposure_share", kFraction);
   settings.mExposureSlack = aReader.Real("exposure_slack", kCount);
   settings.mOverloadControl = aReader.Flag("overload_control", false);
+  constexpr double kDefaultCallerMemoryShare = 0.375;
+  constexpr double kDefaultUnreadStreamMs = 3'000.0;
+  settings.mCallerMemoryShare = aReader.Real(
+    "caller_memory_share", kMemoryShare, kDefaultCallerMemoryShare);
+  settings.mUnreadStreamTimeout = FromMillis(
+    aReader.Real("unread_stream_ms", kMillis, kDefaultUnreadStreamMs));
   return settings;
 }
 
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -34,6 +34,20 @@
   });
 }
 
+void
+LogYielded(const admission::YieldedConnection& aConnection)
+{
+  log::Write(
+    log::Level::Warning,
+    "connection_yielded",
+    { { "place", "peers" },
+      { "phase",
+        aConnection.mIsNew ? "new" : std::string(NameOf(aConnection.mPhase)) },
+      { "short_of", std::string(NameOf(aConnection.mShortage)) },
+      { "address", aConnection.mAddress },
+      { "bytes", std::to_string(aConnection.mBytes) } });
+}
+
 } // namespace
 
 store::ObjectFollower&
@@ -58,11 +72,19 @@
 }
 
 Result<void>
-RelayServer::Start(const net::Endpoint& aEndpoint)
+RelayServer::Start(const net::Endpoint& aEndpoint,
+                   const admission::ConnectionLimits& aLimits)
 {
-  return net::Listen(mContext, aEndpoint, [this](Connection aConnection) {
-    return Serve(std::move(aConnection));
-  });
+  const auto budget = std::make_shared<admission::ConnectionBudget>(
+    admission::ConnectionBudget::Options{ .mMaxBytes = aLimits.mPeerBytes,
+                                          .mMaxDescriptors =
+                                            aLimits.mPeerDescriptors,
+                                          .mRunDescriptors = 0,
+                                          .mOnYielded = LogYielded });
+  return net::Listen(
+    mContext, aEndpoint, budget, [this](Connection aConnection) {
+      return Serve(std::move(aConnection));
+    });
 }
 
 void
@@ -104,7 +126,7 @@
   bool goesOn = true;
   while (goesOn) {
     const auto end = co_await aConnection->Read(limits);
-    if (end != net::ReadEnd::Whole) {
+    if (end != net::ReadEnd::Whole || !aConnection->BeginRun()) {
       break;
     }
     const auto arrivedAt = ReadBootClock();
