Find the names in Connection fields in a set

A head of 16 KB can name 8,000 fields in Connection and hold 4,000: each was compared with each, on the thread that serves all callers. unit-ingress passes.

--- a/src/shell/net/message.cpp
+++ b/src/shell/net/message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <ranges>
+#include <unordered_set>
 
 namespace figslip::net {
 
@@ -38,11 +39,20 @@
   return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
 }
 
-/// Lists the names in all `Connection` fields.
-std::vector<std::string>
+std::string
+ToLower(std::string_view aText)
+{
+  std::string lower(aText);
+  std::ranges::transform(lower, lower.begin(), Lower);
+  return lower;
+}
+
+/// Lists the names in all `Connection` fields, in lower case. A set: a head may
+/// name thousands of fields and have thousands.
+std::unordered_set<std::string>
 NamedByConnection(const Headers& aHeaders)
 {
-  std::vector<std::string> names;
+  std::unordered_set<std::string> names;
   for (const auto& header : aHeaders) {
     if (!EqualNames(header.mName, "connection")) {
       continue;
@@ -50,7 +60,7 @@
     std::string_view rest = header.mValue;
     while (!rest.empty()) {
       const auto end = std::min(rest.find(','), rest.size());
-      names.emplace_back(Trim(rest.substr(0, end)));
+      names.insert(ToLower(Trim(rest.substr(0, end))));
       rest.remove_prefix(std::min(end + 1, rest.size()));
     }
   }
@@ -86,7 +96,7 @@
   };
   std::erase_if(aHeaders, [&](const Header& aHeader) {
     return std::ranges::any_of(kConnectionHeaders, matches(aHeader.mName)) ||
-           std::ranges::any_of(named, matches(aHeader.mName));
+           (!named.empty() && named.contains(ToLower(aHeader.mName)));
   });
 }
 
