--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -147,8 +147,8 @@
   std::optional<admission::ConnectionBudget::Member> mMember; ///< empty: none
   /// bytes that were received and not parsed, while nothing is parsed
   boost::beast::flat_buffer mBuffer;
-  std::string_view mInput; ///< in `mBuffer` or in the thread's buffer
-  std::optional<Parser> mParser;
+  std::string_view mInput;         ///< in `mBuffer` or in the thread's buffer
+  std::unique_ptr<Parser> mParser; ///< null: no request is read
   RequestMessage mRequest;
   std::size_t mHeadCost = 0; ///< memory of the request without its body
   std::function<void()> mOnLeft;
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -204,6 +204,10 @@
   while (true) {
     const auto end = co_await aConnection->Read(kProbeLimits);
     if (end != net::ReadEnd::Whole) {
+      if (end != net::ReadEnd::Closed) {
+        co_await RespondToReadError(aConnection, end);
+        co_await aConnection->CloseGracefully();
+      }
       break;
     }
     const unsigned status = mState.IsReady() ? kOk : kUnavailable;
@@ -226,6 +230,8 @@
                                      .mValue = "text/plain; version=0.0.4" } };
     const auto text = mState.mMetrics.Print();
     co_await aConnection->Respond(kOk, headers, text, true);
+  } else if (end != net::ReadEnd::Closed) {
+    co_await RespondToReadError(aConnection, end);
   }
   co_await aConnection->CloseGracefully();
 }
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -48,8 +48,8 @@
 std::array<char, kReadBytes>&
 ReadBuffer()
 {
-  static thread_local std::array<char, kReadBytes> tBuffer;
-  return tBuffer;
+  static thread_local std::array<char, kReadBytes> sBuffer;
+  return sBuffer;
 }
 
 std::string_view
@@ -250,7 +250,7 @@
 CallerConnection::ReadHead(const ingress::CallerLimits& aLimits)
 {
   constexpr std::string_view kHeadEnd = "\r\n\r\n";
-  mParser.emplace();
+  mParser = std::make_unique<Parser>();
   mParser->header_limit(static_cast<std::uint32_t>(aLimits.mMaxHeaderBytes));
   mParser->body_limit(aLimits.mMaxBodyBytes);
   mInput = ViewOf(mBuffer);
