--- a/tests/src/unit-connection_budget.cpp
+++ b/tests/src/unit-connection_budget.cpp
@@ -1,4 +1,5 @@
 #include <figslip/admission/connection_budget.hpp>
+#include <figslip/settings/ingress_settings.hpp>
 
 #include <doctest/doctest.h>
 
@@ -196,3 +197,21 @@
   // several requests of 4 MB that run, with their copies for the upstreams
   CHECK(few.mCallerBytes > 4 * 2 * 4 * kMegabyte);
 }
+
+// Guards against a share that leaves no memory to answers and to the process.
+TEST_CASE("the settings of the limits are checked")
+{
+  const auto findingsOf = [](const std::string& aText) {
+    const auto parsed = settings::ParseIngressSettings(aText);
+    REQUIRE_FALSE(parsed);
+    return error::JoinMessages(parsed.assume_error(), "; ");
+  };
+  const auto bad =
+    findingsOf(R"({ "caller_memory_share": 0.9, "unread_stream_ms": 0 })");
+  CHECK(bad.find("caller_memory_share") != std::string::npos);
+  CHECK(bad.find("unread_stream_ms") != std::string::npos);
+  // the other settings are missing in both; these two may be
+  const auto good = findingsOf("{}");
+  CHECK(good.find("caller_memory_share") == std::string::npos);
+  CHECK(good.find("unread_stream_ms") == std::string::npos);
+}
