--- a/include/figslip/fairshare/demand_exchange.hpp
+++ b/include/figslip/fairshare/demand_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <figslip/admission/connection_budget.hpp>
 #include <figslip/fairshare/demand_messages.hpp>
 #include <figslip/fairshare/fair_shares.hpp>
 #include <figslip/metrics/registry.hpp>
@@ -33,7 +34,7 @@
                  net::Endpoint aEndpoint);
 
   /// @brief Opens the address for other instances and starts to exchange.
-  [[nodiscard]] Result<void> Start();
+  [[nodiscard]] Result<void> Start(const admission::ConnectionLimits& aLimits);
 
 private:
   using Connection = std::shared_ptr<net::CallerConnection>;
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -42,6 +42,13 @@
   /// where other instances exchange the demand of accounts; empty: no exchange
   std::optional<net::Endpoint> mDemandExchange;
 
+  /// part of the memory for what callers send and for what they have not taken
+  /// of whole answers
+  double mCallerMemoryShare = 0.375;
+  /// time after which a caller that takes none of a stream is given up, as its
+  /// upstream would abort the stream
+  Duration mUnreadStreamTimeout = std::chrono::seconds(3);
+
   bool operator==(const IngressSettings&) const = default;
 };
 
--- a/src/shell/fairshare/demand_exchange.cpp
+++ b/src/shell/fairshare/demand_exchange.cpp
@@ -71,10 +71,16 @@
 }
 
 Result<void>
-DemandExchange::Start()
+DemandExchange::Start(const admission::ConnectionLimits& aLimits)
 {
+  const auto budget = std::make_shared<admission::ConnectionBudget>(
+    admission::ConnectionBudget::Options{ .mMaxBytes = aLimits.mPeerBytes,
+                                          .mMaxDescriptors =
+                                            aLimits.mPeerDescriptors,
+                                          .mRunDescriptors = 0,
+                                          .mOnYielded = {} });
   auto started =
-    net::Listen(mContext, mEndpoint, [this](Connection aConnection) {
+    net::Listen(mContext, mEndpoint, budget, [this](Connection aConnection) {
       return Serve(std::move(aConnection));
     });
   if (started) {
@@ -175,7 +181,7 @@
 DemandExchange::ServeOne(Connection aConnection)
 {
   const auto end = co_await aConnection->Read(PushLimits());
-  if (end != net::ReadEnd::Whole) {
+  if (end != net::ReadEnd::Whole || !aConnection->BeginRun()) {
     co_return false;
   }
   const auto now = ReadBootClock();
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -64,6 +64,10 @@
     int mEngineSlots = 8;
     /// API key of a second account, "school"; empty: there is none
     std::string mSchoolKey;
+    int mMaxDescriptors = 1024;
+    int mMaxHeaderBytes = 4096; ///< of a caller's request; in configurations
+    int mMaxBodyBytes = 2048;
+    int mIdleTimeoutMs = 2000;
   };
 
   /// Keeps a port from other test programs; empty if another one has it.
@@ -100,8 +104,22 @@
   }
   /// Returns the port at which all instances exchange demand.
   [[nodiscard]] int ExchangePort() const { return mExchangePort; }
+  [[nodiscard]] int ReadinessPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mReadinessPort;
+  }
+  [[nodiscard]] int MetricsPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mMetricsPort;
+  }
+  [[nodiscard]] int PeersPort(std::size_t aIndex) const
+  {
+    return mInstances.at(aIndex).mPeersPort;
+  }
   /// Returns the most memory that the process of an instance has held, MB.
   [[nodiscard]] double PeakMemoryMb(std::size_t aIndex);
+  /// Counts the sockets that the process of an instance holds open.
+  [[nodiscard]] int OpenSockets(std::size_t aIndex);
   void Restart(std::size_t aIndex);
   /// Starts an instance without waiting until it is ready.
   void Start(std::size_t aIndex);
@@ -166,6 +184,8 @@
   {
     int mCallerPort = 0;
     int mReadinessPort = 0;
+    int mMetricsPort = 0;
+    int mPeersPort = 0;
     std::vector<PortClaim> mPortClaims;
     std::string mSettings;
     std::unique_ptr<Process> mProcess;
