Refuse less urgent requests of an account after more urgent ones

Kinds with a longer target latency may wait longer, so during a burst of one account the least urgent kind was served 99 times in 100 and the most urgent one 77 times. For a second after a refusal the queue now refuses less urgent requests of the same account and service, also waiting ones.

--- a/include/figslip/admission/account_queue.hpp
+++ b/include/figslip/admission/account_queue.hpp
@@ -42,7 +42,8 @@
   ExpectedWait, ///< its wait is expected to end too late
   WaitedOut,    ///< its wait has ended without a slot
   Full,         ///< the queue is full, and its account has the most waiting
-  Evicted       ///< it made room for a request of another account or priority
+  Evicted,      ///< it made room for a request of another account or priority
+  LessUrgent    ///< more urgent ones of its account were refused just before
 };
 
 /// @brief Returns the name of a reason in the log and in metrics.
@@ -58,6 +59,8 @@
       return "full";
     case RefusalReason::Evicted:
       return "evicted";
+    case RefusalReason::LessUrgent:
+      return "less_urgent";
   }
   return "unknown";
 }
@@ -103,6 +106,10 @@
 /// the order of `FairQueue`. A request is refused at once if it is expected to
 /// wait for too long: a request of an account over its share if its answer
 /// would be late, any other one if the answer would be worth little.
+///
+/// Kinds of request with a longer target latency may wait for longer. So that
+/// they are not served more often than more urgent ones of the same account,
+/// they are refused for a second after one of these was.
 class AccountQueue
 {
 public:
@@ -177,6 +184,27 @@
   [[nodiscard]] Refusal RefusalOf(const OfferedRequest& aRequest,
                                   RefusalReason aReason,
                                   TimePoint aNow) const;
+  /// Records and describes a refusal for lack of capacity.
+  [[nodiscard]] Refusal Refuse(const OfferedRequest& aRequest,
+                               RefusalReason aReason,
+                               TimePoint aNow);
+  /// Ends the time in which less urgent requests of an account are refused.
+  struct Shedding
+  {
+    int mPriority = 0; ///< the most urgent one that was refused
+    TimePoint mUntil;
+  };
+
+  using AccountOfService = std::pair<std::string, std::string>;
+
+  /// Returns the shedding that a request is subject to; null: none.
+  [[nodiscard]] const Shedding* SheddingOf(const OfferedRequest& aRequest,
+                                           TimePoint aNow) const;
+  /// Starts to refuse less urgent requests of the account.
+  void OnRefused(const OfferedRequest& aRequest, TimePoint aNow);
+  /// Removes the waiting requests that are subject to a shedding.
+  [[nodiscard]] std::vector<Refusal> RefuseLessUrgent(TimePoint aNow);
+
   /// Forgets a request that has left `mQueue`.
   OfferedRequest Extract(routing::TicketId aTicket);
 
@@ -184,6 +212,7 @@
   FairQueue mQueue;
   std::unordered_map<routing::TicketId, OfferedRequest> mWaiting;
   std::map<std::string, ServiceState, std::less<>> mServices;
+  std::map<AccountOfService, Shedding> mSheddings;
   std::size_t mBytes = 0;
   TimePoint mCountedFrom; ///< begin of the interval of `PopBacklogs`
 };
--- a/src/core/admission/account_queue.cpp
+++ b/src/core/admission/account_queue.cpp
@@ -31,6 +31,11 @@
 /// estimate that is too long for a moment must not get many refused at once.
 constexpr double kMaxLaterWaitFraction = 1.25;
 
+/// Time for which less urgent requests of an account are refused after a more
+/// urgent one was. It is the order of the target latencies of urgent kinds: in
+/// this time the queue shows whether they are served again.
+constexpr Duration kShedTime = std::chrono::seconds(1);
+
 /// Accounts that a summary lists.
 constexpr std::size_t kListedAccounts = 3;
 
@@ -83,8 +88,11 @@
   // a caller that comes back after this time finds that the requests which now
   // wait too long before it have been served
   const auto tolerated = std::max(Duration::zero(), LimitOf(aRequest) - aNow);
+  const auto* const shedding = SheddingOf(aRequest, aNow);
+  const auto shed =
+    shedding == nullptr ? Duration::zero() : shedding->mUntil - aNow;
   const auto least =
-    std::clamp(wait.value_or(Duration::zero()) - tolerated,
+    std::clamp(std::max(wait.value_or(Duration::zero()) - tolerated, shed),
                mOptions.mMinRetryAfter,
                std::max(mOptions.mMinRetryAfter, kMaxRetryAfter));
   // others that are refused now are told the same time; the spread lets as many
@@ -134,16 +142,20 @@
                            ? limit - aNow
                            : ScaleTime(limit - aNow, kMaxWaitFraction);
   if (wait.value_or(Duration::zero()) > tolerated || aNow > limit) {
-    result.mRefusal = RefusalOf(aRequest,
-                                aNow > limit ? RefusalReason::WaitedOut
-                                             : RefusalReason::ExpectedWait,
-                                aNow);
+    result.mRefusal = Refuse(aRequest,
+                             aNow > limit ? RefusalReason::WaitedOut
+                                          : RefusalReason::ExpectedWait,
+                             aNow);
+    return result;
+  }
+  if (SheddingOf(aRequest, aNow) != nullptr) {
+    result.mRefusal = RefusalOf(aRequest, RefusalReason::LessUrgent, aNow);
     return result;
   }
   while (!HasRoomFor(aRequest)) {
     const auto evicted = mQueue.EvictFor(aRequest.mQueued);
     if (!evicted) {
-      result.mRefusal = RefusalOf(aRequest, RefusalReason::Full, aNow);
+      result.mRefusal = Refuse(aRequest, RefusalReason::Full, aNow);
       return result;
     }
     result.mEvicted.push_back(
@@ -206,14 +218,68 @@
   std::ranges::transform(
     tickets, std::back_inserter(refusals), [&](auto aTicket) {
       const auto request = Extract(aTicket);
-      return RefusalOf(request,
-                       aNow > LimitOf(request) ? RefusalReason::WaitedOut
-                                               : RefusalReason::ExpectedWait,
-                       aNow);
+      return Refuse(request,
+                    aNow > LimitOf(request) ? RefusalReason::WaitedOut
+                                            : RefusalReason::ExpectedWait,
+                    aNow);
     });
+  std::ranges::move(RefuseLessUrgent(aNow), std::back_inserter(refusals));
   return refusals;
 }
 
+std::vector<Refusal>
+AccountQueue::RefuseLessUrgent(TimePoint aNow)
+{
+  std::erase_if(mSheddings,
+                [&](const auto& aItem) { return aNow >= aItem.second.mUntil; });
+  std::vector<Refusal> refusals;
+  if (mSheddings.empty()) {
+    return refusals;
+  }
+  std::vector<routing::TicketId> tickets;
+  for (const auto& [ticket, request] : mWaiting) {
+    if (SheddingOf(request, aNow) != nullptr) {
+      tickets.push_back(ticket);
+    }
+  }
+  for (const auto ticket : tickets) {
+    mQueue.Remove(ticket);
+    refusals.push_back(
+      RefusalOf(Extract(ticket), RefusalReason::LessUrgent, aNow));
+  }
+  return refusals;
+}
+
+const AccountQueue::Shedding*
+AccountQueue::SheddingOf(const OfferedRequest& aRequest, TimePoint aNow) const
+{
+  const auto found =
+    mSheddings.find({ aRequest.mService, aRequest.mQueued.mAccount });
+  const bool isSubject = found != mSheddings.end() &&
+                         aNow < found->second.mUntil &&
+                         aRequest.mQueued.mPriority > found->second.mPriority;
+  return isSubject ? &found->second : nullptr;
+}
+
+void
+AccountQueue::OnRefused(const OfferedRequest& aRequest, TimePoint aNow)
+{
+  auto& shedding = mSheddings[{ aRequest.mService, aRequest.mQueued.mAccount }];
+  const auto priority = aRequest.mQueued.mPriority;
+  if (aNow >= shedding.mUntil || priority <= shedding.mPriority) {
+    shedding = { .mPriority = priority, .mUntil = aNow + kShedTime };
+  }
+}
+
+Refusal
+AccountQueue::Refuse(const OfferedRequest& aRequest,
+                     RefusalReason aReason,
+                     TimePoint aNow)
+{
+  OnRefused(aRequest, aNow);
+  return RefusalOf(aRequest, aReason, aNow);
+}
+
 std::vector<routing::TicketId>
 AccountQueue::Tickets() const
 {
--- a/tests/src/unit-account_queue.cpp
+++ b/tests/src/unit-account_queue.cpp
@@ -303,6 +303,45 @@
     }
   }
 
+  // guards against a less urgent kind with a longer target latency that was
+  // served 99 times in 100 while the more urgent one was served 77 times
+  SUBCASE("after the refusal of an urgent request")
+  {
+    auto patient = RequestOf(901, "large", kStart, 2);
+    patient.mInTimeBy = kStart + 3s;
+    CHECK_FALSE(queue.Offer(patient, kStart).mRefusal);
+    auto urgent = RequestOf(902, "large", kStart - 2s, 0);
+    urgent.mInTimeBy = kStart - 1s;
+    urgent.mLateBy = kStart - 1s;
+    REQUIRE(queue.Offer(urgent, kStart).mRefusal);
+
+    SUBCASE("refuses less urgent ones of the account, also those that wait")
+    {
+      const auto refusals = queue.RefuseUnmeetable(kStart);
+      REQUIRE(refusals.size() == 1);
+      CHECK(refusals.front().mTicket == 901);
+      CHECK(refusals.front().mReason == RefusalReason::LessUrgent);
+      CHECK(refusals.front().mRetryAfter >= 1s);
+      patient.mQueued.mTicket = 903;
+      const auto refusal = queue.Offer(patient, kStart + 500ms).mRefusal;
+      REQUIRE(refusal);
+      CHECK(refusal->mReason == RefusalReason::LessUrgent);
+
+      SUBCASE("until a second has passed")
+      {
+        CHECK_FALSE(queue.Offer(patient, kStart + 1s).mRefusal);
+      }
+    }
+
+    SUBCASE("takes urgent ones and those of other accounts")
+    {
+      CHECK_FALSE(
+        queue.Offer(RequestOf(904, "large", kStart), kStart).mRefusal);
+      CHECK_FALSE(
+        queue.Offer(RequestOf(905, "small", kStart, 2), kStart).mRefusal);
+    }
+  }
+
   SUBCASE("bounds the bytes of the waiting requests, but takes a single one")
   {
     auto large = RequestOf(1, "a", now);
