Order the requests of an account by the priority of their route

An account with a priority of its own gave it to all its requests, so that they waited in the order of arrival and those with the longest target latency were served most often.

--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -441,7 +441,8 @@
                         .mAccount = account,
                         .mShare = mState.mShares.WeightOf(mService, account),
                         .mCost = mWork,
-                        .mPriority = Priority(),
+                        // a priority of the account is the same for all of them
+                        .mPriority = mRoute->mPriority,
                         .mFormerArrival = mQueueArrival,
                         .mWasRejected = std::exchange(mWasQueued, false) },
            .mService = mService,
