Let the soak play overload control

A second case of history-ingress_soak runs the same faults with overload control and engines of one slot, so that requests wait.

--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -32,6 +32,7 @@
 namespace {
 
 constexpr int kInstances = 3;
+constexpr int kUsualSlots = 8; ///< of an engine
 constexpr std::size_t kEngines = 2;
 constexpr int kCallers = 4;
 
@@ -78,8 +79,13 @@
 class Soak
 {
 public:
-  explicit Soak(std::uint64_t aSeed)
+  Soak(std::uint64_t aSeed, bool aHasOverloadControl)
     : mSeed(aSeed)
+    , mWorld({ .mInstances = kInstances,
+               .mIsRelayed = true,
+               .mOverloadControl = aHasOverloadControl,
+               // so that requests have to wait
+               .mEngineSlots = aHasOverloadControl ? 1 : kUsualSlots })
   {
     PutConfiguration();
   }
@@ -290,7 +296,7 @@
   }
 
   std::uint64_t mSeed;
-  IngressWorld mWorld{ { .mInstances = kInstances, .mIsRelayed = true } };
+  IngressWorld mWorld;
   std::mutex mProcesses;
   std::mutex mOperator;
   std::optional<Clock::time_point> mTakenAwayAt;
@@ -329,15 +335,15 @@
   return isServed;
 }
 
-} // namespace
-
-TEST_CASE("instances under random faults")
+/// Runs instances under random faults and checks what callers got.
+void
+PlaySoak(bool aHasOverloadControl)
 {
   const auto seed = FromEnvironment("FIGSLIP_SEED", 20261204);
   const auto length =
     std::chrono::seconds(FromEnvironment("FIGSLIP_SOAK_S", 10));
   INFO("FIGSLIP_SEED=", seed);
-  Soak soak(static_cast<std::uint64_t>(seed));
+  Soak soak(static_cast<std::uint64_t>(seed), aHasOverloadControl);
   soak.Run(length);
 
   auto runsOf = soak.World().CountRuns();
@@ -364,3 +370,15 @@
     }
   }
 }
+
+} // namespace
+
+TEST_CASE("instances under random faults")
+{
+  PlaySoak(false);
+}
+
+TEST_CASE("instances with overload control under random faults")
+{
+  PlaySoak(true);
+}
