--- a/tests/harness/untrusted_clients.cpp
+++ b/tests/harness/untrusted_clients.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <sstream>
 #include <thread>
+#include <tuple>
 
 namespace figslip::test {
 
@@ -63,7 +64,7 @@
   address.sin_port = htons(static_cast<std::uint16_t>(aPort));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   // a refused connection is as good: nothing is held for it
-  ::connect(
+  std::ignore = ::connect(
     mDescriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   (void)::fcntl(mDescriptor, F_SETFL, O_NONBLOCK);
 }
--- a/tests/src/history-largest_request.cpp
+++ b/tests/src/history-largest_request.cpp
@@ -49,6 +49,7 @@
   SUBCASE("a few at a time")
   {
     std::vector<std::future<test::CallerAnswer>> open;
+    open.reserve(kAtOnce);
     for (int number = 0; number < kAtOnce; ++number) {
       open.push_back(std::async(std::launch::async,
                                 [&] { return world.SendRaw(0, request); }));
--- a/tests/src/history-untrusted_fields.cpp
+++ b/tests/src/history-untrusted_fields.cpp
@@ -35,7 +35,9 @@
       const auto crowd = test::Gather(door, kCrowd);
       const std::string body = isWhole ? "bb" : "b";
       for (const auto& client : crowd) {
-        client->Send(test::FormatHead(door, length + fields) + body);
+        auto request = test::FormatHead(door, length + fields);
+        request += body;
+        client->Send(request);
       }
       test::CheckServes(world, { .mMemoryMb = kMemoryMb, .mSockets = 824 });
     }
--- a/tests/src/unit-client_connection.cpp
+++ b/tests/src/unit-client_connection.cpp
@@ -231,7 +231,6 @@
   tcp::acceptor acceptor(context, { tcp::v4(), 0 });
   auto connection =
     std::make_unique<net::ClientConnection>(context.get_executor());
-  std::string accepted;
   const auto play = [&]() -> net::Awaitable<void> {
     const net::Endpoint upstream{ .mAddress = "127.0.0.1",
                                   .mPort = acceptor.local_endpoint().port() };
