Await a plain service for longer on a slow machine

A request of a plain service was replaced after 0.6 of its target latency, whatever its upstream was expected to take, so an upstream on a slow machine whose answer was on the way cost a retry at another one.

PlainSilenceTimeout (core, no clock) now gives 1.5 times the expected work where the upstream reports the time of work, if that is longer, and at most 0.6 of the time left until the deadline, so that false reports leave time for a replacement. Penalties of the choice do not count. Without the figure, and on fast machines, it is 0.6 of the target latency as before.

unit-silence_timeout learns the speeds through UpstreamSelector. With the former rule 5 of its checks fail (90 ms for an upstream that takes 120 ms, and for one that reports a factor of 8); now all pass, as do unit-placement, unit-speed_estimate and unit-concurrency_limit.

--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -50,7 +50,8 @@
   Duration mTimeToFirstEvent{}; ///< expected, at the speed of its machine
   /// expected on a machine of usual speed
   Duration mUsualTimeToFirstEvent{};
-  Duration mUsualWork{}; ///< part of it that the upstream's work takes
+  Duration mUsualWork{};         ///< part of it that the upstream's work takes
+  bool mIsSpeedReported = false; ///< whether the upstream reports its speed
   std::int64_t mPrefillTokens = 0; ///< prompt tokens without a cached prefix
   std::int64_t mCachedTokens = 0;  ///< expected prefix cache hit
 };
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -1030,6 +1030,7 @@
                                    TimePoint aNow) const
 {
   aChoice.mUsualWork = aUsual.mWork;
+  aChoice.mIsSpeedReported = aState.mSpeed.IsReported();
   aChoice.mUsualTimeToFirstEvent = aUsual.mWork + aUsual.mOther;
   aChoice.mTimeToFirstEvent =
     aState.mSpeed.Scale(
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -2,6 +2,7 @@
 #include <figslip/gateway/request_flow.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/net/sleep.hpp>
+#include <figslip/placement/silence_timeout.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
@@ -41,10 +42,8 @@
 constexpr int kFirstEventTimeoutFactor = 5;
 constexpr auto kFirstEventTimeoutSlack = milliseconds(600);
 
-/// Fractions of the target latency and the target gap after which a silent
-/// attempt is replaced. The rest leaves time for the answer of another
-/// upstream.
-constexpr double kPlainTimeoutFraction = 0.6;
+/// Fraction of the target gap after which a silent stream is replaced. The rest
+/// leaves time for the events of another upstream.
 constexpr double kGapTimeoutFraction = 0.72;
 
 /// Time for which a silent attempt goes on beside its replacement. Two runs of
@@ -613,12 +612,15 @@
 Duration
 RequestFlow::HeadPatience(const Attempt& aAttempt) const
 {
+  const auto& choice = aAttempt.mChoice;
+  if (!IsStream()) {
+    return placement::PlainSilenceTimeout(
+      choice, mRoute->mTargetLatency, mDeadline - ReadBootClock());
+  }
   // an upstream on a fast machine is not given up sooner than others
-  const auto expected = std::max(aAttempt.mChoice.mTimeToFirstEvent,
-                                 aAttempt.mChoice.mUsualTimeToFirstEvent);
-  return IsStream()
-           ? expected * kFirstEventTimeoutFactor + kFirstEventTimeoutSlack
-           : Scale(mRoute->mTargetLatency, kPlainTimeoutFraction);
+  const auto expected =
+    std::max(choice.mTimeToFirstEvent, choice.mUsualTimeToFirstEvent);
+  return expected * kFirstEventTimeoutFactor + kFirstEventTimeoutSlack;
 }
 
 net::Awaitable<RequestFlow::NextStep>
