Order requests of an account by priority across capacity classes

A less urgent kind of request was served more often than a more urgent one of its account. Capacity classes take turns, so a kind that waits in a class of its own (other versions or regions) gets every other slot, whatever its priority; and a kind with a longer target latency outlives bursts and stalls in which more urgent ones are refused. The refusal of less urgent requests for one second after each refusal of an urgent one did not prevent it and left slots unused.

A turn of an account is now used for its most urgent request among the capacity classes of the service. Retry-After of less urgent requests ends after that of more urgent ones that were refused.

The refusal test of the fixed second is replaced by one of the refusal by served fractions.

--- a/include/figslip/admission/account_queue.hpp
+++ b/include/figslip/admission/account_queue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <figslip/admission/fair_queue.hpp>
+#include <figslip/admission/served_fractions.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstddef>
@@ -26,7 +27,7 @@
 /// @brief Describes a request that is offered to the queue.
 struct OfferedRequest
 {
-  QueuedRequest mQueued; ///< its deadline is set by the queue
+  QueuedRequest mQueued; ///< its deadline and group are set by the queue
   std::string mService;
   std::size_t mBytes = 0; ///< that it holds while it waits
   /// latest admission for which its answer is expected in time
@@ -43,7 +44,7 @@
   WaitedOut,    ///< its wait has ended without a slot
   Full,         ///< the queue is full, and its account has the most waiting
   Evicted,      ///< it made room for a request of another account or priority
-  LessUrgent    ///< more urgent ones of its account were refused just before
+  LessUrgent    ///< more urgent ones of its account are served less often
 };
 
 /// @brief Returns the name of a reason in the log and in metrics.
@@ -107,9 +108,12 @@
 /// wait for too long: a request of an account over its share if its answer
 /// would be late, any other one if the answer would be worth little.
 ///
-/// Kinds of request with a longer target latency may wait for longer. So that
-/// they are not served more often than more urgent ones of the same account,
-/// they are refused for a second after one of these was.
+/// Within an account, the most urgent request for a service goes first,
+/// whatever its capacity class. Kinds of request with a longer target latency
+/// may wait for longer than more urgent ones and outlive a burst or a stall
+/// that these do not. A request of an account over its share is therefore
+/// refused while its kind is served more often than a more urgent one of the
+/// same account and service.
 class AccountQueue
 {
 public:
@@ -121,6 +125,9 @@
     /// returns whether an account demands more than its share of a service;
     /// empty: none does
     std::function<bool(std::string_view, std::string_view)> mIsOverShare;
+    /// whether a kind that is served more often than a more urgent one is
+    /// refused; false serves for comparison
+    bool mRefusesLessUrgent = true;
   };
 
   explicit AccountQueue(Options aOptions);
@@ -128,6 +135,19 @@
   /// @brief Adds a request, or refuses it at once.
   [[nodiscard]] OfferResult Offer(OfferedRequest aRequest, TimePoint aNow);
 
+  /// @brief Checks whether a request must wait, because other requests that go
+  /// first do.
+  [[nodiscard]] bool MustWait(const OfferedRequest& aRequest) const;
+
+  /// @brief Refuses a request that need not wait, if its kind is served too
+  /// often.
+  [[nodiscard]] std::optional<Refusal> RefuseDirect(
+    const OfferedRequest& aRequest,
+    TimePoint aNow);
+
+  /// @brief Counts a request that was admitted without waiting.
+  void OnAdmittedDirect(const OfferedRequest& aRequest, TimePoint aNow);
+
   /// @brief See `FairQueue::IssueArrival`.
   [[nodiscard]] std::uint64_t IssueArrival() { return mQueue.IssueArrival(); }
 
@@ -178,6 +198,8 @@
     std::size_t mAdmitted = 0; ///< since `mCountedFrom`
   };
 
+  /// Checks whether an account is known to demand more than its share.
+  [[nodiscard]] bool IsOverShare(const OfferedRequest& aRequest) const;
   /// Returns the latest admission that the queue waits for.
   [[nodiscard]] TimePoint LimitOf(const OfferedRequest& aRequest) const;
   [[nodiscard]] bool HasRoomFor(const OfferedRequest& aRequest) const;
@@ -188,21 +210,26 @@
   [[nodiscard]] Refusal Refuse(const OfferedRequest& aRequest,
                                RefusalReason aReason,
                                TimePoint aNow);
-  /// Ends the time in which less urgent requests of an account are refused.
-  struct Shedding
+  using AccountOfService = std::pair<std::string, std::string>;
+
+  /// Holds what became of the requests of an account for a service.
+  struct Outcomes
   {
-    int mPriority = 0; ///< the most urgent one that was refused
-    TimePoint mUntil;
+    ServedFractions mFractions;
+    std::map<int, TimePoint> mReturns; ///< latest ones that were asked for
   };
 
-  using AccountOfService = std::pair<std::string, std::string>;
-
-  /// Returns the shedding that a request is subject to; null: none.
-  [[nodiscard]] const Shedding* SheddingOf(const OfferedRequest& aRequest,
-                                           TimePoint aNow) const;
-  /// Starts to refuse less urgent requests of the account.
-  void OnRefused(const OfferedRequest& aRequest, TimePoint aNow);
-  /// Removes the waiting requests that are subject to a shedding.
+  /// Returns the outcomes of the account at the service.
+  [[nodiscard]] Outcomes& OutcomesOf(const OfferedRequest& aRequest);
+  /// Returns how long the refused more urgent requests of the account take to
+  /// come back.
+  [[nodiscard]] Duration TimeToReturns(const OfferedRequest& aRequest,
+                                       TimePoint aNow) const;
+  /// Checks whether the kind of a request is served more often than more urgent
+  /// ones of its account.
+  [[nodiscard]] bool IsAhead(const OfferedRequest& aRequest,
+                             TimePoint aNow) const;
+  /// Removes waiting requests of kinds that are served too often.
   [[nodiscard]] std::vector<Refusal> RefuseLessUrgent(TimePoint aNow);
 
   /// Forgets a request that has left `mQueue`.
@@ -212,7 +239,7 @@
   FairQueue mQueue;
   std::unordered_map<routing::TicketId, OfferedRequest> mWaiting;
   std::map<std::string, ServiceState, std::less<>> mServices;
-  std::map<AccountOfService, Shedding> mSheddings;
+  std::map<AccountOfService, Outcomes> mOutcomes;
   std::size_t mBytes = 0;
   TimePoint mCountedFrom; ///< begin of the interval of `PopBacklogs`
 };
--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,6 +24,9 @@
   routing::TicketId mTicket = 0;
   /// capacity that it waits for; requests of one class can use the same slots
   std::string mCapacityClass;
+  /// capacity classes of one group share slots, so that the priority within an
+  /// account applies across them; empty: the class shares no slots
+  std::string mGroup;
   std::string mAccount;
   double mShare = 1.0; ///< weight of the client account, > 0
   double mCost = 1.0;  ///< expected work, in one unit for all requests, > 0
@@ -49,7 +53,8 @@
 /// own requests. For two accounts that are both backlogged in a class, the work
 /// admitted per weight never differs by more than the sum of their largest
 /// requests per weight. Within an account, requests are ordered by priority,
-/// then by arrival. Capacity classes are served round-robin.
+/// then by arrival. Capacity classes are served round-robin. A turn of an
+/// account is used for its most urgent request in the classes of the group.
 ///
 /// An account without waiting requests accumulates no credit and uses no
 /// memory.
@@ -114,6 +119,10 @@
     return mClassQueues.contains(aCapacityClass);
   }
 
+  /// @brief Checks whether a more urgent request of the same account waits in a
+  /// capacity class of the same group.
+  [[nodiscard]] bool HasMoreUrgent(const QueuedRequest& aRequest) const;
+
   [[nodiscard]] std::size_t Size() const { return mLocations.size(); }
   [[nodiscard]] bool Empty() const { return mLocations.empty(); }
 
@@ -138,6 +147,7 @@
   /// Holds all waiting requests of one capacity class.
   struct ClassQueue
   {
+    std::string mGroup;
     double mVirtualTime = 0.0; ///< start tag of the last admitted request
     std::map<std::string, Flow> mFlows;
     std::size_t mWaiting = 0;
@@ -160,8 +170,18 @@
   };
 
   using ClassQueues = std::map<std::string, ClassQueue, std::less<>>;
-
-  [[nodiscard]] static Flow* NextFlow(ClassQueue& aQueue);
+  using ClassNames = std::set<std::string, std::less<>>;
+
+  /// Returns the class of the most urgent request of an account among the
+  /// classes of a group that are not exhausted.
+  /// @param[in] aClass with a waiting request of the account; returned if there
+  /// is no more urgent one
+  [[nodiscard]] ClassQueues::iterator MostUrgentClass(
+    ClassQueues::iterator aClass,
+    const std::string& aAccount,
+    const ClassNames& aExhausted);
+  /// Returns the account whose turn it is in a class.
+  [[nodiscard]] static const std::string& NextAccount(const ClassQueue& aQueue);
   /// Holds what the estimate of a wait needs of another account's flow.
   struct Competitor
   {
@@ -207,8 +227,13 @@
   [[nodiscard]] std::pair<routing::TicketId, Rank> LastOf(
     std::string_view aAccount) const;
   static void AdvanceVirtualTime(ClassQueue& aQueue, Flow& aFlow, double aCost);
+  /// Tries the first request of an account in a class.
+  /// @param[in] aTurn class that provides the turn of the account, which is
+  /// charged for it
   std::optional<routing::TicketId> AdmitFrom(
     ClassQueue& aQueue,
+    const std::string& aAccount,
+    ClassQueue& aTurn,
     const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
     TimePoint aNow);
   void Erase(routing::TicketId aTicket);
--- a/src/core/admission/account_queue.cpp
+++ b/src/core/admission/account_queue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <numeric>
 #include <ranges>
 
 namespace figslip::admission {
@@ -31,11 +32,6 @@
 /// estimate that is too long for a moment must not get many refused at once.
 constexpr double kMaxLaterWaitFraction = 1.25;
 
-/// Time for which less urgent requests of an account are refused after a more
-/// urgent one was. It is the order of the target latencies of urgent kinds: in
-/// this time the queue shows whether they are served again.
-constexpr Duration kShedTime = std::chrono::seconds(1);
-
 /// Accounts that a summary lists.
 constexpr std::size_t kListedAccounts = 3;
 
@@ -61,14 +57,18 @@
 {
 }
 
+bool
+AccountQueue::IsOverShare(const OfferedRequest& aRequest) const
+{
+  return mOptions.mIsOverShare &&
+         mOptions.mIsOverShare(aRequest.mService, aRequest.mQueued.mAccount);
+}
+
 TimePoint
 AccountQueue::LimitOf(const OfferedRequest& aRequest) const
 {
-  const bool isOverShare =
-    mOptions.mIsOverShare &&
-    mOptions.mIsOverShare(aRequest.mService, aRequest.mQueued.mAccount);
-  return isOverShare ? std::min(aRequest.mInTimeBy, aRequest.mLateBy)
-                     : aRequest.mLateBy;
+  return IsOverShare(aRequest) ? std::min(aRequest.mInTimeBy, aRequest.mLateBy)
+                               : aRequest.mLateBy;
 }
 
 bool
@@ -88,11 +88,9 @@
   // a caller that comes back after this time finds that the requests which now
   // wait too long before it have been served
   const auto tolerated = std::max(Duration::zero(), LimitOf(aRequest) - aNow);
-  const auto* const shedding = SheddingOf(aRequest, aNow);
-  const auto shed =
-    shedding == nullptr ? Duration::zero() : shedding->mUntil - aNow;
   const auto least =
-    std::clamp(std::max(wait.value_or(Duration::zero()) - tolerated, shed),
+    std::clamp(std::max(wait.value_or(Duration::zero()) - tolerated,
+                        TimeToReturns(aRequest, aNow)),
                mOptions.mMinRetryAfter,
                std::max(mOptions.mMinRetryAfter, kMaxRetryAfter));
   // others that are refused now are told the same time; the spread lets as many
@@ -136,6 +134,11 @@
 AccountQueue::Offer(OfferedRequest aRequest, TimePoint aNow)
 {
   OfferResult result;
+  aRequest.mQueued.mGroup = aRequest.mService;
+  if (aRequest.mQueued.mWasRejected) {
+    OutcomesOf(aRequest).mFractions.OnServiceRejected(
+      aRequest.mQueued.mPriority, aNow);
+  }
   const auto limit = LimitOf(aRequest);
   const auto wait = mQueue.ExpectedWait(aRequest.mQueued, aNow);
   const auto tolerated = aRequest.mQueued.mFormerArrival
@@ -148,8 +151,8 @@
                              aNow);
     return result;
   }
-  if (SheddingOf(aRequest, aNow) != nullptr) {
-    result.mRefusal = RefusalOf(aRequest, RefusalReason::LessUrgent, aNow);
+  if (IsAhead(aRequest, aNow)) {
+    result.mRefusal = Refuse(aRequest, RefusalReason::LessUrgent, aNow);
     return result;
   }
   while (!HasRoomFor(aRequest)) {
@@ -159,7 +162,7 @@
       return result;
     }
     result.mEvicted.push_back(
-      RefusalOf(Extract(*evicted), RefusalReason::Evicted, aNow));
+      Refuse(Extract(*evicted), RefusalReason::Evicted, aNow));
   }
   if (mWaiting.empty()) {
     mCountedFrom = aNow;
@@ -186,8 +189,9 @@
   const auto count = [&](const QueuedRequest& aRequest) {
     const auto result = aTry(aRequest);
     if (result == AdmissionResult::Admitted) {
-      const auto& service = mWaiting.at(aRequest.mTicket).mService;
-      ++mServices.find(service)->second.mAdmitted;
+      const auto& request = mWaiting.at(aRequest.mTicket);
+      ++mServices.find(request.mService)->second.mAdmitted;
+      OutcomesOf(request).mFractions.OnServed(aRequest.mPriority, aNow);
     }
     return result;
   };
@@ -230,45 +234,79 @@
 std::vector<Refusal>
 AccountQueue::RefuseLessUrgent(TimePoint aNow)
 {
-  std::erase_if(mSheddings,
-                [&](const auto& aItem) { return aNow >= aItem.second.mUntil; });
+  std::erase_if(mOutcomes, [&](const auto& aItem) {
+    return aItem.second.mFractions.IsOutdated(aNow);
+  });
   std::vector<Refusal> refusals;
-  if (mSheddings.empty()) {
-    return refusals;
-  }
-  std::vector<routing::TicketId> tickets;
-  for (const auto& [ticket, request] : mWaiting) {
-    if (SheddingOf(request, aNow) != nullptr) {
-      tickets.push_back(ticket);
+  // the newest go first, as they have waited least; each refusal lowers the
+  // fraction of its kind
+  for (const auto ticket : Tickets() | std::views::reverse) {
+    if (!IsAhead(mWaiting.at(ticket), aNow)) {
+      continue;
     }
-  }
-  for (const auto ticket : tickets) {
     mQueue.Remove(ticket);
     refusals.push_back(
-      RefusalOf(Extract(ticket), RefusalReason::LessUrgent, aNow));
+      Refuse(Extract(ticket), RefusalReason::LessUrgent, aNow));
   }
   return refusals;
 }
 
-const AccountQueue::Shedding*
-AccountQueue::SheddingOf(const OfferedRequest& aRequest, TimePoint aNow) const
+bool
+AccountQueue::MustWait(const OfferedRequest& aRequest) const
 {
-  const auto found =
-    mSheddings.find({ aRequest.mService, aRequest.mQueued.mAccount });
-  const bool isSubject = found != mSheddings.end() &&
-                         aNow < found->second.mUntil &&
-                         aRequest.mQueued.mPriority > found->second.mPriority;
-  return isSubject ? &found->second : nullptr;
+  auto request = aRequest.mQueued;
+  request.mGroup = aRequest.mService;
+  return mQueue.HasWaiting(request.mCapacityClass) ||
+         mQueue.HasMoreUrgent(request);
+}
+
+std::optional<Refusal>
+AccountQueue::RefuseDirect(const OfferedRequest& aRequest, TimePoint aNow)
+{
+  return IsAhead(aRequest, aNow)
+           ? std::optional(Refuse(aRequest, RefusalReason::LessUrgent, aNow))
+           : std::nullopt;
 }
 
 void
-AccountQueue::OnRefused(const OfferedRequest& aRequest, TimePoint aNow)
+AccountQueue::OnAdmittedDirect(const OfferedRequest& aRequest, TimePoint aNow)
 {
-  auto& shedding = mSheddings[{ aRequest.mService, aRequest.mQueued.mAccount }];
-  const auto priority = aRequest.mQueued.mPriority;
-  if (aNow >= shedding.mUntil || priority <= shedding.mPriority) {
-    shedding = { .mPriority = priority, .mUntil = aNow + kShedTime };
+  OutcomesOf(aRequest).mFractions.OnServed(aRequest.mQueued.mPriority, aNow);
+}
+
+AccountQueue::Outcomes&
+AccountQueue::OutcomesOf(const OfferedRequest& aRequest)
+{
+  return mOutcomes[{ aRequest.mService, aRequest.mQueued.mAccount }];
+}
+
+bool
+AccountQueue::IsAhead(const OfferedRequest& aRequest, TimePoint aNow) const
+{
+  const auto found =
+    mOutcomes.find({ aRequest.mService, aRequest.mQueued.mAccount });
+  return mOptions.mRefusesLessUrgent && found != mOutcomes.end() &&
+         found->second.mFractions.IsAhead(aRequest.mQueued.mPriority, aNow) &&
+         IsOverShare(aRequest);
+}
+
+Duration
+AccountQueue::TimeToReturns(const OfferedRequest& aRequest,
+                            TimePoint aNow) const
+{
+  const auto found =
+    mOutcomes.find({ aRequest.mService, aRequest.mQueued.mAccount });
+  if (!mOptions.mRefusesLessUrgent || found == mOutcomes.end() ||
+      !IsOverShare(aRequest)) {
+    return Duration::zero();
   }
+  const auto& returns = found->second.mReturns;
+  return std::transform_reduce(
+    returns.begin(),
+    returns.lower_bound(aRequest.mQueued.mPriority),
+    Duration::zero(),
+    [](Duration aLeft, Duration aRight) { return std::max(aLeft, aRight); },
+    [&](const auto& aEntry) { return aEntry.second - aNow; });
 }
 
 Refusal
@@ -276,8 +314,12 @@
                      RefusalReason aReason,
                      TimePoint aNow)
 {
-  OnRefused(aRequest, aNow);
-  return RefusalOf(aRequest, aReason, aNow);
+  auto refusal = RefusalOf(aRequest, aReason, aNow);
+  auto& outcomes = OutcomesOf(aRequest);
+  outcomes.mFractions.OnRefused(aRequest.mQueued.mPriority, aNow);
+  auto& latest = outcomes.mReturns[aRequest.mQueued.mPriority];
+  latest = std::max(latest, aNow + refusal.mRetryAfter);
+  return refusal;
 }
 
 std::vector<routing::TicketId>
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -5,7 +5,6 @@
 #include <iterator>
 #include <numeric>
 #include <ranges>
-#include <set>
 
 namespace figslip::admission {
 
@@ -26,6 +25,7 @@
     mClassQueues.try_emplace(aRequest.mCapacityClass);
   auto& queue = position->second;
   if (isNew) {
+    queue.mGroup = aRequest.mGroup;
     queue.mRate.Begin(aNow);
   }
   auto& flow = queue.mFlows[aRequest.mAccount];
@@ -58,17 +58,59 @@
   return arrival;
 }
 
-FairQueue::Flow*
-FairQueue::NextFlow(ClassQueue& aQueue)
+const std::string&
+FairQueue::NextAccount(const ClassQueue& aQueue)
 {
-  Flow* next = nullptr;
-  for (auto& [account, flow] : aQueue.mFlows) {
-    if (!flow.mWaiting.empty() &&
-        (next == nullptr || flow.mStartTag < next->mStartTag)) {
-      next = &flow;
+  auto waiting = aQueue.mFlows | std::views::filter([](const auto& aEntry) {
+                   return !aEntry.second.mWaiting.empty();
+                 });
+  return std::ranges::min_element(
+           waiting,
+           {},
+           [](const auto& aEntry) { return aEntry.second.mStartTag; })
+    ->first;
+}
+
+FairQueue::ClassQueues::iterator
+FairQueue::MostUrgentClass(ClassQueues::iterator aClass,
+                           const std::string& aAccount,
+                           const ClassNames& aExhausted)
+{
+  auto best = aClass;
+  const auto& group = aClass->second.mGroup;
+  if (group.empty()) {
+    return best;
+  }
+  const auto priorityIn = [&](const ClassQueue& aQueue) -> std::optional<int> {
+    const auto flow = aQueue.mFlows.find(aAccount);
+    const bool isWaiting =
+      flow != aQueue.mFlows.end() && !flow->second.mWaiting.empty();
+    return isWaiting ? std::optional(flow->second.mWaiting.begin()->first.first)
+                     : std::nullopt;
+  };
+  for (auto other = mClassQueues.begin(); other != mClassQueues.end();
+       ++other) {
+    if (other->second.mGroup != group || aExhausted.contains(other->first)) {
+      continue;
+    }
+    const auto priority = priorityIn(other->second);
+    if (priority && *priority < *priorityIn(best->second)) {
+      best = other;
     }
   }
-  return next;
+  return best;
+}
+
+bool
+FairQueue::HasMoreUrgent(const QueuedRequest& aRequest) const
+{
+  return std::ranges::any_of(
+    mClassQueues | std::views::values, [&](const ClassQueue& aQueue) {
+      const auto flow = aQueue.mFlows.find(aRequest.mAccount);
+      return aQueue.mGroup == aRequest.mGroup && flow != aQueue.mFlows.end() &&
+             !flow->second.mWaiting.empty() &&
+             flow->second.mWaiting.begin()->first.first < aRequest.mPriority;
+    });
 }
 
 void
@@ -112,10 +154,12 @@
 std::optional<routing::TicketId>
 FairQueue::AdmitFrom(
   ClassQueue& aQueue,
+  const std::string& aAccount,
+  ClassQueue& aTurn,
   const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
   TimePoint aNow)
 {
-  auto& flow = *NextFlow(aQueue);
+  auto& flow = aQueue.mFlows.at(aAccount);
   const auto& request = flow.mWaiting.begin()->second;
   const auto ticket = request.mTicket;
   const auto result = aTry(request);
@@ -123,7 +167,7 @@
     return std::nullopt;
   }
   if (result == AdmissionResult::Admitted) {
-    AdvanceVirtualTime(aQueue, flow, request.mCost);
+    AdvanceVirtualTime(aTurn, aTurn.mFlows.at(aAccount), request.mCost);
     aQueue.mRate.OnAdmission(aNow, request.mCost);
     flow.mRate.OnAdmission(aNow, request.mCost);
   }
@@ -137,7 +181,7 @@
   TimePoint aNow)
 {
   std::vector<routing::TicketId> left;
-  std::set<std::string, std::less<>> exhausted;
+  ClassNames exhausted;
   while (exhausted.size() < mClassQueues.size()) {
     auto position = mClassQueues.upper_bound(mLastServedClass);
     if (position == mClassQueues.end()) {
@@ -147,10 +191,14 @@
     if (exhausted.contains(mLastServedClass)) {
       continue;
     }
-    if (const auto ticket = AdmitFrom(position->second, aTry, aNow)) {
+    const auto account = NextAccount(position->second);
+    const auto chosen = MostUrgentClass(position, account, exhausted);
+    const auto ticket =
+      AdmitFrom(chosen->second, account, position->second, aTry, aNow);
+    if (ticket) {
       left.push_back(*ticket);
     } else {
-      exhausted.insert(mLastServedClass);
+      exhausted.insert(chosen->first);
     }
   }
   return left;
--- a/tests/src/unit-account_queue.cpp
+++ b/tests/src/unit-account_queue.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <map>
+#include <random>
 #include <ranges>
 #include <set>
 #include <string>
@@ -184,6 +185,237 @@
   std::vector<TimePoint> mBusyUntil;
 };
 
+/// Plays one instance's queue before slots that it shares with others: an
+/// account at several times its share with three kinds of requests, the least
+/// urgent of which tolerates the longest wait, beside one within its share.
+class PriorityPlay
+{
+public:
+  static constexpr std::size_t kKinds = 3; ///< also their priorities
+
+  struct Load
+  {
+    std::string mName;
+    Duration mPeriod{}; ///< of the bursts; 0: steady
+    Duration mBurst{};  ///< within the period; else a third of the capacity
+    Duration mStallPeriod{ 1h };
+    Duration mStall{}; ///< within its period, no slot is free
+  };
+
+  struct Options
+  {
+    Load mLoad;
+    double mFactor = 1.0; ///< offered work, in the work that all slots do
+    int mSlots = 1;       ///< on average; their number varies by half of it
+    /// the least urgent kind may use further versions: a class of its own
+    bool mHasClassOfOwn = false;
+    bool mRefusesLessUrgent = true;
+  };
+
+  struct Tally
+  {
+    double mOffered = 0.0;
+    double mServed = 0.0;
+    double mInTime = 0.0;
+
+    [[nodiscard]] double Fraction() const { return mServed / mOffered; }
+  };
+
+  explicit PriorityPlay(Options aOptions)
+    : mOptions(std::move(aOptions))
+    , mQueue({ .mMaxWaiting = 2000,
+               .mMaxBytes = 1 << 24,
+               .mMinRetryAfter = kMinRetryAfter,
+               .mIsOverShare = [](auto /*aService*/,
+                                  auto aAccount) { return aAccount == kLarge; },
+               .mRefusesLessUrgent = mOptions.mRefusesLessUrgent })
+  {
+    // the fewer the slots, the longer it takes to see enough requests
+    const Duration end = 480s / mOptions.mSlots;
+    for (mTime = 0s; mTime < end; mTime += kStep) {
+      Step(kStart + mTime);
+    }
+  }
+
+  std::array<Tally, kKinds> mLarge;
+  Tally mSmall;
+
+  /// Returns how much more often a less urgent kind is served.
+  [[nodiscard]] double Disorder() const
+  {
+    const auto& [urgent, usual, patient] = mLarge;
+    return std::max({ usual.Fraction() - urgent.Fraction(),
+                      patient.Fraction() - urgent.Fraction(),
+                      patient.Fraction() - usual.Fraction() });
+  }
+  [[nodiscard]] double InTime() const
+  {
+    return mSmall.mInTime + mLarge[0].mInTime + mLarge[1].mInTime +
+           mLarge[2].mInTime;
+  }
+
+private:
+  static constexpr auto kStep = 5ms;
+  static constexpr auto kLarge = "large";
+  static constexpr auto kFirstEvent = 100ms;
+
+  struct Kind
+  {
+    double mRate = 0.0; ///< in relation to each other
+    double mWorkMs = 0.0;
+    Duration mTarget;
+    Duration mTimeout;
+  };
+
+  static constexpr std::array<Kind, kKinds> kKindTable{
+    Kind{ 1.4, 100.0, 1s, 15s },
+    Kind{ 2.2, 100.0, 1s, 4s },
+    Kind{ 1.0, 400.0, 3s, 15s }
+  };
+
+  struct Call
+  {
+    std::size_t mKind = 0;
+    std::string mAccount;
+    TimePoint mAt;
+    TimePoint mDeadline;
+    bool mIsRetry = false;
+  };
+
+  /// Returns a number from 0 to 1.
+  double Draw() { return static_cast<double>(mRandom()) / 4294967296.0; }
+
+  Tally& TallyOf(const Call& aCall)
+  {
+    return aCall.mAccount == kLarge ? mLarge.at(aCall.mKind) : mSmall;
+  }
+
+  void Step(TimePoint aNow)
+  {
+    std::erase_if(mBusyUntil, [&](auto aUntil) { return aUntil <= aNow; });
+    if (mTime % 100ms == 0s) {
+      mBase = mOptions.mSlots / 2 +
+              static_cast<int>(Draw() * (mOptions.mSlots + 1.0));
+    }
+    const auto& load = mOptions.mLoad;
+    mSlots = mTime % load.mStallPeriod < load.mStall ? 0 : mBase;
+    const bool isBurst =
+      load.mPeriod == 0s || mTime % load.mPeriod < load.mBurst;
+    const double factor = isBurst ? mOptions.mFactor : 0.3;
+    for (std::size_t kind = 0; kind < kKinds; ++kind) {
+      constexpr double kWorkOfAll = 1.4 * 100.0 + 2.2 * 100.0 + 400.0;
+      auto expected =
+        factor * mOptions.mSlots * kKindTable.at(kind).mRate * 5.0 / kWorkOfAll;
+      for (; expected > 0.0; expected -= 1.0) {
+        ArriveIf(Draw() < expected, kind, kLarge, aNow);
+      }
+      ArriveIf(Draw() < mOptions.mSlots * 0.001, kind, "small", aNow);
+    }
+    while (!mReturns.empty() && mReturns.begin()->first <= aNow) {
+      Arrive(mReturns.extract(mReturns.begin()).mapped(), aNow);
+    }
+    if (mTime % 10ms == 0s) {
+      std::ranges::for_each(mQueue.RefuseUnmeetable(aNow),
+                            [&](auto& aRefusal) { OnRefused(aRefusal, aNow); });
+    }
+    const auto admit = [&](const QueuedRequest& aRequest) {
+      return TryServe(aRequest.mTicket, aNow) ? AdmissionResult::Admitted
+                                              : AdmissionResult::NoCapacity;
+    };
+    (void)mQueue.Admit(admit, aNow);
+  }
+
+  bool TryServe(TicketId aTicket, TimePoint aNow)
+  {
+    if (static_cast<int>(mBusyUntil.size()) >= mSlots) {
+      return false;
+    }
+    const auto& call = mCalls.at(aTicket);
+    const auto& kind = kKindTable.at(call.mKind);
+    // a half to one and a half of the mean, independent of other requests
+    const auto fraction =
+      0.5 + static_cast<double>(aTicket * 2654435761U % 4096) / 4096.0;
+    mBusyUntil.push_back(aNow + Duration(static_cast<Duration::rep>(
+                                  kind.mWorkMs * 1000.0 * fraction)));
+    auto& tally = TallyOf(call);
+    tally.mServed += 1.0;
+    tally.mInTime += aNow - call.mAt <= kind.mTarget - kFirstEvent ? 1.0 : 0.0;
+    return true;
+  }
+
+  void OnRefused(const admission::Refusal& aRefusal, TimePoint aNow)
+  {
+    auto call = mCalls.at(aRefusal.mTicket);
+    const bool returns =
+      !call.mIsRetry && aRefusal.mRetryAfter <= (call.mDeadline - aNow) / 3;
+    if (returns) {
+      call.mIsRetry = true;
+      mReturns.emplace(aNow + aRefusal.mRetryAfter, call);
+    }
+  }
+
+  void ArriveIf(bool aArrives,
+                std::size_t aKind,
+                const std::string& aAccount,
+                TimePoint aNow)
+  {
+    if (aArrives) {
+      const Call call{ .mKind = aKind,
+                       .mAccount = aAccount,
+                       .mAt = aNow,
+                       .mDeadline = aNow + kKindTable.at(aKind).mTimeout };
+      TallyOf(call).mOffered += 1.0;
+      Arrive(call, aNow);
+    }
+  }
+
+  void Arrive(const Call& aCall, TimePoint aNow)
+  {
+    const auto ticket = ++mLastTicket;
+    mCalls[ticket] = aCall;
+    const auto& kind = kKindTable.at(aCall.mKind);
+    const bool isOwnClass = mOptions.mHasClassOfOwn && aCall.mKind == 2;
+    const OfferedRequest request{
+      .mQueued = { .mTicket = ticket,
+                   .mCapacityClass = isOwnClass ? "chat v2" : "chat",
+                   .mAccount = aCall.mAccount,
+                   .mCost = kind.mWorkMs,
+                   .mPriority = static_cast<int>(aCall.mKind) },
+      .mService = "chat",
+      .mBytes = 100,
+      .mInTimeBy = aNow + kind.mTarget - kFirstEvent,
+      .mLateBy = aNow + (aCall.mDeadline - aNow) / 3,
+      .mHash = ticket * 0x9E3779B97F4A7C15U >> 7U
+    };
+    if (!mQueue.MustWait(request)) {
+      if (const auto refusal = mQueue.RefuseDirect(request, aNow)) {
+        OnRefused(*refusal, aNow);
+        return;
+      }
+      if (TryServe(ticket, aNow)) {
+        mQueue.OnAdmittedDirect(request, aNow);
+        return;
+      }
+    }
+    const auto result = mQueue.Offer(request, aNow);
+    CHECK(result.mEvicted.empty());
+    if (result.mRefusal) {
+      OnRefused(*result.mRefusal, aNow);
+    }
+  }
+
+  Options mOptions;
+  AccountQueue mQueue;
+  std::mt19937 mRandom{ 1 };
+  Duration mTime{};
+  TicketId mLastTicket = 0;
+  int mBase = 0;
+  int mSlots = 0; ///< that this instance finds now
+  std::map<TicketId, Call> mCalls;
+  std::multimap<TimePoint, Call> mReturns;
+  std::vector<TimePoint> mBusyUntil;
+};
+
 } // namespace
 
 // Load: one account of 24 sends 12 times its usual load for 10 s, all others
@@ -225,6 +457,63 @@
   }
 }
 
+// Load: an account at 1.5 to 8 times the capacity, steady, in bursts or while
+// slots stall. Guards against less urgent kinds that are served more often
+// because they may wait for longer or wait in another capacity class: with the
+// order within each class only, 0.99 of the least urgent kind were served and
+// 0.00 of a more urgent one.
+TEST_CASE("kinds of one account")
+{
+  const std::array<PriorityPlay::Load, 4> loads{
+    PriorityPlay::Load{ .mName = "steady" },
+    { .mName = "bursts of 1.5 s", .mPeriod = 3s, .mBurst = 1500ms },
+    { .mName = "bursts of 3 s", .mPeriod = 8s, .mBurst = 3200ms },
+    { .mName = "stalls of 0.7 s", .mStallPeriod = 2s, .mStall = 700ms }
+  };
+  double largestDisorderWithout = 0.0;
+  for (const bool hasClassOfOwn : { false, true }) {
+    for (const int slots : { 2, 8 }) {
+      for (const auto& load : loads) {
+        for (const double factor : { 1.5, 3.0, 8.0 }) {
+          PriorityPlay::Options options{ .mLoad = load,
+                                         .mFactor = factor,
+                                         .mSlots = slots,
+                                         .mHasClassOfOwn = hasClassOfOwn };
+          const PriorityPlay play(options);
+          options.mRefusesLessUrgent = false;
+          const PriorityPlay without(options);
+          const auto& [urgent, usual, patient] = play.mLarge;
+          MESSAGE(load.mName,
+                  ", slots ",
+                  slots,
+                  ", own class ",
+                  hasClassOfOwn,
+                  ", load ",
+                  factor,
+                  ": served ",
+                  urgent.Fraction(),
+                  " ",
+                  usual.Fraction(),
+                  " ",
+                  patient.Fraction(),
+                  "; in time ",
+                  play.InTime(),
+                  ", without refusals of less urgent ones ",
+                  without.InTime(),
+                  "; order without them ",
+                  without.Disorder());
+          largestDisorderWithout =
+            std::max(largestDisorderWithout, without.Disorder());
+          CHECK(play.Disorder() <= 0.05);
+          CHECK(play.InTime() >= 0.95 * without.InTime());
+          CHECK(play.mSmall.mInTime >= 0.97 * without.mSmall.mInTime);
+        }
+      }
+    }
+  }
+  CHECK(largestDisorderWithout > 0.05); // the load is of the kind named above
+}
+
 TEST_CASE("account queue")
 {
   bool isOverShare = false;
@@ -305,31 +594,49 @@
 
   // guards against a less urgent kind with a longer target latency that was
   // served 99 times in 100 while the more urgent one was served 77 times
-  SUBCASE("after the refusal of an urgent request")
+  SUBCASE("after refusals of urgent requests of an account over its share")
   {
+    isOverShare = true;
     auto patient = RequestOf(901, "large", kStart, 2);
     patient.mInTimeBy = kStart + 3s;
+    queue.OnAdmittedDirect(patient, kStart);
     CHECK_FALSE(queue.Offer(patient, kStart).mRefusal);
-    auto urgent = RequestOf(902, "large", kStart - 2s, 0);
-    urgent.mInTimeBy = kStart - 1s;
-    urgent.mLateBy = kStart - 1s;
-    REQUIRE(queue.Offer(urgent, kStart).mRefusal);
+    TicketId ticket = 910;
+    auto latestReturn = Duration::zero();
+    const auto refuseUrgent = [&] {
+      auto urgent = RequestOf(++ticket, "large", kStart - 2s, 0);
+      urgent.mInTimeBy = kStart - 1s;
+      const auto refusal = queue.Offer(urgent, kStart).mRefusal;
+      REQUIRE(refusal);
+      latestReturn = std::max(latestReturn, refusal->mRetryAfter);
+    };
+    for (int count = 0; count < 10; ++count) {
+      refuseUrgent();
+    }
 
-    SUBCASE("refuses less urgent ones of the account, also those that wait")
+    SUBCASE("refuses less urgent ones, also those that wait")
     {
       const auto refusals = queue.RefuseUnmeetable(kStart);
       REQUIRE(refusals.size() == 1);
       CHECK(refusals.front().mTicket == 901);
       CHECK(refusals.front().mReason == RefusalReason::LessUrgent);
-      CHECK(refusals.front().mRetryAfter >= 1s);
-      patient.mQueued.mTicket = 903;
-      const auto refusal = queue.Offer(patient, kStart + 500ms).mRefusal;
-      REQUIRE(refusal);
-      CHECK(refusal->mReason == RefusalReason::LessUrgent);
+      CHECK(refusals.front().mRetryAfter >= latestReturn);
+      CHECK(queue.Offer(RequestOf(903, "large", kStart, 2), kStart).mRefusal);
+
+      SUBCASE("and those that would find a slot")
+      {
+        const auto refusal = queue.RefuseDirect(patient, kStart);
+        REQUIRE(refusal);
+        CHECK(refusal->mReason == RefusalReason::LessUrgent);
+        CHECK(refusal->mRetryAfter >= latestReturn);
+      }
 
-      SUBCASE("until a second has passed")
+      SUBCASE("until urgent ones are served as often")
       {
-        CHECK_FALSE(queue.Offer(patient, kStart + 1s).mRefusal);
+        for (int count = 0; count < 40; ++count) {
+          queue.OnAdmittedDirect(RequestOf(904, "large", kStart), kStart);
+        }
+        CHECK_FALSE(queue.RefuseDirect(patient, kStart));
       }
     }
 
@@ -340,6 +647,28 @@
       CHECK_FALSE(
         queue.Offer(RequestOf(905, "small", kStart, 2), kStart).mRefusal);
     }
+
+    SUBCASE("takes less urgent ones once the account is within its share")
+    {
+      isOverShare = false;
+      CHECK(queue.RefuseUnmeetable(kStart).empty());
+      CHECK_FALSE(queue.RefuseDirect(patient, kStart));
+    }
+  }
+
+  // guards against a request that finds a slot before a more urgent one of its
+  // account which waits for the same slots in another class
+  SUBCASE("lets requests wait for more urgent ones in other classes")
+  {
+    CHECK_FALSE(queue.Offer(RequestOf(1, "a", now, 1), now).mRefusal);
+    auto other = RequestOf(2, "a", now, 2);
+    other.mQueued.mCapacityClass = "chat v2";
+    CHECK(queue.MustWait(other));
+    other.mQueued.mPriority = 1;
+    CHECK_FALSE(queue.MustWait(other));
+    other.mQueued.mPriority = 2;
+    other.mService = "embed";
+    CHECK_FALSE(queue.MustWait(other));
   }
 
   SUBCASE("bounds the bytes of the waiting requests, but takes a single one")
--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -101,6 +101,60 @@
 {
   FairQueue queue;
 
+  // Guards against less urgent requests that get every other slot because they
+  // wait in another capacity class.
+  SUBCASE("with requests of an account in two classes of a group")
+  {
+    const auto push = [&](TicketId aTicket,
+                          const std::string& aClass,
+                          const std::string& aAccount,
+                          int aPriority) {
+      queue.Push({ .mTicket = aTicket,
+                   .mCapacityClass = aClass,
+                   .mGroup = "chat",
+                   .mAccount = aAccount,
+                   .mPriority = aPriority,
+                   .mDeadline = kFarDeadline },
+                 kStart);
+    };
+    push(1, "v1", "a", 0);
+    push(2, "v1", "a", 0);
+    push(3, "v2", "a", 2);
+    push(4, "v2", "b", 1);
+
+    SUBCASE("admits the most urgent ones first and those of others in turn")
+    {
+      CHECK(AdmitUpTo(queue, 3) == std::vector<TicketId>{ 1, 2, 4 });
+      CHECK(AdmitUpTo(queue, 1) == std::vector<TicketId>{ 3 });
+    }
+
+    SUBCASE("admits less urgent ones where more urgent ones have no capacity")
+    {
+      const auto admitted = queue.Admit(
+        [&](const QueuedRequest& aRequest) {
+          return aRequest.mCapacityClass == "v1" ? AdmissionResult::NoCapacity
+                                                 : AdmissionResult::Admitted;
+        },
+        kStart);
+      CHECK(admitted == std::vector<TicketId>{ 3, 4 });
+    }
+
+    SUBCASE("knows that more urgent ones wait")
+    {
+      QueuedRequest request{ .mTicket = 5,
+                             .mCapacityClass = "v3",
+                             .mGroup = "chat",
+                             .mAccount = "a",
+                             .mPriority = 1 };
+      CHECK(queue.HasMoreUrgent(request));
+      request.mPriority = 0;
+      CHECK_FALSE(queue.HasMoreUrgent(request));
+      request.mPriority = 1;
+      request.mGroup = "embed";
+      CHECK_FALSE(queue.HasMoreUrgent(request));
+    }
+  }
+
   SUBCASE("with several backlogged accounts")
   {
     PushMany(queue, "heavy", 1.0, 1, 1000);
