Apply the order of priorities to free slots and replacements

A request that found a free slot while no other of its class waited was planned directly, also before a more urgent request of its account that waited in another class, and whatever its kind. A replacement of a silent attempt was planned beside the queue and tried again only after the next silence.

With overload control, a request is planned directly only if no more urgent one of its account waits for the service and its kind is not served too often. The admission of a request that a full upstream rejected is taken back from the served fraction. Replacements of silent and of failed attempts wait in the queue ahead of new requests of their account; they do not count as a kind. A cancelled replacement leaves the queue and frees its slot. Without overload control, replacements are planned as before.

The tick looks at each waiting request only if some kind is served too often.

--- a/include/figslip/admission/account_queue.hpp
+++ b/include/figslip/admission/account_queue.hpp
@@ -35,6 +35,11 @@
   /// latest admission for which a late answer is worth the wait
   TimePoint mLateBy;
   std::uint64_t mHash = 0; ///< differs among requests; spreads their returns
+  /// an upstream rejected it after its admission, with or without a wait
+  bool mWasAdmitted = false;
+  /// an attempt of it runs, beside which another one is to be sent; it goes
+  /// ahead of new requests of its account and does not count as one
+  bool mIsReplacement = false;
 };
 
 /// @brief Lists why a request is refused by the queue.
@@ -135,9 +140,9 @@
   /// @brief Adds a request, or refuses it at once.
   [[nodiscard]] OfferResult Offer(OfferedRequest aRequest, TimePoint aNow);
 
-  /// @brief Checks whether a request must wait, because other requests that go
-  /// first do.
-  [[nodiscard]] bool MustWait(const OfferedRequest& aRequest) const;
+  /// @brief Checks whether a request must wait because others of its capacity
+  /// class do, or more urgent ones of its account for the same service.
+  [[nodiscard]] bool MustWait(OfferedRequest aRequest) const;
 
   /// @brief Refuses a request that need not wait, if its kind is served too
   /// often.
@@ -221,6 +226,9 @@
 
   /// Returns the outcomes of the account at the service.
   [[nodiscard]] Outcomes& OutcomesOf(const OfferedRequest& aRequest);
+  void OnServed(const OfferedRequest& aRequest, TimePoint aNow);
+  /// Takes back the admission of a request that was rejected.
+  void TakeBackAdmission(const OfferedRequest& aRequest, TimePoint aNow);
   /// Returns how long the refused more urgent requests of the account take to
   /// come back.
   [[nodiscard]] Duration TimeToReturns(const OfferedRequest& aRequest,
--- a/include/figslip/admission/served_fractions.hpp
+++ b/include/figslip/admission/served_fractions.hpp
@@ -24,6 +24,9 @@
   /// more urgent ones, beyond the tolerance.
   [[nodiscard]] bool IsAhead(int aPriority, TimePoint aNow) const;
 
+  /// @brief Checks whether `IsAhead` holds for any priority.
+  [[nodiscard]] bool IsAnyAhead(TimePoint aNow) const;
+
   /// @brief Checks whether what was counted has decayed.
   [[nodiscard]] bool IsOutdated(TimePoint aNow) const;
 
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -84,6 +84,8 @@
   struct Replacement
   {
     Attempt mAttempt;
+    std::optional<Attempt> mPlanned; ///< with a slot that the queue reserved
+    routing::TicketId mTicket = 0;   ///< of the wait in the queue; 0: none
     bool mIsCancelled = false;
     bool mIsAccepted = false; ///< the running attempt is given up for it
   };
@@ -95,6 +97,7 @@
     /// while the running attempt goes on
     Duration mOverlap{};
     bool mWaitsForSlot = false; ///< until the end of the wait for a slot
+    bool mIsQueued = false;     ///< in the order of the queue
   };
 
   /// Waits until an instance that has just started is ready.
@@ -141,12 +144,20 @@
   [[nodiscard]] net::Awaitable<SlotStep> PrepareReturn();
   /// Waits in the queue until `mPlanned` has a slot or the wait ends.
   [[nodiscard]] net::Awaitable<WaitEnd> WaitInQueue();
-  /// Waits in the queue for a replacement of an answer.
-  /// @return null if none was planned
+  /// Plans the request without a wait, or refuses it because its kind is served
+  /// too often.
+  /// @return nothing if it has to wait
+  [[nodiscard]] std::optional<SlotStep> PlanDirect();
+  /// Plans a replacement, in the queue if others wait for the same slots or
+  /// none is free.
+  /// @param[in] aReplacement of `BeginReplacement`
+  /// @return null if it was not planned or was cancelled
   [[nodiscard]] net::Awaitable<std::shared_ptr<Replacement>>
-  AwaitReplacementSlot();
-  /// Plans the request into `mPlanned`.
-  [[nodiscard]] admission::AdmissionResult TryPlan();
+  AwaitReplacementSlot(std::shared_ptr<Replacement> aReplacement);
+  [[nodiscard]] net::Awaitable<WaitEnd> WaitInQueue(Replacement& aReplacement);
+  /// Plans the request and reserves a slot.
+  [[nodiscard]] admission::AdmissionResult TryPlan(
+    std::optional<Attempt>& aPlanned);
   [[nodiscard]] bool MayQueue(placement::NoChoiceReason aReason,
                               TimePoint aNow);
   /// Returns whether a request that a full upstream rejected may return to the
@@ -156,8 +167,7 @@
   /// answer it.
   [[nodiscard]] bool MayRetry(TimePoint aNow);
   [[nodiscard]] admission::OfferedRequest MakeOffer(TimePoint aNow);
-  /// Returns whether others wait for the same slots.
-  [[nodiscard]] bool MustQueue() const;
+  [[nodiscard]] admission::OfferedRequest MakeReplacementOffer(TimePoint aNow);
   /// Names the upstreams that the request may use; requests with the same name
   /// wait for the same slots.
   [[nodiscard]] std::string CapacityClass() const;
@@ -180,10 +190,11 @@
   /// Starts to replace the running attempt, if a retry is allowed, and calls
   /// itself again after the same time.
   void OnSilence();
+  /// @param[in] aFirst planned, or to be planned in the queue
   [[nodiscard]] net::Awaitable<void> ReplaceSilentAttempt(
     std::shared_ptr<Replacement> aFirst);
-  /// Makes a planned attempt the replacement of the running one.
-  [[nodiscard]] std::shared_ptr<Replacement> MakeReplacement(Attempt aPlanned);
+  /// Starts the search for a replacement, which is not planned yet.
+  [[nodiscard]] std::shared_ptr<Replacement> BeginReplacement();
   /// Plans a replacement of the running attempt.
   /// @return null if no upstream can accept it now
   [[nodiscard]] std::shared_ptr<Replacement> PlanReplacement();
@@ -333,6 +344,7 @@
   /// rank in the queue; empty: neither waited nor planned yet
   std::optional<std::uint64_t> mQueueArrival;
   bool mWasQueued = false;   ///< the last attempt was admitted by the queue
+  bool mWasAdmitted = false; ///< with or without a wait, since the last offer
   bool mIsReturning = false; ///< a full upstream rejected the last attempt
   int mReturns = 0;          ///< rejections by full upstreams
   /// upstreams that rejected the request as full
--- a/include/figslip/gateway/slot_queue.hpp
+++ b/include/figslip/gateway/slot_queue.hpp
@@ -73,6 +73,29 @@
     return mQueue.HasWaiting(aCapacityClass);
   }
 
+  /// @brief See `admission::AccountQueue::MustWait`.
+  [[nodiscard]] bool MustWait(const admission::OfferedRequest& aRequest) const
+  {
+    return !Empty() && mQueue.MustWait(aRequest);
+  }
+
+  /// @brief Refuses a request that need not wait, if its kind is served more
+  /// often than a more urgent one of its account.
+  /// @param[in] aAttemptId of the request, for the log
+  /// @return time until the caller should come back; nothing if it may be
+  /// planned
+  [[nodiscard]] std::optional<Duration> RefuseDirect(
+    const admission::OfferedRequest& aRequest,
+    const std::string& aAttemptId,
+    TimePoint aNow);
+
+  /// @brief See `admission::AccountQueue::OnAdmittedDirect`.
+  void OnAdmittedDirect(const admission::OfferedRequest& aRequest,
+                        TimePoint aNow)
+  {
+    mQueue.OnAdmittedDirect(aRequest, aNow);
+  }
+
   /// @brief Returns the time to the first event that is expected lately of a
   /// request of a service; zero if none was planned.
   [[nodiscard]] Duration ExpectedFirstEvent(std::string_view aService) const;
@@ -110,7 +133,8 @@
   void End(routing::TicketId aTicket, WaitEnd aEnd);
   void EndAll(WaitEnd aEnd);
   void Refuse(const admission::Refusal& aRefusal);
-  void LogRefusal(const Request& aRequest,
+  void LogRefusal(const admission::OfferedRequest& aRequest,
+                  const std::string& aAttemptId,
                   const admission::Refusal& aRefusal) const;
   void StartTicks(const net::asio::any_io_executor& aExecutor);
   [[nodiscard]] net::Awaitable<void> RunTicks();
--- a/src/core/admission/account_queue.cpp
+++ b/src/core/admission/account_queue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <limits>
 #include <numeric>
 #include <ranges>
 
@@ -42,6 +43,16 @@
     static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor));
 }
 
+/// Sets the position of a request among those of its account.
+void
+SetRank(OfferedRequest& aRequest)
+{
+  aRequest.mQueued.mGroup = aRequest.mService;
+  if (aRequest.mIsReplacement) {
+    aRequest.mQueued.mPriority = std::numeric_limits<int>::min();
+  }
+}
+
 } // namespace
 
 double
@@ -134,11 +145,8 @@
 AccountQueue::Offer(OfferedRequest aRequest, TimePoint aNow)
 {
   OfferResult result;
-  aRequest.mQueued.mGroup = aRequest.mService;
-  if (aRequest.mQueued.mWasRejected) {
-    OutcomesOf(aRequest).mFractions.OnServiceRejected(
-      aRequest.mQueued.mPriority, aNow);
-  }
+  SetRank(aRequest);
+  TakeBackAdmission(aRequest, aNow);
   const auto limit = LimitOf(aRequest);
   const auto wait = mQueue.ExpectedWait(aRequest.mQueued, aNow);
   const auto tolerated = aRequest.mQueued.mFormerArrival
@@ -191,7 +199,7 @@
     if (result == AdmissionResult::Admitted) {
       const auto& request = mWaiting.at(aRequest.mTicket);
       ++mServices.find(request.mService)->second.mAdmitted;
-      OutcomesOf(request).mFractions.OnServed(aRequest.mPriority, aNow);
+      OnServed(request, aNow);
     }
     return result;
   };
@@ -237,41 +245,66 @@
   std::erase_if(mOutcomes, [&](const auto& aItem) {
     return aItem.second.mFractions.IsOutdated(aNow);
   });
+  const bool isAnyAhead =
+    std::ranges::any_of(mOutcomes | std::views::values, [&](const auto& aItem) {
+      return aItem.mFractions.IsAnyAhead(aNow);
+    });
   std::vector<Refusal> refusals;
+  if (!isAnyAhead) {
+    return refusals;
+  }
   // the newest go first, as they have waited least; each refusal lowers the
   // fraction of its kind
   for (const auto ticket : Tickets() | std::views::reverse) {
-    if (!IsAhead(mWaiting.at(ticket), aNow)) {
-      continue;
+    if (IsAhead(mWaiting.at(ticket), aNow)) {
+      mQueue.Remove(ticket);
+      refusals.push_back(
+        Refuse(Extract(ticket), RefusalReason::LessUrgent, aNow));
     }
-    mQueue.Remove(ticket);
-    refusals.push_back(
-      Refuse(Extract(ticket), RefusalReason::LessUrgent, aNow));
   }
   return refusals;
 }
 
 bool
-AccountQueue::MustWait(const OfferedRequest& aRequest) const
+AccountQueue::MustWait(OfferedRequest aRequest) const
 {
-  auto request = aRequest.mQueued;
-  request.mGroup = aRequest.mService;
-  return mQueue.HasWaiting(request.mCapacityClass) ||
-         mQueue.HasMoreUrgent(request);
+  SetRank(aRequest);
+  return mQueue.HasWaiting(aRequest.mQueued.mCapacityClass) ||
+         mQueue.HasMoreUrgent(aRequest.mQueued);
 }
 
 std::optional<Refusal>
 AccountQueue::RefuseDirect(const OfferedRequest& aRequest, TimePoint aNow)
 {
-  return IsAhead(aRequest, aNow)
-           ? std::optional(Refuse(aRequest, RefusalReason::LessUrgent, aNow))
-           : std::nullopt;
+  if (!IsAhead(aRequest, aNow)) {
+    return std::nullopt;
+  }
+  TakeBackAdmission(aRequest, aNow);
+  return Refuse(aRequest, RefusalReason::LessUrgent, aNow);
 }
 
 void
 AccountQueue::OnAdmittedDirect(const OfferedRequest& aRequest, TimePoint aNow)
 {
-  OutcomesOf(aRequest).mFractions.OnServed(aRequest.mQueued.mPriority, aNow);
+  TakeBackAdmission(aRequest, aNow);
+  OnServed(aRequest, aNow);
+}
+
+void
+AccountQueue::OnServed(const OfferedRequest& aRequest, TimePoint aNow)
+{
+  if (!aRequest.mIsReplacement) {
+    OutcomesOf(aRequest).mFractions.OnServed(aRequest.mQueued.mPriority, aNow);
+  }
+}
+
+void
+AccountQueue::TakeBackAdmission(const OfferedRequest& aRequest, TimePoint aNow)
+{
+  if (aRequest.mWasAdmitted && !aRequest.mIsReplacement) {
+    OutcomesOf(aRequest).mFractions.OnServiceRejected(
+      aRequest.mQueued.mPriority, aNow);
+  }
 }
 
 AccountQueue::Outcomes&
@@ -285,7 +318,8 @@
 {
   const auto found =
     mOutcomes.find({ aRequest.mService, aRequest.mQueued.mAccount });
-  return mOptions.mRefusesLessUrgent && found != mOutcomes.end() &&
+  return mOptions.mRefusesLessUrgent && !aRequest.mIsReplacement &&
+         found != mOutcomes.end() &&
          found->second.mFractions.IsAhead(aRequest.mQueued.mPriority, aNow) &&
          IsOverShare(aRequest);
 }
@@ -315,6 +349,9 @@
                      TimePoint aNow)
 {
   auto refusal = RefusalOf(aRequest, aReason, aNow);
+  if (aRequest.mIsReplacement) {
+    return refusal;
+  }
   auto& outcomes = OutcomesOf(aRequest);
   outcomes.mFractions.OnRefused(aRequest.mQueued.mPriority, aNow);
   auto& latest = outcomes.mReturns[aRequest.mQueued.mPriority];
--- a/src/core/admission/served_fractions.cpp
+++ b/src/core/admission/served_fractions.cpp
@@ -80,6 +80,14 @@
   });
 }
 
+bool
+ServedFractions::IsAnyAhead(TimePoint aNow) const
+{
+  return std::ranges::any_of(mCounts | std::views::keys, [&](int aPriority) {
+    return IsAhead(aPriority, aNow);
+  });
+}
+
 bool
 ServedFractions::IsOutdated(TimePoint aNow) const
 {
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -246,7 +246,9 @@
   if (mReplacement || !TryAcquireRetry(ReadBootClock())) {
     return;
   }
-  if (auto replacement = PlanReplacement()) {
+  auto replacement =
+    mState.mSettings.mOverloadControl ? BeginReplacement() : PlanReplacement();
+  if (replacement) {
     net::asio::co_spawn(
       mCaller.Executor(),
       [self = shared_from_this(), replacement = std::move(replacement)] {
@@ -259,8 +261,14 @@
 net::Awaitable<void>
 RequestFlow::ReplaceSilentAttempt(std::shared_ptr<Replacement> aFirst)
 {
-  const ReplaceOptions options{ .mOverlap = kMaxOverlap };
-  const bool isReplaced = co_await Replace(std::move(aFirst), options);
+  const ReplaceOptions options{ .mOverlap = kMaxOverlap,
+                                .mIsQueued =
+                                  mState.mSettings.mOverloadControl };
+  auto first = std::move(aFirst);
+  if (options.mIsQueued) {
+    first = co_await AwaitReplacementSlot(std::move(first));
+  }
+  const bool isReplaced = co_await Replace(std::move(first), options);
   if (isReplaced) {
     mRunning->mConnection->Abort();
   }
@@ -275,25 +283,21 @@
     LogNoSlot(mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now), now);
     return nullptr;
   }
-  return MakeReplacement(std::move(*planned));
+  auto replacement = BeginReplacement();
+  replacement->mAttempt = std::move(*planned);
+  return replacement;
 }
 
 std::shared_ptr<RequestFlow::Replacement>
-RequestFlow::MakeReplacement(Attempt aPlanned)
+RequestFlow::BeginReplacement()
 {
   mReplacement = std::make_shared<Replacement>();
-  mReplacement->mAttempt = std::move(aPlanned);
   return mReplacement;
 }
 
 net::Awaitable<std::shared_ptr<RequestFlow::Replacement>>
-RequestFlow::AwaitReplacementSlot()
+RequestFlow::AwaitReplacementSlot(std::shared_ptr<Replacement> aReplacement)
 {
-  if (!MustQueue()) {
-    if (auto replacement = PlanReplacement()) {
-      co_return replacement;
-    }
-  }
   const auto mayQueue = [this] {
     const auto now = ReadBootClock();
     const auto reason =
@@ -301,17 +305,46 @@
     return !mCaller.HasLeft() && !mIsInterrupted && MayQueue(reason, now);
   };
   auto end = WaitEnd::PlanAgain;
-  while (end == WaitEnd::PlanAgain && mayQueue()) {
-    end = co_await WaitInQueue();
-    if (end == WaitEnd::PlanAgain) {
+  while (end == WaitEnd::PlanAgain && !aReplacement->mIsCancelled) {
+    const bool isDirect =
+      !mState.mQueue.MustWait(MakeReplacementOffer(ReadBootClock())) &&
+      TryPlan(aReplacement->mPlanned) == admission::AdmissionResult::Admitted;
+    if (isDirect || !mayQueue()) {
+      break;
+    }
+    end = co_await WaitInQueue(*aReplacement);
+    if (end == WaitEnd::PlanAgain && !aReplacement->mIsCancelled) {
       co_await net::Sleep(kSlotPollInterval); // what blocks it may last
     }
   }
-  auto planned = std::exchange(mPlanned, std::nullopt);
-  if (!planned) {
+  if (aReplacement->mIsCancelled) {
+    co_return nullptr;
+  }
+  if (!aReplacement->mPlanned) {
+    CancelReplacement();
     co_return nullptr;
   }
-  co_return MakeReplacement(std::move(*planned));
+  aReplacement->mAttempt = std::move(*aReplacement->mPlanned);
+  aReplacement->mPlanned.reset();
+  co_return aReplacement;
+}
+
+net::Awaitable<WaitEnd>
+RequestFlow::WaitInQueue(Replacement& aReplacement)
+{
+  const auto now = ReadBootClock();
+  mState.mShares.OnShortage(mService, now);
+  SlotQueue::Request request;
+  request.mOffered = MakeReplacementOffer(now);
+  request.mAttemptId = mFacts.mAttemptId;
+  request.mExecutor = mCaller.Executor();
+  request.mTry = [this, &aReplacement] {
+    return TryPlan(aReplacement.mPlanned);
+  };
+  aReplacement.mTicket = request.mOffered.mQueued.mTicket;
+  const auto outcome = co_await mState.mQueue.Wait(std::move(request));
+  aReplacement.mTicket = 0;
+  co_return outcome.mEnd;
 }
 
 net::Awaitable<bool>
@@ -333,7 +366,11 @@
     const bool mayGoOn = !mCaller.HasLeft() &&
                          mSuspectedCrashes < kMaxCrashes &&
                          TryAcquireRetry(ReadBootClock());
-    replacement = mayGoOn ? PlanReplacement() : nullptr;
+    if (mayGoOn && aOptions.mIsQueued) {
+      replacement = co_await AwaitReplacementSlot(BeginReplacement());
+    } else {
+      replacement = mayGoOn ? PlanReplacement() : nullptr;
+    }
   }
   co_return false;
 }
@@ -343,8 +380,9 @@
 {
   std::shared_ptr<Replacement> first;
   if (aOptions.mWaitsForSlot && mState.mSettings.mOverloadControl) {
-    first = co_await AwaitReplacementSlot();
+    first = co_await AwaitReplacementSlot(BeginReplacement());
     aOptions.mWaitsForSlot = false;
+    aOptions.mIsQueued = true;
   } else {
     first = PlanReplacement();
   }
@@ -519,6 +557,11 @@
     return;
   }
   mReplacement->mIsCancelled = true;
+  mState.mQueue.Cancel(mReplacement->mTicket);
+  if (auto& planned = mReplacement->mPlanned) {
+    mState.ReleaseSlot(planned->mLoad);
+    planned.reset();
+  }
   auto& attempt = mReplacement->mAttempt;
   if (attempt.mConnection) {
     attempt.mConnection->Abort();
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -312,12 +312,8 @@
       co_return step;
     }
   }
-  if (!MustQueue() && TryPlan() == admission::AdmissionResult::Admitted) {
-    if (!mQueueArrival) {
-      mQueueArrival = mState.mQueue.IssueArrival();
-    }
-    mWasQueued = false;
-    co_return SlotStep::Planned;
+  if (const auto step = PlanDirect()) {
+    co_return *step;
   }
   ForgetFullUpstreams();
   const auto now = ReadBootClock();
@@ -346,6 +342,33 @@
   co_return end == WaitEnd::Admitted ? SlotStep::Planned : SlotStep::Failed;
 }
 
+std::optional<RequestFlow::SlotStep>
+RequestFlow::PlanDirect()
+{
+  const auto now = ReadBootClock();
+  const auto offer = MakeOffer(now);
+  if (mState.mQueue.MustWait(offer)) {
+    return std::nullopt;
+  }
+  mRetryAfter = mState.mQueue.RefuseDirect(offer, mFacts.mAttemptId, now);
+  if (mRetryAfter) {
+    if (mSends == 0) {
+      mLastFailure = RequestEnd::NoCapacity;
+    }
+    return SlotStep::Failed;
+  }
+  if (TryPlan(mPlanned) != admission::AdmissionResult::Admitted) {
+    return std::nullopt;
+  }
+  mState.mQueue.OnAdmittedDirect(offer, now);
+  if (!mQueueArrival) {
+    mQueueArrival = mState.mQueue.IssueArrival();
+  }
+  mWasAdmitted = true;
+  mWasQueued = false;
+  return SlotStep::Planned;
+}
+
 net::Awaitable<RequestFlow::SlotStep>
 RequestFlow::PrepareReturn()
 {
@@ -403,7 +426,7 @@
   request.mOffered = MakeOffer(now);
   request.mAttemptId = mFacts.mAttemptId;
   request.mExecutor = mCaller.Executor();
-  request.mTry = [this] { return TryPlan(); };
+  request.mTry = [this] { return TryPlan(mPlanned); };
   mTicket = request.mOffered.mQueued.mTicket;
   const auto outcome = co_await mState.mQueue.Wait(std::move(request));
   mTicket = 0;
@@ -412,6 +435,7 @@
     mQueueArrival = outcome.mArrival;
   }
   mWasQueued = outcome.mEnd == WaitEnd::Admitted;
+  mWasAdmitted = mWasQueued;
   const bool isLost = !mPlanned || mCaller.HasLeft() || mIsInterrupted;
   if (mWasQueued && isLost) {
     LeaveQueue();
@@ -444,19 +468,25 @@
                         // a priority of the account is the same for all of them
                         .mPriority = mRoute->mPriority,
                         .mFormerArrival = mQueueArrival,
-                        .mWasRejected = std::exchange(mWasQueued, false) },
+                        .mWasRejected = mWasQueued },
            .mService = mService,
            .mBytes = mCaller.Request().mBody.size(),
            // a request that has just come is not refused without an estimate
            .mInTimeBy = std::max(inTimeBy, aNow),
            .mLateBy = LatestAdmission(),
-           .mHash = HashOf(mFacts.mAttemptId) };
+           .mHash = HashOf(mFacts.mAttemptId),
+           .mWasAdmitted = mWasAdmitted };
 }
 
-bool
-RequestFlow::MustQueue() const
+admission::OfferedRequest
+RequestFlow::MakeReplacementOffer(TimePoint aNow)
 {
-  return !mState.mQueue.Empty() && mState.mQueue.HasWaiting(CapacityClass());
+  auto offer = MakeOffer(aNow);
+  // the admission of the running attempt stands
+  offer.mQueued.mWasRejected = false;
+  offer.mWasAdmitted = false;
+  offer.mIsReplacement = true;
+  return offer;
 }
 
 std::string
@@ -504,7 +534,7 @@
 }
 
 admission::AdmissionResult
-RequestFlow::TryPlan()
+RequestFlow::TryPlan(std::optional<Attempt>& aPlanned)
 {
   using admission::AdmissionResult;
   const auto now = ReadBootClock();
@@ -514,9 +544,9 @@
   if (isBlocked) {
     return AdmissionResult::Unschedulable;
   }
-  mPlanned = PlanAttempt(now);
-  if (mPlanned) {
-    mState.mQueue.OnPlanned(mService, mPlanned->mChoice.mTimeToFirstEvent);
+  aPlanned = PlanAttempt(now);
+  if (aPlanned) {
+    mState.mQueue.OnPlanned(mService, aPlanned->mChoice.mTimeToFirstEvent);
     return AdmissionResult::Admitted;
   }
   const auto reason =
--- a/src/shell/gateway/slot_queue.cpp
+++ b/src/shell/gateway/slot_queue.cpp
@@ -90,7 +90,7 @@
   }
   Outcome outcome;
   if (offered.mRefusal) {
-    LogRefusal(request, *offered.mRefusal);
+    LogRefusal(request.mOffered, request.mAttemptId, *offered.mRefusal);
     outcome.mEnd = WaitEnd::Refused;
     outcome.mRetryAfter = offered.mRefusal->mRetryAfter;
     co_return outcome;
@@ -109,6 +109,19 @@
   co_return outcome;
 }
 
+std::optional<Duration>
+SlotQueue::RefuseDirect(const admission::OfferedRequest& aRequest,
+                        const std::string& aAttemptId,
+                        TimePoint aNow)
+{
+  const auto refusal = mQueue.RefuseDirect(aRequest, aNow);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  LogRefusal(aRequest, aAttemptId, *refusal);
+  return refusal->mRetryAfter;
+}
+
 void
 SlotQueue::End(routing::TicketId aTicket, WaitEnd aEnd)
 {
@@ -149,27 +162,28 @@
 SlotQueue::Refuse(const admission::Refusal& aRefusal)
 {
   const auto& waiting = mWaiting.at(aRefusal.mTicket);
-  LogRefusal(waiting->mRequest, aRefusal);
+  const auto& request = waiting->mRequest;
+  LogRefusal(request.mOffered, request.mAttemptId, aRefusal);
   waiting->mRetryAfter = aRefusal.mRetryAfter;
   End(aRefusal.mTicket, WaitEnd::Refused);
 }
 
 void
-SlotQueue::LogRefusal(const Request& aRequest,
+SlotQueue::LogRefusal(const admission::OfferedRequest& aRequest,
+                      const std::string& aAttemptId,
                       const admission::Refusal& aRefusal) const
 {
-  const auto& offered = aRequest.mOffered;
   const std::string reason(admission::NameOf(aRefusal.mReason));
   mMetrics
     .CounterOf("figslip_queue_refused_total",
-               { { "service", offered.mService }, { "reason", reason } })
+               { { "service", aRequest.mService }, { "reason", reason } })
     .Add();
   const auto wait = aRefusal.mExpectedWait;
   log::Write(log::Level::Info,
              "queue_refused",
-             { { "request", aRequest.mAttemptId },
-               { "service", offered.mService },
-               { "account", offered.mQueued.mAccount },
+             { { "request", aAttemptId },
+               { "service", aRequest.mService },
+               { "account", aRequest.mQueued.mAccount },
                { "reason", reason },
                // empty: no estimate
                { "expected_wait_ms", wait ? FormatMilliseconds(*wait) : "" },
