Pass over accounts for which there is no capacity in the fair queue

An account over its share that may not use the capacity left for others was at the head of its class and kept the requests behind it from being tried. A result NoCapacityForAccount lets the queue go on with the other accounts of the class; the account that is passed over gains no credit by it.

unit-admission has the new case, which the queue could not express before.

--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,8 +38,10 @@
 /// @brief Lists the results of an attempt to admit a waiting request.
 enum class AdmissionResult
 {
-  Admitted,     ///< capacity was reserved for the request
-  NoCapacity,   ///< no request of its capacity class can be admitted now
+  Admitted,   ///< capacity was reserved for the request
+  NoCapacity, ///< no request of its capacity class can be admitted now
+  /// none of its account can; others of its capacity class are tried
+  NoCapacityForAccount,
   Unschedulable ///< waiting can't help; the caller of the queue must decide
 };
 
@@ -68,8 +71,9 @@
   /// @brief Offers capacity to the waiting requests in fair order.
   /// @param[in] aTry tries to reserve capacity for a request
   /// @return tickets that left the queue, admitted or unschedulable, in order
-  /// @note Calls `aTry` once for each ticket returned and once for each class
-  /// without capacity, however many requests wait.
+  /// @note Calls `aTry` once for each ticket returned, once for each class
+  /// without capacity and once for each account without capacity, however many
+  /// requests wait.
   std::vector<routing::TicketId> Admit(
     const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
     TimePoint aNow);
@@ -140,6 +144,8 @@
   {
     double mVirtualTime = 0.0; ///< start tag of the last admitted request
     std::map<std::string, Flow> mFlows;
+    /// accounts without capacity, while capacity is offered
+    std::set<std::string, std::less<>> mBlocked;
     std::size_t mWaiting = 0;
     ServiceRate mRate;
   };
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -5,7 +5,6 @@
 #include <iterator>
 #include <numeric>
 #include <ranges>
-#include <set>
 
 namespace figslip::admission {
 
@@ -63,7 +62,7 @@
 {
   Flow* next = nullptr;
   for (auto& [account, flow] : aQueue.mFlows) {
-    if (!flow.mWaiting.empty() &&
+    if (!flow.mWaiting.empty() && !aQueue.mBlocked.contains(account) &&
         (next == nullptr || flow.mStartTag < next->mStartTag)) {
       next = &flow;
     }
@@ -77,6 +76,14 @@
   // a request that was rejected returns with a start tag before this time
   aQueue.mVirtualTime = std::max(aQueue.mVirtualTime, aFlow.mStartTag);
   aFlow.mStartTag += aCost / aFlow.mShare;
+  // an account that is passed over accumulates no credit
+  for (const auto& account : aQueue.mBlocked) {
+    const auto flow = aQueue.mFlows.find(account);
+    if (flow != aQueue.mFlows.end()) {
+      auto& tag = flow->second.mStartTag;
+      tag = std::max(tag, aQueue.mVirtualTime);
+    }
+  }
 }
 
 void
@@ -115,13 +122,23 @@
   const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
   TimePoint aNow)
 {
-  auto& flow = *NextFlow(aQueue);
-  const auto& request = flow.mWaiting.begin()->second;
-  const auto ticket = request.mTicket;
-  const auto result = aTry(request);
-  if (result == AdmissionResult::NoCapacity) {
+  auto* next = NextFlow(aQueue);
+  auto result = AdmissionResult::NoCapacity;
+  while (next != nullptr) {
+    const auto& head = next->mWaiting.begin()->second;
+    result = aTry(head);
+    if (result != AdmissionResult::NoCapacityForAccount) {
+      break;
+    }
+    aQueue.mBlocked.insert(head.mAccount);
+    next = NextFlow(aQueue);
+  }
+  if (next == nullptr || result == AdmissionResult::NoCapacity) {
     return std::nullopt;
   }
+  auto& flow = *next;
+  const auto& request = flow.mWaiting.begin()->second;
+  const auto ticket = request.mTicket;
   if (result == AdmissionResult::Admitted) {
     AdvanceVirtualTime(aQueue, flow, request.mCost);
     aQueue.mRate.OnAdmission(aNow, request.mCost);
@@ -138,6 +155,9 @@
 {
   std::vector<routing::TicketId> left;
   std::set<std::string, std::less<>> exhausted;
+  for (auto& queue : mClassQueues | std::views::values) {
+    queue.mBlocked.clear();
+  }
   while (exhausted.size() < mClassQueues.size()) {
     auto position = mClassQueues.upper_bound(mLastServedClass);
     if (position == mClassQueues.end()) {
--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -97,6 +97,34 @@
 
 } // namespace
 
+// Guards against an account over its share whose requests, for which there is
+// no capacity, keep those of others from being tried.
+TEST_CASE("an account without capacity is passed over")
+{
+  FairQueue queue;
+  PushMany(queue, "a-large", 1.0, 100, 50);
+  PushMany(queue, "b-small", 1.0, 1, 3);
+  int tries = 0;
+  const auto admitted = queue.Admit(
+    [&](const QueuedRequest& aRequest) {
+      ++tries;
+      return aRequest.mAccount == "a-large"
+               ? AdmissionResult::NoCapacityForAccount
+               : AdmissionResult::Admitted;
+    },
+    kStart);
+  CHECK(admitted == std::vector<TicketId>{ 1, 2, 3 });
+  CHECK(tries == 4); // once for the account without capacity
+
+  SUBCASE("and gains no credit for it")
+  {
+    PushMany(queue, "b-small", 1.0, 4, 3);
+    const auto next = AdmitUpTo(queue, 4);
+    CHECK(std::ranges::count_if(
+            next, [](TicketId aTicket) { return aTicket < 100; }) >= 1);
+  }
+}
+
 TEST_CASE("fair queue")
 {
   FairQueue queue;
