Calculate the share of an instance of a scarce service

At a service with fewer slots than instances, an instance that held a slot kept it, whatever others demanded: none knew what belongs to it. InstanceShare is the sum of what the accounts may get at this instance; with reports of fewer than half of the others it is at most what the instance serves now. Rejections by upstreams are taken back from what counts as served, as it is the measured capacity. In the first 2 s of a shortage shares are calculated at each tick.

--- a/include/figslip/fairshare/demand_meter.hpp
+++ b/include/figslip/fairshare/demand_meter.hpp
@@ -36,6 +36,8 @@
   static constexpr Duration kTimeConstant = std::chrono::seconds(1);
 
   void Add(double aAmount, TimePoint aNow);
+  /// @brief Takes back what was added; the rate does not fall below 0.
+  void Subtract(double aAmount, TimePoint aNow);
   [[nodiscard]] double PerSecond(TimePoint aNow) const;
 
 private:
@@ -71,6 +73,11 @@
                   std::string_view aAccount,
                   double aCost,
                   TimePoint aNow);
+  /// @brief Takes the admission of a request back, as an upstream rejected it.
+  void OnRejected(std::string_view aService,
+                  std::string_view aAccount,
+                  double aCost,
+                  TimePoint aNow);
   /// @brief Records that a request has to wait or was rejected for lack of
   /// capacity.
   void OnShortage(std::string_view aService, TimePoint aNow);
--- a/include/figslip/fairshare/fair_shares.hpp
+++ b/include/figslip/fairshare/fair_shares.hpp
@@ -57,6 +57,12 @@
   /// second, as processor time is dear on small instances.
   static constexpr Duration kInterval = std::chrono::milliseconds(500);
 
+  /// Time after the begin of a shortage in which the shares are calculated at
+  /// each tick. The rates of a burst are measured and reported in it; until an
+  /// account is known to be over its share, it uses what others are entitled
+  /// to.
+  static constexpr Duration kOnset = std::chrono::seconds(2);
+
   /// Time for which an instance takes part in the exchange after it has heard
   /// of a shortage elsewhere.
   static constexpr Duration kHearsayHold = std::chrono::seconds(5);
@@ -83,6 +89,12 @@
   /// wrong report never takes more of an account's weight.
   static constexpr double kMinWeight = 1.0 / 64.0;
 
+  /// Fraction of the other instances that must report on a service before this
+  /// one gets more of it than it serves now: those that are cut off from one
+  /// another would each claim what others use. One instance in four may be
+  /// killed and still registered.
+  static constexpr double kMinReportFraction = 0.5;
+
   FairShares()
     : FairShares(Options{})
   {
@@ -100,6 +112,16 @@
   [[nodiscard]] bool IsOverShare(std::string_view aService,
                                  std::string_view aAccount) const;
 
+  /// @brief Returns the cost per second of a service that belongs to this
+  /// instance: what the accounts may get here, taken together.
+  /// @return nothing unless the service is short of capacity; what this
+  ///         instance serves now while few other instances report
+  [[nodiscard]] std::optional<double> InstanceShare(
+    std::string_view aService) const;
+  /// @brief Lists the services that are short of capacity, as of the last
+  /// calculation.
+  [[nodiscard]] std::vector<std::string> ScarceServices() const;
+
   /// @brief Records that a request arrived.
   /// @param[in] aCost expected work, in the unit of the account queue
   void OnOffered(std::string_view aService,
@@ -113,6 +135,12 @@
                   double aCost,
                   TimePoint aNow);
 
+  /// @brief Takes the admission of a request back, as an upstream rejected it.
+  void OnRejected(std::string_view aService,
+                  std::string_view aAccount,
+                  double aCost,
+                  TimePoint aNow);
+
   /// @brief Records that a request of a service has to wait, or was rejected,
   /// for lack of capacity.
   void OnShortage(std::string_view aService, TimePoint aNow);
@@ -161,6 +189,7 @@
   struct ServiceShares
   {
     double mCapacity = 0.0;
+    double mInstanceShare = 0.0; ///< cost per second
     NameMap<AccountShare> mOver;
   };
 
@@ -191,6 +220,7 @@
   std::int64_t mSequence;
   std::optional<TimePoint> mReportedAt;
   std::optional<TimePoint> mCalculatedAt;
+  std::optional<TimePoint> mNewlyShortAt; ///< last begin of a shortage
   /// last time at which another instance was heard to be short, by service
   std::map<std::string, TimePoint> mHeard;
   NameMap<ServiceShares> mShares; ///< of the services that are short
--- a/src/core/fairshare/demand_meter.cpp
+++ b/src/core/fairshare/demand_meter.cpp
@@ -34,6 +34,13 @@
   mUpdatedAt = std::max(mUpdatedAt, aNow);
 }
 
+void
+DecayingRate::Subtract(double aAmount, TimePoint aNow)
+{
+  mSum = std::max(0.0, DecayedSum(aNow) - aAmount);
+  mUpdatedAt = std::max(mUpdatedAt, aNow);
+}
+
 double
 DecayingRate::PerSecond(TimePoint aNow) const
 {
@@ -93,6 +100,27 @@
   Record(aService, aAccount, aCost, aNow, &Account::mServed);
 }
 
+void
+DemandMeter::OnRejected(std::string_view aService,
+                        std::string_view aAccount,
+                        double aCost,
+                        TimePoint aNow)
+{
+  const auto service = mServices.find(aService);
+  const bool isCounted =
+    service != mServices.end() && std::isfinite(aCost) && aCost > 0.0;
+  if (!isCounted) {
+    return;
+  }
+  auto& accounts = service->second.mAccounts;
+  const auto known = accounts.find(aAccount);
+  const auto found =
+    known != accounts.end() ? known : accounts.find(kFurtherAccounts);
+  if (found != accounts.end()) {
+    found->second.mServed.Subtract(std::min(aCost, kMaxReportedRate), aNow);
+  }
+}
+
 void
 DemandMeter::OnShortage(std::string_view aService, TimePoint aNow)
 {
--- a/src/core/fairshare/fair_shares.cpp
+++ b/src/core/fairshare/fair_shares.cpp
@@ -161,6 +161,24 @@
   return FindOver(aService, aAccount) != nullptr;
 }
 
+std::optional<double>
+FairShares::InstanceShare(std::string_view aService) const
+{
+  const auto found = mShares.find(aService);
+  return found == mShares.end() ? std::nullopt
+                                : std::optional(found->second.mInstanceShare);
+}
+
+std::vector<std::string>
+FairShares::ScarceServices() const
+{
+  std::vector<std::string> names;
+  std::ranges::transform(mShares,
+                         std::back_inserter(names),
+                         [](const auto& aEntry) { return aEntry.first; });
+  return names;
+}
+
 void
 FairShares::OnOffered(std::string_view aService,
                       std::string_view aAccount,
@@ -183,6 +201,17 @@
   }
 }
 
+void
+FairShares::OnRejected(std::string_view aService,
+                       std::string_view aAccount,
+                       double aCost,
+                       TimePoint aNow)
+{
+  if (mOptions.mIsEnabled) {
+    mMeter.OnRejected(aService, aAccount, aCost, aNow);
+  }
+}
+
 void
 FairShares::OnShortage(std::string_view aService, TimePoint aNow)
 {
@@ -194,8 +223,20 @@
 void
 FairShares::OnTick(TimePoint aNow)
 {
-  const bool isDue = !mCalculatedAt || aNow - *mCalculatedAt >= kInterval;
-  if (!mOptions.mIsEnabled || !isDue) {
+  if (!mOptions.mIsEnabled) {
+    return;
+  }
+  const bool isNewlyShort =
+    std::ranges::any_of(mMeter.ShortServices(aNow), [&](const auto& aService) {
+      return !mShares.contains(aService);
+    });
+  if (isNewlyShort) {
+    mNewlyShortAt = aNow;
+  }
+  const bool isOnset = mNewlyShortAt && aNow - *mNewlyShortAt < kOnset;
+  const bool isDue =
+    isOnset || !mCalculatedAt || aNow - *mCalculatedAt >= kInterval;
+  if (!isDue) {
     return;
   }
   mCalculatedAt = aNow;
@@ -231,15 +272,19 @@
 FairShares::SharesOf(const std::string& aService, TimePoint aNow) const
 {
   TotalDemand total;
+  std::size_t reports = 0; // of other instances, on this service
   const auto own = mMeter.DemandOf(aService, aNow);
   AddOwn(own, total);
   for (const auto& [instance, entry] : mTable.Entries()) {
     const auto* const demand = FindService(entry.mReport, aService);
     if (demand != nullptr && instance != mOptions.mInstance) {
       AddReport(*demand, total);
+      ++reports;
     }
   }
-  ServiceShares shares{ .mCapacity = total.mServed, .mOver = {} };
+  ServiceShares shares{ .mCapacity = total.mServed,
+                        .mInstanceShare = 0.0,
+                        .mOver = {} };
   const auto claims = ClaimsOf(total);
   const auto allocations = ComputeShares(claims, shares.mCapacity).mAllocations;
   // what each account gets at this instance at most
@@ -258,6 +303,11 @@
                                          .mAllocation = allocation });
     }
     limits.push_back({ .mDemand = limit });
+    shares.mInstanceShare += limit;
+  }
+  if (static_cast<double>(reports) <
+      kMinReportFraction * static_cast<double>(mPeers.size())) {
+    shares.mInstanceShare = std::min(shares.mInstanceShare, total.mOwnServed);
   }
   const double level = LocalLevel(limits, total.mOwnServed);
   for (auto& [name, share] : shares.mOver) {
--- a/tests/src/unit-fairshare.cpp
+++ b/tests/src/unit-fairshare.cpp
@@ -500,6 +500,72 @@
   }
 }
 
+// Guards against instances that together claim more than the capacity, or that
+// keep what they happen to hold.
+TEST_CASE("the shares of the instances in a burst")
+{
+  Site site;
+  site.SetDemand(BurstAt);
+  const auto shareOf = [&](int aInstance) {
+    return site.Node(aInstance).InstanceShare(kService);
+  };
+  CHECK_FALSE(shareOf(0));
+
+  SUBCASE("are as large as the capacity, and follow the demand")
+  {
+    site.Run(5s);
+    double sum = 0.0;
+    for (int instance = 0; instance < Site::kInstances; ++instance) {
+      REQUIRE(shareOf(instance));
+      sum += *shareOf(instance);
+    }
+    CHECK(sum == doctest::Approx(Site::kCapacity).epsilon(0.05));
+    CHECK(site.Node(0).ScarceServices() == std::vector{ kService });
+    double offered = 0.0; // by accounts within their share, at one instance
+    for (int account = kFirstSmall; account < Site::kAccounts; ++account) {
+      offered += BurstAt(account, 3);
+    }
+    CHECK(*shareOf(3) > 0.95 * offered);
+  }
+  SUBCASE("are what each serves now while no report arrives")
+  {
+    site.SetLink([](int, int) { return false; });
+    site.Run(5s);
+    for (int instance = 0; instance < Site::kInstances; ++instance) {
+      CHECK(shareOf(instance).value_or(0.0) <
+            1.05 * Site::kCapacity / Site::kInstances);
+    }
+  }
+  SUBCASE("end with the shortage")
+  {
+    site.Run(5s);
+    site.SetDemand([](int, int) { return 0.0; });
+    site.Run(5s);
+    CHECK_FALSE(shareOf(0));
+    CHECK(site.Node(0).ScarceServices().empty());
+  }
+}
+
+TEST_CASE("the capacity that requests rejected by upstreams leave")
+{
+  // guards against shares of a capacity that upstreams do not have
+  const auto shareAfter = [](bool aIsRejected) {
+    FairShares shares({ .mInstance = "own" });
+    for (auto now = kStart; now < kStart + 3s; now += 10ms) {
+      shares.OnOffered(kService, "a", 1.0, now);
+      shares.OnAdmitted(kService, "a", 1.0, now);
+      if (aIsRejected && (now - kStart) % 20ms == 0s) {
+        shares.OnRejected(kService, "a", 1.0, now);
+      }
+      shares.OnShortage(kService, now);
+    }
+    shares.OnTick(kStart + 3s);
+    return shares.InstanceShare(kService).value_or(0.0);
+  };
+  CHECK(shareAfter(true) ==
+        doctest::Approx(shareAfter(false) / 2).epsilon(0.1));
+}
+
 TEST_CASE("instances without a shortage")
 {
   // guards against messages and weights that a deployment does not need
