Send what the share of an instance covers to shared upstreams

27 instances before 4 upstreams of 6 slots left an instance that saw all slots in use without any for hundreds of milliseconds. Drains, leaving upstreams, pauses and rates that upstreams ask for, cold starts and suspected domains hold as before. ExplainNoChoice uses the same predicate.

--- a/include/figslip/placement/upstream_selector.hpp
+++ b/include/figslip/placement/upstream_selector.hpp
@@ -6,6 +6,7 @@
 #include <figslip/membership/instance_location.hpp>
 #include <figslip/placement/concurrency_limit.hpp>
 #include <figslip/placement/domain_health.hpp>
+#include <figslip/placement/paced_share.hpp>
 #include <figslip/placement/prefill_load.hpp>
 #include <figslip/placement/prefix_cache.hpp>
 #include <figslip/placement/rate_share.hpp>
@@ -41,6 +42,9 @@
   const std::vector<std::string>* mRegions = nullptr; ///< null or empty: all
   /// the request may be retried, so it may probe a suspected failure domain
   bool mMayRetry = false;
+  double mCost = 1.0; ///< expected work, in the unit of the instance shares
+  /// its account demands more than its share of the service
+  bool mIsOverShare = false;
 };
 
 /// @brief Holds the chosen upstream and the estimates for the request there.
@@ -53,6 +57,8 @@
   Duration mUsualWork{}; ///< part of it that the upstream's work takes
   std::int64_t mPrefillTokens = 0; ///< prompt tokens without a cached prefix
   std::int64_t mCachedTokens = 0;  ///< expected prefix cache hit
+  /// covered by this instance's share of the service; see `PacedShare`
+  bool mIsPaced = false;
 };
 
 /// @brief Lists the reasons why no upstream can be chosen.
@@ -100,12 +106,20 @@
   double mPrefillMs = 0.0;    ///< expected prefill time at the usual speed
   double mDecodeWeight = 0.0; ///< relative decode cost of the model
   bool mIsInPrefill = true;
-  bool mIsOutside = false;  ///< the upstream was not in the own subset
-  std::string mService;     ///< if it was not
+  bool mIsOutside = false; ///< the upstream was not in the own subset
+  std::string mService;
   std::int64_t mTokens = 0; ///< of the uncached prompt and the output
   TimePoint mSentAt;
   Duration mUsualWork{};    ///< as in the choice
   double mTimeFactor = 1.0; ///< of the upstream's machine when it was sent
+  bool mIsPaced = false;    ///< as in the choice
+};
+
+/// @brief Holds this instance's share of a service that is short of capacity.
+struct InstanceShare
+{
+  std::string mService;
+  double mPerSecond = 0.0; ///< cost per second
 };
 
 /// @brief Holds the factors of the expected times at a service's upstreams.
@@ -172,11 +186,20 @@
     const std::vector<membership::InstanceLocation>& aInstances);
   /// @brief Sets the number of instances that share the rates of upstreams, in
   /// cold start and as they name them.
-  void SetInstanceCount(int aCount) { mInstanceCount = aCount; }
+  void SetInstanceCount(int aCount);
+  /// @brief Sets this instance's shares of the services that are short of
+  /// capacity. All others are not paced, nor are services without upstreams
+  /// that all instances use.
+  void SetInstanceShares(const std::vector<InstanceShare>& aShares,
+                         TimePoint aNow);
   /// @}
 
   /// @brief Chooses the upstream with the lowest expected time to the first
   /// event.
+  ///
+  /// A request that is covered by this instance's share of a service is sent to
+  /// an upstream that all instances use even if this seems to have no free
+  /// slot.
   /// @return nothing where no permitted upstream has a free slot and cold-start
   ///         rate; `ExplainNoChoice` returns the reason
   [[nodiscard]] std::optional<Choice> Choose(const PlacementQuery& aQuery,
@@ -217,6 +240,14 @@
   LimitChange OnRejected(std::string_view aUpstream,
                          TimePoint aSentAt,
                          TimePoint aNow);
+  /// @brief Slows down the pacing of a service if a rejected request was
+  /// covered by this instance's share.
+  /// @return whether it was slowed down
+  bool OnPacedRejection(const Reservation& aReservation, TimePoint aNow);
+  /// @brief Returns the cost per second at which this instance is paced;
+  /// nothing for a service that is not short of capacity.
+  [[nodiscard]] std::optional<double> PacedRate(std::string_view aService,
+                                                TimePoint aNow) const;
   /// @brief Records that a response has said that its upstream is leaving.
   ///
   /// The incarnation receives no further requests, whatever lists of upstreams
@@ -304,7 +335,8 @@
     /// send there at once
     SpreadLimit mOutsideLimit;
     int mOutsideInFlight = 0;
-    double mRequestTokens = 0.0; ///< mean of the latest requests
+    double mRequestTokens = 0.0;      ///< mean of the latest requests
+    std::optional<PacedShare> mPaced; ///< while it is short of capacity
   };
 
   struct State
@@ -328,6 +360,8 @@
     TimePoint mNextColdRequestAt; ///< earliest next request while cold
     bool mIsInOwnSubset = false;
     int mSubsetSharers = 1; ///< instances whose subset it is in
+    /// there are fewer upstreams like it than instances, which all use them
+    bool mIsShared = false;
   };
 
   /// Returns whether the upstream is registered as ready and is not leaving.
@@ -352,6 +386,22 @@
   /// after a pause.
   [[nodiscard]] static int MaxInFlight(const State& aState, TimePoint aNow);
   [[nodiscard]] bool HasFreeSlot(const State& aState, TimePoint aNow) const;
+  /// Returns whether the share of this instance covers a request now.
+  [[nodiscard]] bool IsCovered(const PlacementQuery& aQuery,
+                               TimePoint aNow) const;
+  /// Holds what is the same for all upstreams that a request may use.
+  struct Reach
+  {
+    bool mIsCovered = false;     ///< by the share of this instance
+    bool mMayUseOutside = false; ///< beyond the own subset
+  };
+  [[nodiscard]] Reach ReachOf(const PlacementQuery& aQuery,
+                              TimePoint aNow) const;
+  /// Returns whether a request may be sent as far as slots, limits and the
+  /// share of this instance are concerned.
+  [[nodiscard]] bool HasRoom(const State& aState,
+                             const Reach& aReach,
+                             TimePoint aNow) const;
   /// Returns whether the failure domain seems to be partitioned and the request
   /// may not probe it.
   [[nodiscard]] bool IsPartitioned(const State& aState,
@@ -425,6 +475,10 @@
   [[nodiscard]] bool IsWithinRate(const State& aState, TimePoint aNow) const;
   /// Recomputes the own subset for each service and version.
   void UpdateOwnSubset();
+  /// Returns whether a service has upstreams that all instances use.
+  [[nodiscard]] bool HasShared(std::string_view aService) const;
+  /// Recomputes which upstreams all instances use.
+  void UpdateShared();
   void BeginColdStart(State& aState, Duration aTime, TimePoint aNow) const;
   void ApplyEntry(State& aState,
                   const ingress::UpstreamEntry& aEntry,
--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -134,6 +134,7 @@
       groups[{ entry.mService, entry.mVersion }].push_back(entry.mId);
     }
   }
+  UpdateShared();
   for (const auto& upstreams : groups | std::views::values) {
     for (const auto& id :
          SubsetOf(mOptions.mInstance, mDomainPeers, upstreams)) {
@@ -147,6 +148,31 @@
   }
 }
 
+void
+UpstreamSelector::UpdateShared()
+{
+  struct Sizes
+  {
+    std::size_t mOwn = 0; ///< in the failure domain of this instance
+    std::size_t mAll = 0;
+  };
+  std::map<std::pair<std::string_view, std::string_view>, Sizes> groups;
+  for (const auto& state : mStates | std::views::values) {
+    if (IsReady(state)) {
+      auto& sizes = groups[{ state.mEntry.mService, state.mEntry.mVersion }];
+      ++sizes.mAll;
+      sizes.mOwn += state.mEntry.mDomain == mOptions.mDomain ? 1 : 0;
+    }
+  }
+  for (auto& state : mStates | std::views::values) {
+    const auto& sizes =
+      groups[{ state.mEntry.mService, state.mEntry.mVersion }];
+    state.mIsShared = sizes.mOwn > 0
+                        ? sizes.mOwn < mDomainPeers.size()
+                        : std::cmp_less(sizes.mAll, mInstanceCount);
+  }
+}
+
 void
 UpstreamSelector::ApplyEntry(State& aState,
                              const ingress::UpstreamEntry& aEntry,
@@ -293,18 +319,57 @@
   UpdateOwnSubset();
 }
 
+void
+UpstreamSelector::SetInstanceCount(int aCount)
+{
+  mInstanceCount = aCount;
+  UpdateShared();
+}
+
+bool
+UpstreamSelector::HasShared(std::string_view aService) const
+{
+  return std::ranges::any_of(
+    mStates | std::views::values, [&](const State& aState) {
+      return aState.mIsShared && aState.mEntry.mService == aService;
+    });
+}
+
+void
+UpstreamSelector::SetInstanceShares(const std::vector<InstanceShare>& aShares,
+                                    TimePoint aNow)
+{
+  for (auto& [name, service] : mServices) {
+    const auto found =
+      std::ranges::find(aShares, name, &InstanceShare::mService);
+    if (found == aShares.end() || !HasShared(name)) {
+      service.mPaced.reset();
+    }
+  }
+  for (const auto& share : aShares) {
+    if (!HasShared(share.mService)) {
+      continue;
+    }
+    auto& paced = ServiceOf(share.mService).mPaced;
+    if (!paced) {
+      paced.emplace(aNow);
+    }
+    paced->SetShare(share.mPerSecond);
+  }
+}
+
 std::vector<const UpstreamSelector::State*>
 UpstreamSelector::AvailableFor(const PlacementQuery& aQuery,
                                TimePoint aNow) const
 {
   std::vector<const State*> available;
   std::vector<const State*> avoided;
-  const bool mayUseOutside = MayUseOutside(aQuery.mService, aNow);
+  const auto reach = ReachOf(aQuery, aNow);
   for (const auto& state : mStates | std::views::values) {
     const bool isAvailable =
-      (state.mIsInOwnSubset || mayUseOutside) && IsCandidate(state, aQuery) &&
-      !IsPausing(state, aNow) && HasFreeSlot(state, aNow) &&
-      IsWithinRate(state, aNow) && IsWithinColdRate(state, aNow);
+      IsCandidate(state, aQuery) && !IsPausing(state, aNow) &&
+      HasRoom(state, reach, aNow) && IsWithinRate(state, aNow) &&
+      IsWithinColdRate(state, aNow);
     if (isAvailable) {
       const bool isAvoided =
         state.mHealth.IsAvoided(aNow) || IsPartitioned(state, aQuery, aNow);
@@ -381,6 +446,10 @@
       best = choice;
     }
   }
+  if (best) {
+    best->mIsPaced = mStates.find(best->mUpstream->mId)->second.mIsShared &&
+                     IsCovered(aQuery, aNow);
+  }
   return best;
 }
 
@@ -389,7 +458,7 @@
                                   TimePoint aNow) const
 {
   auto reason = NoChoiceReason::NoUpstream;
-  const bool mayUseOutside = MayUseOutside(aQuery.mService, aNow);
+  const auto reach = ReachOf(aQuery, aNow);
   for (const auto& state : mStates | std::views::values) {
     if (!IsCandidate(state, aQuery)) {
       continue;
@@ -398,8 +467,7 @@
       reason = std::max(reason, NoChoiceReason::AllPausing);
       continue;
     }
-    const bool isInReach = state.mIsInOwnSubset || mayUseOutside;
-    if (!isInReach || !HasFreeSlot(state, aNow)) {
+    if (!HasRoom(state, reach, aNow)) {
       return NoChoiceReason::AllFull;
     }
     reason = std::max(reason,
@@ -451,14 +519,19 @@
                            .mDecodeWeight = costFactor,
                            .mSentAt = aNow,
                            .mUsualWork = aChoice.mUsualWork,
-                           .mTimeFactor = state.mSpeed.MomentaryFactor(aNow) };
+                           .mTimeFactor = state.mSpeed.MomentaryFactor(aNow),
+                           .mIsPaced = aChoice.mIsPaced };
   mDomainHealth.OnSent(state.mEntry.mDomain, aNow);
   state.mLimit.OnSent(LimitBounds(state), aNow);
   if (!state.mIsInOwnSubset) {
     auto& service = ServiceOf(state.mEntry.mService);
     ++service.mOutsideInFlight;
     reservation.mIsOutside = true;
-    reservation.mService = state.mEntry.mService;
+  }
+  reservation.mService = state.mEntry.mService;
+  auto& paced = ServiceOf(state.mEntry.mService).mPaced;
+  if (aChoice.mIsPaced && paced) {
+    paced->OnSent(aQuery.mCost, aQuery.mIsOverShare, aNow);
   }
   ++state.mInFlight;
   // prefixes that requests share are held once
@@ -580,6 +653,25 @@
   return state.mLimit.OnRejected(aSentAt, LimitBounds(state), aNow);
 }
 
+bool
+UpstreamSelector::OnPacedRejection(const Reservation& aReservation,
+                                   TimePoint aNow)
+{
+  const auto found = mServices.find(aReservation.mService);
+  return aReservation.mIsPaced && found != mServices.end() &&
+         found->second.mPaced &&
+         found->second.mPaced->OnRejected(aReservation.mSentAt, aNow);
+}
+
+std::optional<double>
+UpstreamSelector::PacedRate(std::string_view aService, TimePoint aNow) const
+{
+  const auto found = mServices.find(aService);
+  return found != mServices.end() && found->second.mPaced
+           ? std::optional(found->second.mPaced->Rate(aNow))
+           : std::nullopt;
+}
+
 bool
 UpstreamSelector::OnLeaving(const ingress::UpstreamEntry& aUpstream,
                             TimePoint aNow)
@@ -913,6 +1005,35 @@
          aState.mInFlight < aState.mLimit.Value(LimitBounds(aState), aNow);
 }
 
+bool
+UpstreamSelector::IsCovered(const PlacementQuery& aQuery, TimePoint aNow) const
+{
+  const auto found = mServices.find(aQuery.mService);
+  return found != mServices.end() && found->second.mPaced &&
+         found->second.mPaced->Covers(aQuery.mIsOverShare, aNow);
+}
+
+UpstreamSelector::Reach
+UpstreamSelector::ReachOf(const PlacementQuery& aQuery, TimePoint aNow) const
+{
+  return { .mIsCovered = IsCovered(aQuery, aNow),
+           .mMayUseOutside = MayUseOutside(aQuery.mService, aNow) };
+}
+
+bool
+UpstreamSelector::HasRoom(const State& aState,
+                          const Reach& aReach,
+                          TimePoint aNow) const
+{
+  if (aReach.mIsCovered && aState.mIsShared) {
+    // a pause that the upstream asked for ends gradually in any case
+    const bool isReturning = aNow - aState.mNotice.mPausedUntil < kReturnRamp;
+    return !isReturning || aState.mInFlight < MaxInFlight(aState, aNow);
+  }
+  return (aState.mIsInOwnSubset || aReach.mMayUseOutside) &&
+         HasFreeSlot(aState, aNow);
+}
+
 bool
 UpstreamSelector::IsPartitioned(const State& aState,
                                 const PlacementQuery& aQuery,
