Pace requests by the share of the instance in the gateway

Requests tell their cost and whether their account is over its share; the queue passes such an account over while it is paced. A request that an upstream rejects no longer counts as served until it is sent again. Operators get figslip_instance_share, figslip_paced_rate, figslip_pacing_slowed_total, the line pacing_slowed and instance_share_per_s in shares_changed.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -332,6 +332,8 @@
   routing::TicketId mTicket = 0;   ///< of the wait in the queue; 0: none
   /// rank in the queue; empty: neither waited nor planned yet
   std::optional<std::uint64_t> mQueueArrival;
+  /// its work counts as served; not while it returns after a rejection
+  bool mIsCountedServed = false;
   bool mWasQueued = false;   ///< the last attempt was admitted by the queue
   bool mIsReturning = false; ///< a full upstream rejected the last attempt
   int mReturns = 0;          ///< rejections by full upstreams
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -27,6 +27,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace figslip::gateway {
@@ -88,7 +89,9 @@
   void ReleaseSlot(placement::Reservation& aReservation);
   /// @brief Records that an upstream rejected a request as it is full.
   /// @param[in] aSentAt time at which the request was sent
-  void OnRejected(const ingress::UpstreamEntry& aUpstream, TimePoint aSentAt);
+  void OnRejected(const ingress::UpstreamEntry& aUpstream,
+                  const placement::Reservation& aReservation,
+                  TimePoint aSentAt);
 
   /// @brief Checks whether callers can be served.
   ///
@@ -139,6 +142,17 @@
   void RecordPause(const ingress::UpstreamEntry& aUpstream,
                    double aSeconds,
                    TimePoint aNow);
+  /// Holds what metrics tell of a service that is short of capacity, cost per
+  /// second.
+  struct ShareGauges
+  {
+    double mShare = 0.0; ///< of this instance
+    double mPacedRate = 0.0;
+  };
+
+  /// Passes the shares of this instance on to the choice of upstreams.
+  void UpdateInstanceShares(TimePoint aNow);
+  void SetShareGauges(const std::string& aService, const ShareGauges& aGauges);
   /// Calculates the shares of the client accounts and reports their changes.
   void UpdateShares(TimePoint aNow);
   /// Logs the quarantined parts and reports those that were cleared.
@@ -150,6 +164,7 @@
   void DivideAllowances();
 
   TimePoint mSpeedsReportedAt;
+  std::set<std::string> mPacedServices; ///< as of the last tick
 };
 
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -174,9 +174,10 @@
   }
   if (mTransmissions == 0) {
     mState.mRetries.OnFirstAttempt(mService, now);
-    if (mState.mSettings.mOverloadControl) {
-      mState.mShares.OnAdmitted(mService, AccountName(), mWork, now);
-    }
+  }
+  if (mState.mSettings.mOverloadControl && !mIsCountedServed) {
+    mIsCountedServed = true;
+    mState.mShares.OnAdmitted(mService, AccountName(), mWork, now);
   }
   ++mTransmissions;
   ++mAttempts;
@@ -498,13 +499,17 @@
     // the request has not run and keeps its rank among those that wait
     mIsReturning = true;
     ++mReturns;
+    if (std::exchange(mIsCountedServed, false)) {
+      mState.mShares.OnRejected(
+        mService, AccountName(), mWork, ReadBootClock());
+    }
     mFullUpstreams.insert(aAttempt.mUpstream.mId);
   } else {
     ++mRejections;
   }
   RecordHealth(aAttempt, AttemptHealth::Rejected);
   if (aAttempt.mConnection->Head().mStatus != kMisdirected) {
-    mState.OnRejected(aAttempt.mUpstream, aAttempt.mSentAt);
+    mState.OnRejected(aAttempt.mUpstream, aAttempt.mLoad, aAttempt.mSentAt);
   }
   mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
   mLastFailure =
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -521,9 +521,14 @@
   }
   const auto reason =
     mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
-  return reason == placement::NoChoiceReason::NoUpstream
-           ? AdmissionResult::Unschedulable
-           : AdmissionResult::NoCapacity;
+  if (reason == placement::NoChoiceReason::NoUpstream) {
+    return AdmissionResult::Unschedulable;
+  }
+  // the share of this instance may still cover accounts within their share
+  const bool isPassedOver = mState.mBoard.PacedRate(mService, now) &&
+                            mState.mShares.IsOverShare(mService, AccountName());
+  return isPassedOver ? AdmissionResult::NoCapacityForAccount
+                      : AdmissionResult::NoCapacity;
 }
 
 bool
@@ -647,7 +652,10 @@
              },
            .mExcludedUpstreams = &mAvoidedUpstreams,
            .mRegions = &mRoute->mAllowedRegions,
-           .mMayRetry = mRoute->IsRetryable() };
+           .mMayRetry = mRoute->IsRetryable(),
+           .mCost = mWork,
+           .mIsOverShare =
+             mState.mShares.IsOverShare(mService, AccountName()) };
 }
 
 cascade::SizeQuery
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -245,10 +245,47 @@
   ReportSpeeds(now);
 }
 
+void
+TrafficState::UpdateInstanceShares(TimePoint aNow)
+{
+  std::vector<placement::InstanceShare> shares;
+  for (const auto& service : mShares.ScarceServices()) {
+    const auto share = mShares.InstanceShare(service);
+    shares.push_back(
+      { .mService = service, .mPerSecond = share.value_or(0.0) });
+  }
+  mBoard.SetInstanceShares(shares, aNow);
+  std::set<std::string> paced;
+  for (const auto& share : shares) {
+    paced.insert(share.mService);
+    SetShareGauges(
+      share.mService,
+      { .mShare = share.mPerSecond,
+        .mPacedRate = mBoard.PacedRate(share.mService, aNow).value_or(0.0) });
+  }
+  for (const auto& service : mPacedServices) {
+    if (!paced.contains(service)) {
+      SetShareGauges(service, {});
+    }
+  }
+  mPacedServices = std::move(paced);
+}
+
+void
+TrafficState::SetShareGauges(const std::string& aService,
+                             const ShareGauges& aGauges)
+{
+  mMetrics.GaugeOf("figslip_instance_share", { { "service", aService } })
+    .Set(aGauges.mShare);
+  mMetrics.GaugeOf("figslip_paced_rate", { { "service", aService } })
+    .Set(aGauges.mPacedRate);
+}
+
 void
 TrafficState::UpdateShares(TimePoint aNow)
 {
   mShares.OnTick(aNow);
+  UpdateInstanceShares(aNow);
   for (const auto& change : mShares.TakeChanges(aNow)) {
     mMetrics
       .GaugeOf("figslip_share_accounts_over",
@@ -258,6 +295,9 @@
                "shares_changed",
                { { "service", change.mService },
                  { "capacity_per_s", std::to_string(change.mCapacity) },
+                 { "instance_share_per_s",
+                   std::to_string(
+                     mShares.InstanceShare(change.mService).value_or(0.0)) },
                  { "over_share", std::to_string(change.mAccounts.size()) },
                  { "accounts", FormatOverShare(change.mAccounts) } });
   }
@@ -319,10 +359,25 @@
 
 void
 TrafficState::OnRejected(const ingress::UpstreamEntry& aUpstream,
+                         const placement::Reservation& aReservation,
                          TimePoint aSentAt)
 {
   const auto now = ReadBootClock();
   RecordLimit(aUpstream, mBoard.OnRejected(aUpstream.mId, aSentAt, now), now);
+  if (mBoard.OnPacedRejection(aReservation, now)) {
+    mMetrics
+      .CounterOf("figslip_pacing_slowed_total",
+                 { { "service", aUpstream.mService } })
+      .Add();
+    log::Write(
+      log::Level::Info,
+      "pacing_slowed",
+      { { "service", aUpstream.mService },
+        { "upstream", aUpstream.mId },
+        { "paced_per_s",
+          std::to_string(
+            mBoard.PacedRate(aUpstream.mService, now).value_or(0.0)) } });
+  }
 }
 
 void
