--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -41,8 +41,10 @@
 /// @brief Lists the results of an attempt to admit a waiting request.
 enum class AdmissionResult
 {
-  Admitted,     ///< capacity was reserved for the request
-  NoCapacity,   ///< no request of its capacity class can be admitted now
+  Admitted,   ///< capacity was reserved for the request
+  NoCapacity, ///< no request of its capacity class can be admitted now
+  /// none of its account can; others of its capacity class are tried
+  NoCapacityForAccount,
   Unschedulable ///< waiting can't help; the caller of the queue must decide
 };
 
@@ -73,8 +75,9 @@
   /// @brief Offers capacity to the waiting requests in fair order.
   /// @param[in] aTry tries to reserve capacity for a request
   /// @return tickets that left the queue, admitted or unschedulable, in order
-  /// @note Calls `aTry` once for each ticket returned and once for each class
-  /// without capacity, however many requests wait.
+  /// @note Calls `aTry` once for each ticket returned, once for each class
+  /// without capacity and once for each account without capacity, however many
+  /// requests wait.
   std::vector<routing::TicketId> Admit(
     const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
     TimePoint aNow);
@@ -150,6 +153,8 @@
     std::string mGroup;
     double mVirtualTime = 0.0; ///< start tag of the last admitted request
     std::map<std::string, Flow> mFlows;
+    /// accounts without capacity, while capacity is offered
+    std::set<std::string, std::less<>> mBlocked;
     std::size_t mWaiting = 0;
     ServiceRate mRate;
   };
@@ -180,8 +185,10 @@
     ClassQueues::iterator aClass,
     const std::string& aAccount,
     const ClassNames& aExhausted);
-  /// Returns the account whose turn it is in a class.
-  [[nodiscard]] static const std::string& NextAccount(const ClassQueue& aQueue);
+  /// Returns the account whose turn it is in a class; nothing if there is no
+  /// capacity for any of those that wait.
+  [[nodiscard]] static std::optional<std::string> NextAccount(
+    const ClassQueue& aQueue);
   /// Holds what the estimate of a wait needs of another account's flow.
   struct Competitor
   {
@@ -230,7 +237,7 @@
   /// Tries the first request of an account in a class.
   /// @param[in] aTurn class that provides the turn of the account, which is
   /// charged for it
-  std::optional<routing::TicketId> AdmitFrom(
+  AdmissionResult AdmitFrom(
     ClassQueue& aQueue,
     const std::string& aAccount,
     ClassQueue& aTurn,
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -58,17 +58,16 @@
   return arrival;
 }
 
-const std::string&
+std::optional<std::string>
 FairQueue::NextAccount(const ClassQueue& aQueue)
 {
-  auto waiting = aQueue.mFlows | std::views::filter([](const auto& aEntry) {
-                   return !aEntry.second.mWaiting.empty();
+  auto waiting = aQueue.mFlows | std::views::filter([&](const auto& aEntry) {
+                   return !aEntry.second.mWaiting.empty() &&
+                          !aQueue.mBlocked.contains(aEntry.first);
                  });
-  return std::ranges::min_element(
-           waiting,
-           {},
-           [](const auto& aEntry) { return aEntry.second.mStartTag; })
-    ->first;
+  const auto next = std::ranges::min_element(
+    waiting, {}, [](const auto& aEntry) { return aEntry.second.mStartTag; });
+  return next == waiting.end() ? std::nullopt : std::optional(next->first);
 }
 
 FairQueue::ClassQueues::iterator
@@ -119,6 +118,14 @@
   // a request that was rejected returns with a start tag before this time
   aQueue.mVirtualTime = std::max(aQueue.mVirtualTime, aFlow.mStartTag);
   aFlow.mStartTag += aCost / aFlow.mShare;
+  // an account that is passed over accumulates no credit
+  for (const auto& account : aQueue.mBlocked) {
+    const auto flow = aQueue.mFlows.find(account);
+    if (flow != aQueue.mFlows.end()) {
+      auto& tag = flow->second.mStartTag;
+      tag = std::max(tag, aQueue.mVirtualTime);
+    }
+  }
 }
 
 void
@@ -151,7 +158,7 @@
   }
 }
 
-std::optional<routing::TicketId>
+AdmissionResult
 FairQueue::AdmitFrom(
   ClassQueue& aQueue,
   const std::string& aAccount,
@@ -163,8 +170,10 @@
   const auto& request = flow.mWaiting.begin()->second;
   const auto ticket = request.mTicket;
   const auto result = aTry(request);
-  if (result == AdmissionResult::NoCapacity) {
-    return std::nullopt;
+  const bool isLeft = result == AdmissionResult::Admitted ||
+                      result == AdmissionResult::Unschedulable;
+  if (!isLeft) {
+    return result;
   }
   if (result == AdmissionResult::Admitted) {
     AdvanceVirtualTime(aTurn, aTurn.mFlows.at(aAccount), request.mCost);
@@ -172,7 +181,7 @@
     flow.mRate.OnAdmission(aNow, request.mCost);
   }
   Erase(ticket);
-  return ticket;
+  return result;
 }
 
 std::vector<routing::TicketId>
@@ -182,6 +191,9 @@
 {
   std::vector<routing::TicketId> left;
   ClassNames exhausted;
+  for (auto& queue : mClassQueues | std::views::values) {
+    queue.mBlocked.clear();
+  }
   while (exhausted.size() < mClassQueues.size()) {
     auto position = mClassQueues.upper_bound(mLastServedClass);
     if (position == mClassQueues.end()) {
@@ -192,13 +204,25 @@
       continue;
     }
     const auto account = NextAccount(position->second);
-    const auto chosen = MostUrgentClass(position, account, exhausted);
-    const auto ticket =
-      AdmitFrom(chosen->second, account, position->second, aTry, aNow);
-    if (ticket) {
-      left.push_back(*ticket);
-    } else {
-      exhausted.insert(chosen->first);
+    if (!account) {
+      exhausted.insert(mLastServedClass);
+      continue;
+    }
+    const auto chosen = MostUrgentClass(position, *account, exhausted);
+    const auto& flow = chosen->second.mFlows.at(*account);
+    const auto ticket = flow.mWaiting.begin()->second.mTicket;
+    switch (AdmitFrom(chosen->second, *account, position->second, aTry, aNow)) {
+      case AdmissionResult::Admitted:
+      case AdmissionResult::Unschedulable:
+        left.push_back(ticket);
+        break;
+      case AdmissionResult::NoCapacity:
+        exhausted.insert(chosen->first);
+        break;
+      case AdmissionResult::NoCapacityForAccount:
+        position->second.mBlocked.insert(*account);
+        chosen->second.mBlocked.insert(*account);
+        break;
     }
   }
   return left;
