Test replacements in the queue and describe the order of kinds

A replacement of an account over its share was refused as soon as its answer would be late and tried again only after the next silence. Each try in the queue avoids the upstream that is silent, also after a try that found no other one.

history-slot_queue has a test of two engines with a slot each: the slot that becomes free goes to the replacement of a silent stream and not to a new request.

--- a/src/core/admission/account_queue.cpp
+++ b/src/core/admission/account_queue.cpp
@@ -78,8 +78,10 @@
 TimePoint
 AccountQueue::LimitOf(const OfferedRequest& aRequest) const
 {
-  return IsOverShare(aRequest) ? std::min(aRequest.mInTimeBy, aRequest.mLateBy)
-                               : aRequest.mLateBy;
+  // what an attempt has begun is worth more than a new request of the account
+  const bool endsInTime = IsOverShare(aRequest) && !aRequest.mIsReplacement;
+  return endsInTime ? std::min(aRequest.mInTimeBy, aRequest.mLateBy)
+                    : aRequest.mLateBy;
 }
 
 bool
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -339,6 +339,10 @@
   request.mAttemptId = mFacts.mAttemptId;
   request.mExecutor = mCaller.Executor();
   request.mTry = [this, &aReplacement] {
+    // a try that found no upstream has forgotten which one to avoid
+    if (mRunning != nullptr) {
+      mAvoidedUpstreams.insert(mRunning->mUpstream.mId);
+    }
     return TryPlan(aReplacement.mPlanned);
   };
   aReplacement.mTicket = request.mOffered.mQueued.mTicket;
--- a/tests/src/history-slot_queue.cpp
+++ b/tests/src/history-slot_queue.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <functional>
 #include <future>
+#include <ranges>
 #include <string>
 #include <thread>
 #include <vector>
@@ -42,6 +43,22 @@
          aAnswer.mHead.find("Retry-After: ") != std::string::npos;
 }
 
+/// Returns the number of waiting requests as the metrics of an instance state
+/// it.
+std::string
+WaitingOf(IngressWorld& aWorld)
+{
+  test::CallerLink link(aWorld.MetricsPort(0));
+  const auto body =
+    link.Exchange("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", 2s).mBody;
+  const std::string name = "figslip_queue_waiting{service=\"engines\"} ";
+  const auto begin = body.find(name);
+  return begin == std::string::npos
+           ? ""
+           : body.substr(begin + name.size(),
+                         body.find('\n', begin) - begin - name.size());
+}
+
 } // namespace
 
 TEST_CASE("under overload control, with an engine of two slots")
@@ -171,3 +188,50 @@
     }
   }
 }
+
+// Load: two engines of one slot each, of which one is held by a booking and the
+// other by a stream that goes silent. Guards against a replacement that is
+// planned beside the queue, where new requests of its account get each slot
+// that becomes free before its next try.
+TEST_CASE("under overload control, the replacement of a silent attempt")
+{
+  IngressWorld world(
+    { .mEngines = 2, .mOverloadControl = true, .mEngineSlots = 1 });
+  const auto setAll = [&](Behaviour aBehaviour) {
+    world.Engine(0).SetBehaviour(aBehaviour);
+    world.Engine(1).SetBehaviour(aBehaviour);
+  };
+  const auto holdAll = [&](const std::string& aPrefix) {
+    world.Engine(0).HoldHeads(aPrefix);
+    world.Engine(1).HoldHeads(aPrefix);
+  };
+  const auto start = [&](const std::string& aPath, const std::string& aName) {
+    return std::async(std::launch::async, [&world, aPath, aName] {
+      return world.Send(0, "POST", aPath, aName);
+    });
+  };
+  holdAll("/book/");
+  auto booking = start("/book/1", "booking");
+  REQUIRE(Eventually([&] { return world.RunsOf("booking") == 1; }));
+  const std::size_t held = world.Engine(0).Runs().empty() ? 1 : 0;
+  setAll(Behaviour::SilentMidway);
+  auto silent = start("/chat/1", "silent");
+  REQUIRE(Eventually([&] { return world.RunsOf("silent") == 1; }));
+  std::this_thread::sleep_for(100ms); // two events, 2 ms apart, and silence
+  setAll(Behaviour::Good);
+  auto waiting = start("/chat/1", "waiting");
+
+  // the new request and the replacement; before, the replacement did not wait
+  CHECK(Eventually([&] { return WaitingOf(world) == "2"; }));
+  holdAll("");
+  CHECK(booking.get().mStatus == 200);
+  CHECK(silent.get().mIsWhole);
+  CHECK(waiting.get().mStatus == 200);
+  std::vector<std::string> order;
+  for (const auto& run : world.Engine(held).Runs() | std::views::take(2)) {
+    order.emplace_back(
+      net::FindHeader(run.mHeaders, "x-attempt-id").value_or(""));
+  }
+  // the new request follows there or at the other engine
+  CHECK(order == std::vector<std::string>{ "booking", "silent" });
+}
--- a/tests/src/unit-account_queue.cpp
+++ b/tests/src/unit-account_queue.cpp
@@ -656,6 +656,30 @@
     }
   }
 
+  // guards against replacements that wait behind new requests, or that are
+  // counted as requests of a kind of their own
+  SUBCASE("lets the replacement of an attempt go first")
+  {
+    isOverShare = true;
+    CHECK_FALSE(queue.Offer(RequestOf(1, "a", now), now).mRefusal);
+    auto replacement = RequestOf(2, "a", now, 5);
+    replacement.mIsReplacement = true;
+    CHECK_FALSE(queue.Offer(replacement, now).mRefusal);
+    CHECK(admitOne() == std::vector<TicketId>{ 2 });
+    CHECK(admitOne() == std::vector<TicketId>{ 1 });
+    replacement.mQueued.mTicket = 3;
+    CHECK_FALSE(queue.Offer(replacement, now).mRefusal);
+    now += 2s; // its answer would be late
+    CHECK(queue.RefuseUnmeetable(now).empty());
+    now += 2s;
+    CHECK(queue.RefuseUnmeetable(now).size() == 1);
+    for (TicketId ticket = 10; ticket < 30; ++ticket) {
+      replacement.mQueued.mTicket = ticket;
+      CHECK(queue.Offer(replacement, now).mRefusal);
+    }
+    CHECK_FALSE(queue.RefuseDirect(RequestOf(4, "a", now, 2), now));
+  }
+
   // guards against a request that finds a slot before a more urgent one of its
   // account which waits for the same slots in another class
   SUBCASE("lets requests wait for more urgent ones in other classes")
