--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -51,6 +51,13 @@
   /// records are tracked.
   [[nodiscard]] std::vector<CrashReport> TakeDue(TimePoint aNow);
 
+  /// @brief Checks whether the record of a report is published, or held to be.
+  [[nodiscard]] bool IsKnown(const CrashReport& aReport) const
+  {
+    const auto name = NameOf(aReport);
+    return mTracker.Contains(name) || mPending.contains(name);
+  }
+
   /// @brief Returns the name of the record of a report.
   [[nodiscard]] static std::string NameOf(const CrashReport& aReport);
 
--- a/include/figslip/quarantine/part_records.hpp
+++ b/include/figslip/quarantine/part_records.hpp
@@ -44,4 +44,9 @@
 [[nodiscard]] std::string
 FormatPart(PartId aPart);
 
+/// @brief Parses the identity of a part, which is hexadecimal.
+/// @return nothing if it is not one
+[[nodiscard]] std::optional<PartId>
+ParsePart(std::string_view aText);
+
 } // namespace figslip::quarantine
--- a/include/figslip/quarantine/suspect_reports.hpp
+++ b/include/figslip/quarantine/suspect_reports.hpp
@@ -47,6 +47,9 @@
   /// @return whether they are held or known; false: there is no room
   bool OnOwn(const CrashSuspects& aCrash, TimePoint aNow);
 
+  /// @brief Returns a crash without the suspects that are published for it.
+  [[nodiscard]] CrashSuspects WithoutKnown(CrashSuspects aCrash) const;
+
   /// @brief Records suspects that another instance has published.
   void OnPublished(const CrashSuspects& aCrash, TimePoint aNow);
 
--- a/src/core/quarantine/crash_records.cpp
+++ b/src/core/quarantine/crash_records.cpp
@@ -63,10 +63,10 @@
 bool
 CrashRecords::OnOwnReport(const CrashReport& aReport, TimePoint aNow)
 {
-  auto name = NameOf(aReport);
-  if (mTracker.Contains(name) || mPending.contains(name)) {
+  if (IsKnown(aReport)) {
     return true;
   }
+  auto name = NameOf(aReport);
   if (mPending.size() >= mOptions.mMaxPending) {
     return false;
   }
--- a/src/core/quarantine/part_records.cpp
+++ b/src/core/quarantine/part_records.cpp
@@ -18,15 +18,8 @@
 std::optional<PartId>
 ReadPart(const nlohmann::json& aValue)
 {
-  if (!aValue.is_string()) {
-    return std::nullopt;
-  }
-  const auto& text = aValue.get_ref<const std::string&>();
-  PartId part = 0;
-  const auto* const end = text.data() + text.size();
-  const auto read = std::from_chars(text.data(), end, part, kHexBase);
-  const bool isValid = read.ec == std::errc{} && read.ptr == end;
-  return isValid ? std::optional(part) : std::nullopt;
+  return aValue.is_string() ? ParsePart(aValue.get_ref<const std::string&>())
+                            : std::nullopt;
 }
 
 template<typename Parts>
@@ -112,4 +105,14 @@
   return { text.data(), end.ptr };
 }
 
+std::optional<PartId>
+ParsePart(std::string_view aText)
+{
+  PartId part = 0;
+  const auto* const end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, part, kHexBase);
+  const bool isValid = read.ec == std::errc{} && read.ptr == end;
+  return isValid ? std::optional(part) : std::nullopt;
+}
+
 } // namespace figslip::quarantine
--- a/src/core/quarantine/suspect_reports.cpp
+++ b/src/core/quarantine/suspect_reports.cpp
@@ -42,15 +42,21 @@
          std::abs(aCrash.mAtMs - aOther.mAtMs) < window;
 }
 
-bool
-SuspectReports::OnOwn(const CrashSuspects& aCrash, TimePoint aNow)
+CrashSuspects
+SuspectReports::WithoutKnown(CrashSuspects aCrash) const
 {
-  auto crash = aCrash;
   for (const auto& known : mKnown) {
-    if (IsSameCrash(crash, known.mCrash)) {
-      LeaveOut(known.mCrash, crash);
+    if (IsSameCrash(aCrash, known.mCrash)) {
+      LeaveOut(known.mCrash, aCrash);
     }
   }
+  return aCrash;
+}
+
+bool
+SuspectReports::OnOwn(const CrashSuspects& aCrash, TimePoint aNow)
+{
+  auto crash = WithoutKnown(aCrash);
   if (crash.mParts.empty()) {
     return true;
   }
