Publish records about crashes through the followed instance

Records of crash suspects, served parts and crashes of requests were written by each instance. An instance that follows another one now sends them to it (POST /v1/records), and that one merges and publishes them. If the message is not answered in 1.5 s or is refused, or the followed instance is lost within 5 s after it has accepted, the records go to the next one or are published by the instance itself.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -7,7 +7,9 @@
 #include <figslip/net/asio.hpp>
 #include <figslip/quarantine/crash_records.hpp>
 #include <figslip/quarantine/part_records.hpp>
+#include <figslip/quarantine/record_forwarder.hpp>
 #include <figslip/quarantine/record_tracker.hpp>
+#include <figslip/quarantine/served_reports.hpp>
 #include <figslip/quarantine/suspect_reports.hpp>
 #include <figslip/relay/relay_follower.hpp>
 #include <figslip/relay/relay_server.hpp>
@@ -23,6 +25,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace figslip::gateway {
@@ -110,6 +113,21 @@
     const store::Object& aObject);
   /// Removes this instance's counts of roll-outs that are decided or gone.
   void RemoveOldEvidence();
+  /// Passes records to the instance that this one follows, or publishes them.
+  void Forward(const quarantine::RecordBatch& aRecords);
+  /// Forwards until nothing is held any more.
+  [[nodiscard]] net::Awaitable<void> RunForwarding();
+  /// Does what the forwarding has due now.
+  void StepForwarding();
+  [[nodiscard]] net::Awaitable<void> SendRecords(
+    quarantine::RecordForwarder::Message aMessage);
+  /// Merges records with those that this instance is to publish.
+  /// @return false: there was no room for all
+  bool Merge(const quarantine::RecordBatch& aRecords);
+  /// Takes records that a follower has sent.
+  /// @param[in] aBody empty: it was too large
+  /// @return status of the answer
+  [[nodiscard]] unsigned OnForwardedRecords(std::string_view aBody);
   void PublishCrashes();
   void PublishParts();
   void CreatePartRecord(const nlohmann::json& aRecord);
@@ -158,7 +176,9 @@
   const store::StoreDialect& mDialect;
   ingress::FreshnessLease& mLease;
   PostTask mPost;
+  metrics::Registry& mMetrics;
   store::StoreClient mClient;
+  store::StoreClient mRecordClient; ///< calls the instance that is followed
   std::vector<std::unique_ptr<store::ObjectFollower>> mFollowers;
   relay::RelayServer mRelayServer;
   relay::RelayFollower mRelayFollower;
@@ -186,7 +206,11 @@
   /// a call that was sent then has been answered
   TimePoint mStoreAnsweredAt;
   std::minstd_rand mRandom{ std::random_device{}() };
-  std::vector<quarantine::PartId> mServedParts; ///< not published yet
+  quarantine::ServedReports mServedParts;
+  quarantine::RecordForwarder mForwarder{ {} };
+  std::string mRecordTarget;          ///< process that `mRecordClient` calls
+  bool mIsForwarding = false;         ///< `RunForwarding` runs
+  std::set<std::string> mDomainPeers; ///< instances of the own failure domain
 };
 
 } // namespace figslip::gateway
--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -30,6 +30,17 @@
                 metrics::Registry& aMetrics,
                 SourceChoice::Options aOptions);
 
+  /// @brief Names the instance that is followed.
+  struct Source
+  {
+    std::string mProcess; ///< differs after a restart of the instance
+    net::Endpoint mEndpoint;
+  };
+
+  /// @brief Returns the instance that is followed; none: the store, or the
+  /// instance was lost.
+  [[nodiscard]] std::optional<Source> FollowedSource() const;
+
   /// @brief Starts to follow.
   void Start();
 
@@ -68,7 +79,7 @@
   [[nodiscard]] std::optional<std::string> Check(const PollAnswer& aAnswer,
                                                  TimePoint aSentAt) const;
   void TurnToStore(const std::string& aReason);
-  void FollowPeer(const Peer& aPeer);
+  void FollowPeer(const Peer& aPeer, std::uint64_t aEpoch);
   [[nodiscard]] CopyState State() const;
   [[nodiscard]] bool HasCopy() const;
   [[nodiscard]] bool HasLostStore() const;
@@ -84,7 +95,9 @@
   store::StoreClient mClient;
   std::string mClientPeer;            ///< where the client calls
   std::optional<std::string> mSource; ///< instance followed; none: the store
-  std::uint64_t mEpoch = 0;           ///< of the process asked last
+  std::uint64_t mSourceEpoch = 0;     ///< of its process
+  net::Endpoint mSourceEndpoint;
+  std::uint64_t mEpoch = 0; ///< of the process asked last
   std::map<store::ObjectKind, std::uint64_t> mSequences; ///< in that epoch
   std::map<std::string, std::string> mLoggedFailures;    ///< reason by instance
   bool mHasStarted = false;
--- a/include/figslip/relay/relay_messages.hpp
+++ b/include/figslip/relay/relay_messages.hpp
@@ -46,6 +46,9 @@
   std::string mSource; ///< instance that the answering one follows; or empty
 };
 
+/// @brief Path at which an instance takes records of its followers.
+inline constexpr std::string_view kRecordsPath = "/v1/records";
+
 /// @brief Lists all kinds that are passed on.
 inline constexpr auto kRelayedKinds =
   std::to_array<store::ObjectKind>({ store::ObjectKind::Configuration,
--- a/include/figslip/relay/relay_server.hpp
+++ b/include/figslip/relay/relay_server.hpp
@@ -7,10 +7,12 @@
 #include <figslip/relay/relay_messages.hpp>
 #include <figslip/store/object_follower.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -42,6 +44,17 @@
   /// a copy names; empty: none, or none that is known to have a copy.
   void SetSource(std::string aInstance) { mSource = std::move(aInstance); }
 
+  /// @brief Sets what handles the records that followers send to be published.
+  /// @param[in] aOnRecords takes the body of the message and returns the status
+  ///            of the answer; messages that are too large have no body
+  void SetOnRecords(std::function<unsigned(std::string_view)> aOnRecords)
+  {
+    mOnRecords = std::move(aOnRecords);
+  }
+
+  /// @brief Checks whether the copy comes from the store and is current.
+  [[nodiscard]] bool IsCurrent() const;
+
   /// @brief Notes that a copy may have changed, or was confirmed.
   void OnNews(const store::ObjectFollower& aFollower);
 
@@ -49,6 +62,10 @@
   using Connection = std::shared_ptr<net::CallerConnection>;
 
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
+  /// Answers the request that a connection has read.
+  /// @return whether the connection may be used further
+  [[nodiscard]] net::Awaitable<bool> Answer(Connection aConnection);
+  [[nodiscard]] net::Awaitable<bool> AnswerPoll(Connection aConnection);
   [[nodiscard]] net::Awaitable<PollAnswer> AwaitNews(Poll aPoll,
                                                      TimePoint aArrivedAt);
   [[nodiscard]] PollAnswer AnswerTo(const Poll& aPoll,
@@ -65,6 +82,7 @@
   std::map<store::ObjectKind, ChangeLog> mLogs;
   std::uint64_t mNews = 0; ///< counts reasons to answer
   std::vector<std::shared_ptr<net::asio::steady_timer>> mWaiting;
+  std::function<unsigned(std::string_view)> mOnRecords;
   bool mIsDirect = false;
   std::string mSource;   ///< instance that is followed; or empty
   int mForeignPolls = 0; ///< of other failure domains that wait
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -80,7 +80,19 @@
 /// others follow later.
 constexpr std::size_t kMaxCrashesPerInterval = 4;
 
+/// Time for the answer of the instance to which records are forwarded.
+constexpr auto kForwardTimeout = milliseconds(1'500);
+
+/// Interval at which the forwarding looks for what is due; a message and the
+/// look at the source together must not delay evidence by more than 50 ms.
+constexpr auto kForwardLook = milliseconds(10);
+
+constexpr unsigned kOk = 200;
 constexpr unsigned kFirstClientError = 400;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kForbidden = 403;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kUnavailable = 503;
 
 /// An object of this name exists already; the write counts as done.
 constexpr unsigned kConflict = 409;
@@ -224,7 +236,12 @@
   , mDialect(aDialect)
   , mLease(aLease)
   , mPost(std::move(aPost))
+  , mMetrics(aMetrics)
   , mClient(aContext.get_executor(), aSettings.mStore, aMetrics)
+  , mRecordClient(aContext.get_executor(),
+                  {},
+                  aMetrics,
+                  "figslip_relay_calls_total")
   , mRelayServer(aContext, mFollowers, NewEpoch())
   , mRelayFollower(aContext,
                    mFollowers,
@@ -284,6 +301,8 @@
          MakeCallbacks(ObjectKind::Shared, [this](const auto& aObjects) {
            OnSharedObjects(aObjects);
          }));
+  mRelayServer.SetOnRecords(
+    [this](std::string_view aBody) { return OnForwardedRecords(aBody); });
   auto started = mRelayServer.Start(
     mSettings.mPeers,
     admission::DivideConnectionLimits(mSettings.mMemoryMb,
@@ -463,9 +482,9 @@
        mSuspects.TakeDue(kMaxCrashesPerInterval, ReadBootClock())) {
     CreatePartRecord(quarantine::FormatCrashRecord(crash));
   }
-  if (!mServedParts.empty()) {
-    CreatePartRecord(
-      quarantine::FormatServedRecord(std::exchange(mServedParts, {})));
+  const auto served = mServedParts.TakeDue(ReadBootClock());
+  if (!served.empty()) {
+    CreatePartRecord(quarantine::FormatServedRecord(served));
   }
 }
 
@@ -590,6 +609,12 @@
       partRecords.insert(name);
     }
   }
+  mDomainPeers.clear();
+  for (const auto& peer : peers) {
+    if (peer.mFailureDomain == mSettings.mFailureDomain) {
+      mDomainPeers.insert(peer.mInstance);
+    }
+  }
   mRelayFollower.OnPeers(peers);
   relay::FollowerOf(mFollowers, ObjectKind::Configuration)
     .SetMaxBackoff(
@@ -613,6 +638,9 @@
     std::ranges::copy(quarantine::ReadServedRecord(record),
                       std::back_inserter(served));
   }
+  mServedParts.OnPublished(served, ReadBootClock());
+  mForwarder.OnPublished(
+    { .mReports = reports, .mSuspects = suspects, .mServed = served });
   log::Write(log::Level::Info,
              "instances_known",
              { { "instances", std::to_string(places.size()) },
@@ -672,12 +700,153 @@
   if (aReport.mInFlight > kMaxSharedInFlight) {
     return;
   }
-  if (!mCrashes.OnOwnReport(aReport, ReadBootClock())) {
-    log::Write(log::Level::Warning,
-               "crash_report_dropped",
-               { { "upstream", aReport.mUpstream } });
+  if (!mCrashes.IsKnown(aReport)) {
+    Forward({ .mReports = { aReport }, .mSuspects = {}, .mServed = {} });
+  }
+}
+
+void
+ControlPlane::Forward(const quarantine::RecordBatch& aRecords)
+{
+  // a change of the source applies first
+  StepForwarding();
+  mForwarder.Add(aRecords, ReadBootClock());
+  StepForwarding();
+  if (!mIsForwarding && !mForwarder.IsIdle()) {
+    mIsForwarding = true;
+    net::asio::co_spawn(mContext, RunForwarding(), net::asio::detached);
+  }
+}
+
+net::Awaitable<void>
+ControlPlane::RunForwarding()
+{
+  while (!mForwarder.IsIdle()) {
+    co_await net::Sleep(kForwardLook);
+    StepForwarding();
+  }
+  mIsForwarding = false;
+}
+
+void
+ControlPlane::StepForwarding()
+{
+  const auto now = ReadBootClock();
+  const auto source = mRelayFollower.FollowedSource();
+  const auto process = source ? source->mProcess : std::string();
+  if (source && process != mRecordTarget) {
+    mRecordTarget = process;
+    mRecordClient.SetEndpoint(source->mEndpoint);
+  }
+  mForwarder.OnSource(process, now);
+  const auto own = mForwarder.TakeOwn(now);
+  if (!own.IsEmpty()) {
+    Merge(own);
+  }
+  if (auto message = mForwarder.TakeMessage(now)) {
+    net::asio::co_spawn(
+      mContext, SendRecords(std::move(*message)), net::asio::detached);
+  }
+}
+
+net::Awaitable<void>
+ControlPlane::SendRecords(quarantine::RecordForwarder::Message aMessage)
+{
+  using quarantine::ForwardOutcome;
+  const auto source = mRecordTarget;
+  net::RequestMessage request{
+    .mMethod = "POST",
+    .mTarget = std::string(relay::kRecordsPath),
+    .mHeaders = { { .mName = "Content-Type", .mValue = "application/json" } },
+    .mBody = quarantine::FormatRecordMessage(
+      { .mInstance = mSettings.mInstance, .mBatch = aMessage.mBatch })
+  };
+  const auto result = co_await mRecordClient.Call(
+    std::move(request), "forward records", kForwardTimeout);
+  auto outcome = ForwardOutcome::Failed;
+  if (result.mStatus == kOk) {
+    outcome = ForwardOutcome::Accepted;
+  } else if (result.mStatus == kUnavailable) {
+    outcome = ForwardOutcome::Busy;
+  }
+  log::Write(outcome == ForwardOutcome::Accepted ? log::Level::Info
+                                                 : log::Level::Warning,
+             "records_forwarded",
+             { { "source", source },
+               { "records", std::to_string(aMessage.mBatch.RecordCount()) },
+               { "status", std::to_string(result.mStatus) },
+               { "reason", result.mReason } });
+  const auto retryAfter = mWriteBackoff.Before(retry::WriteUrgency::Background,
+                                               mForwarder.Refusals() + 1,
+                                               mInstanceCount,
+                                               Random());
+  mForwarder.OnAnswer(aMessage.mId, outcome, retryAfter, ReadBootClock());
+}
+
+bool
+ControlPlane::Merge(const quarantine::RecordBatch& aRecords)
+{
+  const auto now = ReadBootClock();
+  bool hasRoom = true;
+  const auto onTaken = [&](bool aIsTaken, const std::string& aUpstream) {
+    if (!aIsTaken) {
+      hasRoom = false;
+      log::Write(log::Level::Warning,
+                 "crash_report_dropped",
+                 { { "upstream", aUpstream } });
+    }
+  };
+  for (const auto& report : aRecords.mReports) {
+    onTaken(mCrashes.OnOwnReport(report, now), report.mUpstream);
+  }
+  for (const auto& crash : aRecords.mSuspects) {
+    onTaken(mSuspects.OnOwn(crash, now), crash.mEndpoint);
   }
+  mServedParts.OnOwn(aRecords.mServed, now);
   PublishCrashes();
+  return hasRoom;
+}
+
+unsigned
+ControlPlane::OnForwardedRecords(std::string_view aBody)
+{
+  const auto answer = [&](unsigned aStatus,
+                          const std::string& aInstance,
+                          const std::string& aReason) {
+    mMetrics
+      .CounterOf("figslip_forwarded_records_messages_total",
+                 { { "status", std::to_string(aStatus) } })
+      .Add();
+    if (aStatus != kOk) {
+      log::Write(log::Level::Warning,
+                 "records_refused",
+                 { { "instance", aInstance },
+                   { "status", std::to_string(aStatus) },
+                   { "reason", aReason } });
+    }
+    return aStatus;
+  };
+  if (aBody.empty()) {
+    return answer(kTooLarge, "", "the message is too large or empty");
+  }
+  auto parsed = quarantine::ParseRecordMessage(aBody);
+  if (!parsed) {
+    return answer(
+      kBadRequest, "", error::JoinMessages(parsed.assume_error(), "; "));
+  }
+  const auto& message = parsed.assume_value();
+  if (!mDomainPeers.contains(message.mInstance)) {
+    return answer(kForbidden,
+                  message.mInstance,
+                  "it is not registered in this failure domain");
+  }
+  if (!mRelayServer.IsCurrent()) {
+    return answer(
+      kUnavailable, message.mInstance, "this instance has no current copy");
+  }
+  return Merge(message.mBatch)
+           ? answer(kOk, message.mInstance, "")
+           : answer(kUnavailable, message.mInstance, "no room");
 }
 
 void
@@ -693,6 +862,7 @@
 void
 ControlPlane::WithdrawCrashes(const std::set<std::uint64_t>& aFingerprints)
 {
+  mForwarder.OnServed(aFingerprints);
   for (const auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
     log::Write(
       log::Level::Info, "crash_record_withdrawn", { { "record", name } });
@@ -830,17 +1000,16 @@
 void
 ControlPlane::ReportSuspects(const quarantine::CrashSuspects& aCrash)
 {
-  if (!mSuspects.OnOwn(aCrash, ReadBootClock())) {
-    log::Write(log::Level::Warning,
-               "crash_report_dropped",
-               { { "upstream", aCrash.mEndpoint } });
+  const auto crash = mSuspects.WithoutKnown(aCrash);
+  if (!crash.mParts.empty()) {
+    Forward({ .mReports = {}, .mSuspects = { crash }, .mServed = {} });
   }
 }
 
 void
 ControlPlane::ReportServed(const std::vector<quarantine::PartId>& aParts)
 {
-  std::ranges::copy(aParts, std::back_inserter(mServedParts));
+  Forward({ .mReports = {}, .mSuspects = {}, .mServed = aParts });
 }
 
 nlohmann::json
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -91,6 +91,16 @@
   net::asio::co_spawn(mContext, Run(), net::asio::detached);
 }
 
+std::optional<RelayFollower::Source>
+RelayFollower::FollowedSource() const
+{
+  if (!mSource || mChoice.IsWithoutSource()) {
+    return std::nullopt;
+  }
+  return Source{ .mProcess = *mSource + "." + std::to_string(mSourceEpoch),
+                 .mEndpoint = mSourceEndpoint };
+}
+
 void
 RelayFollower::OnPeers(const std::vector<Peer>& aPeers)
 {
@@ -288,7 +298,7 @@
   if (auto failure = Check(aAnswer, aSentAt)) {
     return failure;
   }
-  FollowPeer(aPeer);
+  FollowPeer(aPeer, aAnswer.mEpoch);
   mEpoch = aAnswer.mEpoch;
   const auto now = ReadBootClock();
   for (const auto& follower : mFollowers) {
@@ -348,8 +358,10 @@
 }
 
 void
-RelayFollower::FollowPeer(const Peer& aPeer)
+RelayFollower::FollowPeer(const Peer& aPeer, std::uint64_t aEpoch)
 {
+  mSourceEpoch = aEpoch;
+  mSourceEndpoint = ParseEndpoint(aPeer.mAddress).value_or(net::Endpoint{});
   if (mSource == aPeer.mInstance) {
     return;
   }
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -1,10 +1,12 @@
 #include <figslip/log/log.hpp>
 #include <figslip/net/listener.hpp>
+#include <figslip/quarantine/record_batch.hpp>
 #include <figslip/relay/relay_server.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 #include <utility>
 
 namespace figslip::relay {
@@ -101,6 +103,15 @@
   }
 }
 
+bool
+RelayServer::IsCurrent() const
+{
+  return mIsDirect &&
+         std::ranges::all_of(mFollowers, [](const auto& aFollower) {
+           return aFollower->Revision() && !aFollower->IsLost();
+         });
+}
+
 void
 RelayServer::OnNews(const store::ObjectFollower& aFollower)
 {
@@ -127,39 +138,67 @@
 RelayServer::Serve(Connection aConnection)
 {
   ingress::CallerLimits limits;
-  limits.mMaxBodyBytes = kMaxPollBytes;
+  limits.mMaxBodyBytes = quarantine::kMaxRecordMessageBytes;
   bool goesOn = true;
   while (goesOn) {
     const auto end = co_await aConnection->Read(limits);
+    if (end == net::ReadEnd::BodyTooLarge && mOnRecords) {
+      const auto status = mOnRecords({});
+      std::ignore = co_await aConnection->Respond(status, {}, {}, true);
+      co_await aConnection->CloseGracefully();
+      co_return;
+    }
     if (end != net::ReadEnd::Whole || !aConnection->BeginRun()) {
       break;
     }
-    const auto arrivedAt = ReadBootClock();
-    const auto poll = DecodePoll(aConnection->Request().mBody);
-    unsigned status = kBadRequest;
-    std::string body;
-    bool isLarge = false;
-    if (poll) {
-      const auto answer = co_await AwaitNews(poll.assume_value(), arrivedAt);
-      status = kOk;
-      isLarge = IsLarge(answer);
-      body = EncodeAnswer(answer);
-    } else {
-      log::Write(log::Level::Warning,
-                 "relay_poll_unreadable",
-                 { { "findings", error::JoinMessages(poll.assume_error()) } });
-    }
-    const net::Headers headers = {
-      { .mName = "Content-Type",
-        .mValue = "application/vnd.apache.thrift.compact" }
-    };
-    mLargeAnswers += isLarge ? 1 : 0;
-    goesOn = co_await aConnection->Respond(status, headers, body, false);
-    mLargeAnswers -= isLarge ? 1 : 0;
+    goesOn = co_await Answer(aConnection);
   }
   aConnection->Abort();
 }
 
+net::Awaitable<bool>
+RelayServer::Answer(Connection aConnection)
+{
+  const auto& request = aConnection->Request();
+  if (request.mTarget == kRecordsPath && mOnRecords) {
+    const auto status = mOnRecords(request.mBody);
+    co_return co_await aConnection->Respond(status, {}, {}, false);
+  }
+  if (request.mBody.size() > kMaxPollBytes) {
+    co_return false;
+  }
+  co_return co_await AnswerPoll(std::move(aConnection));
+}
+
+net::Awaitable<bool>
+RelayServer::AnswerPoll(Connection aConnection)
+{
+  const auto arrivedAt = ReadBootClock();
+  const auto poll = DecodePoll(aConnection->Request().mBody);
+  unsigned status = kBadRequest;
+  std::string body;
+  bool isLarge = false;
+  if (poll) {
+    const auto answer = co_await AwaitNews(poll.assume_value(), arrivedAt);
+    status = kOk;
+    isLarge = IsLarge(answer);
+    body = EncodeAnswer(answer);
+  } else {
+    log::Write(log::Level::Warning,
+               "relay_poll_unreadable",
+               { { "findings", error::JoinMessages(poll.assume_error()) } });
+  }
+  const net::Headers headers = {
+    { .mName = "Content-Type",
+      .mValue = "application/vnd.apache.thrift.compact" }
+  };
+  mLargeAnswers += isLarge ? 1 : 0;
+  const bool goesOn =
+    co_await aConnection->Respond(status, headers, body, false);
+  mLargeAnswers -= isLarge ? 1 : 0;
+  co_return goesOn;
+}
+
 net::Awaitable<PollAnswer>
 RelayServer::AwaitNews(Poll aPoll, TimePoint aArrivedAt)
 {
@@ -213,10 +252,7 @@
   PollAnswer answer{
     .mEpoch = mEpoch, .mIsDirect = false, .mKinds = {}, .mSource = {}
   };
-  answer.mIsDirect =
-    mIsDirect && std::ranges::all_of(mFollowers, [](const auto& aFollower) {
-      return aFollower->Revision() && !aFollower->IsLost();
-    });
+  answer.mIsDirect = IsCurrent();
   const bool isNewGuest = aPoll.mIsForeign && aPoll.mEpoch != mEpoch;
   if (isNewGuest && mForeignPolls >= kMaxForeignPolls) {
     answer.mIsDirect = false;
--- /dev/null
+++ b/tests/src/history-forwarded_records.cpp
@@ -0,0 +1,175 @@
+#include <harness/prompt_world.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace std::chrono_literals;
+using figslip::test::CallerLink;
+using figslip::test::FormatPrompt;
+using figslip::test::IngressWorld;
+using figslip::test::kDeadlyPart;
+using figslip::test::StoreStandIn;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kMembers = 3;
+
+bool
+AwaitTrue(const std::function<bool()>& aIsTrue, std::chrono::seconds aPatience)
+{
+  const auto until = Clock::now() + aPatience;
+  while (!aIsTrue() && Clock::now() < until) {
+    std::this_thread::sleep_for(20ms);
+  }
+  return aIsTrue();
+}
+
+/// Runs instances of one failure domain; one of them follows the store, the
+/// others follow it.
+class RecordWorld
+{
+public:
+  RecordWorld()
+    : mWorld(IngressWorld::Options{ .mInstances = kMembers, .mEngines = 4 })
+  {
+    for (std::size_t index = 0; index < kMembers; ++index) {
+      REQUIRE(mWorld.WaitForReady(index));
+    }
+    REQUIRE(AwaitTrue([this] { return CountDirect() == 1; }, 15s));
+    while (!FollowsStore(mSource)) {
+      ++mSource;
+    }
+    mFollower = (mSource + 1) % kMembers;
+    for (std::size_t engine = 0; engine < 4; ++engine) {
+      mWorld.Engine(engine).SetDeadlyParts({ kDeadlyPart });
+    }
+  }
+
+  [[nodiscard]] IngressWorld& World() { return mWorld; }
+  [[nodiscard]] std::size_t Source() const { return mSource; }
+
+  /// Lets upstreams crash on a request that the follower sends.
+  void CrashUpstreams()
+  {
+    static_cast<void>(
+      mWorld.SendRaw(mFollower, FormatPrompt({ kDeadlyPart }, 1)));
+  }
+
+  /// Checks whether the source has accepted records of the follower.
+  [[nodiscard]] bool HasForwarded()
+  {
+    const auto log = LogOf(mFollower);
+    const auto at = log.find("records_forwarded");
+    return at != std::string::npos &&
+           log.substr(at, log.find('\n', at) - at).find(R"("status":"200")") !=
+             std::string::npos;
+  }
+
+  /// Checks whether a record that an instance has written is in the store.
+  [[nodiscard]] bool IsWrittenBy(std::size_t aIndex)
+  {
+    const auto prefix = "prompt-parts.entry-" + std::to_string(aIndex) + ".";
+    return std::ranges::any_of(
+      mWorld.Store().NamesOf("figslip"),
+      [&](const std::string& aName) { return aName.starts_with(prefix); });
+  }
+
+  [[nodiscard]] bool IsWritten()
+  {
+    return IsWrittenBy(0) || IsWrittenBy(1) || IsWrittenBy(2);
+  }
+
+  [[nodiscard]] std::string LogOf(std::size_t aIndex)
+  {
+    return mWorld.Instance(aIndex).Log();
+  }
+
+private:
+  [[nodiscard]] bool FollowsStore(std::size_t aIndex)
+  {
+    const auto log = LogOf(aIndex);
+    const auto at = log.rfind("source_changed");
+    const auto begin = at == std::string::npos ? at : log.rfind('\n', at) + 1;
+    return at != std::string::npos &&
+           log.substr(begin, log.find('\n', at) - begin)
+               .find(R"("source":"store")") != std::string::npos;
+  }
+
+  [[nodiscard]] int CountDirect()
+  {
+    int count = 0;
+    for (std::size_t index = 0; index < kMembers; ++index) {
+      count += FollowsStore(index) ? 1 : 0;
+    }
+    return count;
+  }
+
+  IngressWorld mWorld;
+  std::size_t mSource = 0;
+  std::size_t mFollower = 0;
+};
+
+} // namespace
+
+// guards against a write of each instance, and against the loss of evidence
+// with the instance that was to publish it
+TEST_CASE("the records of an instance that follows another one")
+{
+  RecordWorld world;
+
+  SUBCASE("are written by that one")
+  {
+    world.CrashUpstreams();
+    CHECK(AwaitTrue([&] { return world.IsWrittenBy(world.Source()); }, 5s));
+    CHECK(world.HasForwarded());
+  }
+
+  SUBCASE("are written although that one is killed before it can")
+  {
+    auto& store = world.World().Store();
+    store.SetMode(StoreStandIn::Mode::Silent);
+    world.CrashUpstreams();
+    CHECK(AwaitTrue([&] { return world.HasForwarded(); }, 5s));
+    world.World().Instance(world.Source()).Kill();
+    store.SetMode(StoreStandIn::Mode::Open);
+    CHECK(AwaitTrue([&] { return world.IsWritten(); }, 8s));
+  }
+
+  SUBCASE("are written although that one does not answer")
+  {
+    world.World().Instance(world.Source()).Freeze();
+    world.CrashUpstreams();
+    CHECK(AwaitTrue([&] { return world.IsWritten(); }, 8s));
+    world.World().Instance(world.Source()).Resume();
+  }
+
+  SUBCASE("are refused if they are false")
+  {
+    const auto send = [&](const std::string& aBody) {
+      CallerLink link(world.World().PeersPort(world.Source()));
+      return link
+        .Exchange("POST /v1/records HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                    std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
+                  5s)
+        .mStatus;
+    };
+    CHECK(send(R"({"instance":"entry-9","served":["1"]})") == 403);
+    CHECK(send("{") == 400);
+    CHECK(send(std::string(300'000, 'x')) == 413);
+    CHECK(AwaitTrue(
+      [&] {
+        return world.LogOf(world.Source()).find(R"("status":"413")") !=
+               std::string::npos;
+      },
+      5s));
+    CHECK_FALSE(world.IsWritten());
+  }
+}
