Share roll-out counts only with new attempts on the new version

In a large fleet an instance tries a new version rarely, but its attempts on the other versions go on, so its counts had changed at each of the eight fractions of the time and were written again without any news about the version. With more than ten instances it now writes only if there were attempts on the new version since its last write.

The bounds of the new test are the times before.

--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -161,7 +161,9 @@
   /// @brief Returns the counts to share with the other instances now.
   ///
   /// At most once for each of a few fractions of the planned time, so that the
-  /// number of writes does not depend on the length or on the traffic.
+  /// number of writes does not depend on the length or on the traffic. In a
+  /// large fleet, counts without new attempts on the new version are not
+  /// shared.
   [[nodiscard]] std::vector<EvidenceReport> DueReports(TimePoint aNow);
 
   /// @brief Replaces the counts of all other instances; it may reject versions.
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -39,6 +39,11 @@
 constexpr auto kReportProgress =
   std::to_array<double>({ 0.2, 0.35, 0.5, 0.54, 0.58, 0.64, 0.74, 0.86 });
 
+/// Instances up to which each shares its counts whenever they have changed. In
+/// a larger fleet, where an instance tries the new version rarely, one without
+/// new attempts on it has nothing to tell.
+constexpr int kPromptInstances = 10;
+
 /// Part of the planned time that is left when the roll-out is completed, at
 /// least the time for the write of the status.
 constexpr double kCompletionMargin = 0.04;
@@ -71,6 +76,26 @@
                                [&](double aDue) { return aDue <= aProgress; });
 }
 
+/// Checks whether two counts differ in the attempts on the new version.
+bool
+DifferInTarget(const ComparisonCounts& aCounts, const ComparisonCounts& aOther)
+{
+  const auto isSame = [](const auto& aEntry, const auto& aOtherEntry) {
+    const auto& [route, counts] = aEntry;
+    const auto& [otherRoute, others] = aOtherEntry;
+    return route == otherRoute && counts.mTarget == others.mTarget &&
+           counts.mTargetDegraded == others.mTargetDegraded &&
+           counts.mMachines == others.mMachines;
+  };
+  const auto withTarget = [](const ComparisonCounts& aAll) {
+    auto routes = aAll.mRoutes;
+    std::erase_if(
+      routes, [](const auto& aEntry) { return aEntry.second.mTarget == 0; });
+    return routes;
+  };
+  return !std::ranges::equal(withTarget(aCounts), withTarget(aOther), isSame);
+}
+
 bool
 IsUndecided(RolloutState aState)
 {
@@ -531,7 +556,10 @@
     }
     rollout.mReportCount = due;
     const auto& counts = rollout.mEvidence.OwnCounts();
-    if (counts.Total().mTarget > 0 && counts != rollout.mReported) {
+    const bool hasNews = mInstances <= kPromptInstances
+                           ? counts != rollout.mReported
+                           : DifferInTarget(counts, rollout.mReported);
+    if (counts.Total().mTarget > 0 && hasNews) {
       rollout.mReported = counts;
       reports.push_back({ .mService = rollout.mOrder.mService,
                           .mCreated = rollout.mOrder.mCreated,
--- a/tests/src/unit-uneven_rollout.cpp
+++ b/tests/src/unit-uneven_rollout.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace figslip;
@@ -72,6 +73,13 @@
   [[nodiscard]] RolloutState State() const { return mOrder.mState; }
   [[nodiscard]] int RequestCount() const { return mRequests; }
   [[nodiscard]] int TargetCount() const { return mOnTarget; }
+  /// Returns how often an instance has shared its counts, on average.
+  [[nodiscard]] double WritesPerInstance() const
+  {
+    return static_cast<double>(mWrites) / mLoad.mInstances;
+  }
+  /// Returns the time from the order to the last status.
+  [[nodiscard]] Duration DecidedAfter() const { return mDecidedAt - kStart; }
 
 private:
   double Draw()
@@ -85,6 +93,7 @@
       for (const auto& change : mInstances[index]->DueChanges(aNow)) {
         if (change.mOrder.mRevision == mOrder.mRevision) {
           mOrder.mState = change.mState;
+          mDecidedAt = aNow;
           mOrder.mElapsed = change.mElapsed;
           ++mOrder.mRevision;
         }
@@ -92,6 +101,7 @@
       for (auto& report : mInstances[index]->DueReports(aNow)) {
         mReports[index] = std::move(report);
         mHasNews = true;
+        ++mWrites;
       }
     }
     for (std::size_t index = 0; index < mInstances.size(); ++index) {
@@ -175,6 +185,8 @@
   bool mHasNews = false;
   int mRequests = 0;
   int mOnTarget = 0;
+  int mWrites = 0;
+  TimePoint mDecidedAt = kStart;
 };
 
 constexpr std::uint32_t kSeeds = 20;
@@ -238,6 +250,47 @@
   }
 }
 
+// load: a fleet of 82 instances, each of which tries the new version rarely;
+// guards against writes that tell nothing new. The bounds of the times are
+// those measured while all changes of the counts were shared.
+TEST_CASE("instances of a large fleet share their counts")
+{
+  const auto play = [](const Load& aLoad) {
+    double writes = 0.0;
+    Duration time{};
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      UnevenRollout rollout(aLoad, seed);
+      rollout.Run();
+      writes += rollout.WritesPerInstance() / kSeeds;
+      time += rollout.DecidedAfter() / kSeeds;
+    }
+    MESSAGE("writes of an instance: " << writes << ", decided after "
+                                      << time / 1ms << " ms");
+    return std::pair(writes, time);
+  };
+
+  SUBCASE("rarely, of a good version")
+  {
+    CHECK(play({}).first <= 2.5); // 4.0 if all changes are shared
+  }
+  SUBCASE("rarely, of a good version, with little traffic")
+  {
+    CHECK(play({ .mInterval = 25ms }).first <= 1.0); // 1.4
+  }
+  SUBCASE("in time to roll back a version that fails")
+  {
+    CHECK(play({ .mFailing = 0.4 }).second <= 12'050ms);
+  }
+  SUBCASE("in time to roll back a version that fails, with little traffic")
+  {
+    CHECK(play({ .mFailing = 0.4, .mInterval = 25ms }).second <= 16'765ms);
+  }
+  SUBCASE("in time to roll back a slow version")
+  {
+    CHECK(play({ .mVersionFactor = 2.5 }).second <= 9'635ms);
+  }
+}
+
 TEST_CASE("counts by upstream from outside")
 {
   rollout::ComparisonCounts counts;
