Withdraw crash records through the followed instance

When a look-up that had been in flight at a crash was served, each instance that served it sent the removal of its published records. A follower now passes the names to its source, which removes each record once; one that the follower is writing itself is removed by the follower, as the source may not know it. Only names of crash records that the source tracks are removed.

--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -87,6 +87,16 @@
   [[nodiscard]] std::vector<std::string> TakeRecordsOf(
     const std::set<std::uint64_t>& aFingerprints);
 
+  /// @brief Checks whether a record is to be removed now that its request was
+  /// served; true once for each record that is tracked.
+  [[nodiscard]] bool TakeRecord(std::string_view aName)
+  {
+    return !mTracker
+              .TakeIf(
+                [&](const std::string& aOther) { return aOther == aName; })
+              .empty();
+  }
+
   /// @brief Returns the names of the records to remove now, each of them once.
   /// @param[in] aFollowsStore this instance follows the store itself
   [[nodiscard]] std::vector<std::string> TakeExpired(bool aFollowsStore,
--- a/include/figslip/quarantine/record_batch.hpp
+++ b/include/figslip/quarantine/record_batch.hpp
@@ -28,16 +28,16 @@
   std::vector<CrashReport> mReports; ///< of whole requests
   std::vector<CrashSuspects> mSuspects;
   std::vector<PartId> mServed;
+  /// names of the crash records to remove, as their request was served
+  std::vector<std::string> mWithdrawn = {};
 
-  [[nodiscard]] bool IsEmpty() const
-  {
-    return mReports.empty() && mSuspects.empty() && mServed.empty();
-  }
+  [[nodiscard]] bool IsEmpty() const { return RecordCount() == 0; }
 
   /// @brief Returns the number of records; all served parts are one.
   [[nodiscard]] std::size_t RecordCount() const
   {
-    return mReports.size() + mSuspects.size() + (mServed.empty() ? 0 : 1);
+    return mReports.size() + mSuspects.size() + mWithdrawn.size() +
+           (mServed.empty() ? 0 : 1);
   }
 
   /// @brief Returns the number of parts, suspected and served.
--- a/include/figslip/quarantine/record_forwarder.hpp
+++ b/include/figslip/quarantine/record_forwarder.hpp
@@ -114,7 +114,22 @@
     Own ///< to be published by this instance
   };
 
-  using Record = std::variant<CrashReport, CrashSuspects, PartId>;
+  /// Record to remove.
+  struct Withdrawal
+  {
+    std::string mName;
+
+    bool operator==(const Withdrawal&) const = default;
+  };
+
+  using Record = std::variant<CrashReport, CrashSuspects, PartId, Withdrawal>;
+
+  /// Adds a record to a batch.
+  static void AddTo(RecordBatch& aBatch, const Record& aRecord);
+  /// Adds a record to a message.
+  /// @return false if the message would be over a bound
+  [[nodiscard]] static bool AddWithinBounds(const Record& aRecord,
+                                            RecordBatch& aBatch);
 
   struct Item
   {
--- a/src/core/quarantine/record_batch.cpp
+++ b/src/core/quarantine/record_batch.cpp
@@ -1,11 +1,13 @@
 #include <figslip/json/field_or.hpp>
 #include <figslip/json/raw_value.hpp>
+#include <figslip/quarantine/crash_records.hpp>
 #include <figslip/quarantine/part_records.hpp>
 #include <figslip/quarantine/record_batch.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -18,10 +20,14 @@
 constexpr const char* kReportsField = "crashes";
 constexpr const char* kSuspectsField = "suspects";
 constexpr const char* kServedField = "served";
+constexpr const char* kWithdrawnField = "withdrawn";
 constexpr const char* kFingerprintField = "request";
 constexpr const char* kUpstreamField = "upstream";
 constexpr const char* kInFlightField = "in_flight";
 
+/// Begin of the fingerprint in the name of a crash record, after "crash.".
+constexpr std::size_t kRecordStart = 6;
+
 /// Longest name of an instance or upstream; as in the list of the instances.
 constexpr std::size_t kMaxNameBytes = 256;
 
@@ -85,6 +91,18 @@
   return crash && IsName(crash->mEndpoint) ? std::move(crash) : std::nullopt;
 }
 
+/// Reads the name of a crash record.
+std::optional<std::string>
+ReadName(const nlohmann::json& aValue)
+{
+  auto name = aValue.is_string() ? aValue.get<std::string>() : std::string();
+  // the fingerprint and two delimiters come on top of an upstream's name
+  const bool isValid =
+    CrashRecords::IsRecord(name) &&
+    IsName(std::string_view(name).substr(name.find('.', kRecordStart) + 1));
+  return isValid ? std::optional(std::move(name)) : std::nullopt;
+}
+
 /// Reads a list of which each element must be valid.
 /// @return nothing if one is not, or the field is no list
 template<typename Item>
@@ -138,6 +156,7 @@
   addAll(kReportsField, batch.mReports, FormatReport);
   addAll(kSuspectsField, batch.mSuspects, FormatCrashRecord);
   addAll(kServedField, batch.mServed, FormatPart);
+  addAll(kWithdrawnField, batch.mWithdrawn, std::identity{});
   return message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -156,12 +175,14 @@
                          .mBatch = {} };
   auto reports = ReadAll(fields, kReportsField, ReadReport);
   auto suspects = ReadAll(fields, kSuspectsField, ReadSuspects);
-  if (message.mInstance.empty() || !reports || !suspects) {
+  auto withdrawn = ReadAll(fields, kWithdrawnField, ReadName);
+  if (message.mInstance.empty() || !reports || !suspects || !withdrawn) {
     return Malformed("a record or the sender is malformed");
   }
   message.mBatch = { .mReports = std::move(*reports),
                      .mSuspects = std::move(*suspects),
-                     .mServed = ReadServedRecord(fields) };
+                     .mServed = ReadServedRecord(fields),
+                     .mWithdrawn = std::move(*withdrawn) };
   const auto& batch = message.mBatch;
   const bool isInBounds = batch.RecordCount() <= kMaxMessageRecords &&
                           batch.PartCount() <= kMaxMessageParts;
--- a/src/core/quarantine/record_forwarder.cpp
+++ b/src/core/quarantine/record_forwarder.cpp
@@ -14,49 +14,6 @@
   using Handlers::operator()...;
 };
 
-template<typename Handle>
-void
-ForEachRecord(const RecordBatch& aBatch, Handle aHandle)
-{
-  std::ranges::for_each(aBatch.mReports, aHandle);
-  std::ranges::for_each(aBatch.mSuspects, aHandle);
-  std::ranges::for_each(aBatch.mServed, aHandle);
-}
-
-/// Adds a record to a batch.
-/// @return false if the batch would be over a bound of messages
-template<typename Record>
-bool
-AddWithinBounds(const Record& aRecord, RecordBatch& aBatch)
-{
-  const auto added =
-    std::visit(Visitor{ [](const CrashReport&) {
-                         return std::pair<std::size_t, std::size_t>(1, 0);
-                       },
-                        [](const CrashSuspects& aCrash) {
-                          return std::pair<std::size_t, std::size_t>(
-                            1, aCrash.mParts.size());
-                        },
-                        [&](PartId) {
-                          return std::pair<std::size_t, std::size_t>(
-                            aBatch.mServed.empty() ? 1 : 0, 1);
-                        } },
-               aRecord);
-  const bool fits = aBatch.RecordCount() + added.first <= kMaxMessageRecords &&
-                    aBatch.PartCount() + added.second <= kMaxMessageParts;
-  if (fits) {
-    std::visit(
-      Visitor{
-        [&](const CrashReport& aReport) { aBatch.mReports.push_back(aReport); },
-        [&](const CrashSuspects& aCrash) {
-          aBatch.mSuspects.push_back(aCrash);
-        },
-        [&](PartId aPart) { aBatch.mServed.push_back(aPart); } },
-      aRecord);
-  }
-  return fits;
-}
-
 bool
 IsSameReport(const CrashReport& aReport, const CrashReport& aOther)
 {
@@ -97,11 +54,49 @@
                          : aNow >= mAvoidUntil;
 }
 
+void
+RecordForwarder::AddTo(RecordBatch& aBatch, const Record& aRecord)
+{
+  std::visit(
+    Visitor{
+      [&](const CrashReport& aReport) { aBatch.mReports.push_back(aReport); },
+      [&](const CrashSuspects& aCrash) { aBatch.mSuspects.push_back(aCrash); },
+      [&](PartId aPart) { aBatch.mServed.push_back(aPart); },
+      [&](const Withdrawal& aWithdrawal) {
+        aBatch.mWithdrawn.push_back(aWithdrawal.mName);
+      } },
+    aRecord);
+}
+
+bool
+RecordForwarder::AddWithinBounds(const Record& aRecord, RecordBatch& aBatch)
+{
+  RecordBatch alone;
+  AddTo(alone, aRecord);
+  const bool sharesRecord = !alone.mServed.empty() && !aBatch.mServed.empty();
+  const auto records = aBatch.RecordCount() + (sharesRecord ? 0 : 1);
+  const bool fits = records <= kMaxMessageRecords &&
+                    aBatch.PartCount() + alone.PartCount() <= kMaxMessageParts;
+  if (fits) {
+    AddTo(aBatch, aRecord);
+  }
+  return fits;
+}
+
 void
 RecordForwarder::Add(const RecordBatch& aRecords, TimePoint aNow)
 {
-  ForEachRecord(aRecords,
-                [&](const auto& aRecord) { AddRecord(aRecord, aNow); });
+  const auto addAll = [&](const auto& aItems) {
+    for (const auto& item : aItems) {
+      AddRecord(item, aNow);
+    }
+  };
+  addAll(aRecords.mReports);
+  addAll(aRecords.mSuspects);
+  addAll(aRecords.mServed);
+  for (const auto& name : aRecords.mWithdrawn) {
+    AddRecord(Withdrawal{ .mName = name }, aNow);
+  }
 }
 
 void
@@ -196,12 +191,7 @@
   RecordBatch own;
   std::erase_if(mItems, [&](const Item& aItem) {
     if (aItem.mStage == Stage::Own) {
-      std::visit(
-        Visitor{
-          [&](const CrashReport& aReport) { own.mReports.push_back(aReport); },
-          [&](const CrashSuspects& aCrash) { own.mSuspects.push_back(aCrash); },
-          [&](PartId aPart) { own.mServed.push_back(aPart); } },
-        aItem.mRecord);
+      AddTo(own, aItem.mRecord);
       return true;
     }
     return aItem.mStage == Stage::Accepted &&
@@ -213,9 +203,13 @@
 void
 RecordForwarder::OnPublished(const RecordBatch& aRecords)
 {
-  if (!mItems.empty()) {
-    ForEachRecord(aRecords, [&](const auto& aRecord) { LeaveOut(aRecord); });
+  if (mItems.empty()) {
+    return;
   }
+  const auto leaveOut = [&](const auto& aRecord) { LeaveOut(aRecord); };
+  std::ranges::for_each(aRecords.mReports, leaveOut);
+  std::ranges::for_each(aRecords.mSuspects, leaveOut);
+  std::ranges::for_each(aRecords.mServed, leaveOut);
 }
 
 void
@@ -251,10 +245,11 @@
                }
                return !aCrash.mParts.empty();
              },
-             [&](PartId aPart) {
+             // parts that were served, and withdrawals
+             [&]<typename Other>(const Other& aOther) {
                return !holds([&](const Item& aItem) {
-                 const auto* const held = std::get_if<PartId>(&aItem.mRecord);
-                 return held != nullptr && *held == aPart;
+                 const auto* const held = std::get_if<Other>(&aItem.mRecord);
+                 return held != nullptr && *held == aOther;
                });
              } },
     aRecord);
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -743,6 +743,9 @@
   const auto own = mForwarder.TakeOwn(now);
   if (!own.IsEmpty()) {
     Merge(own);
+    for (const auto& name : own.mWithdrawn) {
+      StartRemoval(name, "withdraw crash record");
+    }
   }
   if (auto message = mForwarder.TakeMessage(now)) {
     net::asio::co_spawn(
@@ -845,6 +848,11 @@
     return answer(
       kUnavailable, message.mInstance, "this instance has no current copy");
   }
+  for (const auto& name : message.mBatch.mWithdrawn) {
+    if (mCrashes.TakeRecord(name)) {
+      StartRemoval(name, "withdraw crash record");
+    }
+  }
   return Merge(message.mBatch)
            ? answer(kOk, message.mInstance, "")
            : answer(kUnavailable, message.mInstance, "no room");
@@ -864,10 +872,22 @@
 ControlPlane::WithdrawCrashes(const std::set<std::uint64_t>& aFingerprints)
 {
   mForwarder.OnServed(aFingerprints);
-  for (const auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
+  std::vector<std::string> withdrawn;
+  for (auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
     log::Write(
       log::Level::Info, "crash_record_withdrawn", { { "record", name } });
-    StartRemoval(name, "withdraw crash record");
+    // another instance may not know a record that this one is writing
+    if (mWrites.contains(name)) {
+      StartRemoval(name, "withdraw crash record");
+    } else {
+      withdrawn.push_back(std::move(name));
+    }
+  }
+  if (!withdrawn.empty()) {
+    Forward({ .mReports = {},
+              .mSuspects = {},
+              .mServed = {},
+              .mWithdrawn = std::move(withdrawn) });
   }
 }
 
