Mend what the linter finds in the forwarding of records

clang-tidy reports a redundant initializer in RecordBatch and a parameter that is copied in unit-record_forwarding; a counter there was unused. The changed files have no findings now; unit-record_forwarding, unit-quarantine and history-forwarded_records pass as before.

--- a/include/figslip/quarantine/record_batch.hpp
+++ b/include/figslip/quarantine/record_batch.hpp
@@ -29,7 +29,7 @@
   std::vector<CrashSuspects> mSuspects;
   std::vector<PartId> mServed;
   /// names of the crash records to remove, as their request was served
-  std::vector<std::string> mWithdrawn = {};
+  std::vector<std::string> mWithdrawn;
 
   [[nodiscard]] bool IsEmpty() const { return RecordCount() == 0; }
 
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -162,7 +162,6 @@
   TimePoint mNow = kStart;
   bool mLosesAnswers = false;
   std::pair<TimePoint, TimePoint> mStoreAway; ///< begin and end
-  int mMessages = 0;
   int mRemovals = 0; ///< of records whose request was served
 
 private:
@@ -199,9 +198,8 @@
 
   void Send(Node& aNode, RecordForwarder::Message aMessage)
   {
-    ++mMessages;
     auto& source = SourceOf(aNode.mDomain);
-    At(mNow + kMessage, [this, &aNode, &source, message = aMessage] {
+    At(mNow + kMessage, [this, &aNode, &source, message = std::move(aMessage)] {
       if (!source.mIsUp) {
         aNode.mForwarder.OnAnswer(
           message.mId, ForwardOutcome::Failed, {}, mNow);
