--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -51,6 +51,13 @@
   /// records are tracked.
   [[nodiscard]] std::vector<CrashReport> TakeDue(TimePoint aNow);
 
+  /// @brief Checks whether the record of a report is published, or held to be.
+  [[nodiscard]] bool IsKnown(const CrashReport& aReport) const
+  {
+    const auto name = NameOf(aReport);
+    return mTracker.Contains(name) || mPending.contains(name);
+  }
+
   /// @brief Returns the name of the record of a report.
   [[nodiscard]] static std::string NameOf(const CrashReport& aReport);
 
@@ -80,10 +87,22 @@
   [[nodiscard]] std::vector<std::string> TakeRecordsOf(
     const std::set<std::uint64_t>& aFingerprints);
 
+  /// @brief Checks whether a record is to be removed now that its request was
+  /// served; true once for each record that is tracked.
+  [[nodiscard]] bool TakeRecord(std::string_view aName)
+  {
+    return !mTracker
+              .TakeIf(
+                [&](const std::string& aOther) { return aOther == aName; })
+              .empty();
+  }
+
   /// @brief Returns the names of the records to remove now, each of them once.
-  [[nodiscard]] std::vector<std::string> TakeExpired(TimePoint aNow)
+  /// @param[in] aFollowsStore this instance follows the store itself
+  [[nodiscard]] std::vector<std::string> TakeExpired(bool aFollowsStore,
+                                                     TimePoint aNow)
   {
-    return mTracker.TakeExpired(aNow);
+    return mTracker.TakeExpired(aFollowsStore, aNow);
   }
 
   [[nodiscard]] std::size_t Size() const { return mTracker.Size(); }
