Check the order across capacity classes with random requests

fuzz-admission puts two of its three classes in a group and asserts that no request is tried while a more urgent one of its account waits in another class of the group that is not full. Accesses to optional values that the linter reports are mended, and a request without a group is not compared with others.

--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -76,26 +76,28 @@
                            const std::string& aAccount,
                            const ClassNames& aExhausted)
 {
-  auto best = aClass;
   const auto& group = aClass->second.mGroup;
   if (group.empty()) {
-    return best;
+    return aClass;
   }
-  const auto priorityIn = [&](const ClassQueue& aQueue) -> std::optional<int> {
-    const auto flow = aQueue.mFlows.find(aAccount);
-    const bool isWaiting =
-      flow != aQueue.mFlows.end() && !flow->second.mWaiting.empty();
-    return isWaiting ? std::optional(flow->second.mWaiting.begin()->first.first)
-                     : std::nullopt;
-  };
+  auto best = aClass;
+  std::optional<int> bestPriority; // of a class that has been looked at
   for (auto other = mClassQueues.begin(); other != mClassQueues.end();
        ++other) {
-    if (other->second.mGroup != group || aExhausted.contains(other->first)) {
+    const auto& [name, queue] = *other;
+    const auto flow = queue.mFlows.find(aAccount);
+    const bool isWaiting =
+      flow != queue.mFlows.end() && !flow->second.mWaiting.empty();
+    if (!isWaiting || queue.mGroup != group || aExhausted.contains(name)) {
       continue;
     }
-    const auto priority = priorityIn(other->second);
-    if (priority && *priority < *priorityIn(best->second)) {
+    const auto priority = flow->second.mWaiting.begin()->first.first;
+    // among equally urgent ones, that of the turn goes first
+    const bool isBetter = !bestPriority || priority < *bestPriority ||
+                          (priority == bestPriority && other == aClass);
+    if (isBetter) {
       best = other;
+      bestPriority = priority;
     }
   }
   return best;
@@ -104,6 +106,9 @@
 bool
 FairQueue::HasMoreUrgent(const QueuedRequest& aRequest) const
 {
+  if (aRequest.mGroup.empty()) {
+    return false;
+  }
   return std::ranges::any_of(
     mClassQueues | std::views::values, [&](const ClassQueue& aQueue) {
       const auto flow = aQueue.mFlows.find(aRequest.mAccount);
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -320,12 +320,12 @@
   if (aReplacement->mIsCancelled) {
     co_return nullptr;
   }
-  if (!aReplacement->mPlanned) {
+  auto planned = std::exchange(aReplacement->mPlanned, std::nullopt);
+  if (!planned) {
     CancelReplacement();
     co_return nullptr;
   }
-  aReplacement->mAttempt = std::move(*aReplacement->mPlanned);
-  aReplacement->mPlanned.reset();
+  aReplacement->mAttempt = std::move(*planned);
   co_return aReplacement;
 }
 
--- a/tests/src/fuzz-admission.cpp
+++ b/tests/src/fuzz-admission.cpp
@@ -35,14 +35,31 @@
                std::pair(aRequest.mPriority, aRequest.mTicket);
     });
   }
+
+  /// Checks whether a more urgent request of its account waits in another class
+  /// of its group that is not known to be full.
+  [[nodiscard]] bool HasMoreUrgent(const QueuedRequest& aRequest,
+                                   const std::set<std::string>& aFull) const
+  {
+    return std::ranges::any_of(mWaiting, [&](const auto& aEntry) {
+      const auto& other = aEntry.second;
+      return !other.mGroup.empty() && other.mGroup == aRequest.mGroup &&
+             other.mAccount == aRequest.mAccount &&
+             other.mPriority < aRequest.mPriority &&
+             !aFull.contains(other.mCapacityClass);
+    });
+  }
 };
 
 QueuedRequest
 RandomRequest(TicketId aTicket, TimePoint aNow)
 {
   const auto account = *rc::gen::inRange(0, 4);
+  const auto capacityClass = *rc::gen::inRange(0, 3);
   return { .mTicket = aTicket,
-           .mCapacityClass = "need-" + std::to_string(*rc::gen::inRange(0, 3)),
+           .mCapacityClass = "need-" + std::to_string(capacityClass),
+           // two of the classes share slots
+           .mGroup = capacityClass < 2 ? "service" : "",
            .mAccount = "account-" + std::to_string(account),
            .mShare = 1.0 + account,
            .mCost = *rc::gen::inRange(1, 100) * 1.0,
@@ -67,6 +84,7 @@
       RC_ASSERT(aOracle.IsFirstOfFlow(aRequest));
       // a class without capacity is not tried again
       RC_ASSERT(!full.contains(aRequest.mCapacityClass));
+      RC_ASSERT(!aOracle.HasMoreUrgent(aRequest, full));
       if (capacity[aRequest.mCapacityClass]-- > 0) {
         aOracle.mWaiting.erase(aRequest.mTicket);
         admitted.insert(aRequest.mTicket);
