Let pipelined requests yield free slots to requests that wait

A crowd of 64 connections with 1 MB of pipelined requests each kept all 16 slots of the upstreams: the request that followed on a connection was planned in the moment in which the one before it freed its slot, while an ordinary request polled every 10 ms and was refused after 400 ms (no_capacity, all_full, four times in a row). Memory was not short.

Where no queue orders requests, a pipelined request now leaves slots to those that wait for one (admission::SlotWaiters), for as long as it may wait itself. A request is pipelined if some of it had come before the end of the response to the one before it was sent.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -326,6 +326,8 @@
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   TimePoint mSlotDeadline; ///< end of the wait for a slot
+  /// while it polls for a slot that pipelined requests must leave to it
+  std::optional<admission::SlotWaiters::Wait> mSlotWait;
   std::set<std::string> mAvoidedUpstreams;
   Attempt* mRunning = nullptr;     ///< null between attempts
   std::optional<Attempt> mPlanned; ///< with a slot that the queue reserved
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <figslip/admission/drain_plan.hpp>
+#include <figslip/admission/slot_waiters.hpp>
 #include <figslip/cascade/latency_scale.hpp>
 #include <figslip/cascade/size_policy.hpp>
 #include <figslip/fairshare/fair_shares.hpp>
@@ -108,6 +109,7 @@
   retry::RetryBudget mRetries;
   fairshare::FairShares mShares; ///< of the client accounts
   SlotQueue mQueue; ///< used where the setting `overload_control` is on
+  admission::SlotWaiters mSlotWaiters; ///< used where it is off
   rollout::StagedRollout mRollouts;
   cascade::SizePolicy mSizePolicy;
   /// scale of the delays of the largest models beyond the expected ones, by
--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -63,6 +63,9 @@
   /// @brief Returns the request read last.
   [[nodiscard]] RequestMessage& Request() { return mRequest; }
   [[nodiscard]] bool KeepsAlive() const { return mKeepsAlive; }
+  /// @brief Returns whether the request read last had come, at least in part,
+  /// before the end of the response to the one before it was sent.
+  [[nodiscard]] bool IsPipelined() const { return mIsPipelined; }
   [[nodiscard]] asio::any_io_executor Executor()
   {
     return mSocket.get_executor();
@@ -130,6 +133,9 @@
   [[nodiscard]] ReadEnd ParseBody(const ingress::CallerLimits& aLimits);
   void TakeRequest();
 
+  /// Finds out whether the next request has come before this one was answered.
+  void CheckPipelining();
+
   void Watch();
   [[nodiscard]] ReadEnd EndOf(const error_code& aError) const;
   void OnTooSlow();
@@ -156,6 +162,8 @@
   bool mWatching = false;
   bool mHasLeft = false;
   bool mKeepsAlive = true;
+  bool mIsPipelined = false;
+  bool mIsNextPipelined = false;
   bool mIdle = false;
   bool mIsReading = false; ///< a request that has begun
   bool mHasStalled = false;
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -252,6 +252,8 @@
       IsReplaced() ? std::exchange(mReplacement, nullptr) : nullptr;
     std::optional<Attempt> planned;
     Attempt* attempt = replacement ? &replacement->mAttempt : nullptr;
+    const bool mustYield =
+      mState.mSlotWaiters.MustYield(mService, mCaller.IsPipelined());
     if (attempt == nullptr && mState.mSettings.mOverloadControl) {
       const auto step = co_await AwaitSlot();
       if (step == SlotStep::Again) {
@@ -262,14 +264,19 @@
       }
       planned = std::exchange(mPlanned, std::nullopt);
       attempt = &*planned;
-    } else if (attempt == nullptr) {
+    } else if (attempt == nullptr && !mustYield) {
       planned = PlanAttempt(now);
       attempt = planned ? &*planned : nullptr;
     }
     if (attempt == nullptr) {
       const auto reason =
-        mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
+        mustYield ? placement::NoChoiceReason::AllFull
+                  : mState.mBoard.ExplainNoChoice(MakePlacementQuery(""), now);
       if (MayWait(reason, now)) {
+        if (reason == placement::NoChoiceReason::AllFull &&
+            !mCaller.IsPipelined() && !mSlotWait) {
+          mSlotWait.emplace(mState.mSlotWaiters, mService);
+        }
         co_await net::Sleep(kSlotPollInterval);
         continue;
       }
@@ -281,6 +288,7 @@
       }
       break;
     }
+    mSlotWait.reset();
     const auto next = co_await RunAttempt(*attempt);
     if (next == NextStep::Ended) {
       co_return;
@@ -292,6 +300,7 @@
       break;
     }
   }
+  mSlotWait.reset();
   CancelReplacement();
   if (mCaller.HasLeft()) {
     RecordEnd(RequestEnd::CallerLeft);
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cctype>
 #include <limits>
+#include <utility>
 
 namespace figslip::net {
 
@@ -187,6 +188,7 @@
 CallerConnection::Read(const ingress::CallerLimits& aLimits)
 {
   mRequest = {};
+  mIsPipelined = std::exchange(mIsNextPipelined, false);
   mParser.reset();
   mHeadCost = 0;
   if (mBuffer.size() == 0 && mBuffer.capacity() > kKeptCapacity) {
@@ -443,6 +445,14 @@
   return isProtocol && !isEnd ? ReadEnd::BadRequest : ReadEnd::Closed;
 }
 
+void
+CallerConnection::CheckPipelining()
+{
+  error_code error;
+  mIsNextPipelined =
+    mBuffer.size() > 0 || (mSocket.available(error) > 0 && !error);
+}
+
 void
 CallerConnection::WatchLeaving(std::function<void()> aOnLeft)
 {
@@ -569,6 +579,7 @@
                           std::string_view aBody,
                           bool aClose)
 {
+  CheckPipelining();
   if (mMember && mMember->IsAdmitted()) {
     // no request runs any more, so that the connection may yield
     (void)mMember->Enter(admission::ConnectionPhase::Answering,
@@ -605,6 +616,7 @@
 Awaitable<bool>
 CallerConnection::EndStream()
 {
+  CheckPipelining();
   std::string text = "0\r\n\r\n";
   co_return co_await Write(std::move(text), {}, mStreamTimeout);
 }
