--- a/src/core/placement/upstream_selector.cpp
+++ b/src/core/placement/upstream_selector.cpp
@@ -658,18 +658,22 @@
                                    TimePoint aNow)
 {
   const auto found = mServices.find(aReservation.mService);
-  return aReservation.mIsPaced && found != mServices.end() &&
-         found->second.mPaced &&
-         found->second.mPaced->OnRejected(aReservation.mSentAt, aNow);
+  if (!aReservation.mIsPaced || found == mServices.end()) {
+    return false;
+  }
+  auto& paced = found->second.mPaced;
+  return paced && paced->OnRejected(aReservation.mSentAt, aNow);
 }
 
 std::optional<double>
 UpstreamSelector::PacedRate(std::string_view aService, TimePoint aNow) const
 {
   const auto found = mServices.find(aService);
-  return found != mServices.end() && found->second.mPaced
-           ? std::optional(found->second.mPaced->Rate(aNow))
-           : std::nullopt;
+  if (found == mServices.end()) {
+    return std::nullopt;
+  }
+  const auto& paced = found->second.mPaced;
+  return paced ? std::optional(paced->Rate(aNow)) : std::nullopt;
 }
 
 bool
@@ -1009,8 +1013,11 @@
 UpstreamSelector::IsCovered(const PlacementQuery& aQuery, TimePoint aNow) const
 {
   const auto found = mServices.find(aQuery.mService);
-  return found != mServices.end() && found->second.mPaced &&
-         found->second.mPaced->Covers(aQuery.mIsOverShare, aNow);
+  if (found == mServices.end()) {
+    return false;
+  }
+  const auto& paced = found->second.mPaced;
+  return paced && paced->Covers(aQuery.mIsOverShare, aNow);
 }
 
 UpstreamSelector::Reach
--- a/tests/harness/scarce_load.hpp
+++ b/tests/harness/scarce_load.hpp
@@ -65,6 +65,7 @@
     , mUpstreams(static_cast<std::size_t>(aOptions.mUpstreams))
   {
     std::vector<membership::InstanceLocation> locations;
+    locations.reserve(static_cast<std::size_t>(aOptions.mInstances));
     for (int index = 0; index < aOptions.mInstances; ++index) {
       locations.push_back({ .mName = "i-" + std::to_string(index),
                             .mFailureDomain = DomainOf(index),
@@ -281,6 +282,7 @@
       // same with and without the large account
       std::mt19937_64 random(20261206U + static_cast<unsigned>(account));
       std::vector<double> weights;
+      weights.reserve(mNodes.size());
       for (std::size_t node = 0; node < mNodes.size(); ++node) {
         weights.push_back(WeightAt(account, node));
       }
--- a/tests/src/unit-paced_share.cpp
+++ b/tests/src/unit-paced_share.cpp
@@ -62,6 +62,7 @@
   selector.OnConfiguration(
     std::make_shared<const ingress::ConfigurationIndex>(configuration));
   std::vector<membership::InstanceLocation> instances;
+  instances.reserve(static_cast<std::size_t>(aInstances));
   for (int index = 0; index < aInstances; ++index) {
     instances.push_back(
       { .mName = "i-" + std::to_string(index), .mFailureDomain = "a" });
