Bound the kernel memory of connections that wait to be accepted

A crowd of 300 that stops half-way held up to 16.1 MB in the accept queue of an instance of 32 MB: 132 sockets without an owner, 122 KB each, as /proc/net/tcp shows; the accepted ones held at most 9.7 MB. Connections are in no budget until they are accepted, and the backlog was 1,024 whatever the memory.

The backlog is now 10 for each MB of memory, at most 1,024 as before, at each address. The listening socket has a receive buffer of 4 KB, which limits what a connection may hold until it is accepted (4 KB as measured); it gets the buffer that it had before when it is accepted.

--- a/include/figslip/admission/connection_budget.hpp
+++ b/include/figslip/admission/connection_budget.hpp
@@ -162,6 +162,7 @@
   int mPeerDescriptors = 0;
   std::size_t mProbeBytes = 0; ///< of readiness and metrics each
   int mProbeDescriptors = 0;   ///< likewise
+  int mBacklog = 0; ///< connections that wait to be accepted at an address
 };
 
 /// @brief Divides the limits of a process.
--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -19,6 +19,11 @@
 /// a client that sends ahead or does not read.
 inline constexpr int kKernelBufferBytes = 65'536;
 
+/// @brief Size of the kernel's receive buffer of a connection that waits to be
+/// accepted. It holds the head of an ordinary request. The kernel took 4 KB
+/// from a client then, and 122 KB with `kKernelBufferBytes`.
+inline constexpr int kWaitingBufferBytes = 4'096;
+
 /// @brief Lists how reading a request can end.
 enum class ReadEnd
 {
--- a/include/figslip/net/listener.hpp
+++ b/include/figslip/net/listener.hpp
@@ -17,13 +17,17 @@
 ///
 /// Accepts as long as the context runs; a failed accept, as when descriptors
 /// have run out, is tried again after a pause. The kernel's buffers of the
-/// connections have a fixed size, see `kKernelBufferBytes`.
+/// connections have a fixed size, see `kKernelBufferBytes`; until they are
+/// accepted, see `kWaitingBufferBytes`.
+/// @param[in] aBacklog most connections that wait to be accepted; the kernel
+///            leaves further ones unanswered, and clients try again
 /// @param[in] aBudget of the connections; those that it does not admit are
 ///            closed
 /// @return a finding where the endpoint cannot be listened on
 [[nodiscard]] Result<void>
 Listen(asio::io_context& aContext,
        const Endpoint& aEndpoint,
+       int aBacklog,
        std::shared_ptr<admission::ConnectionBudget> aBudget,
        ServeConnection aServe);
 
--- a/src/core/admission/connection_budget.cpp
+++ b/src/core/admission/connection_budget.cpp
@@ -50,6 +50,18 @@
 
 constexpr double kBytesPerMegabyte = 1'048'576.0;
 
+/// Connections that wait to be accepted at an address for each MB of memory.
+/// The kernel holds 4 KB of each, see `net::Listen`, or 0.04 of the memory. An
+/// instance of 200 MB must have room for some hundred new connections while it
+/// is busy for 100 ms, because a client's kernel tries one that finds no room
+/// again only after 1 s. With a backlog of 16 for readiness, a crowd of 300
+/// that connected there took 15 s.
+constexpr double kBacklogPerMb = 10.0;
+
+/// Bounds of a backlog, whatever the memory.
+constexpr int kMinBacklog = 16;
+constexpr int kMaxBacklog = 1'024;
+
 } // namespace
 
 std::string_view
@@ -445,7 +457,11 @@
            .mPeerBytes = bytes(kPeerMemoryFraction),
            .mPeerDescriptors = count(kPeerDescriptorFraction),
            .mProbeBytes = bytes(kProbeMemoryFraction),
-           .mProbeDescriptors = count(kProbeDescriptorFraction) };
+           .mProbeDescriptors = count(kProbeDescriptorFraction),
+           .mBacklog =
+             static_cast<int>(std::clamp(aMemoryMb * kBacklogPerMb,
+                                         static_cast<double>(kMinBacklog),
+                                         static_cast<double>(kMaxBacklog))) };
 }
 
 } // namespace figslip::admission
--- a/src/shell/fairshare/demand_exchange.cpp
+++ b/src/shell/fairshare/demand_exchange.cpp
@@ -79,10 +79,12 @@
                                             aLimits.mPeerDescriptors,
                                           .mRunDescriptors = 0,
                                           .mOnYielded = {} });
-  auto started =
-    net::Listen(mContext, mEndpoint, budget, [this](Connection aConnection) {
-      return Serve(std::move(aConnection));
-    });
+  auto started = net::Listen(
+    mContext,
+    mEndpoint,
+    aLimits.mBacklog,
+    budget,
+    [this](Connection aConnection) { return Serve(std::move(aConnection)); });
   if (started) {
     net::asio::co_spawn(mContext, Run(), net::asio::detached);
   }
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -116,10 +116,12 @@
   };
   error::Findings findings;
   const auto listen = [&](const net::Endpoint& aEndpoint,
+                          int aBacklog,
                           Budget aBudget,
                           Handler aServe) {
     auto started = net::Listen(mContext,
                                aEndpoint,
+                               aBacklog,
                                std::move(aBudget),
                                [this, aServe](Connection aConnection) {
                                  return (this->*aServe)(std::move(aConnection));
@@ -128,12 +130,15 @@
       std::ranges::move(started.assume_error(), std::back_inserter(findings));
     }
   };
-  listen(settings.mCallers, callers, &Frontend::ServeCaller);
+  listen(settings.mCallers, limits.mBacklog, callers, &Frontend::ServeCaller);
   listen(settings.mReadiness,
+         limits.mBacklog,
          MakeBudget("readiness", probes),
          &Frontend::ServeReadiness);
-  listen(
-    settings.mMetrics, MakeBudget("metrics", probes), &Frontend::ServeMetrics);
+  listen(settings.mMetrics,
+         limits.mBacklog,
+         MakeBudget("metrics", probes),
+         &Frontend::ServeMetrics);
   if (!findings.empty()) {
     return outcome::failure(std::move(findings));
   }
--- a/src/shell/net/listener.cpp
+++ b/src/shell/net/listener.cpp
@@ -1,6 +1,9 @@
 #include <figslip/net/listener.hpp>
 #include <figslip/net/sleep.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <string>
 #include <utility>
 
@@ -8,10 +11,6 @@
 
 namespace {
 
-/// Connections that wait to be accepted. What they have sent is counted only
-/// then.
-constexpr int kBacklog = 1'024;
-
 /// Connections that are accepted at once, before those that were accepted are
 /// served.
 constexpr int kMaxBatch = 16;
@@ -19,6 +18,24 @@
 /// Pause after a failed accept.
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 
+/// Gives a connection the receive buffer of an accepted one. Its window grows
+/// when it is read next.
+void
+EnlargeReceiveBuffer(tcp::socket& aSocket)
+{
+  error_code ignored; // the smaller buffer works too
+  ignored = aSocket.set_option(
+    asio::socket_base::receive_buffer_size(kKernelBufferBytes), ignored);
+  // kernels that do not derive the bound of the window from the buffer keep
+  // that of the smaller one
+  constexpr int kWindow = 2 * kKernelBufferBytes;
+  (void)::setsockopt(aSocket.native_handle(),
+                     IPPROTO_TCP,
+                     TCP_WINDOW_CLAMP,
+                     &kWindow,
+                     sizeof(kWindow));
+}
+
 /// Accepts the connections that wait at an endpoint.
 class Acceptor
 {
@@ -67,6 +84,7 @@
 void
 Acceptor::Serve(tcp::socket aSocket, const tcp::endpoint& aClient)
 {
+  EnlargeReceiveBuffer(aSocket);
   auto connection = std::make_shared<CallerConnection>(std::move(aSocket));
   if (!connection->Join(*mBudget, aClient.address().to_string())) {
     return; // destroyed and thereby closed
@@ -86,6 +104,7 @@
 Result<void>
 Listen(asio::io_context& aContext,
        const Endpoint& aEndpoint,
+       int aBacklog,
        std::shared_ptr<admission::ConnectionBudget> aBudget,
        ServeConnection aServe)
 {
@@ -103,7 +122,7 @@
   if (!error) {
     // accepted connections inherit them
     error = acceptor.set_option(
-      asio::socket_base::receive_buffer_size(kKernelBufferBytes), error);
+      asio::socket_base::receive_buffer_size(kWaitingBufferBytes), error);
   }
   if (!error) {
     error = acceptor.set_option(
@@ -116,7 +135,7 @@
     error = acceptor.bind(endpoint, error);
   }
   if (!error) {
-    error = acceptor.listen(kBacklog, error);
+    error = acceptor.listen(aBacklog, error);
   }
   if (error) {
     return Failure(error::ErrorKind::ConnectFailed, place, error.message());
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -87,9 +87,11 @@
                                           .mRunDescriptors = 0,
                                           .mOnYielded = LogYielded });
   return net::Listen(
-    mContext, aEndpoint, budget, [this](Connection aConnection) {
-      return Serve(std::move(aConnection));
-    });
+    mContext,
+    aEndpoint,
+    aLimits.mBacklog,
+    budget,
+    [this](Connection aConnection) { return Serve(std::move(aConnection)); });
 }
 
 void
--- a/tests/src/unit-connection_budget.cpp
+++ b/tests/src/unit-connection_budget.cpp
@@ -190,10 +190,14 @@
   const auto usual = admission::DivideConnectionLimits(256, 1024, 0.375);
   CHECK(usual.mCallerDescriptors > 500);
   CHECK(usual.mCallerConnections > 500);
+  // a burst of new connections while the process is busy for 100 ms
+  CHECK(usual.mBacklog >= 300);
   const auto few = admission::DivideConnectionLimits(96, 300, 0.375);
   CHECK(few.mCallerDescriptors + few.mPeerDescriptors +
           2 * few.mProbeDescriptors <
         100);
+  // what the kernel holds of connections that wait, 4 KB each
+  CHECK(few.mBacklog * 4.0 / 1024.0 < 0.05 * 96);
   // several requests of 4 MB that run, with their copies for the upstreams
   CHECK(few.mCallerBytes > 32 * kMegabyte);
 }
