Read no further than the current request of a caller

Beside busy loops, new connections were refused for lack of memory while 64 connections pipelined: one read took up to 64 KB, so that the requests ahead were stored by the process, and a connection that runs a request never yields.

--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -128,7 +128,8 @@
     const ingress::CallerLimits& aLimits);
   /// Waits for bytes and appends them to `mInput`, which stays valid until the
   /// next wait; see `KeepInput`.
-  [[nodiscard]] Awaitable<error_code> Receive();
+  /// @param[in] aMost bytes that are read at most, not 0
+  [[nodiscard]] Awaitable<error_code> Receive(std::size_t aMost);
   /// Removes bytes that were parsed from `mInput`.
   void Consume(std::size_t aBytes);
   /// Stores what is left of `mInput` across a wait.
--- a/src/shell/net/caller_connection.cpp
+++ b/src/shell/net/caller_connection.cpp
@@ -20,6 +20,11 @@
 /// in the connection, so that connections that wait need no buffer.
 constexpr std::size_t kReadBytes = 65'536;
 
+/// Bytes that one read takes while a head is incomplete. Heads of ordinary
+/// requests fit; of pipelined requests, at most this much is stored ahead. With
+/// `kReadBytes`, 64 such connections took all memory of an instance of 32 MB.
+constexpr std::size_t kHeadReadBytes = 4'096;
+
 /// Memory of a header field beyond its bytes, in the parser, in the request and
 /// in the copy for an upstream.
 constexpr std::size_t kFieldBytes = 256;
@@ -267,7 +272,7 @@
     if (searched >= aLimits.mMaxHeaderBytes) {
       co_return ReadEnd::HeaderTooLarge;
     }
-    const auto error = co_await Receive();
+    const auto error = co_await Receive(kHeadReadBytes);
     if (HasYielded()) {
       co_return ReadEnd::Yielded;
     }
@@ -305,7 +310,11 @@
 {
   auto end = ParseBody(aLimits);
   while (end == ReadEnd::Whole && !mParser->is_done()) {
-    const auto error = co_await Receive();
+    // the next request stays in the kernel's buffer
+    const auto left = mParser->content_length_remaining();
+    const auto most =
+      std::min<std::uint64_t>(left.value_or(kReadBytes), kReadBytes);
+    const auto error = co_await Receive(static_cast<std::size_t>(most));
     if (HasYielded()) {
       co_return ReadEnd::Yielded;
     }
@@ -366,7 +375,7 @@
 }
 
 Awaitable<error_code>
-CallerConnection::Receive()
+CallerConnection::Receive(std::size_t aMost)
 {
   KeepInput();
   error_code error;
@@ -378,7 +387,7 @@
       co_return error;
     }
     const auto read =
-      ::recv(mSocket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+      ::recv(mSocket.native_handle(), bytes.data(), aMost, MSG_DONTWAIT);
     if (read == 0) {
       co_return http::make_error_code(http::error::end_of_stream);
     }
@@ -633,7 +642,7 @@
   while (!error) {
     mInput = {};
     mBuffer.clear();
-    error = co_await Receive();
+    error = co_await Receive(kReadBytes);
   }
   mWatchdog.Clear();
   Abort();
