--- a/include/figslip/net/caller_connection.hpp
+++ b/include/figslip/net/caller_connection.hpp
@@ -19,6 +19,11 @@
 /// a client that sends ahead or does not read.
 inline constexpr int kKernelBufferBytes = 65'536;
 
+/// @brief Size of the kernel's receive buffer of a connection that waits to be
+/// accepted. It holds the head of an ordinary request. The kernel took 4 KB
+/// from a client then, and 122 KB with `kKernelBufferBytes`.
+inline constexpr int kWaitingBufferBytes = 4'096;
+
 /// @brief Lists how reading a request can end.
 enum class ReadEnd
 {
@@ -123,7 +128,8 @@
     const ingress::CallerLimits& aLimits);
   /// Waits for bytes and appends them to `mInput`, which stays valid until the
   /// next wait; see `KeepInput`.
-  [[nodiscard]] Awaitable<error_code> Receive();
+  /// @param[in] aMost bytes that are read at most, not 0
+  [[nodiscard]] Awaitable<error_code> Receive(std::size_t aMost);
   /// Removes bytes that were parsed from `mInput`.
   void Consume(std::size_t aBytes);
   /// Stores what is left of `mInput` across a wait.
