Use forwarded records as evidence at the source

The source tracks the records that its followers forward as its own, so its lists never returned them as new and its traffic thread did not learn them: it went on sending a deadly part, and kept a part in quarantine that a follower had seen served. The records are now passed to the traffic thread on arrival. history-forwarded_records checks both with forwarded records alone.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -128,6 +128,9 @@
   /// @param[in] aBody empty: it was too large
   /// @return status of the answer
   [[nodiscard]] unsigned OnForwardedRecords(std::string_view aBody);
+  /// Passes records of a follower to the traffic thread: this instance tracks
+  /// them as its own, so that its lists do not bring them back.
+  void ApplyForwarded(const quarantine::RecordBatch& aRecords);
   void PublishCrashes();
   void PublishParts();
   void CreatePartRecord(const nlohmann::json& aRecord);
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -853,11 +853,42 @@
       StartRemoval(name, "withdraw crash record");
     }
   }
+  ApplyForwarded(message.mBatch);
   return Merge(message.mBatch)
            ? answer(kOk, message.mInstance, "")
            : answer(kUnavailable, message.mInstance, "no room");
 }
 
+void
+ControlPlane::ApplyForwarded(const quarantine::RecordBatch& aRecords)
+{
+  const auto now = ReadBootClock();
+  std::vector<quarantine::CrashReport> reports;
+  std::ranges::copy_if(
+    aRecords.mReports, std::back_inserter(reports), [&](const auto& aReport) {
+      return !mCrashes.IsKnown(aReport);
+    });
+  for (auto& report : reports) {
+    report.mSeenAt = now;
+  }
+  std::vector<quarantine::CrashSuspects> suspects;
+  std::ranges::transform(
+    aRecords.mSuspects, std::back_inserter(suspects), [&](const auto& aCrash) {
+      return mSuspects.WithoutKnown(aCrash);
+    });
+  std::erase_if(suspects,
+                [](const auto& aCrash) { return aCrash.mParts.empty(); });
+  if (reports.empty() && suspects.empty() && aRecords.mServed.empty()) {
+    return;
+  }
+  mPost([reports = std::move(reports),
+         suspects = std::move(suspects),
+         served = aRecords.mServed](TrafficState& aState) {
+    aState.OnCrashReports(reports);
+    aState.OnPartRecords(suspects, served);
+  });
+}
+
 void
 ControlPlane::PublishCrashes()
 {
--- a/tests/src/history-forwarded_records.cpp
+++ b/tests/src/history-forwarded_records.cpp
@@ -63,6 +63,43 @@
       mWorld.SendRaw(mFollower, FormatPrompt({ kDeadlyPart }, 1)));
   }
 
+  /// Sends a message with records to the source.
+  /// @return status of the answer
+  [[nodiscard]] int SendRecords(const std::string& aBody)
+  {
+    CallerLink link(mWorld.PeersPort(mSource));
+    return link
+      .Exchange("POST /v1/records HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                  std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
+                5s)
+      .mStatus;
+  }
+
+  /// Sends a record in the name of the follower.
+  /// @param[in] aFields of the message, in JSON
+  [[nodiscard]] int SendRecord(const std::string& aFields)
+  {
+    return SendRecords(R"({"instance":"entry-)" + std::to_string(mFollower) +
+                       "\"," + aFields + "}");
+  }
+
+  /// Reports a crash of an upstream with the deadly part.
+  [[nodiscard]] int SendSuspects(const std::string& aUpstream)
+  {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+    return SendRecord(R"("suspects":[{"upstream":")" + aUpstream +
+                      R"(","at_ms":)" + std::to_string(now.count()) +
+                      R"(,"suspects":[")" + kDeadlyPart + "\"]}]");
+  }
+
+  /// Checks whether the source sends requests with the deadly part.
+  [[nodiscard]] bool IsSent(int aNumber)
+  {
+    return figslip::test::IsServed(
+      mWorld.SendRaw(mSource, FormatPrompt({ kDeadlyPart }, aNumber)));
+  }
+
   /// Checks whether the source has accepted records of the follower.
   [[nodiscard]] bool HasForwarded()
   {
@@ -153,17 +190,9 @@
 
   SUBCASE("are refused if they are false")
   {
-    const auto send = [&](const std::string& aBody) {
-      CallerLink link(world.World().PeersPort(world.Source()));
-      return link
-        .Exchange("POST /v1/records HTTP/1.1\r\nHost: s\r\nContent-Length: " +
-                    std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
-                  5s)
-        .mStatus;
-    };
-    CHECK(send(R"({"instance":"entry-9","served":["1"]})") == 403);
-    CHECK(send("{") == 400);
-    CHECK(send(std::string(300'000, 'x')) == 413);
+    CHECK(world.SendRecords(R"({"instance":"entry-9","served":["1"]})") == 403);
+    CHECK(world.SendRecords("{") == 400);
+    CHECK(world.SendRecords(std::string(300'000, 'x')) == 413);
     CHECK(AwaitTrue(
       [&] {
         return world.LogOf(world.Source()).find(R"("status":"413")") !=
@@ -173,3 +202,21 @@
     CHECK_FALSE(world.IsWritten());
   }
 }
+
+// guards against a source that publishes records without using them: it would
+// go on sending a deadly part, and refuse a part that was served elsewhere
+TEST_CASE("the records of a follower are evidence at its source, too")
+{
+  RecordWorld world;
+  for (std::size_t engine = 0; engine < 4; ++engine) {
+    world.World().Engine(engine).SetDeadlyParts({});
+  }
+  REQUIRE(world.SendSuspects("127.0.0.1:1") == 200);
+  std::this_thread::sleep_for(200ms);
+  REQUIRE(world.SendSuspects("127.0.0.1:2") == 200);
+  std::this_thread::sleep_for(500ms);
+  CHECK_FALSE(world.IsSent(1));
+  CHECK(world.SendRecord(R"("served":[")" + kDeadlyPart + "\"]") == 200);
+  std::this_thread::sleep_for(500ms);
+  CHECK(world.IsSent(2));
+}
