Share roll-out counts again that were not written

Counts were marked as shared when they were handed out. In a fleet of more than ten instances those of a failed write were only shared again after a new attempt on the new version, so bad answers could be lost.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -61,7 +61,7 @@
   void ReportCrash(const quarantine::CrashReport& aReport);
 
   /// @brief Publishes this instance's counts on a roll-out to all instances.
-  /// @note One attempt: later counts replace those that were not written.
+  /// @note One attempt: counts that were not written are shared again later.
   void ShareEvidence(const rollout::EvidenceReport& aReport);
 
   /// @brief Publishes this instance's sessions on withdrawn versions to all
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -166,6 +166,11 @@
   /// shared.
   [[nodiscard]] std::vector<EvidenceReport> DueReports(TimePoint aNow);
 
+  /// @brief Records that the store has not accepted a report; the counts are
+  /// shared again at the next fraction of the time.
+  /// @param[in] aCreated as of the report
+  void OnReportFailed(std::string_view aService, std::int64_t aCreated);
+
   /// @brief Replaces the counts of all other instances; it may reject versions.
   void OnPeerReports(const std::vector<EvidenceReport>& aReports);
 
--- a/src/core/rollout/staged_rollout.cpp
+++ b/src/core/rollout/staged_rollout.cpp
@@ -569,6 +569,15 @@
   return reports;
 }
 
+void
+StagedRollout::OnReportFailed(std::string_view aService, std::int64_t aCreated)
+{
+  const auto found = mRollouts.find(aService);
+  if (found != mRollouts.end() && found->second.mOrder.mCreated == aCreated) {
+    found->second.mReported = {};
+  }
+}
+
 void
 StagedRollout::OnPeerReports(const std::vector<EvidenceReport>& aReports)
 {
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -944,7 +944,7 @@
   const bool isKnown = mOwnEvidence.contains(aReport.mService);
   auto request = isKnown ? mDialect.mReplaceShared(name, spec)
                          : mDialect.mCreateShared(name, spec);
-  const auto result = co_await mClient.Call(
+  auto result = co_await mClient.Call(
     std::move(request), "share roll-out evidence", kWriteTimeout);
   if (result.mOutcome == store::CallOutcome::Answered) {
     if (result.mStatus == kNotFound) {
@@ -955,9 +955,17 @@
   }
   if (result.mStatus == kConflict) {
     auto replace = mDialect.mReplaceShared(name, spec);
-    co_await mClient.Call(
+    result = co_await mClient.Call(
       std::move(replace), "share roll-out evidence again", kWriteTimeout);
   }
+  const bool isWritten = result.mOutcome == store::CallOutcome::Answered &&
+                         result.mStatus < kFirstClientError;
+  if (!isWritten) {
+    mPost([service = aReport.mService,
+           created = aReport.mCreated](TrafficState& aState) {
+      aState.mRollouts.OnReportFailed(service, created);
+    });
+  }
   RemoveOldEvidence();
 }
 
--- a/tests/src/unit-staged_rollout.cpp
+++ b/tests/src/unit-staged_rollout.cpp
@@ -122,6 +122,31 @@
       }
     }
 
+    // guards against the loss of bad answers with a write that failed
+    SUBCASE("shares counts that were not written again")
+    {
+      rollout.SetInstanceCount(40);
+      rollout.OnSample("engines", "v2", FailedSample());
+      const auto first = rollout.DueReports(kStart + 5s);
+      REQUIRE(first.size() == 1);
+
+      SUBCASE("at the next fraction of the time")
+      {
+        rollout.OnReportFailed("engines", first.front().mCreated);
+        CHECK(rollout.DueReports(kStart + 5'100ms).empty());
+        const auto again = rollout.DueReports(kStart + 8s);
+        REQUIRE(again.size() == 1);
+        CHECK(again.front().mCounts == first.front().mCounts);
+      }
+
+      SUBCASE("but not those of another order")
+      {
+        rollout.OnReportFailed("engines", first.front().mCreated + 1);
+        rollout.OnReportFailed("others", first.front().mCreated);
+        CHECK(rollout.DueReports(kStart + 8s).empty());
+      }
+    }
+
     SUBCASE("in the second half")
     {
       rollout.SetExposureLimit({ .mShare = 0.15, .mSlack = 0.0 });
