Forward records only in fleets of more than ten instances

Small deployments were served well by writing their records themselves; the forwarding only made evidence later there. The bound is that of the spread of reports. The setting max_direct_publishers changes it, for tests with few processes too.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -210,7 +210,7 @@
   TimePoint mStoreAnsweredAt;
   std::minstd_rand mRandom{ std::random_device{}() };
   quarantine::ServedReports mServedParts;
-  quarantine::RecordForwarder mForwarder{ {} };
+  quarantine::RecordForwarder mForwarder;
   std::string mRecordTarget;          ///< process that `mRecordClient` calls
   bool mIsForwarding = false;         ///< `RunForwarding` runs
   std::set<std::string> mDomainPeers; ///< instances of the own failure domain
--- a/include/figslip/quarantine/record_forwarder.hpp
+++ b/include/figslip/quarantine/record_forwarder.hpp
@@ -54,6 +54,9 @@
     /// messages that the source refuses as busy until this instance publishes;
     /// as `retry::WriteBackoff` abandons a write
     int mMaxRefusals = 8;
+    /// Instances up to which each publishes its records itself, as with the
+    /// spread of reports (`ReportSpread`): so few writes need no forwarding.
+    int mMaxDirectPublishers = 10;
     std::size_t mMaxItems = 4'096; ///< bounds the memory; others are published
     /// reports for an upstream within this time belong to one crash
     Duration mSameCrashWindow = std::chrono::seconds(2);
@@ -71,7 +74,12 @@
   {
   }
 
-  /// @brief Sets the instance that this one follows.
+  /// @brief Sets the number of registered instances; it applies with the next
+  /// call of `OnSource`.
+  void SetInstanceCount(int aInstances) { mInstances = aInstances; }
+
+  /// @brief Sets the instance that this one follows. In a small fleet it counts
+  /// as none.
   /// @param[in] aSource names its process; empty: none
   void OnSource(const std::string& aSource, TimePoint aNow);
 
@@ -153,6 +161,7 @@
   [[nodiscard]] bool MayForward(TimePoint aNow) const;
 
   Options mOptions;
+  int mInstances = 1;  ///< registered
   std::string mSource; ///< empty: none
   std::list<Item> mItems;
   std::uint64_t mLastId = 0;        ///< of messages
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -41,6 +41,9 @@
   bool mOverloadControl = false;
   /// where other instances exchange the demand of accounts; empty: no exchange
   std::optional<net::Endpoint> mDemandExchange;
+  /// registered instances up to which each publishes its records about crashes
+  /// itself; with more, those that follow another instance send them to it
+  int mMaxDirectPublishers = 10;
 
   /// part of the memory for what callers send and for what they have not taken
   /// of whole answers
--- a/src/core/quarantine/record_forwarder.cpp
+++ b/src/core/quarantine/record_forwarder.cpp
@@ -33,10 +33,12 @@
 void
 RecordForwarder::OnSource(const std::string& aSource, TimePoint aNow)
 {
-  if (aSource == mSource) {
+  const bool mayForward = mInstances > mOptions.mMaxDirectPublishers;
+  const auto source = mayForward ? aSource : std::string();
+  if (source == mSource) {
     return;
   }
-  mSource = aSource;
+  mSource = source;
   mSentAt.reset();
   mAvoidUntil = aNow;
   mRetryAt = aNow;
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -252,6 +252,7 @@
   , mRegisteredUpstreams({ .mMinOutage = MinOutage(aSettings) })
   , mCrashes({ .mSeed = SeedOf(aSettings.mInstance) })
   , mSuspects({ .mSeed = SeedOf(aSettings.mInstance) })
+  , mForwarder({ .mMaxDirectPublishers = aSettings.mMaxDirectPublishers })
 {
 }
 
@@ -625,6 +626,7 @@
   mInstanceCount = static_cast<int>(places.size());
   mCrashes.SetInstanceCount(mInstanceCount);
   mSuspects.SetInstanceCount(mInstanceCount);
+  mForwarder.SetInstanceCount(mInstanceCount);
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   const auto withdrawn = mCrashes.Withdrawn();
   std::vector<quarantine::CrashSuspects> suspects;
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -16,6 +16,7 @@
 
 constexpr json::Range<std::int64_t> kMegabytes{ 16, 1 << 20 };
 constexpr json::Range<std::int64_t> kDescriptors{ 64, 1 << 24 };
+constexpr json::Range<std::int64_t> kInstances{ 0, 1'000'000 };
 constexpr json::Range<double> kSeconds{ 0.0, 3'600.0 };
 constexpr json::Range<double> kMillis{ 1.0, 3'600'000.0 };
 constexpr json::Range<double> kShare{ 0.0, 10.0 };
@@ -104,6 +105,9 @@
   settings.mExposureSlack = aReader.Real("exposure_slack", kCount);
   settings.mOverloadControl = aReader.Flag("overload_control", false);
   settings.mDemandExchange = ReadOptionalEndpoint(aReader, "demand_exchange");
+  constexpr int kDefaultDirectPublishers = 10;
+  settings.mMaxDirectPublishers = static_cast<int>(aReader.Whole(
+    "max_direct_publishers", kInstances, kDefaultDirectPublishers));
   constexpr double kDefaultCallerMemoryShare = 0.375;
   constexpr double kDefaultUnreadStreamMs = 3'000.0;
   settings.mCallerMemoryShare = aReader.Real(
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -224,25 +224,27 @@
       return "127.0.0.1:" + std::to_string(aPort);
     };
     const auto name = "entry-" + std::to_string(number);
-    const json settings = { { "instance", name },
-                            { "failure_domain", "a" },
-                            { "failure_domains",
-                              { { { "name", "a" }, { "region", "r" } } } },
-                            { "callers", address(running.mCallerPort) },
-                            { "readiness", address(running.mReadinessPort) },
-                            { "metrics", address(running.mMetricsPort) },
-                            { "peers", address(running.mPeersPort) },
-                            { "store", address(storePort) },
-                            { "memory_mb", mOptions.mMemoryMb },
-                            { "max_descriptors", mOptions.mMaxDescriptors },
-                            { "grace_s", 8 },
-                            { "revocation_ms", 5000 },
-                            { "retry_share", 0.9 },
-                            { "retry_slack", 50 },
-                            { "retry_window_s", 10 },
-                            { "session_ttl_s", 5 },
-                            { "exposure_share", 0.15 },
-                            { "exposure_slack", 30 } };
+    const json settings = {
+      { "instance", name },
+      { "failure_domain", "a" },
+      { "failure_domains", { { { "name", "a" }, { "region", "r" } } } },
+      { "callers", address(running.mCallerPort) },
+      { "readiness", address(running.mReadinessPort) },
+      { "metrics", address(running.mMetricsPort) },
+      { "peers", address(running.mPeersPort) },
+      { "store", address(storePort) },
+      { "memory_mb", mOptions.mMemoryMb },
+      { "max_descriptors", mOptions.mMaxDescriptors },
+      { "grace_s", 8 },
+      { "revocation_ms", 5000 },
+      { "retry_share", 0.9 },
+      { "retry_slack", 50 },
+      { "retry_window_s", 10 },
+      { "session_ttl_s", 5 },
+      { "exposure_share", 0.15 },
+      { "exposure_slack", 30 },
+      { "max_direct_publishers", mOptions.mMaxDirectPublishers }
+    };
     auto written = settings;
     if (mOptions.mOverloadControl) {
       const auto own = "127.0.0." + std::to_string(number + 1) + ":";
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -68,6 +68,8 @@
     int mMaxHeaderBytes = 4096; ///< of a caller's request; in configurations
     int mMaxBodyBytes = 2048;
     int mIdleTimeoutMs = 2000;
+    /// in the settings: instances up to which each publishes its records
+    int mMaxDirectPublishers = 10;
   };
 
   /// Keeps a port from other test programs; empty if another one has it.
--- a/tests/src/history-forwarded_records.cpp
+++ b/tests/src/history-forwarded_records.cpp
@@ -37,8 +37,11 @@
 class RecordWorld
 {
 public:
-  RecordWorld()
-    : mWorld(IngressWorld::Options{ .mInstances = kMembers, .mEngines = 4 })
+  /// @param[in] aMaxDirect instances up to which each publishes its records
+  explicit RecordWorld(int aMaxDirect = 0)
+    : mWorld(IngressWorld::Options{ .mInstances = kMembers,
+                                    .mEngines = 4,
+                                    .mMaxDirectPublishers = aMaxDirect })
   {
     for (std::size_t index = 0; index < kMembers; ++index) {
       REQUIRE(mWorld.WaitForReady(index));
@@ -56,6 +59,8 @@
   [[nodiscard]] IngressWorld& World() { return mWorld; }
   [[nodiscard]] std::size_t Source() const { return mSource; }
 
+  [[nodiscard]] std::size_t Follower() const { return mFollower; }
+
   /// Lets upstreams crash on a request that the follower sends.
   void CrashUpstreams()
   {
@@ -220,3 +225,12 @@
   std::this_thread::sleep_for(500ms);
   CHECK(world.IsSent(2));
 }
+
+// guards against a detour of evidence where few instances write
+TEST_CASE("the instances of a small fleet write their records themselves")
+{
+  RecordWorld world(10);
+  world.CrashUpstreams();
+  CHECK(AwaitTrue([&] { return world.IsWrittenBy(world.Follower()); }, 5s));
+  CHECK_FALSE(world.HasForwarded());
+}
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -76,6 +76,7 @@
           .mPhase = 1ms * (mRandom() % 250) });
       mNodes.back().mCrashes.SetInstanceCount(kInstances);
       mNodes.back().mSuspects.SetInstanceCount(kInstances);
+      mNodes.back().mForwarder.SetInstanceCount(kInstances);
     }
     // other objects change as well, so that a watch may be in its pause
     for (auto& view : mViews) {
@@ -479,6 +480,7 @@
 TEST_CASE("the forwarder of an instance")
 {
   RecordForwarder forwarder({});
+  forwarder.SetInstanceCount(kInstances);
   const RecordBatch records{
     .mReports = { { .mFingerprint = 1, .mUpstream = "a" } },
     .mSuspects = { { .mEndpoint = "a:1", .mAtMs = 5, .mParts = { 1, 2 } } },
@@ -494,6 +496,24 @@
     CHECK(forwarder.IsIdle());
   }
 
+  // guards against a detour of evidence where few instances write
+  SUBCASE("with a source in a small fleet publishes itself, at once")
+  {
+    forwarder.SetInstanceCount(10);
+    forwarder.OnSource("s.1", kStart);
+    forwarder.Add(records, kStart);
+    CHECK_FALSE(forwarder.TakeMessage(kStart + 1s));
+    CHECK(forwarder.TakeOwn(kStart).RecordCount() == 4);
+
+    SUBCASE("until it grows")
+    {
+      forwarder.SetInstanceCount(11);
+      forwarder.OnSource("s.1", kStart + 1s);
+      forwarder.Add(records, kStart + 1s);
+      CHECK(forwarder.TakeMessage(kStart + 1'010ms));
+    }
+  }
+
   SUBCASE("with a source")
   {
     forwarder.OnSource("s.1", kStart);
