Hold the reports of a whole failure domain at the source

The bounds on reports that wait were those of one instance, and a source without room answered like one that has lost the store, so all later records of the follower waited for seconds. There is room for 1,024 reports of requests and for the suspects of 256 upstreams now, and status 429 lets the follower publish by itself at once.

--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -26,8 +26,11 @@
   struct Options
   {
     Duration mRetention = std::chrono::seconds(60); ///< age at the removal
-    std::uint64_t mSeed = 0;      ///< different in each instance
-    std::size_t mMaxPending = 64; ///< bounds the memory; others are dropped
+    std::uint64_t mSeed = 0; ///< different in each instance
+    /// bounds the memory to a few hundred KB; others are dropped. An instance
+    /// may publish for all of its failure domain: 64 reports for each of 16
+    /// instances that lose requests at the same time.
+    std::size_t mMaxPending = 1'024;
   };
 
   explicit CrashRecords(Options aOptions)
--- a/include/figslip/quarantine/record_forwarder.hpp
+++ b/include/figslip/quarantine/record_forwarder.hpp
@@ -18,8 +18,8 @@
 enum class ForwardOutcome : std::uint8_t
 {
   Accepted, ///< it has merged them with its own and will publish them
-  Busy,     ///< it cannot write to the store now, or has no room
-  Failed    ///< it gave no answer, or rejected the message
+  Busy,     ///< it cannot write to the store now
+  Failed    ///< it gave no answer, has no room, or rejected the message
 };
 
 /// @brief Decides whether the records of an instance are published by the
--- a/include/figslip/quarantine/suspect_reports.hpp
+++ b/include/figslip/quarantine/suspect_reports.hpp
@@ -27,8 +27,11 @@
     /// reports for an upstream within this time belong to one crash
     Duration mSameCrashWindow = std::chrono::seconds(2);
     Duration mRetention = std::chrono::seconds(60); ///< time a crash counts
-    std::size_t mMaxPending = 64; ///< bounds the memory; others are dropped
-    std::size_t mMaxKnown = 256;  ///< published crashes; bounds the memory
+    /// bounds the memory; others are dropped. Reports of one upstream merge, so
+    /// that the instances of a failure domain need little more than one; as
+    /// many as published crashes.
+    std::size_t mMaxPending = 256;
+    std::size_t mMaxKnown = 256; ///< published crashes; bounds the memory
   };
 
   explicit SuspectReports(Options aOptions)
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -94,6 +94,10 @@
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kUnavailable = 503;
 
+/// There is no room for the records. Unlike an outage of the store this holds
+/// for one instance only, so the follower publishes them at once.
+constexpr unsigned kNoRoom = 429;
+
 /// An object of this name exists already; the write counts as done.
 constexpr unsigned kConflict = 409;
 
@@ -856,9 +860,8 @@
     }
   }
   ApplyForwarded(message.mBatch);
-  return Merge(message.mBatch)
-           ? answer(kOk, message.mInstance, "")
-           : answer(kUnavailable, message.mInstance, "no room");
+  return Merge(message.mBatch) ? answer(kOk, message.mInstance, "")
+                               : answer(kNoRoom, message.mInstance, "no room");
 }
 
 void
--- a/tests/src/history-forwarded_records.cpp
+++ b/tests/src/history-forwarded_records.cpp
@@ -234,3 +234,32 @@
   CHECK(AwaitTrue([&] { return world.IsWrittenBy(world.Follower()); }, 5s));
   CHECK_FALSE(world.HasForwarded());
 }
+
+// guards against a follower that waits, as for the store, while its source has
+// no room
+TEST_CASE("a source without room for more crashes refuses with another status")
+{
+  constexpr int kPerMessage = 64;
+  constexpr int kMaxPending = 256;
+  RecordWorld world;
+  const auto sendMany = [&](int aMessage) {
+    std::string crashes;
+    for (int number = 0; number < kPerMessage; ++number) {
+      const auto upstream = aMessage * kPerMessage + number;
+      crashes += (number == 0 ? "" : ",");
+      crashes += R"({"upstream":"u)" + std::to_string(upstream) +
+                 R"(","suspects":["abc)" + std::to_string(upstream) + "\"]}";
+    }
+    return world.SendRecord(R"("suspects":[)" + crashes + "]");
+  };
+  int sent = 0;
+  while (sent < kMaxPending / kPerMessage) {
+    CHECK(sendMany(sent++) == 200);
+  }
+  // meanwhile it publishes four of them in 250 ms
+  int status = 200;
+  while (status == 200 && sent < 10) {
+    status = sendMany(sent++);
+  }
+  CHECK(status == 429);
+}
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -477,6 +477,20 @@
   }
 }
 
+// guards against bounds of one instance at one that publishes for its failure
+// domain: 16 instances that lose 64 requests each
+TEST_CASE("the source holds the reports of a failure domain")
+{
+  quarantine::CrashRecords crashes({});
+  crashes.SetInstanceCount(kInstances);
+  for (std::uint64_t number = 0; number < 1'024; ++number) {
+    REQUIRE(crashes.OnOwnReport({ .mFingerprint = number, .mUpstream = "a" },
+                                kStart));
+  }
+  CHECK_FALSE(
+    crashes.OnOwnReport({ .mFingerprint = 1'024, .mUpstream = "a" }, kStart));
+}
+
 TEST_CASE("the forwarder of an instance")
 {
   RecordForwarder forwarder({});
