Count a crash report of this instance once

A follower does not track the records that it forwards, so the source's list returned its own report as that of another instance. If that took more than 2 s the crash was blamed twice, and the request could be refused with half of the evidence. Counted reports are remembered for the retention of the records.

--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -31,6 +31,8 @@
     /// may publish for all of its failure domain: 64 reports for each of 16
     /// instances that lose requests at the same time.
     std::size_t mMaxPending = 1'024;
+    /// counted reports that are remembered for the retention; bounds the memory
+    std::size_t mMaxCounted = 1'024;
   };
 
   explicit CrashRecords(Options aOptions)
@@ -50,6 +52,19 @@
   /// @return whether it is held or known; false: there is no room
   bool OnOwnReport(const CrashReport& aReport, TimePoint aNow);
 
+  /// @brief Remembers a report that the quarantine of this instance has counted
+  /// before its record is seen in the store; until that record is removed, or
+  /// for the retention.
+  void OnCounted(const CrashReport& aReport, TimePoint aNow);
+
+  /// @brief Returns the reports of new records without those that the
+  /// quarantine of this instance has counted.
+  /// @note A report that comes back later than crashes are told apart would
+  /// count as a second crash.
+  [[nodiscard]] std::vector<CrashReport> WithoutCounted(
+    std::vector<CrashReport> aReports,
+    TimePoint aNow) const;
+
   /// @brief Returns the reports to publish now, each of them once; their
   /// records are tracked.
   [[nodiscard]] std::vector<CrashReport> TakeDue(TimePoint aNow);
@@ -121,6 +136,8 @@
   RecordTracker mTracker;
   ReportSpread mSpread;
   std::map<std::string, Pending, std::less<>> mPending; ///< by record
+  /// time at which a report was counted, by record
+  std::map<std::string, TimePoint, std::less<>> mCounted;
 };
 
 } // namespace figslip::quarantine
--- a/src/core/quarantine/crash_records.cpp
+++ b/src/core/quarantine/crash_records.cpp
@@ -83,6 +83,29 @@
   return true;
 }
 
+void
+CrashRecords::OnCounted(const CrashReport& aReport, TimePoint aNow)
+{
+  std::erase_if(mCounted, [&](const auto& aItem) {
+    return aNow - aItem.second >= mOptions.mRetention;
+  });
+  if (mCounted.size() < mOptions.mMaxCounted) {
+    mCounted.insert_or_assign(NameOf(aReport), aNow);
+  }
+}
+
+std::vector<CrashReport>
+CrashRecords::WithoutCounted(std::vector<CrashReport> aReports,
+                             TimePoint aNow) const
+{
+  std::erase_if(aReports, [&](const CrashReport& aReport) {
+    const auto found = mCounted.find(NameOf(aReport));
+    return found != mCounted.end() &&
+           aNow - found->second < mOptions.mRetention;
+  });
+  return aReports;
+}
+
 std::vector<CrashReport>
 CrashRecords::TakeDue(TimePoint aNow)
 {
@@ -116,8 +139,12 @@
   for (const auto& name : aRecords | std::views::keys) {
     names.insert(name);
   }
+  const auto added = mTracker.OnRecords(names, aNow);
+  for (const auto& name : mTracker.Removed()) {
+    mCounted.erase(name);
+  }
   std::vector<CrashReport> reports;
-  for (const auto& name : mTracker.OnRecords(names, aNow)) {
+  for (const auto& name : added) {
     if (auto report = Parse(name)) {
       report->mSeenAt = aNow;
       report->mInFlight = aRecords.at(name);
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -648,6 +648,7 @@
   mServedParts.OnPublished(served, ReadBootClock());
   mForwarder.OnPublished(
     { .mReports = reports, .mSuspects = suspects, .mServed = served });
+  const auto uncounted = mCrashes.WithoutCounted(reports, ReadBootClock());
   log::Write(log::Level::Info,
              "instances_known",
              { { "instances", std::to_string(places.size()) },
@@ -657,11 +658,11 @@
     return !aObjects.contains(aEntry.first);
   });
   RemoveOldEvidence();
-  mPost([places, reports, withdrawn, evidence, sessions, suspects, served](
+  mPost([places, uncounted, withdrawn, evidence, sessions, suspects, served](
           TrafficState& aState) {
     aState.OnInstances(places);
     aState.OnCrashesWithdrawn(withdrawn);
-    aState.OnCrashReports(reports);
+    aState.OnCrashReports(uncounted);
     aState.mRollouts.OnPeerReports(evidence);
     for (const auto& report : sessions) {
       aState.mRollouts.OnPeerSessions(report, ReadBootClock());
@@ -707,6 +708,7 @@
   if (aReport.mInFlight > kMaxSharedInFlight) {
     return;
   }
+  mCrashes.OnCounted(aReport, ReadBootClock());
   if (!mCrashes.IsKnown(aReport)) {
     Forward({ .mReports = { aReport }, .mSuspects = {}, .mServed = {} });
   }
@@ -873,8 +875,10 @@
     aRecords.mReports, std::back_inserter(reports), [&](const auto& aReport) {
       return !mCrashes.IsKnown(aReport);
     });
+  reports = mCrashes.WithoutCounted(std::move(reports), now);
   for (auto& report : reports) {
     report.mSeenAt = now;
+    mCrashes.OnCounted(report, now);
   }
   std::vector<quarantine::CrashSuspects> suspects;
   std::ranges::transform(
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -491,6 +491,43 @@
     crashes.OnOwnReport({ .mFingerprint = 1'024, .mUpstream = "a" }, kStart));
 }
 
+// guards against a refusal of a request with half of the evidence: a report
+// that comes back after more than 2 s counts as a second crash
+TEST_CASE("a report that comes back from the store counts once")
+{
+  quarantine::CrashRecords crashes({});
+  const CrashReport own{ .mFingerprint = 1, .mUpstream = "a" };
+  const CrashReport other{ .mFingerprint = 1, .mUpstream = "b" };
+  crashes.OnCounted(own, kStart);
+  const auto listAt = [&](TimePoint aNow) {
+    const auto reports =
+      crashes.OnRecords({ { quarantine::CrashRecords::NameOf(own), 1 },
+                          { quarantine::CrashRecords::NameOf(other), 1 } },
+                        aNow);
+    REQUIRE(reports.size() == 2);
+    return crashes.WithoutCounted(reports, aNow);
+  };
+
+  SUBCASE("while its record is kept")
+  {
+    const auto reports = listAt(kStart + 3s);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports.front().mUpstream == "b");
+  }
+
+  SUBCASE("and a later one is another crash")
+  {
+    CHECK(listAt(kStart + 61s).size() == 2);
+  }
+
+  SUBCASE("and one after its withdrawal is another crash")
+  {
+    CHECK(listAt(kStart + 1s).size() == 1);
+    crashes.OnRecords({}, kStart + 2s);
+    CHECK(listAt(kStart + 3s).size() == 2);
+  }
+}
+
 TEST_CASE("the forwarder of an instance")
 {
   RecordForwarder forwarder({});
