Send no records to a source of another failure domain

It rejects them with status 403 each time. FollowedSource still returns it, as the age at which records of lost instances are removed depends on whether the store itself is followed.

--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -35,6 +35,7 @@
   {
     std::string mProcess; ///< differs after a restart of the instance
     net::Endpoint mEndpoint;
+    std::string mFailureDomain;
   };
 
   /// @brief Returns the instance that is followed; none: the store, or the
@@ -97,6 +98,7 @@
   std::optional<std::string> mSource; ///< instance followed; none: the store
   std::uint64_t mSourceEpoch = 0;     ///< of its process
   net::Endpoint mSourceEndpoint;
+  std::string mSourceDomain;
   std::uint64_t mEpoch = 0; ///< of the process asked last
   std::map<store::ObjectKind, std::uint64_t> mSequences; ///< in that epoch
   std::map<std::string, std::string> mLoggedFailures;    ///< reason by instance
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -741,7 +741,11 @@
 ControlPlane::StepForwarding()
 {
   const auto now = ReadBootClock();
-  const auto source = mRelayFollower.FollowedSource();
+  auto source = mRelayFollower.FollowedSource();
+  // an instance of another failure domain rejects the records
+  if (source && source->mFailureDomain != mSettings.mFailureDomain) {
+    source.reset();
+  }
   const auto process = source ? source->mProcess : std::string();
   if (source && process != mRecordTarget) {
     mRecordTarget = process;
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -98,7 +98,8 @@
     return std::nullopt;
   }
   return Source{ .mProcess = *mSource + "." + std::to_string(mSourceEpoch),
-                 .mEndpoint = mSourceEndpoint };
+                 .mEndpoint = mSourceEndpoint,
+                 .mFailureDomain = mSourceDomain };
 }
 
 void
@@ -362,6 +363,7 @@
 {
   mSourceEpoch = aEpoch;
   mSourceEndpoint = ParseEndpoint(aPeer.mAddress).value_or(net::Endpoint{});
+  mSourceDomain = aPeer.mFailureDomain;
   if (mSource == aPeer.mInstance) {
     return;
   }
