--- a/include/figslip/quarantine/suspect_reports.hpp
+++ b/include/figslip/quarantine/suspect_reports.hpp
@@ -56,7 +56,8 @@
   /// @brief Records suspects that another instance has published.
   void OnPublished(const CrashSuspects& aCrash, TimePoint aNow);
 
-  /// @brief Returns the reports to publish now, each of them once.
+  /// @brief Returns the reports to publish now, each of them once; those that
+  /// may complete the evidence against a part come first.
   /// @param[in] aMax maximum number of reports; the others stay due
   [[nodiscard]] std::vector<CrashSuspects> TakeDue(std::size_t aMax,
                                                    TimePoint aNow);
@@ -68,6 +69,7 @@
   {
     CrashSuspects mCrash;
     TimePoint mDueAt;
+    bool mIsUrgent = false; ///< has a suspect of another crash
   };
 
   struct Known
--- a/src/core/quarantine/suspect_reports.cpp
+++ b/src/core/quarantine/suspect_reports.cpp
@@ -69,6 +69,7 @@
     auto& pending = found->second;
     pending.mCrash.mParts.merge(crash.mParts);
     pending.mDueAt = std::min(pending.mDueAt, dueAt);
+    pending.mIsUrgent |= isUrgent;
     return true;
   }
   if (mPending.size() >= mOptions.mMaxPending) {
@@ -78,15 +79,17 @@
   for (auto& pending : mPending | std::views::values) {
     if (AreConnected(crash, pending.mCrash)) {
       pending.mDueAt = aNow;
+      pending.mIsUrgent = true;
     }
   }
   const bool isSecond =
     std::ranges::any_of(mPending | std::views::values, [&](const auto& aOther) {
       return AreConnected(crash, aOther.mCrash);
     });
-  mPending.emplace(
-    aCrash.mEndpoint,
-    Pending{ .mCrash = std::move(crash), .mDueAt = isSecond ? aNow : dueAt });
+  mPending.emplace(aCrash.mEndpoint,
+                   Pending{ .mCrash = std::move(crash),
+                            .mDueAt = isSecond ? aNow : dueAt,
+                            .mIsUrgent = isUrgent || isSecond });
   return true;
 }
 
@@ -98,6 +101,7 @@
       LeaveOut(aCrash, pending.mCrash);
     } else if (AreConnected(pending.mCrash, aCrash)) {
       pending.mDueAt = std::min(pending.mDueAt, aNow);
+      pending.mIsUrgent = true;
     }
   }
   std::erase_if(mPending, [](const auto& aItem) {
@@ -110,9 +114,12 @@
 SuspectReports::TakeDue(std::size_t aMax, TimePoint aNow)
 {
   std::vector<CrashSuspects> due;
-  for (const auto& pending : mPending | std::views::values) {
-    if (due.size() < aMax && pending.mDueAt <= aNow) {
-      due.push_back(pending.mCrash);
+  for (const bool isUrgent : { true, false }) {
+    for (const auto& pending : mPending | std::views::values) {
+      if (due.size() < aMax && pending.mDueAt <= aNow &&
+          pending.mIsUrgent == isUrgent) {
+        due.push_back(pending.mCrash);
+      }
     }
   }
   for (const auto& crash : due) {
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -528,6 +528,48 @@
   }
 }
 
+// guards against a deadly part that is sent on while its second crash waits for
+// the records of other crashes
+TEST_CASE("a report that may complete evidence is published first")
+{
+  quarantine::SuspectReports reports({});
+  const auto report = [&](const std::string& aUpstream, PartId aPart) {
+    CHECK(reports.OnOwn(
+      { .mEndpoint = aUpstream, .mAtMs = 1, .mParts = { aPart } }, kStart));
+  };
+  for (PartId part = 1; part <= 8; ++part) {
+    report("a" + std::to_string(part), part);
+  }
+  std::vector<std::string> wanted = { "z1" };
+
+  SUBCASE("with a published crash")
+  {
+    reports.OnPublished({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 9 } },
+                        kStart);
+    report("z1", 9);
+  }
+
+  SUBCASE("with a crash that is published later")
+  {
+    report("z1", 9);
+    reports.OnPublished({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 9 } },
+                        kStart);
+  }
+
+  SUBCASE("with a crash that waits, too")
+  {
+    report("z1", 9);
+    report("z2", 9);
+    wanted.emplace_back("z2");
+  }
+  const auto due = reports.TakeDue(4, kStart);
+  REQUIRE(due.size() == 4);
+  for (const auto& upstream : wanted) {
+    CHECK(std::ranges::find(due, upstream, &CrashSuspects::mEndpoint) !=
+          due.end());
+  }
+}
+
 TEST_CASE("the forwarder of an instance")
 {
   RecordForwarder forwarder({});
