Withdraw an unlisted crash record by its writer

A follower that had published a report itself forwarded the withdrawal to the source. If the source had not listed the record yet it ignored the withdrawal, and the record stayed for about 120 s.

--- a/include/figslip/quarantine/crash_records.hpp
+++ b/include/figslip/quarantine/crash_records.hpp
@@ -105,6 +105,13 @@
   [[nodiscard]] std::vector<std::string> TakeRecordsOf(
     const std::set<std::uint64_t>& aFingerprints);
 
+  /// @brief Checks whether this instance has written a record that no list has
+  /// contained yet; other instances may not know it.
+  [[nodiscard]] bool IsOwnUnlisted(std::string_view aName) const
+  {
+    return mTracker.IsOwnUnlisted(aName);
+  }
+
   /// @brief Checks whether a record is to be removed now that its request was
   /// served; true once for each record that is tracked.
   [[nodiscard]] bool TakeRecord(std::string_view aName)
--- a/include/figslip/quarantine/record_tracker.hpp
+++ b/include/figslip/quarantine/record_tracker.hpp
@@ -68,6 +68,15 @@
     return mRecords.contains(aName);
   }
 
+  /// @brief Checks whether this instance has written a record that no list has
+  /// contained yet; other instances may not know it.
+  [[nodiscard]] bool IsOwnUnlisted(std::string_view aName) const
+  {
+    const auto found = mRecords.find(aName);
+    return found != mRecords.end() && found->second.mIsOwn &&
+           !found->second.mWasListed;
+  }
+
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
 
 private:
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -920,8 +920,9 @@
   for (auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
     log::Write(
       log::Level::Info, "crash_record_withdrawn", { { "record", name } });
-    // another instance may not know a record that this one is writing
-    if (mWrites.contains(name)) {
+    // another instance may not know a record that this one is writing, or has
+    // written a moment ago
+    if (mWrites.contains(name) || mCrashes.IsOwnUnlisted(name)) {
       StartRemoval(name, "withdraw crash record");
     } else {
       withdrawn.push_back(std::move(name));
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -570,6 +570,36 @@
   }
 }
 
+// guards against a record that stays for two minutes although its request was
+// served: the source does not know it yet, and ignores the withdrawal
+TEST_CASE("the writer removes a record that no list has contained")
+{
+  quarantine::CrashRecords crashes({});
+  const CrashReport report{ .mFingerprint = 1, .mUpstream = "a" };
+  const auto name = quarantine::CrashRecords::NameOf(report);
+  CHECK_FALSE(crashes.IsOwnUnlisted(name));
+  REQUIRE(crashes.OnOwnReport(report, kStart));
+  REQUIRE(crashes.TakeDue(kStart).size() == 1);
+
+  SUBCASE("while it is unlisted")
+  {
+    CHECK(crashes.TakeRecordsOf({ 1 }) == std::vector{ name });
+    CHECK(crashes.IsOwnUnlisted(name));
+  }
+
+  SUBCASE("but not later")
+  {
+    crashes.OnRecords({ { name, 1 } }, kStart + 1s);
+    CHECK_FALSE(crashes.IsOwnUnlisted(name));
+  }
+
+  SUBCASE("and not that of another instance")
+  {
+    crashes.OnRecords({ { "crash.2.b", 1 } }, kStart + 1s);
+    CHECK_FALSE(crashes.IsOwnUnlisted("crash.2.b"));
+  }
+}
+
 TEST_CASE("the forwarder of an instance")
 {
   RecordForwarder forwarder({});
