--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -61,7 +61,7 @@
   void ReportCrash(const quarantine::CrashReport& aReport);
 
   /// @brief Publishes this instance's counts on a roll-out to all instances.
-  /// @note One attempt: later counts replace those that were not written.
+  /// @note One attempt: counts that were not written are shared again later.
   void ShareEvidence(const rollout::EvidenceReport& aReport);
 
   /// @brief Publishes this instance's sessions on withdrawn versions to all
@@ -128,6 +128,9 @@
   /// @param[in] aBody empty: it was too large
   /// @return status of the answer
   [[nodiscard]] unsigned OnForwardedRecords(std::string_view aBody);
+  /// Passes records of a follower to the traffic thread: this instance tracks
+  /// them as its own, so that its lists do not bring them back.
+  void ApplyForwarded(const quarantine::RecordBatch& aRecords);
   void PublishCrashes();
   void PublishParts();
   void CreatePartRecord(const nlohmann::json& aRecord);
@@ -207,7 +210,7 @@
   TimePoint mStoreAnsweredAt;
   std::minstd_rand mRandom{ std::random_device{}() };
   quarantine::ServedReports mServedParts;
-  quarantine::RecordForwarder mForwarder{ {} };
+  quarantine::RecordForwarder mForwarder;
   std::string mRecordTarget;          ///< process that `mRecordClient` calls
   bool mIsForwarding = false;         ///< `RunForwarding` runs
   std::set<std::string> mDomainPeers; ///< instances of the own failure domain
--- a/include/figslip/quarantine/suspect_reports.hpp
+++ b/include/figslip/quarantine/suspect_reports.hpp
@@ -27,8 +27,11 @@
     /// reports for an upstream within this time belong to one crash
     Duration mSameCrashWindow = std::chrono::seconds(2);
     Duration mRetention = std::chrono::seconds(60); ///< time a crash counts
-    std::size_t mMaxPending = 64; ///< bounds the memory; others are dropped
-    std::size_t mMaxKnown = 256;  ///< published crashes; bounds the memory
+    /// bounds the memory; others are dropped. Reports of one upstream merge, so
+    /// that the instances of a failure domain need little more than one; as
+    /// many as published crashes.
+    std::size_t mMaxPending = 256;
+    std::size_t mMaxKnown = 256; ///< published crashes; bounds the memory
   };
 
   explicit SuspectReports(Options aOptions)
@@ -53,7 +56,8 @@
   /// @brief Records suspects that another instance has published.
   void OnPublished(const CrashSuspects& aCrash, TimePoint aNow);
 
-  /// @brief Returns the reports to publish now, each of them once.
+  /// @brief Returns the reports to publish now, each of them once; those that
+  /// may complete the evidence against a part come first.
   /// @param[in] aMax maximum number of reports; the others stay due
   [[nodiscard]] std::vector<CrashSuspects> TakeDue(std::size_t aMax,
                                                    TimePoint aNow);
@@ -65,6 +69,7 @@
   {
     CrashSuspects mCrash;
     TimePoint mDueAt;
+    bool mIsUrgent = false; ///< has a suspect of another crash
   };
 
   struct Known
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -94,6 +94,10 @@
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kUnavailable = 503;
 
+/// There is no room for the records. Unlike an outage of the store this holds
+/// for one instance only, so the follower publishes them at once.
+constexpr unsigned kNoRoom = 429;
+
 /// An object of this name exists already; the write counts as done.
 constexpr unsigned kConflict = 409;
 
@@ -252,6 +256,7 @@
   , mRegisteredUpstreams({ .mMinOutage = MinOutage(aSettings) })
   , mCrashes({ .mSeed = SeedOf(aSettings.mInstance) })
   , mSuspects({ .mSeed = SeedOf(aSettings.mInstance) })
+  , mForwarder({ .mMaxDirectPublishers = aSettings.mMaxDirectPublishers })
 {
 }
 
@@ -625,6 +630,7 @@
   mInstanceCount = static_cast<int>(places.size());
   mCrashes.SetInstanceCount(mInstanceCount);
   mSuspects.SetInstanceCount(mInstanceCount);
+  mForwarder.SetInstanceCount(mInstanceCount);
   const auto reports = mCrashes.OnRecords(crashes, ReadBootClock());
   const auto withdrawn = mCrashes.Withdrawn();
   std::vector<quarantine::CrashSuspects> suspects;
@@ -642,6 +648,7 @@
   mServedParts.OnPublished(served, ReadBootClock());
   mForwarder.OnPublished(
     { .mReports = reports, .mSuspects = suspects, .mServed = served });
+  const auto uncounted = mCrashes.WithoutCounted(reports, ReadBootClock());
   log::Write(log::Level::Info,
              "instances_known",
              { { "instances", std::to_string(places.size()) },
@@ -651,11 +658,11 @@
     return !aObjects.contains(aEntry.first);
   });
   RemoveOldEvidence();
-  mPost([places, reports, withdrawn, evidence, sessions, suspects, served](
+  mPost([places, uncounted, withdrawn, evidence, sessions, suspects, served](
           TrafficState& aState) {
     aState.OnInstances(places);
     aState.OnCrashesWithdrawn(withdrawn);
-    aState.OnCrashReports(reports);
+    aState.OnCrashReports(uncounted);
     aState.mRollouts.OnPeerReports(evidence);
     for (const auto& report : sessions) {
       aState.mRollouts.OnPeerSessions(report, ReadBootClock());
@@ -701,6 +708,7 @@
   if (aReport.mInFlight > kMaxSharedInFlight) {
     return;
   }
+  mCrashes.OnCounted(aReport, ReadBootClock());
   if (!mCrashes.IsKnown(aReport)) {
     Forward({ .mReports = { aReport }, .mSuspects = {}, .mServed = {} });
   }
@@ -733,7 +741,11 @@
 ControlPlane::StepForwarding()
 {
   const auto now = ReadBootClock();
-  const auto source = mRelayFollower.FollowedSource();
+  auto source = mRelayFollower.FollowedSource();
+  // an instance of another failure domain rejects the records
+  if (source && source->mFailureDomain != mSettings.mFailureDomain) {
+    source.reset();
+  }
   const auto process = source ? source->mProcess : std::string();
   if (source && process != mRecordTarget) {
     mRecordTarget = process;
@@ -853,9 +865,41 @@
       StartRemoval(name, "withdraw crash record");
     }
   }
-  return Merge(message.mBatch)
-           ? answer(kOk, message.mInstance, "")
-           : answer(kUnavailable, message.mInstance, "no room");
+  ApplyForwarded(message.mBatch);
+  return Merge(message.mBatch) ? answer(kOk, message.mInstance, "")
+                               : answer(kNoRoom, message.mInstance, "no room");
+}
+
+void
+ControlPlane::ApplyForwarded(const quarantine::RecordBatch& aRecords)
+{
+  const auto now = ReadBootClock();
+  std::vector<quarantine::CrashReport> reports;
+  std::ranges::copy_if(
+    aRecords.mReports, std::back_inserter(reports), [&](const auto& aReport) {
+      return !mCrashes.IsKnown(aReport);
+    });
+  reports = mCrashes.WithoutCounted(std::move(reports), now);
+  for (auto& report : reports) {
+    report.mSeenAt = now;
+    mCrashes.OnCounted(report, now);
+  }
+  std::vector<quarantine::CrashSuspects> suspects;
+  std::ranges::transform(
+    aRecords.mSuspects, std::back_inserter(suspects), [&](const auto& aCrash) {
+      return mSuspects.WithoutKnown(aCrash);
+    });
+  std::erase_if(suspects,
+                [](const auto& aCrash) { return aCrash.mParts.empty(); });
+  if (reports.empty() && suspects.empty() && aRecords.mServed.empty()) {
+    return;
+  }
+  mPost([reports = std::move(reports),
+         suspects = std::move(suspects),
+         served = aRecords.mServed](TrafficState& aState) {
+    aState.OnCrashReports(reports);
+    aState.OnPartRecords(suspects, served);
+  });
 }
 
 void
@@ -876,8 +920,9 @@
   for (auto& name : mCrashes.TakeRecordsOf(aFingerprints)) {
     log::Write(
       log::Level::Info, "crash_record_withdrawn", { { "record", name } });
-    // another instance may not know a record that this one is writing
-    if (mWrites.contains(name)) {
+    // another instance may not know a record that this one is writing, or has
+    // written a moment ago
+    if (mWrites.contains(name) || mCrashes.IsOwnUnlisted(name)) {
       StartRemoval(name, "withdraw crash record");
     } else {
       withdrawn.push_back(std::move(name));
@@ -913,7 +958,7 @@
   const bool isKnown = mOwnEvidence.contains(aReport.mService);
   auto request = isKnown ? mDialect.mReplaceShared(name, spec)
                          : mDialect.mCreateShared(name, spec);
-  const auto result = co_await mClient.Call(
+  auto result = co_await mClient.Call(
     std::move(request), "share roll-out evidence", kWriteTimeout);
   if (result.mOutcome == store::CallOutcome::Answered) {
     if (result.mStatus == kNotFound) {
@@ -924,9 +969,17 @@
   }
   if (result.mStatus == kConflict) {
     auto replace = mDialect.mReplaceShared(name, spec);
-    co_await mClient.Call(
+    result = co_await mClient.Call(
       std::move(replace), "share roll-out evidence again", kWriteTimeout);
   }
+  const bool isWritten = result.mOutcome == store::CallOutcome::Answered &&
+                         result.mStatus < kFirstClientError;
+  if (!isWritten) {
+    mPost([service = aReport.mService,
+           created = aReport.mCreated](TrafficState& aState) {
+      aState.mRollouts.OnReportFailed(service, created);
+    });
+  }
   RemoveOldEvidence();
 }
 
--- a/tests/src/history-forwarded_records.cpp
+++ b/tests/src/history-forwarded_records.cpp
@@ -37,8 +37,11 @@
 class RecordWorld
 {
 public:
-  RecordWorld()
-    : mWorld(IngressWorld::Options{ .mInstances = kMembers, .mEngines = 4 })
+  /// @param[in] aMaxDirect instances up to which each publishes its records
+  explicit RecordWorld(int aMaxDirect = 0)
+    : mWorld(IngressWorld::Options{ .mInstances = kMembers,
+                                    .mEngines = 4,
+                                    .mMaxDirectPublishers = aMaxDirect })
   {
     for (std::size_t index = 0; index < kMembers; ++index) {
       REQUIRE(mWorld.WaitForReady(index));
@@ -56,6 +59,8 @@
   [[nodiscard]] IngressWorld& World() { return mWorld; }
   [[nodiscard]] std::size_t Source() const { return mSource; }
 
+  [[nodiscard]] std::size_t Follower() const { return mFollower; }
+
   /// Lets upstreams crash on a request that the follower sends.
   void CrashUpstreams()
   {
@@ -63,6 +68,43 @@
       mWorld.SendRaw(mFollower, FormatPrompt({ kDeadlyPart }, 1)));
   }
 
+  /// Sends a message with records to the source.
+  /// @return status of the answer
+  [[nodiscard]] int SendRecords(const std::string& aBody)
+  {
+    CallerLink link(mWorld.PeersPort(mSource));
+    return link
+      .Exchange("POST /v1/records HTTP/1.1\r\nHost: s\r\nContent-Length: " +
+                  std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
+                5s)
+      .mStatus;
+  }
+
+  /// Sends a record in the name of the follower.
+  /// @param[in] aFields of the message, in JSON
+  [[nodiscard]] int SendRecord(const std::string& aFields)
+  {
+    return SendRecords(R"({"instance":"entry-)" + std::to_string(mFollower) +
+                       "\"," + aFields + "}");
+  }
+
+  /// Reports a crash of an upstream with the deadly part.
+  [[nodiscard]] int SendSuspects(const std::string& aUpstream)
+  {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+    return SendRecord(R"("suspects":[{"upstream":")" + aUpstream +
+                      R"(","at_ms":)" + std::to_string(now.count()) +
+                      R"(,"suspects":[")" + kDeadlyPart + "\"]}]");
+  }
+
+  /// Checks whether the source sends requests with the deadly part.
+  [[nodiscard]] bool IsSent(int aNumber)
+  {
+    return figslip::test::IsServed(
+      mWorld.SendRaw(mSource, FormatPrompt({ kDeadlyPart }, aNumber)));
+  }
+
   /// Checks whether the source has accepted records of the follower.
   [[nodiscard]] bool HasForwarded()
   {
@@ -153,17 +195,9 @@
 
   SUBCASE("are refused if they are false")
   {
-    const auto send = [&](const std::string& aBody) {
-      CallerLink link(world.World().PeersPort(world.Source()));
-      return link
-        .Exchange("POST /v1/records HTTP/1.1\r\nHost: s\r\nContent-Length: " +
-                    std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
-                  5s)
-        .mStatus;
-    };
-    CHECK(send(R"({"instance":"entry-9","served":["1"]})") == 403);
-    CHECK(send("{") == 400);
-    CHECK(send(std::string(300'000, 'x')) == 413);
+    CHECK(world.SendRecords(R"({"instance":"entry-9","served":["1"]})") == 403);
+    CHECK(world.SendRecords("{") == 400);
+    CHECK(world.SendRecords(std::string(300'000, 'x')) == 413);
     CHECK(AwaitTrue(
       [&] {
         return world.LogOf(world.Source()).find(R"("status":"413")") !=
@@ -173,3 +207,59 @@
     CHECK_FALSE(world.IsWritten());
   }
 }
+
+// guards against a source that publishes records without using them: it would
+// go on sending a deadly part, and refuse a part that was served elsewhere
+TEST_CASE("the records of a follower are evidence at its source, too")
+{
+  RecordWorld world;
+  for (std::size_t engine = 0; engine < 4; ++engine) {
+    world.World().Engine(engine).SetDeadlyParts({});
+  }
+  REQUIRE(world.SendSuspects("127.0.0.1:1") == 200);
+  std::this_thread::sleep_for(200ms);
+  REQUIRE(world.SendSuspects("127.0.0.1:2") == 200);
+  std::this_thread::sleep_for(500ms);
+  CHECK_FALSE(world.IsSent(1));
+  CHECK(world.SendRecord(R"("served":[")" + kDeadlyPart + "\"]") == 200);
+  std::this_thread::sleep_for(500ms);
+  CHECK(world.IsSent(2));
+}
+
+// guards against a detour of evidence where few instances write
+TEST_CASE("the instances of a small fleet write their records themselves")
+{
+  RecordWorld world(10);
+  world.CrashUpstreams();
+  CHECK(AwaitTrue([&] { return world.IsWrittenBy(world.Follower()); }, 5s));
+  CHECK_FALSE(world.HasForwarded());
+}
+
+// guards against a follower that waits, as for the store, while its source has
+// no room
+TEST_CASE("a source without room for more crashes refuses with another status")
+{
+  constexpr int kPerMessage = 64;
+  constexpr int kMaxPending = 256;
+  RecordWorld world;
+  const auto sendMany = [&](int aMessage) {
+    std::string crashes;
+    for (int number = 0; number < kPerMessage; ++number) {
+      const auto upstream = aMessage * kPerMessage + number;
+      crashes += (number == 0 ? "" : ",");
+      crashes += R"({"upstream":"u)" + std::to_string(upstream) +
+                 R"(","suspects":["abc)" + std::to_string(upstream) + "\"]}";
+    }
+    return world.SendRecord(R"("suspects":[)" + crashes + "]");
+  };
+  int sent = 0;
+  while (sent < kMaxPending / kPerMessage) {
+    CHECK(sendMany(sent++) == 200);
+  }
+  // meanwhile it publishes four of them in 250 ms
+  int status = 200;
+  while (status == 200 && sent < 10) {
+    status = sendMany(sent++);
+  }
+  CHECK(status == 429);
+}
--- a/tests/src/unit-record_forwarding.cpp
+++ b/tests/src/unit-record_forwarding.cpp
@@ -76,6 +76,7 @@
           .mPhase = 1ms * (mRandom() % 250) });
       mNodes.back().mCrashes.SetInstanceCount(kInstances);
       mNodes.back().mSuspects.SetInstanceCount(kInstances);
+      mNodes.back().mForwarder.SetInstanceCount(kInstances);
     }
     // other objects change as well, so that a watch may be in its pause
     for (auto& view : mViews) {
@@ -476,9 +477,133 @@
   }
 }
 
+// guards against bounds of one instance at one that publishes for its failure
+// domain: 16 instances that lose 64 requests each
+TEST_CASE("the source holds the reports of a failure domain")
+{
+  quarantine::CrashRecords crashes({});
+  crashes.SetInstanceCount(kInstances);
+  for (std::uint64_t number = 0; number < 1'024; ++number) {
+    REQUIRE(crashes.OnOwnReport({ .mFingerprint = number, .mUpstream = "a" },
+                                kStart));
+  }
+  CHECK_FALSE(
+    crashes.OnOwnReport({ .mFingerprint = 1'024, .mUpstream = "a" }, kStart));
+}
+
+// guards against a refusal of a request with half of the evidence: a report
+// that comes back after more than 2 s counts as a second crash
+TEST_CASE("a report that comes back from the store counts once")
+{
+  quarantine::CrashRecords crashes({});
+  const CrashReport own{ .mFingerprint = 1, .mUpstream = "a" };
+  const CrashReport other{ .mFingerprint = 1, .mUpstream = "b" };
+  crashes.OnCounted(own, kStart);
+  const auto listAt = [&](TimePoint aNow) {
+    const auto reports =
+      crashes.OnRecords({ { quarantine::CrashRecords::NameOf(own), 1 },
+                          { quarantine::CrashRecords::NameOf(other), 1 } },
+                        aNow);
+    REQUIRE(reports.size() == 2);
+    return crashes.WithoutCounted(reports, aNow);
+  };
+
+  SUBCASE("while its record is kept")
+  {
+    const auto reports = listAt(kStart + 3s);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports.front().mUpstream == "b");
+  }
+
+  SUBCASE("and a later one is another crash")
+  {
+    CHECK(listAt(kStart + 61s).size() == 2);
+  }
+
+  SUBCASE("and one after its withdrawal is another crash")
+  {
+    CHECK(listAt(kStart + 1s).size() == 1);
+    crashes.OnRecords({}, kStart + 2s);
+    CHECK(listAt(kStart + 3s).size() == 2);
+  }
+}
+
+// guards against a deadly part that is sent on while its second crash waits for
+// the records of other crashes
+TEST_CASE("a report that may complete evidence is published first")
+{
+  quarantine::SuspectReports reports({});
+  const auto report = [&](const std::string& aUpstream, PartId aPart) {
+    CHECK(reports.OnOwn(
+      { .mEndpoint = aUpstream, .mAtMs = 1, .mParts = { aPart } }, kStart));
+  };
+  for (PartId part = 1; part <= 8; ++part) {
+    report("a" + std::to_string(part), part);
+  }
+  std::vector<std::string> wanted = { "z1" };
+
+  SUBCASE("with a published crash")
+  {
+    reports.OnPublished({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 9 } },
+                        kStart);
+    report("z1", 9);
+  }
+
+  SUBCASE("with a crash that is published later")
+  {
+    report("z1", 9);
+    reports.OnPublished({ .mEndpoint = "b", .mAtMs = 1, .mParts = { 9 } },
+                        kStart);
+  }
+
+  SUBCASE("with a crash that waits, too")
+  {
+    report("z1", 9);
+    report("z2", 9);
+    wanted.emplace_back("z2");
+  }
+  const auto due = reports.TakeDue(4, kStart);
+  REQUIRE(due.size() == 4);
+  for (const auto& upstream : wanted) {
+    CHECK(std::ranges::find(due, upstream, &CrashSuspects::mEndpoint) !=
+          due.end());
+  }
+}
+
+// guards against a record that stays for two minutes although its request was
+// served: the source does not know it yet, and ignores the withdrawal
+TEST_CASE("the writer removes a record that no list has contained")
+{
+  quarantine::CrashRecords crashes({});
+  const CrashReport report{ .mFingerprint = 1, .mUpstream = "a" };
+  const auto name = quarantine::CrashRecords::NameOf(report);
+  CHECK_FALSE(crashes.IsOwnUnlisted(name));
+  REQUIRE(crashes.OnOwnReport(report, kStart));
+  REQUIRE(crashes.TakeDue(kStart).size() == 1);
+
+  SUBCASE("while it is unlisted")
+  {
+    CHECK(crashes.TakeRecordsOf({ 1 }) == std::vector{ name });
+    CHECK(crashes.IsOwnUnlisted(name));
+  }
+
+  SUBCASE("but not later")
+  {
+    crashes.OnRecords({ { name, 1 } }, kStart + 1s);
+    CHECK_FALSE(crashes.IsOwnUnlisted(name));
+  }
+
+  SUBCASE("and not that of another instance")
+  {
+    crashes.OnRecords({ { "crash.2.b", 1 } }, kStart + 1s);
+    CHECK_FALSE(crashes.IsOwnUnlisted("crash.2.b"));
+  }
+}
+
 TEST_CASE("the forwarder of an instance")
 {
   RecordForwarder forwarder({});
+  forwarder.SetInstanceCount(kInstances);
   const RecordBatch records{
     .mReports = { { .mFingerprint = 1, .mUpstream = "a" } },
     .mSuspects = { { .mEndpoint = "a:1", .mAtMs = 5, .mParts = { 1, 2 } } },
@@ -494,6 +619,24 @@
     CHECK(forwarder.IsIdle());
   }
 
+  // guards against a detour of evidence where few instances write
+  SUBCASE("with a source in a small fleet publishes itself, at once")
+  {
+    forwarder.SetInstanceCount(10);
+    forwarder.OnSource("s.1", kStart);
+    forwarder.Add(records, kStart);
+    CHECK_FALSE(forwarder.TakeMessage(kStart + 1s));
+    CHECK(forwarder.TakeOwn(kStart).RecordCount() == 4);
+
+    SUBCASE("until it grows")
+    {
+      forwarder.SetInstanceCount(11);
+      forwarder.OnSource("s.1", kStart + 1s);
+      forwarder.Add(records, kStart + 1s);
+      CHECK(forwarder.TakeMessage(kStart + 1'010ms));
+    }
+  }
+
   SUBCASE("with a source")
   {
     forwarder.OnSource("s.1", kStart);
