Hold the slots with bookings in the test of waiting requests

It waited for two runs of any request. If the second request arrives late, the first one is silent by then and its replacement takes the second slot, so that the second request waits and is refused as the instance stops.

The slots are held by bookings now, which are never replaced, and the test waits for one run of each of the two by its id. All checks are kept.

--- a/tests/src/history-slot_queue.cpp
+++ b/tests/src/history-slot_queue.cpp
@@ -149,14 +149,18 @@
 
   SUBCASE("while both slots are in use")
   {
-    engine.HoldHeads("/look/");
+    // bookings, since an attempt of them is never replaced: the replacement of
+    // a silent one would take the slot that is meant for the other request
+    engine.HoldHeads("/");
     std::vector<std::future<CallerAnswer>> running;
     for (const auto* const name : { "first", "second" }) {
       running.push_back(std::async(std::launch::async, [&world, name] {
-        return world.Send(0, "GET", "/look/1", name);
+        return world.Send(0, "POST", "/book/1", name);
       }));
     }
-    REQUIRE(Eventually([&] { return engine.Runs().size() == 2; }));
+    REQUIRE(Eventually([&] {
+      return world.RunsOf("first") == 1 && world.RunsOf("second") == 1;
+    }));
 
     // Guards against slots that are spent on callers who have left.
     SUBCASE("a request whose caller leaves is not sent")
