--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -14,7 +14,9 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -209,6 +211,14 @@
   }
   PutConfiguration({ "key-1" });
   mExchangePort = FreePort(mExchangeClaim);
+  std::set<std::string> names(mOptions.mDomains.begin(),
+                              mOptions.mDomains.end());
+  names.insert(mOptions.mEngineDomain);
+  auto domains = json::array();
+  std::ranges::transform(
+    names, std::back_inserter(domains), [](const auto& aName) {
+      return json{ { "name", aName }, { "region", "r" } };
+    });
   for (int number = 0; number < mOptions.mInstances; ++number) {
     if (mOptions.mIsRelayed) {
       mStoreRelays.push_back(std::make_unique<Relay>(mStore.Port()));
@@ -224,10 +234,11 @@
       return "127.0.0.1:" + std::to_string(aPort);
     };
     const auto name = "entry-" + std::to_string(number);
+    const auto& domain =
+      mOptions.mDomains.at(mInstances.size() % mOptions.mDomains.size());
     const json settings = { { "instance", name },
-                            { "failure_domain", "a" },
-                            { "failure_domains",
-                              { { { "name", "a" }, { "region", "r" } } } },
+                            { "failure_domain", domain },
+                            { "failure_domains", domains },
                             { "callers", address(running.mCallerPort) },
                             { "readiness", address(running.mReadinessPort) },
                             { "metrics", address(running.mMetricsPort) },
@@ -393,7 +404,7 @@
              engine.Id(),
              { { "service", "engines" },
                { "address", "127.0.0.1:" + std::to_string(port) },
-               { "zone", "a" },
+               { "zone", mOptions.mEngineDomain },
                { "version", aVersion },
                { "slots", mOptions.mEngineSlots },
                { "state", aState },
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -62,6 +62,9 @@
     /// address of its own and all at the same port; the first at 127.0.0.1
     bool mOverloadControl = false;
     int mEngineSlots = 8;
+    /// failure domains of the instances, in turn
+    std::vector<std::string> mDomains = { "a" };
+    std::string mEngineDomain = "a";
     /// API key of a second account, "school"; empty: there is none
     std::string mSchoolKey;
     int mMaxDescriptors = 1024;
