--- a/tests/src/unit-connection_budget.cpp
+++ b/tests/src/unit-connection_budget.cpp
@@ -198,6 +198,23 @@
   CHECK(few.mCallerBytes > 32 * kMegabyte);
 }
 
+// Guards against a negative number of instances, and a setting that is
+// required.
+TEST_CASE("the bound on instances that publish records themselves is checked")
+{
+  const auto findingsOf = [](const std::string& aText) {
+    const auto parsed = settings::ParseIngressSettings(aText);
+    REQUIRE_FALSE(parsed);
+    return error::JoinMessages(parsed.assume_error(), "; ");
+  };
+  const std::string field = "max_direct_publishers";
+  CHECK(findingsOf("{ \"" + field + "\": -1 }").find(field) !=
+        std::string::npos);
+  CHECK(findingsOf("{ \"" + field + "\": 0 }").find(field) ==
+        std::string::npos);
+  CHECK(findingsOf("{}").find(field) == std::string::npos);
+}
+
 // Guards against a share that leaves no memory to answers and to the process.
 TEST_CASE("the settings of the limits are checked")
 {
