Evict waiting requests by bytes when bytes are lacking

A full queue always evicted from the account with the most requests per weight. When the bound on bytes was reached, one large body evicted 493 small requests of another account and was refused itself. The queue now compares the bytes of the accounts when bytes are lacking.

--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -5,6 +5,7 @@
 #include <figslip/routing/request.hpp>
 #include <figslip/time/time_point.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,10 +29,11 @@
   /// account applies across them; empty: the class shares no slots
   std::string mGroup;
   std::string mAccount;
-  double mShare = 1.0; ///< weight of the client account, > 0
-  double mCost = 1.0;  ///< expected work, in one unit for all requests, > 0
-  int mPriority = 0;   ///< within the account; lower goes first
-  TimePoint mDeadline; ///< latest time of the admission
+  double mShare = 1.0;    ///< weight of the client account, > 0
+  double mCost = 1.0;     ///< expected work, in one unit for all requests, > 0
+  std::size_t mBytes = 0; ///< of memory while it waits
+  int mPriority = 0;      ///< within the account; lower goes first
+  TimePoint mDeadline;    ///< latest time of the admission
   /// arrival number of a request that returns to the queue; empty: a new one
   std::optional<std::uint64_t> mFormerArrival;
   /// an upstream rejected it after its admission, which is taken back
@@ -48,6 +50,13 @@
   Unschedulable ///< waiting can't help; the caller of the queue must decide
 };
 
+/// @brief Lists the limits of a queue that a new request can exceed.
+enum class QueueLimit
+{
+  Requests, ///< number of waiting requests
+  Bytes     ///< memory of the waiting requests
+};
+
 /// @brief Shares capacity between client accounts by their weights.
 ///
 /// Implements start-time fair queueing over the accounts that wait in the same
@@ -103,12 +112,16 @@
 
   /// @brief Evicts a waiting request from a full queue in favour of a new one.
   ///
-  /// Chooses the account with the most waiting requests per weight and evicts
-  /// its newest request of the lowest priority. If that is the account of the
-  /// new request, only a less urgent request is evicted.
+  /// Chooses the account with the most waiting requests or bytes per weight and
+  /// evicts its newest request of the lowest priority. If that is the account
+  /// of the new request, only a less urgent request is evicted.
+  /// @param[in] aLimit that is reached. Bytes are compared if they are lacking:
+  /// many small requests must not be evicted for a few large ones.
   /// @return ticket of the evicted request; nothing if the new request has to
   /// be rejected instead
-  std::optional<routing::TicketId> EvictFor(const QueuedRequest& aNew);
+  std::optional<routing::TicketId> EvictFor(
+    const QueuedRequest& aNew,
+    QueueLimit aLimit = QueueLimit::Requests);
 
   /// @brief Estimates how long a request would wait if it were added now.
   /// @return nothing if too few requests were admitted recently for an estimate
@@ -171,7 +184,14 @@
   struct Backlog
   {
     std::size_t mWaiting = 0;
+    std::size_t mBytes = 0;
     double mShare = 1.0;
+
+    /// Returns what counts towards a limit.
+    [[nodiscard]] std::size_t Use(QueueLimit aLimit) const
+    {
+      return aLimit == QueueLimit::Bytes ? mBytes : mWaiting;
+    }
   };
 
   using ClassQueues = std::map<std::string, ClassQueue, std::less<>>;
--- a/src/core/admission/account_queue.cpp
+++ b/src/core/admission/account_queue.cpp
@@ -43,11 +43,12 @@
     static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor));
 }
 
-/// Sets the position of a request among those of its account.
+/// Sets the position of a request among those of its account, and its size.
 void
 SetRank(OfferedRequest& aRequest)
 {
   aRequest.mQueued.mGroup = aRequest.mService;
+  aRequest.mQueued.mBytes = aRequest.mBytes;
   if (aRequest.mIsReplacement) {
     aRequest.mQueued.mPriority = std::numeric_limits<int>::min();
   }
@@ -166,7 +167,9 @@
     return result;
   }
   while (!HasRoomFor(aRequest)) {
-    const auto evicted = mQueue.EvictFor(aRequest.mQueued);
+    const bool lacksBytes = mBytes + aRequest.mBytes > mOptions.mMaxBytes;
+    const auto evicted = mQueue.EvictFor(
+      aRequest.mQueued, lacksBytes ? QueueLimit::Bytes : QueueLimit::Requests);
     if (!evicted) {
       result.mRefusal = Refuse(aRequest, RefusalReason::Full, aNow);
       return result;
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -44,6 +44,7 @@
   ++queue.mWaiting;
   auto& backlog = mBacklogs[aRequest.mAccount];
   ++backlog.mWaiting;
+  backlog.mBytes += aRequest.mBytes;
   backlog.mShare = aRequest.mShare;
   if (!aRequest.mFormerArrival) {
     flow.mArrivals[aRequest.mPriority].OnArrival(aNow, aRequest.mCost);
@@ -158,6 +159,7 @@
     });
   }
   const auto backlog = mBacklogs.find(account);
+  backlog->second.mBytes -= request.mapped().mBytes;
   if (--backlog->second.mWaiting == 0) {
     mBacklogs.erase(backlog);
   }
@@ -396,20 +398,23 @@
 }
 
 std::optional<routing::TicketId>
-FairQueue::EvictFor(const QueuedRequest& aNew)
+FairQueue::EvictFor(const QueuedRequest& aNew, QueueLimit aLimit)
 {
-  const auto perWeight = [](const auto& aEntry) {
-    return static_cast<double>(aEntry.second.mWaiting) / aEntry.second.mShare;
+  const auto perWeight = [&](const auto& aEntry) {
+    const auto& backlog = aEntry.second;
+    return static_cast<double>(backlog.Use(aLimit)) / backlog.mShare;
   };
   const auto largest = std::ranges::max_element(mBacklogs, {}, perWeight);
   if (largest == mBacklogs.end()) {
     return std::nullopt;
   }
   const auto own = mBacklogs.find(aNew.mAccount);
-  const auto ownWaiting = own == mBacklogs.end() ? 0 : own->second.mWaiting;
-  const auto ownPerWeight = static_cast<double>(ownWaiting + 1) / aNew.mShare;
+  const auto ownBacklog = own == mBacklogs.end() ? Backlog{} : own->second;
+  const auto added = aLimit == QueueLimit::Bytes ? aNew.mBytes : 1;
+  const auto ownPerWeight =
+    static_cast<double>(ownBacklog.Use(aLimit) + added) / aNew.mShare;
   const bool isOwn = largest == own || ownPerWeight >= perWeight(*largest);
-  if (isOwn && ownWaiting == 0) {
+  if (isOwn && ownBacklog.mWaiting == 0) {
     return std::nullopt;
   }
   const auto [ticket, rank] = LastOf(isOwn ? aNew.mAccount : largest->first);
--- a/tests/src/unit-account_queue.cpp
+++ b/tests/src/unit-account_queue.cpp
@@ -706,6 +706,41 @@
     CHECK_FALSE(queue.Offer(RequestOf(3, "a", now), now).mRefusal);
   }
 
+  // guards against a few large bodies that evict hundreds of small requests of
+  // another account before they are refused themselves
+  SUBCASE("evicts by bytes when bytes are lacking")
+  {
+    constexpr std::size_t kLargeBody = 4'000'000;
+    AccountQueue bodies({ .mMaxWaiting = 2000,
+                          .mMaxBytes = 25'000'000,
+                          .mMinRetryAfter = kMinRetryAfter });
+    const auto offer =
+      [&](TicketId aTicket, const std::string& aAccount, std::size_t aBytes) {
+        auto request = RequestOf(aTicket, aAccount, now);
+        request.mBytes = aBytes;
+        return bodies.Offer(request, now);
+      };
+    for (TicketId ticket = 1; ticket <= 500; ++ticket) {
+      REQUIRE_FALSE(offer(ticket, "small", 1000).mRefusal);
+    }
+    for (TicketId ticket = 501; ticket <= 506; ++ticket) {
+      REQUIRE_FALSE(offer(ticket, "large", kLargeBody).mRefusal);
+    }
+    const auto result = offer(507, "large", kLargeBody);
+    REQUIRE(result.mRefusal);
+    CHECK(result.mRefusal->mReason == RefusalReason::Full);
+    CHECK(result.mEvicted.empty());
+    CHECK(bodies.Size() == 506);
+
+    SUBCASE("so that a small account gets the place of a large body")
+    {
+      const auto small = offer(508, "small", 900'000);
+      CHECK_FALSE(small.mRefusal);
+      REQUIRE(small.mEvicted.size() == 1);
+      CHECK(small.mEvicted.front().mTicket == 506);
+    }
+  }
+
   SUBCASE("counts a long prompt and a long output as more work")
   {
     CHECK(admission::ExpectedWork(0, 0) == 1.0);
