Charge and block accounts in the class whose capacity they use

A turn of an account in one class that was used for a request of another class of the group was not charged there: of two accounts with equal weights, one got 750 of 1000 slots. An account without capacity in one class was also passed over in the class that gave the turn, although that had capacity.

--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -65,7 +65,8 @@
 /// admitted per weight never differs by more than the sum of their largest
 /// requests per weight. Within an account, requests are ordered by priority,
 /// then by arrival. Capacity classes are served round-robin. A turn of an
-/// account is used for its most urgent request in the classes of the group.
+/// account is used for its most urgent request in the classes of the group, and
+/// is charged in both classes.
 ///
 /// An account without waiting requests accumulates no credit and uses no
 /// memory.
@@ -85,8 +86,8 @@
   /// @param[in] aTry tries to reserve capacity for a request
   /// @return tickets that left the queue, admitted or unschedulable, in order
   /// @note Calls `aTry` once for each ticket returned, once for each class
-  /// without capacity and once for each account without capacity, however many
-  /// requests wait.
+  /// without capacity and once for each class and account without capacity,
+  /// however many requests wait.
   std::vector<routing::TicketId> Admit(
     const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
     TimePoint aNow);
@@ -198,7 +199,7 @@
   using ClassNames = std::set<std::string, std::less<>>;
 
   /// Returns the class of the most urgent request of an account among the
-  /// classes of a group that are not exhausted.
+  /// classes of a group that are not exhausted and do not block the account.
   /// @param[in] aClass with a waiting request of the account; returned if there
   /// is no more urgent one
   [[nodiscard]] ClassQueues::iterator MostUrgentClass(
@@ -256,7 +257,7 @@
   static void AdvanceVirtualTime(ClassQueue& aQueue, Flow& aFlow, double aCost);
   /// Tries the first request of an account in a class.
   /// @param[in] aTurn class that provides the turn of the account, which is
-  /// charged for it
+  /// charged for it there and in the class of the request
   AdmissionResult AdmitFrom(
     ClassQueue& aQueue,
     const std::string& aAccount,
--- a/src/core/admission/fair_queue.cpp
+++ b/src/core/admission/fair_queue.cpp
@@ -88,7 +88,8 @@
     const auto flow = queue.mFlows.find(aAccount);
     const bool isWaiting =
       flow != queue.mFlows.end() && !flow->second.mWaiting.empty();
-    if (!isWaiting || queue.mGroup != group || aExhausted.contains(name)) {
+    if (!isWaiting || queue.mGroup != group || aExhausted.contains(name) ||
+        queue.mBlocked.contains(aAccount)) {
       continue;
     }
     const auto priority = flow->second.mWaiting.begin()->first.first;
@@ -184,6 +185,11 @@
   }
   if (result == AdmissionResult::Admitted) {
     AdvanceVirtualTime(aTurn, aTurn.mFlows.at(aAccount), request.mCost);
+    if (&aTurn != &aQueue) {
+      // the capacity is that of the other class, where the accounts that wait
+      // must not pay for it
+      flow.mStartTag += request.mCost / flow.mShare;
+    }
     aQueue.mRate.OnAdmission(aNow, request.mCost);
     flow.mRate.OnAdmission(aNow, request.mCost);
   }
@@ -227,7 +233,6 @@
         exhausted.insert(chosen->first);
         break;
       case AdmissionResult::NoCapacityForAccount:
-        position->second.mBlocked.insert(*account);
         chosen->second.mBlocked.insert(*account);
         break;
     }
--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <map>
 
 using namespace figslip;
@@ -167,6 +168,23 @@
       CHECK(admitted == std::vector<TicketId>{ 3, 4 });
     }
 
+    // Guards against an account without capacity in one class that is passed
+    // over in another class which has capacity.
+    SUBCASE("admits less urgent ones where the account has capacity")
+    {
+      int tries = 0;
+      const auto admitted = queue.Admit(
+        [&](const QueuedRequest& aRequest) {
+          ++tries;
+          return aRequest.mCapacityClass == "v1"
+                   ? AdmissionResult::NoCapacityForAccount
+                   : AdmissionResult::Admitted;
+        },
+        kStart);
+      CHECK(admitted == std::vector<TicketId>{ 3, 4 });
+      CHECK(tries == 3); // once for the class and account without capacity
+    }
+
     SUBCASE("knows that more urgent ones wait")
     {
       QueuedRequest request{ .mTicket = 5,
@@ -183,6 +201,43 @@
     }
   }
 
+  // Guards against an account that takes slots of a class with its turns in
+  // another one and does not pay for them: it was admitted 750 of 1000 times.
+  SUBCASE("charges an account in the class whose capacity it uses")
+  {
+    TicketId ticket = 0;
+    const auto push = [&](const std::string& aClass,
+                          const std::string& aAccount,
+                          int aPriority) {
+      queue.Push({ .mTicket = ++ticket,
+                   .mCapacityClass = aClass,
+                   .mGroup = "chat",
+                   .mAccount = aAccount,
+                   .mPriority = aPriority,
+                   .mDeadline = kFarDeadline },
+                 kStart);
+    };
+    push("v1", "x", 1);
+    for (int count = 0; count < 1000; ++count) {
+      push("v2", "x", 0);
+      push("v2", "y", 0);
+    }
+    std::map<std::string, int> counts;
+    int slots = 1000;
+    (void)queue.Admit(
+      [&](const QueuedRequest& aRequest) {
+        if (aRequest.mCapacityClass == "v1" || slots == 0) {
+          return AdmissionResult::NoCapacity;
+        }
+        --slots;
+        ++counts[aRequest.mAccount];
+        return AdmissionResult::Admitted;
+      },
+      kStart);
+    CHECK(counts["x"] + counts["y"] == 1000);
+    CHECK(std::abs(counts["x"] - counts["y"]) <= 2);
+  }
+
   SUBCASE("with several backlogged accounts")
   {
     PushMany(queue, "heavy", 1.0, 1, 1000);
