Queue the retry of a broken attempt as a replacement

A retry after an attempt that may have run was queued like a request that a full upstream rejected: the account got the charge for the attempt back, the measured rates were lowered, and the retry could be refused as less urgent. The admission of such an attempt now stands, and its retry goes ahead of new requests of the account.

--- a/include/figslip/admission/account_queue.hpp
+++ b/include/figslip/admission/account_queue.hpp
@@ -37,8 +37,9 @@
   std::uint64_t mHash = 0; ///< differs among requests; spreads their returns
   /// an upstream rejected it after its admission, with or without a wait
   bool mWasAdmitted = false;
-  /// an attempt of it runs, beside which another one is to be sent; it goes
-  /// ahead of new requests of its account and does not count as one
+  /// an attempt of it runs or has failed after it may have run, and another one
+  /// is to be sent; it goes ahead of new requests of its account and does not
+  /// count as one
   bool mIsReplacement = false;
 };
 
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -477,14 +477,16 @@
                         // a priority of the account is the same for all of them
                         .mPriority = mRoute->mPriority,
                         .mFormerArrival = mQueueArrival,
-                        .mWasRejected = mWasQueued },
+                        .mWasRejected = mWasQueued && !mMayHaveRun },
            .mService = mService,
            .mBytes = mCaller.Request().mBody.size(),
            // a request that has just come is not refused without an estimate
            .mInTimeBy = std::max(inTimeBy, aNow),
            .mLateBy = LatestAdmission(),
            .mHash = HashOf(mFacts.mAttemptId),
-           .mWasAdmitted = mWasAdmitted };
+           // the admission of an attempt that may have run stands
+           .mWasAdmitted = mWasAdmitted && !mMayHaveRun,
+           .mIsReplacement = mMayHaveRun };
 }
 
 admission::OfferedRequest
