--- a/include/figslip/admission/fair_queue.hpp
+++ b/include/figslip/admission/fair_queue.hpp
@@ -5,6 +5,7 @@
 #include <figslip/routing/request.hpp>
 #include <figslip/time/time_point.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,10 +29,11 @@
   /// account applies across them; empty: the class shares no slots
   std::string mGroup;
   std::string mAccount;
-  double mShare = 1.0; ///< weight of the client account, > 0
-  double mCost = 1.0;  ///< expected work, in one unit for all requests, > 0
-  int mPriority = 0;   ///< within the account; lower goes first
-  TimePoint mDeadline; ///< latest time of the admission
+  double mShare = 1.0;    ///< weight of the client account, > 0
+  double mCost = 1.0;     ///< expected work, in one unit for all requests, > 0
+  std::size_t mBytes = 0; ///< of memory while it waits
+  int mPriority = 0;      ///< within the account; lower goes first
+  TimePoint mDeadline;    ///< latest time of the admission
   /// arrival number of a request that returns to the queue; empty: a new one
   std::optional<std::uint64_t> mFormerArrival;
   /// an upstream rejected it after its admission, which is taken back
@@ -48,6 +50,13 @@
   Unschedulable ///< waiting can't help; the caller of the queue must decide
 };
 
+/// @brief Lists the limits of a queue that a new request can exceed.
+enum class QueueLimit
+{
+  Requests, ///< number of waiting requests
+  Bytes     ///< memory of the waiting requests
+};
+
 /// @brief Shares capacity between client accounts by their weights.
 ///
 /// Implements start-time fair queueing over the accounts that wait in the same
@@ -56,7 +65,8 @@
 /// admitted per weight never differs by more than the sum of their largest
 /// requests per weight. Within an account, requests are ordered by priority,
 /// then by arrival. Capacity classes are served round-robin. A turn of an
-/// account is used for its most urgent request in the classes of the group.
+/// account is used for its most urgent request in the classes of the group, and
+/// is charged in both classes.
 ///
 /// An account without waiting requests accumulates no credit and uses no
 /// memory.
@@ -76,8 +86,8 @@
   /// @param[in] aTry tries to reserve capacity for a request
   /// @return tickets that left the queue, admitted or unschedulable, in order
   /// @note Calls `aTry` once for each ticket returned, once for each class
-  /// without capacity and once for each account without capacity, however many
-  /// requests wait.
+  /// without capacity and once for each class and account without capacity,
+  /// however many requests wait.
   std::vector<routing::TicketId> Admit(
     const std::function<AdmissionResult(const QueuedRequest&)>& aTry,
     TimePoint aNow);
@@ -103,12 +113,16 @@
 
   /// @brief Evicts a waiting request from a full queue in favour of a new one.
   ///
-  /// Chooses the account with the most waiting requests per weight and evicts
-  /// its newest request of the lowest priority. If that is the account of the
-  /// new request, only a less urgent request is evicted.
+  /// Chooses the account with the most waiting requests or bytes per weight and
+  /// evicts its newest request of the lowest priority. If that is the account
+  /// of the new request, only a less urgent request is evicted.
+  /// @param[in] aLimit that is reached. Bytes are compared if they are lacking:
+  /// many small requests must not be evicted for a few large ones.
   /// @return ticket of the evicted request; nothing if the new request has to
   /// be rejected instead
-  std::optional<routing::TicketId> EvictFor(const QueuedRequest& aNew);
+  std::optional<routing::TicketId> EvictFor(
+    const QueuedRequest& aNew,
+    QueueLimit aLimit = QueueLimit::Requests);
 
   /// @brief Estimates how long a request would wait if it were added now.
   /// @return nothing if too few requests were admitted recently for an estimate
@@ -171,14 +185,21 @@
   struct Backlog
   {
     std::size_t mWaiting = 0;
+    std::size_t mBytes = 0;
     double mShare = 1.0;
+
+    /// Returns what counts towards a limit.
+    [[nodiscard]] std::size_t Use(QueueLimit aLimit) const
+    {
+      return aLimit == QueueLimit::Bytes ? mBytes : mWaiting;
+    }
   };
 
   using ClassQueues = std::map<std::string, ClassQueue, std::less<>>;
   using ClassNames = std::set<std::string, std::less<>>;
 
   /// Returns the class of the most urgent request of an account among the
-  /// classes of a group that are not exhausted.
+  /// classes of a group that are not exhausted and do not block the account.
   /// @param[in] aClass with a waiting request of the account; returned if there
   /// is no more urgent one
   [[nodiscard]] ClassQueues::iterator MostUrgentClass(
@@ -236,7 +257,7 @@
   static void AdvanceVirtualTime(ClassQueue& aQueue, Flow& aFlow, double aCost);
   /// Tries the first request of an account in a class.
   /// @param[in] aTurn class that provides the turn of the account, which is
-  /// charged for it
+  /// charged for it there and in the class of the request
   AdmissionResult AdmitFrom(
     ClassQueue& aQueue,
     const std::string& aAccount,
