--- a/include/figslip/placement/paced_share.hpp
+++ b/include/figslip/placement/paced_share.hpp
@@ -25,9 +25,8 @@
   }
 
   /// @brief Sets the share of this instance.
-  /// @param[in] aPerSecond cost per second; nothing is covered unless finite
-  /// and
-  ///            positive
+  /// @param[in] aPerSecond cost per second; nothing is covered unless it is
+  /// finite and positive
   void SetShare(double aPerSecond) { mPerSecond = aPerSecond; }
 
   /// @brief Returns the cost per second at which the bucket fills, after the
