Count the wait of a replacement from the failure of its attempt

After a third of the timeout, silent or broken attempts were not replaced while anything waited in their capacity class, which is the normal case in a shortage: a stream that broke late ended broken off, even with free slots. Found by a review, by reading; there is no test of a stream that breaks late yet. A finding of the linter in ParsePart is mended with it.

--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -370,6 +370,10 @@
   /// why no upstream may receive another attempt
   std::optional<SendRefusal> mFinalRefusal;
   bool mMayHaveRun = false;
+  /// latest failure of an attempt that may have run. The wait for a slot of its
+  /// replacement is counted from here: late failures would otherwise not be
+  /// replaced while anything waits in the queue.
+  std::optional<TimePoint> mFailedAt;
   bool mAnswerDropped = false; ///< a smaller model's answer was dropped
   bool mHeadSent = false;      ///< a response head was sent to the caller
   bool mIsInterrupted = false; ///< the instance ends before the request
--- a/src/core/quarantine/part_records.cpp
+++ b/src/core/quarantine/part_records.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <charconv>
+#include <memory>
 
 namespace figslip::quarantine {
 
@@ -109,8 +110,9 @@
 ParsePart(std::string_view aText)
 {
   PartId part = 0;
-  const auto* const end = aText.data() + aText.size();
-  const auto read = std::from_chars(aText.data(), end, part, kHexBase);
+  const auto* const end = std::to_address(aText.end());
+  const auto read =
+    std::from_chars(std::to_address(aText.begin()), end, part, kHexBase);
   const bool isValid = read.ec == std::errc{} && read.ptr == end;
   return isValid ? std::optional(part) : std::nullopt;
 }
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -236,6 +236,7 @@
   mSilence.Set(mSilencePatience);
   if (!mRunning->mWasSilent) {
     mRunning->mWasSilent = true;
+    mFailedAt = ReadBootClock();
     RecordHealth(*mRunning, AttemptHealth::TimedOut);
     RecordFailure(*mRunning, true, mSilencePatience);
     mAvoidedUpstreams.insert(mRunning->mUpstream.mId);
@@ -701,6 +702,7 @@
     RecordFailure(aAttempt, false);
     if (mRoute->IsRetryable() && TryAcquireRetry(now)) {
       mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
+      mFailedAt = now;
       const bool isReplaced = co_await ReplaceAnswer(
         { .mOverlap = kMaxOverlap, .mWaitsForSlot = true });
       if (isReplaced || mCaller.HasLeft()) {
@@ -901,6 +903,7 @@
   mEvents.DiscardPartial();
   ForgetStaleKeys();
   mMayHaveRun = true;
+  mFailedAt = aNow;
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
   }
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -519,7 +519,8 @@
 TimePoint
 RequestFlow::LatestAdmission() const
 {
-  return mArrivedAt + (mDeadline - mArrivedAt) / kSlotWaitDivisor;
+  const auto from = mFailedAt.value_or(mArrivedAt);
+  return from + (mDeadline - from) / kSlotWaitDivisor;
 }
 
 const std::string&
