--- a/include/figslip/placement/silence_timeout.hpp
+++ b/include/figslip/placement/silence_timeout.hpp
@@ -20,9 +20,8 @@
 ///
 /// An upstream on a slow machine that reports its speed is awaited for longer.
 /// A fast one is replaced no sooner than others.
-/// @param[in] aTimeLeft until the deadline of the request; bounds the
-/// additional
-///            wait, so that time for a replacement is left if reports are false
+/// @param[in] aTimeLeft until the deadline of the request; bounds the longer
+/// wait, so that time for a replacement is left if reports are false
 [[nodiscard]] Duration
 PlainSilenceTimeout(const Choice& aChoice,
                     Duration aTargetLatency,
