Test half answers on every kind of route, by the size of the request

Report: an upstream answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written; the caller gets the part as a whole answer.

Before, only a test of one connection held this; its RawAnswer can now begin once the head of a request has arrived.

--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -143,6 +143,37 @@
   }
 }
 
+net::Awaitable<bool>
+EngineStandIn::AnswerEarly(int aSocket)
+{
+  const auto raw = RawAnswerTo({});
+  if (!raw || !raw->mIsEarly) {
+    co_return false;
+  }
+  std::string head(4096, '\0');
+  std::size_t end = std::string::npos;
+  while (end == std::string::npos) {
+    co_await net::Sleep(std::chrono::milliseconds(1));
+    const auto read =
+      ::recv(aSocket, head.data(), head.size(), MSG_PEEK | MSG_DONTWAIT);
+    if (read == 0 || (read < 0 && errno != EAGAIN)) {
+      co_return true;
+    }
+    end = std::string_view(head.data(), std::max<ssize_t>(read, 0))
+            .find("\r\n\r\n");
+  }
+  constexpr std::string_view kField = "X-Attempt-Id: ";
+  const auto at = head.find(kField) + kField.size();
+  const auto attempt = head.substr(at, head.find("\r\n", at) - at);
+  {
+    const std::scoped_lock lock(mMutex);
+    mRuns.push_back(
+      { .mHeaders = { { .mName = "X-Attempt-Id", .mValue = attempt } } });
+  }
+  co_await SendRaw(*raw, attempt, aSocket);
+  co_return true;
+}
+
 void
 EngineStandIn::SetDeadlyParts(std::vector<std::string> aParts)
 {
@@ -205,7 +236,8 @@
 {
   ingress::CallerLimits limits;
   limits.mIdleTimeout = std::chrono::seconds(30);
-  bool goesOn = true;
+  const bool isAnswered = co_await AnswerEarly(aSocket);
+  bool goesOn = !isAnswered;
   while (goesOn) {
     const auto end = co_await aConnection->Read(limits);
     if (end != net::ReadEnd::Whole) {
--- a/tests/harness/engine_stand_in.hpp
+++ b/tests/harness/engine_stand_in.hpp
@@ -22,6 +22,7 @@
   std::string mRepeated;     ///< follows until the caller closes; empty: none
   std::chrono::milliseconds mPause{}; ///< before each repetition
   bool mResets = false;               ///< the connection ends with a reset
+  bool mIsEarly = false; ///< sent on new connections once a head has arrived
 };
 
 /// Plays an upstream of the platform: streams of events and plain answers.
@@ -90,6 +91,9 @@
                                             int aSocket);
   [[nodiscard]] std::optional<RawAnswer> RawAnswerTo(
     const std::string& aTarget);
+  /// Sends an early answer to the first request of a connection.
+  /// @return whether there is one
+  [[nodiscard]] net::Awaitable<bool> AnswerEarly(int aSocket);
   [[nodiscard]] net::Awaitable<void> SendRaw(RawAnswer aAnswer,
                                              std::string aAttempt,
                                              int aSocket);
--- a/tests/src/history-broken_answer.cpp
+++ b/tests/src/history-broken_answer.cpp
@@ -109,3 +109,38 @@
     CHECK(bookAfter(refusal).mStatus == 503);
   }
 }
+
+TEST_CASE("an answer without a length that is reset while the request is being "
+          "sent is not relayed as a whole one")
+{
+  const std::string half = "id: 1\ndata: half\n\n";
+  for (const std::size_t size : { 150'000U, 2'500'000U, 8'000'000U }) {
+    for (const std::string target : { "/look/1", "/book/1", "/chat/1" }) {
+      CAPTURE(size);
+      CAPTURE(target);
+      IngressWorld world({ .mMaxBodyBytes = 16 << 20 });
+      world.Engine(0).AnswerRaw(
+        RawAnswer{ .mBegin = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
+                             "X-Response-Signature: signed\r\n\r\n" +
+                             half,
+                   .mResets = true,
+                   .mIsEarly = true });
+      REQUIRE(world.WaitForReady(0));
+      // the other upstream is whole and may serve the request or go on with it
+      for (int request = 0; request < 4; ++request) {
+        const auto answer = world.SendRaw(
+          0,
+          "POST " + target + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: u" +
+            std::to_string(request) +
+            "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: key-1\r\n"
+            "Content-Length: " +
+            std::to_string(size) + "\r\n\r\n" + std::string(size, 'b'));
+        const bool isHalf = answer.mBody.find("half") != std::string::npos &&
+                            answer.mBody.find("id: 6") == std::string::npos;
+        CHECK_FALSE((isHalf && answer.mIsWhole));
+      }
+      CHECK(world.Engine(0).Arrivals() == 0); // none was read as a whole
+      CHECK_FALSE(world.Engine(0).Runs().empty());
+    }
+  }
+}
