Refuse answers of upstreams whose status is neither interim nor final

Callers saw: 504 after the whole time of the route where an upstream in trouble had answered "000" at once and kept the connection; and whatever came after that head as the answer, if it read as one.

Cause: ClientConnection took every status below 200 for an interim response and went on reading on the same connection, also 000 to 099, which are no statuses, and 101, after which the connection speaks no HTTP and for which no request asks. The answer 000 itself was never passed on.

Why it works: such a head ends the step as malformed, which breaks the attempt and drops the connection. What may be repeated goes to another upstream while there is time, everything else fails without a promise that it has not run. The client is the same for upstreams, the store and other instances.

--- a/include/figslip/net/client_connection.hpp
+++ b/include/figslip/net/client_connection.hpp
@@ -59,7 +59,10 @@
   /// An upstream may answer before it has read the whole request.
   void StartSend(std::string aBytes);
 
-  /// @brief Reads the head of the response.
+  /// @brief Reads the head of the final response, after those of interim ones.
+  ///
+  /// A status below 100, or 101 to a request that asked for no other protocol,
+  /// is malformed: it is no answer, and does not announce one.
   [[nodiscard]] Awaitable<StepEnd> ReadHead(Milliseconds aLimit);
 
   /// @brief Reads more of the body into `Piece`, which is empty at its end.
@@ -109,8 +112,8 @@
   [[nodiscard]] bool IsCutOff() const;
   void BeginResponse();
   void TakeHead();
-  /// Ends a step that exceeded a limit.
-  StepEnd OnOversized();
+  /// Ends a step on a response that is refused; returns the end.
+  StepEnd Fail(StepEnd aEnd);
 
   std::shared_ptr<tcp::socket> mSocket;
   Watchdog mWatchdog;
--- a/src/shell/net/client_connection.cpp
+++ b/src/shell/net/client_connection.cpp
@@ -30,6 +30,28 @@
 /// while nothing is read.
 constexpr int kReceiveBufferBytes = 262'144;
 
+/// Lists what the status of a response says of its place in an exchange.
+enum class StatusKind
+{
+  Interim, ///< another response follows
+  Final,   ///< ends the exchange
+  Invalid  ///< neither: nothing that follows can be attributed
+};
+
+StatusKind
+KindOf(unsigned aStatus)
+{
+  constexpr unsigned kFirstInterim = 100;
+  constexpr unsigned kSwitchingProtocols = 101; // no request asks for it
+  constexpr unsigned kFirstFinal = 200;
+  if (aStatus >= kFirstFinal) {
+    return StatusKind::Final;
+  }
+  return aStatus >= kFirstInterim && aStatus != kSwitchingProtocols
+           ? StatusKind::Interim
+           : StatusKind::Invalid;
+}
+
 void
 SetOptions(tcp::socket& aSocket)
 {
@@ -138,7 +160,6 @@
 Awaitable<StepEnd>
 ClientConnection::ReadHead(Milliseconds aLimit)
 {
-  constexpr unsigned kFirstFinalStatus = 200;
   error_code error;
   mWatchdog.Set(aLimit);
   co_await http::async_read_header(
@@ -147,9 +168,9 @@
     *mParser,
     asio::redirect_error(asio::use_awaitable, error));
   int interimResponses = 0;
-  while (!error && mParser->get().result_int() < kFirstFinalStatus) {
+  while (!error && KindOf(mParser->get().result_int()) == StatusKind::Interim) {
     if (++interimResponses > kMaxInterimResponses) {
-      co_return OnOversized();
+      co_return Fail(StepEnd::Oversized);
     }
     BeginResponse();
     co_await http::async_read_header(
@@ -163,6 +184,9 @@
     mBroken = true;
     co_return EndOf(error);
   }
+  if (KindOf(mParser->get().result_int()) == StatusKind::Invalid) {
+    co_return Fail(StepEnd::Malformed);
+  }
   TakeHead();
   co_return StepEnd::Done;
 }
@@ -206,7 +230,7 @@
     mBodyBytes += read;
     mFramingBytes += parsed - std::min(parsed, read);
     if (mFramingBytes > kMaxFramingBytes + kMaxFramingFactor * mBodyBytes) {
-      co_return OnOversized();
+      co_return Fail(StepEnd::Oversized);
     }
   }
   mWatchdog.Clear();
@@ -218,11 +242,11 @@
 }
 
 StepEnd
-ClientConnection::OnOversized()
+ClientConnection::Fail(StepEnd aEnd)
 {
   mWatchdog.Clear();
   mBroken = true;
-  return StepEnd::Oversized;
+  return aEnd;
 }
 
 void
--- a/tests/src/history-broken_answer.cpp
+++ b/tests/src/history-broken_answer.cpp
@@ -144,3 +144,21 @@
     }
   }
 }
+
+TEST_CASE("an answer whose status is 000 is not relayed, and not awaited")
+{
+  for (const std::string target : { "/look/1", "/book/1", "/chat/1" }) {
+    CAPTURE(target);
+    IngressWorld world({ .mEngines = 1 });
+    // kept open, as by an upstream that waits for the next request
+    world.Engine(0).AnswerRaw(
+      RawAnswer{ .mTargetPrefix = target,
+                 .mBegin = ErrorAnswer("000 Trouble", ""),
+                 .mRepeated = "\r\n",
+                 .mPause = std::chrono::seconds(10) });
+    REQUIRE(world.WaitForReady(0));
+    const auto answer = world.Send(0, "POST", target, "trouble");
+    CHECK(answer.mStatus == 502);
+    CHECK(answer.mHead.find("signed") == std::string::npos);
+  }
+}
--- a/tests/src/unit-client_connection.cpp
+++ b/tests/src/unit-client_connection.cpp
@@ -192,6 +192,20 @@
 
 // guards against a second run of a request whose upstream reads its body late:
 // the connection was closed 3 s after the receive window had filled
+TEST_CASE("a response whose status is neither interim nor final is malformed")
+{
+  for (const std::string status : { "000", "099", "101" }) {
+    CAPTURE(status);
+    const auto outcome =
+      Play("HTTP/1.1 " + status + " ?\r\nContent-Length: 0\r\n\r\n" + kHead +
+             "Content-Length: 5\r\n\r\nwhole",
+           Ending::HalfCloseAndRead,
+           0ms);
+    CHECK(outcome.mEnd == StepEnd::Malformed);
+    CHECK(outcome.mBody.empty());
+  }
+}
+
 TEST_CASE("an upstream that reads the body later than the timeout of the path")
 {
   net::asio::io_context context(1);
