Refuse answers without a final status in the client of figslip-entry

Callers could see: the status 000 of another entry to which their request was forwarded, as the answer (by reading; the test is of the client).

Cause: cpp-httplib hands over the first head that is not "100 Continue", whatever its status, and HttpClient passed it on.

Evidence, before: concurrent-http got a response in place of a failure for the statuses 000, 099 and 101 to a request of 150 kB, and the head of a 103 was handed over as that of the answer. Each form is sent early, with a request of 150 kB and of 16 MB, before a reset; the cases of 16 MB failed as they should, and so did a half body without a length at both sizes: the request is sent as a whole before anything is read.

Why it works: the handler of the head ends the call, so that it counts as failed with bytes that may have left, and the connection is closed. All calls of figslip-entry go through this client: upstreams, entries and the platform.

--- a/include/figslip/http/http_client.hpp
+++ b/include/figslip/http/http_client.hpp
@@ -19,6 +19,9 @@
 };
 
 /// @brief Holds a whole response or the reason for none.
+///
+/// A response has a final status. Interim responses but "100 Continue" and
+/// statuses below 100 are failures.
 using CallResult = std::variant<ClientResponse, CallFailure>;
 
 /// @brief Sets how one call is made.
--- a/src/shell/http/http_client.cpp
+++ b/src/shell/http/http_client.cpp
@@ -173,6 +173,10 @@
 
 constexpr int kStatusOk = 200;
 
+/// Lowest status that ends an exchange. The library hands over other heads too,
+/// but those of "100 Continue".
+constexpr int kFirstFinalStatus = 200;
+
 } // namespace
 
 class HttpClient::Implementation
@@ -216,6 +220,9 @@
     request.response_handler = [&](const httplib::Response& aResponse) {
       client.OnHeadRead();
       status = aResponse.status;
+      if (status < kFirstFinalStatus) {
+        return false; // no answer: the call fails, the connection is not kept
+      }
       if (aOptions.mOnHead) {
         aOptions.mOnHead(MakeResponse(aResponse, {}));
       }
