Publish the control state of figslip-entry under a lock

What callers could see: on a machine with weakly ordered memory, a thread of figslip-entry that reads the control state while it is replaced may take the pointer of one state and the reference count of another, and read freed memory. Not seen; found in the search for what depends on the kind of machine.

Cause: std::atomic<std::shared_ptr>::load of libstdc++ 12.2 releases its lock bit with a relaxed operation after it has read the pointer. On x86-64 every atomic read-modify-write is a full barrier, so that the read cannot move behind it; the memory model of C++ and that of arm64 allow it.

Evidence: the thread sanitizer, which checks the model and not the machine, reports the race of load and store on this x86-64 machine.

Why it works: a mutex orders the read before its release. The state is read a few times a request. It was the only use of an atomic shared pointer; the traffic thread of figslip-ingress shares no state but the confirmed time of its lease and counters, which are single numbers.

--- a/include/figslip/control/control_service.hpp
+++ b/include/figslip/control/control_service.hpp
@@ -4,12 +4,12 @@
 #include <figslip/entry/entry_state.hpp>
 #include <figslip/entry/router_service.hpp>
 #include <figslip/kernel/control_loop.hpp>
+#include <figslip/kernel/published_value.hpp>
 #include <figslip/manifest/manifest_keeper.hpp>
 #include <figslip/membership/instance.hpp>
 #include <figslip/peer/gossip.hpp>
 #include <figslip/routing/control_snapshot.hpp>
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -67,7 +67,7 @@
   /// @brief Returns the state last published; callable on any thread.
   [[nodiscard]] routing::ControlSnapshotPtr Snapshot() const
   {
-    return mPublished.load();
+    return mPublished.Load();
   }
 
 private:
@@ -82,7 +82,7 @@
   std::shared_ptr<const std::string> mText; ///< of the manifest in force
   PauseGuard mPauseGuard;
   membership::InstanceList mInstances;
-  std::atomic<routing::ControlSnapshotPtr> mPublished;
+  kernel::PublishedValue<routing::ControlSnapshot> mPublished;
 };
 
 } // namespace figslip::control
--- a/src/shell/control/control_service.cpp
+++ b/src/shell/control/control_service.cpp
@@ -201,7 +201,7 @@
   snapshot.mManifestFindings = mKeeper.LastFindings();
   const auto published =
     std::make_shared<const routing::ControlSnapshot>(std::move(snapshot));
-  mPublished.store(published);
+  mPublished.Store(published);
   mRouter->With(
     [&](routing::Router& aRouter) { aRouter.OnSnapshot(published, aNow); });
   if (published->mManifest != nullptr &&
--- a/tests/src/concurrent-router_service.cpp
+++ b/tests/src/concurrent-router_service.cpp
@@ -2,6 +2,7 @@
 
 #include <figslip/entry/router_service.hpp>
 #include <figslip/kernel/control_loop.hpp>
+#include <figslip/kernel/published_value.hpp>
 #include <figslip/time/wall_clock.hpp>
 
 #include <doctest/doctest.h>
@@ -100,3 +101,28 @@
   }
   loop.Stop();
 }
+
+TEST_CASE("threads read a value while another one publishes the next")
+{
+  constexpr int kValues = 20'000;
+  kernel::PublishedValue<int> value(std::make_shared<const int>(0));
+  std::vector<std::thread> readers;
+  std::atomic<int> wentBack{ 0 };
+  readers.reserve(kThreads);
+  for (int thread = 0; thread < kThreads; ++thread) {
+    readers.emplace_back([&] {
+      for (int last = 0; last < kValues;) {
+        const int next = *value.Load();
+        wentBack += next < last ? 1 : 0;
+        last = next;
+      }
+    });
+  }
+  for (int next = 1; next <= kValues; ++next) {
+    value.Store(std::make_shared<const int>(next));
+  }
+  for (auto& reader : readers) {
+    reader.join();
+  }
+  CHECK(wentBack == 0);
+}
