Keep the histories of upstream stand-ins apart by cluster

Seen (KNOWN-RED.txt): one section of history-change counted the runs of the first section of the same process beside its own, 3,564 runs for 1,296 calls.

Cause: the file in which an upstream stand-in notes its runs is opened for appending and was named by the port of the platform stand-in. The system may give a later cluster of the process the port that an earlier one had; its stand-ins then go on with the old files.

The new test of history-checker failed before: two clusters had the same file.

Why it works: the name has the number of the cluster within the process, and what an earlier process of the same id left is removed. No check of a history is changed.

--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -3,6 +3,8 @@
 #include <figslip/json/field_or.hpp>
 
 #include <algorithm>
+#include <atomic>
+#include <filesystem>
 #include <iterator>
 #include <stdexcept>
 #include <thread>
@@ -23,6 +25,12 @@
 Cluster::Cluster(ClusterPlan aPlan)
   : mPlan(std::move(aPlan))
 {
+  static std::atomic<int> sClusters{ 0 };
+  mNumber = ++sClusters;
+  // an earlier process may have had the same id
+  for (const auto& plan : mPlan.mUpstreams) {
+    std::filesystem::remove(HistoryFile(plan.mUpstream.mName));
+  }
 }
 
 Cluster::~Cluster() = default;
@@ -306,8 +314,7 @@
 std::string
 Cluster::HistoryFile(const std::string& aUpstream) const
 {
-  return TemporaryPath(std::to_string(mPlatformPort) + "-" + aUpstream +
-                       ".history");
+  return TemporaryPath(std::to_string(mNumber) + "-" + aUpstream + ".history");
 }
 
 Process&
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -133,6 +133,7 @@
   [[nodiscard]] std::string SettingsOf(const EntryPlan& aEntry) const;
 
   ClusterPlan mPlan;
+  int mNumber = 0; ///< among the clusters of this process
   http::HttpClient mClient{ {} };
   std::unique_ptr<Process> mPlatform;
   int mPlatformPort = 0;
--- a/tests/src/history-checker.cpp
+++ b/tests/src/history-checker.cpp
@@ -260,3 +260,13 @@
     }
   }
 }
+
+TEST_CASE("clusters of one process do not share the histories of upstreams")
+{
+  const auto plan = SmallPlan();
+  const Cluster first(plan);
+  const Cluster second(plan);
+  const auto& name = plan.mUpstreams.front().mUpstream.mName;
+
+  CHECK(first.HistoryFile(name) != second.HistoryFile(name));
+}
