--- a/include/figslip/http/http_client.hpp
+++ b/include/figslip/http/http_client.hpp
@@ -20,8 +20,8 @@
 
 /// @brief Holds a whole response or the reason for none.
 ///
-/// A response has a final status. Interim responses but "100 Continue" and
-/// statuses below 100 are failures.
+/// A response has a final status, 200 or above. "100 Continue" is skipped; any
+/// other status below 200 is a failure.
 using CallResult = std::variant<ClientResponse, CallFailure>;
 
 /// @brief Sets how one call is made.
