--- a/tests/src/unit-client_connection.cpp
+++ b/tests/src/unit-client_connection.cpp
@@ -194,13 +194,12 @@
 // the connection was closed 3 s after the receive window had filled
 TEST_CASE("a response whose status is neither interim nor final is malformed")
 {
-  for (const std::string status : { "000", "099", "101" }) {
-    CAPTURE(status);
-    const auto outcome =
-      Play("HTTP/1.1 " + status + " ?\r\nContent-Length: 0\r\n\r\n" + kHead +
-             "Content-Length: 5\r\n\r\nwhole",
-           Ending::HalfCloseAndRead,
-           0ms);
+  const std::string rest =
+    "Content-Length: 0\r\n\r\n" + kHead + "Content-Length: 5\r\n\r\nwhole";
+  for (const std::string line :
+       { "HTTP/1.1 000 ?\r\n", "HTTP/1.1 099 ?\r\n", "HTTP/1.1 101 ?\r\n" }) {
+    CAPTURE(line);
+    const auto outcome = Play(line + rest, Ending::HalfCloseAndRead, 0ms);
     CHECK(outcome.mEnd == StepEnd::Malformed);
     CHECK(outcome.mBody.empty());
   }
