--- a/tests/harness/engine_stand_in.cpp
+++ b/tests/harness/engine_stand_in.cpp
@@ -146,7 +146,7 @@
 net::Awaitable<bool>
 EngineStandIn::AnswerEarly(int aSocket)
 {
-  const auto raw = RawAnswerTo({});
+  const auto raw = RawAnswerTo({}); // the target is not known yet
   if (!raw || !raw->mIsEarly) {
     co_return false;
   }
--- a/tools/check-deploy-build.sh
+++ b/tools/check-deploy-build.sh
@@ -3,7 +3,6 @@
 # empty folder and without a compiler cache. The build must not depend on
 # warnings, which vary with the compiler and the kind of machine, and must use
 # the packages that the file names and no others.
-# usage: tools/check-deploy-build.sh [BUILD_FOLDER_TO_KEEP]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -52,8 +51,8 @@
       for (i = 1; i <= count; ++i) providers[provided[i]] = providers[provided[i]] "," $1 }
     END {
       last = split(roots, queue, " ")
-      for (next_ = 1; next_ <= last; ++next_) {
-        name = queue[next_]
+      for (position = 1; position <= last; ++position) {
+        name = queue[position]
         if (name in seen) continue
         seen[name] = 1
         if (name in installed) print name
