--- a/review/support-2/stand_ins.cpp
+++ b/review/support-2/stand_ins.cpp
@@ -147,6 +147,24 @@
   return message;
 }
 
+/// Sends a body in chunks.
+bool
+SendPieces(int aSocket, const std::string& aHead, const Answer& aAnswer)
+{
+  if (!SendAll(aSocket, aHead + "Transfer-Encoding: chunked\r\n\r\n")) {
+    return false;
+  }
+  for (const auto& piece : aAnswer.mPieces) {
+    SleepFor(aAnswer.mPieceMs);
+    std::ostringstream chunk;
+    chunk << std::hex << piece.size() << "\r\n" << piece << "\r\n";
+    if (!SendAll(aSocket, chunk.str())) {
+      return false;
+    }
+  }
+  return SendAll(aSocket, "0\r\n\r\n");
+}
+
 std::int64_t
 Parameter(const std::string& aQuery,
           const std::string& aName,
@@ -363,6 +381,12 @@
     for (const auto& [name, value] : answer.mHeaders) {
       bytes += name + ": " + value + "\r\n";
     }
+    if (!answer.mPieces.empty()) {
+      if (!SendPieces(aSocket, bytes, answer)) {
+        return;
+      }
+      continue;
+    }
     bytes +=
       "Content-Length: " + std::to_string(answer.mBody.size()) + "\r\n\r\n";
     bytes += answer.mBody;
@@ -701,6 +725,14 @@
                                { "X-Server-Load",
                                  "1,0," + std::to_string(mOptions.mSlots) } },
                  .mBody = "answer of " + mOptions.mId + "\n" };
+  if (mOptions.mEvents > 0) {
+    answer.mHeaders.emplace_back("Content-Type", "text/event-stream");
+    answer.mPieceMs = mOptions.mEventMs;
+    for (int event = 1; event <= mOptions.mEvents; ++event) {
+      answer.mPieces.push_back("id: " + std::to_string(event) +
+                               "\ndata: some words\n\n");
+    }
+  }
   if (mOptions.mStreams) {
     answer.mHeaders.emplace_back("Content-Type", "text/event-stream");
     answer.mHeaders.emplace_back("X-Weight-Versions", "1");
@@ -807,12 +839,12 @@
 }
 
 double
-Instance::PeakMemoryMb() const
+Instance::MemoryMb() const
 {
   std::ifstream status("/proc/" + std::to_string(mId) + "/status");
   std::string line;
   while (std::getline(status, line)) {
-    if (line.starts_with("VmHWM:")) {
+    if (line.starts_with("VmRSS:")) {
       return std::atof(line.c_str() + 6) / 1024.0;
     }
   }
--- a/review/support-2/stand_ins.hpp
+++ b/review/support-2/stand_ins.hpp
@@ -73,6 +73,9 @@
   int mStatus = 200;
   std::vector<std::pair<std::string, std::string>> mHeaders;
   std::string mBody;
+  /// further pieces of the body, each sent after the time in a chunk of its own
+  std::vector<std::string> mPieces{};
+  int mPieceMs = 0;
 };
 
 /// @brief Serves HTTP/1.1 at a loopback address, a thread a connection.
@@ -182,6 +185,8 @@
     int mSlots = 6;
     int mWorkMs = 20;
     bool mStreams = false;
+    int mEvents = 0;    ///< of a stream that is sent event by event
+    int mEventMs = 100; ///< between two of them
   };
 
   Worker(Record& aRecord, Options aOptions);
@@ -230,8 +235,8 @@
   [[nodiscard]] pid_t Id() const { return mId; }
   [[nodiscard]] bool WaitForReady(long long aPatience);
   [[nodiscard]] bool IsRunning();
-  /// Returns the most memory that the process has held, MB; 0: it is gone.
-  [[nodiscard]] double PeakMemoryMb() const;
+  /// Returns the memory that the process holds, MB; 0: it is gone.
+  [[nodiscard]] double MemoryMb() const;
   void Signal(int aSignal) const;
   void Start();
   void Kill();
