--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -37,7 +37,7 @@
 
   // the drill comes back from this copy
   const auto copy = store.TakeCopy();
-  const auto instances = StartInstances(store, folder, 8, { "a", "b" });
+  const auto instances = StartInstances(store, folder, 8, { "a" });
   store.Put("config", "main", configuration(2, accounts));
   const auto clients = StartClients(record,
                                     instances,
