--- a/review/stand-ins-3/store.hpp
+++ b/review/stand-ins-3/store.hpp
@@ -45,6 +45,11 @@
   [[nodiscard]] Copy TakeCopy();
   /// @brief Goes away: resets all connections, and new ones.
   void GoAway() { mServer->SetUp(false); }
+  /// @brief Loses the answer of the next removal by the system, and executes it
+  /// that much later.
+  void DelayNextRemoval(milliseconds aTime) { mRemovalDelay = aTime; }
+  /// @brief Counts the calls that changed something, or would have.
+  [[nodiscard]] int Writes() const { return mWrites; }
   /// @brief Returns with a copy; `Store-Era` rises by one.
   void ReturnWith(const Copy& aCopy);
 
@@ -80,6 +85,8 @@
   Copy mState;
   std::vector<Event> mEvents;
   int mEra = 1;
+  std::atomic<milliseconds> mRemovalDelay{ milliseconds(0) };
+  std::atomic<int> mWrites{ 0 };
   std::unique_ptr<Server> mServer;
 };
 
