--- a/review/stand-ins-3/store.hpp
+++ b/review/stand-ins-3/store.hpp
@@ -50,6 +50,8 @@
   void DelayNextRemoval(milliseconds aTime) { mRemovalDelay = aTime; }
   /// @brief Counts the calls that changed something, or would have.
   [[nodiscard]] int Writes() const { return mWrites; }
+  /// @brief Returns with all that it had.
+  void Return() { mServer->SetUp(true); }
   /// @brief Returns with a copy; `Store-Era` rises by one.
   void ReturnWith(const Copy& aCopy);
 
