--- a/review/stand-ins-3/world.cpp
+++ b/review/stand-ins-3/world.cpp
@@ -129,7 +129,11 @@
     { "version", aOptions.mVersion },
     { "routes",
       { route("lookup", "/look/", "idempotent", aOptions.mTimeoutMs, 3),
-        route("booking", "/book/", "non_idempotent", 1'500, 3) } },
+        route("booking",
+              "/book/",
+              "non_idempotent",
+              aOptions.mBookingTimeoutMs,
+              3) } },
     { "services",
       { { { "name", "desk" },
           { "health_path", "/healthz" },
@@ -440,6 +444,21 @@
   return false;
 }
 
+double
+Machine::MemoryMb() const
+{
+  constexpr double kKilobytes = 1024.0;
+  constexpr std::string_view kHeld = "VmRSS:";
+  std::ifstream status("/proc/" + std::to_string(mProcess) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with(kHeld)) {
+      return std::strtod(line.c_str() + kHeld.size(), nullptr) / kKilobytes;
+    }
+  }
+  return 0.0;
+}
+
 World::World(const std::string& aFolder, Options aOptions)
   : mFolder(aFolder)
   , mRecord(aFolder + "/record.txt")
@@ -602,7 +621,8 @@
   while (!mIsEnding) {
     next = std::max(next + mOptions.mInterval, Clock::now());
     const auto request = mOptions.mName + "-" + std::to_string(++number);
-    const std::string body = mOptions.mMethod == "POST" ? "body" : "";
+    const std::string body(mOptions.mMethod == "POST" ? mOptions.mBodyBytes : 0,
+                           'b');
     const auto bytes =
       mOptions.mMethod + " " + mOptions.mPath + std::to_string(number) +
       " HTTP/1.1\r\nHost: " + mOptions.mHost + "\r\nX-Attempt-Id: " + request +
--- a/review/stand-ins-3/world.hpp
+++ b/review/stand-ins-3/world.hpp
@@ -115,6 +115,8 @@
   void Stop();
   void Kill();
   [[nodiscard]] bool AwaitReady(milliseconds aPatience) const;
+  /// @brief Returns the memory that the process holds; 0: it has ended.
+  [[nodiscard]] double MemoryMb() const;
 
 private:
   std::string mName;
@@ -131,6 +133,7 @@
   int mVersion = 0;
   std::vector<std::string> mKeys; ///< of the account `salon`
   int mTimeoutMs = 1'500;         ///< of the lookups
+  int mBookingTimeoutMs = 1'500;
   double mColdStartSeconds = 0.0;
   double mColdPerSecond = 0.0;
 };
@@ -209,6 +212,7 @@
     std::string mKey;
     milliseconds mInterval{ 100 };
     int mDeadlineMs = 1'500;
+    std::size_t mBodyBytes = 4; ///< of a POST
   };
 
   /// An attempt and its answer.
