--- a/review/stand-ins-3/case_13.cpp
+++ b/review/stand-ins-3/case_13.cpp
@@ -2,18 +2,19 @@
 
 #include <cstdio>
 
-/// A worker comes back cold after a drill in which the store came back from a
-/// copy that is older than the registrations of the machines.
+/// A machine is stopped and started again; the answer of its last write before
+/// the stop is lost and the write is executed late.
 
 namespace {
 
 using namespace review;
 
-constexpr double kDrillAt = 3.1;
-constexpr double kReturnAt = 3.6;
-constexpr double kDownAt = 24.0;
-constexpr double kBackAt = 28.5;
-constexpr double kEndAt = 32.0;
+constexpr double kStopAt = 6.0;
+constexpr auto kLate = milliseconds(5'000);
+constexpr auto kRestartDelay = milliseconds(300);
+constexpr double kDownAt = 25.0;
+constexpr double kBackAt = 29.5;
+constexpr double kEndAt = 33.0;
 
 /// `cold_per_s`, `cold_overage` and `cold_slack` of the deployment.
 constexpr double kColdPerSecond = 13.0;
@@ -21,47 +22,36 @@
 constexpr double kColdSlack = 5.0;
 constexpr auto kColdTime = milliseconds(3'000);
 
+void
+NoteRegistrations(World& aWorld)
+{
+  std::string names;
+  for (const auto& name : aWorld.Platform().Names("figslip")) {
+    names += " " + name;
+  }
+  aWorld.Notes().Write("objects of the system in the store:" + names);
+}
+
 int
 Play(const std::string& aFolder)
 {
-  World world(aFolder,
-              { .mZones = { "sul-a", "sul-b", "sul-c", "sul-d" },
-                .mAllZones = { "sul-a", "sul-b", "sul-c", "sul-d" } });
-  const bool hasTrouble = HasTrouble();
+  World world(
+    aFolder,
+    { .mZones = { "sul-a", "sul-b" }, .mAllZones = { "sul-a", "sul-b" } });
   auto& store = world.Platform();
-  ConfigurationOptions options{ .mVersion = 3,
-                                .mKeys = { "key-1" },
-                                .mColdStartSeconds = 3.0,
-                                .mColdPerSecond = kColdPerSecond };
-  const auto write = [&] {
-    world.Operate("config", "main", MakeConfiguration(options));
-  };
-  write();
+  world.Operate("config",
+                "main",
+                MakeConfiguration({ .mVersion = 3,
+                                    .mKeys = { "key-1" },
+                                    .mColdStartSeconds = 3.0,
+                                    .mColdPerSecond = kColdPerSecond }));
   auto& before =
     world.AddWorker({ .mId = "w-1", .mService = "desk", .mZone = "sul-a" });
-  const auto copy = store.TakeCopy();
-  world.Notes().Write("the copy has revision " +
-                      std::to_string(copy.mRevision));
   if (!world.StartMachines()) {
     return kExitNotRun;
   }
-  world.SleepUntil(kDrillAt);
-  if (hasTrouble) {
-    store.GoAway();
-    world.Notes().Write("the store is away");
-    world.SleepUntil(kReturnAt);
-    store.ReturnWith(copy);
-    world.Notes().Write("the store is back with the copy");
-  }
-  for (int change = 0; change < 5; ++change) {
-    world.SleepUntil(6.0 + change * 0.5);
-    options.mVersion += 2;
-    options.mTimeoutMs -= 50;
-    write();
-  }
-  world.SleepUntil(10.0);
   std::vector<std::unique_ptr<Client>> clients;
-  constexpr int kClientsPerMachine = 4;
+  constexpr int kClientsPerMachine = 6;
   for (std::size_t index = 0; index < world.MachineCount() * kClientsPerMachine;
        ++index) {
     Client::Options client{ .mName = "c" + std::to_string(index),
@@ -73,21 +63,33 @@
                                world.MachineAt(index % world.MachineCount()),
                                world.Notes()));
   }
-  world.SleepUntil(kDownAt);
-  std::string names;
-  for (const auto& name : store.Names("figslip")) {
-    names += " " + name;
+  world.SleepUntil(kStopAt);
+  const int writes = store.Writes();
+  if (HasTrouble()) {
+    store.DelayNextRemoval(kLate);
   }
-  world.Notes().Write("objects of the system in the store:" + names);
+  world.Notes().Write("SIGTERM for the second machine");
+  world.MachineAt(1).Stop();
+  world.Notes().Write("the second machine has ended");
+  std::this_thread::sleep_for(kRestartDelay);
+  world.MachineAt(1).Start();
+  if (!world.MachineAt(1).AwaitReady(std::chrono::seconds(8))) {
+    return kExitNotRun;
+  }
+  world.Notes().Write("the second machine is ready again; writes to the store "
+                      "since the SIGTERM: " +
+                      std::to_string(store.Writes() - writes));
+  NoteRegistrations(world);
+  world.SleepUntil(kDownAt);
+  NoteRegistrations(world);
   before.Crash();
   world.SleepUntil(kBackAt);
   const double limit = kColdPerSecond * kColdOverage + kColdSlack;
-  auto& worker =
-    world.AddWorker({ .mId = "w-2",
-                      .mService = "desk",
-                      .mZone = "sul-a",
-                      .mCold = kColdTime,
-                      .mCrashAbove = static_cast<int>(1.5 * limit) });
+  auto& worker = world.AddWorker({ .mId = "w-2",
+                                   .mService = "desk",
+                                   .mZone = "sul-a",
+                                   .mCold = kColdTime,
+                                   .mCrashAbove = static_cast<int>(limit) });
   world.SleepUntil(kEndAt);
   clients.clear();
   const auto result =
--- a/review/stand-ins-3/case_14.cpp
+++ b/review/stand-ins-3/case_14.cpp
@@ -2,19 +2,20 @@
 
 #include <cstdio>
 
-/// A machine is stopped and started again; the answer of its last write before
-/// the stop is lost and the write is executed late.
+/// A machine is stopped and started again; meanwhile the store goes down for
+/// half a minute.
 
 namespace {
 
 using namespace review;
 
-constexpr double kStopAt = 6.0;
-constexpr auto kLate = milliseconds(5'000);
+constexpr double kStopAt = 3.0;
+constexpr double kStoreDownAt = 4.0;
+constexpr double kStoreBackAt = 38.0;
 constexpr auto kRestartDelay = milliseconds(300);
-constexpr double kDownAt = 25.0;
-constexpr double kBackAt = 29.5;
-constexpr double kEndAt = 33.0;
+constexpr double kDownAt = 46.0;
+constexpr double kBackAt = 50.5;
+constexpr double kEndAt = 54.0;
 
 /// `cold_per_s`, `cold_overage` and `cold_slack` of the deployment.
 constexpr double kColdPerSecond = 13.0;
@@ -64,21 +65,25 @@
                                world.Notes()));
   }
   world.SleepUntil(kStopAt);
-  const int writes = store.Writes();
+  world.Notes().Write("SIGTERM for the second machine");
+  std::thread stop([&] { world.MachineAt(1).Stop(); });
+  world.SleepUntil(kStoreDownAt);
+  NoteRegistrations(world);
   if (HasTrouble()) {
-    store.DelayNextRemoval(kLate);
+    store.GoAway();
+    world.Notes().Write("the store is down");
   }
-  world.Notes().Write("SIGTERM for the second machine");
-  world.MachineAt(1).Stop();
+  stop.join();
   world.Notes().Write("the second machine has ended");
   std::this_thread::sleep_for(kRestartDelay);
   world.MachineAt(1).Start();
+  world.SleepUntil(kStoreBackAt);
+  store.Return();
+  world.Notes().Write("the store is up");
   if (!world.MachineAt(1).AwaitReady(std::chrono::seconds(8))) {
     return kExitNotRun;
   }
-  world.Notes().Write("the second machine is ready again; writes to the store "
-                      "since the SIGTERM: " +
-                      std::to_string(store.Writes() - writes));
+  world.Notes().Write("the second machine is ready again");
   NoteRegistrations(world);
   world.SleepUntil(kDownAt);
   NoteRegistrations(world);
--- a/review/stand-ins-3/case_15.cpp
+++ b/review/stand-ins-3/case_15.cpp
@@ -2,20 +2,18 @@
 
 #include <cstdio>
 
-/// A machine is stopped and started again; meanwhile the store goes down for
-/// half a minute.
+/// A worker comes back cold after a drill in which the store came back from a
+/// copy that is older than the registrations of the machines.
 
 namespace {
 
 using namespace review;
 
-constexpr double kStopAt = 3.0;
-constexpr double kStoreDownAt = 4.0;
-constexpr double kStoreBackAt = 38.0;
-constexpr auto kRestartDelay = milliseconds(300);
-constexpr double kDownAt = 46.0;
-constexpr double kBackAt = 50.5;
-constexpr double kEndAt = 54.0;
+constexpr double kDrillAt = 3.1;
+constexpr double kReturnAt = 3.6;
+constexpr double kDownAt = 24.0;
+constexpr double kBackAt = 28.5;
+constexpr double kEndAt = 32.0;
 
 /// `cold_per_s`, `cold_overage` and `cold_slack` of the deployment.
 constexpr double kColdPerSecond = 13.0;
@@ -23,36 +21,47 @@
 constexpr double kColdSlack = 5.0;
 constexpr auto kColdTime = milliseconds(3'000);
 
-void
-NoteRegistrations(World& aWorld)
-{
-  std::string names;
-  for (const auto& name : aWorld.Platform().Names("figslip")) {
-    names += " " + name;
-  }
-  aWorld.Notes().Write("objects of the system in the store:" + names);
-}
-
 int
 Play(const std::string& aFolder)
 {
-  World world(
-    aFolder,
-    { .mZones = { "sul-a", "sul-b" }, .mAllZones = { "sul-a", "sul-b" } });
+  World world(aFolder,
+              { .mZones = { "sul-a", "sul-b", "sul-c", "sul-d" },
+                .mAllZones = { "sul-a", "sul-b", "sul-c", "sul-d" } });
+  const bool hasTrouble = HasTrouble();
   auto& store = world.Platform();
-  world.Operate("config",
-                "main",
-                MakeConfiguration({ .mVersion = 3,
-                                    .mKeys = { "key-1" },
-                                    .mColdStartSeconds = 3.0,
-                                    .mColdPerSecond = kColdPerSecond }));
+  ConfigurationOptions options{ .mVersion = 3,
+                                .mKeys = { "key-1" },
+                                .mColdStartSeconds = 3.0,
+                                .mColdPerSecond = kColdPerSecond };
+  const auto write = [&] {
+    world.Operate("config", "main", MakeConfiguration(options));
+  };
+  write();
   auto& before =
     world.AddWorker({ .mId = "w-1", .mService = "desk", .mZone = "sul-a" });
+  const auto copy = store.TakeCopy();
+  world.Notes().Write("the copy has revision " +
+                      std::to_string(copy.mRevision));
   if (!world.StartMachines()) {
     return kExitNotRun;
   }
+  world.SleepUntil(kDrillAt);
+  if (hasTrouble) {
+    store.GoAway();
+    world.Notes().Write("the store is away");
+    world.SleepUntil(kReturnAt);
+    store.ReturnWith(copy);
+    world.Notes().Write("the store is back with the copy");
+  }
+  for (int change = 0; change < 5; ++change) {
+    world.SleepUntil(6.0 + change * 0.5);
+    options.mVersion += 2;
+    options.mTimeoutMs -= 50;
+    write();
+  }
+  world.SleepUntil(10.0);
   std::vector<std::unique_ptr<Client>> clients;
-  constexpr int kClientsPerMachine = 6;
+  constexpr int kClientsPerMachine = 4;
   for (std::size_t index = 0; index < world.MachineCount() * kClientsPerMachine;
        ++index) {
     Client::Options client{ .mName = "c" + std::to_string(index),
@@ -64,37 +73,21 @@
                                world.MachineAt(index % world.MachineCount()),
                                world.Notes()));
   }
-  world.SleepUntil(kStopAt);
-  world.Notes().Write("SIGTERM for the second machine");
-  std::thread stop([&] { world.MachineAt(1).Stop(); });
-  world.SleepUntil(kStoreDownAt);
-  NoteRegistrations(world);
-  if (HasTrouble()) {
-    store.GoAway();
-    world.Notes().Write("the store is down");
-  }
-  stop.join();
-  world.Notes().Write("the second machine has ended");
-  std::this_thread::sleep_for(kRestartDelay);
-  world.MachineAt(1).Start();
-  world.SleepUntil(kStoreBackAt);
-  store.Return();
-  world.Notes().Write("the store is up");
-  if (!world.MachineAt(1).AwaitReady(std::chrono::seconds(8))) {
-    return kExitNotRun;
-  }
-  world.Notes().Write("the second machine is ready again");
-  NoteRegistrations(world);
   world.SleepUntil(kDownAt);
-  NoteRegistrations(world);
+  std::string names;
+  for (const auto& name : store.Names("figslip")) {
+    names += " " + name;
+  }
+  world.Notes().Write("objects of the system in the store:" + names);
   before.Crash();
   world.SleepUntil(kBackAt);
   const double limit = kColdPerSecond * kColdOverage + kColdSlack;
-  auto& worker = world.AddWorker({ .mId = "w-2",
-                                   .mService = "desk",
-                                   .mZone = "sul-a",
-                                   .mCold = kColdTime,
-                                   .mCrashAbove = static_cast<int>(limit) });
+  auto& worker =
+    world.AddWorker({ .mId = "w-2",
+                      .mService = "desk",
+                      .mZone = "sul-a",
+                      .mCold = kColdTime,
+                      .mCrashAbove = static_cast<int>(1.5 * limit) });
   world.SleepUntil(kEndAt);
   clients.clear();
   const auto result =
--- a/review/stand-ins-3/http.cpp
+++ b/review/stand-ins-3/http.cpp
@@ -139,7 +139,7 @@
 }
 
 std::optional<Message>
-Link::Read(milliseconds aPatience)
+Link::Read(milliseconds aPatience, bool aHasBody)
 {
   const auto until = Clock::now() + aPatience;
   auto end = mInput.find("\r\n\r\n");
@@ -165,6 +165,9 @@
         value == std::string::npos ? "" : line.substr(value));
     }
   }
+  if (!aHasBody) {
+    return message;
+  }
   if (Lower(message.Header("Transfer-Encoding")) == "chunked") {
     return ReadChunks(message, until) ? std::optional(message) : std::nullopt;
   }
--- a/review/stand-ins-3/http.hpp
+++ b/review/stand-ins-3/http.hpp
@@ -58,7 +58,10 @@
   [[nodiscard]] bool IsOpen() const { return mDescriptor >= 0; }
   [[nodiscard]] bool Send(const std::string& aBytes);
   /// @brief Reads a message; nothing if the connection ends or time is up.
-  [[nodiscard]] std::optional<Message> Read(milliseconds aPatience);
+  /// @param[in] aHasBody false: what follows the head belongs to the next one,
+  /// as after the answer to HEAD
+  [[nodiscard]] std::optional<Message> Read(milliseconds aPatience,
+                                            bool aHasBody = true);
   /// @brief Lets the connection end with a reset.
   void ResetAtEnd();
 
--- a/review/stand-ins-3/world.cpp
+++ b/review/stand-ins-3/world.cpp
@@ -353,11 +353,15 @@
   const bool fails = static_cast<int>(hash) < mOptions.mFailures;
   const auto load =
     std::to_string(mActive) + ",0," + std::to_string(mOptions.mSlots);
-  return FormatAnswer(fails ? 500 : 200,
-                      { { "X-Attempt-Id", request },
-                        { "X-Response-Signature", "s." + mOptions.mId },
-                        { "X-Server-Load", load } },
-                      "answer of " + mOptions.mId + " to " + request);
+  auto answer = FormatAnswer(fails ? 500 : 200,
+                             { { "X-Attempt-Id", request },
+                               { "X-Response-Signature", "s." + mOptions.mId },
+                               { "X-Server-Load", load } },
+                             "answer of " + mOptions.mId + " to " + request);
+  if (aRequest.Word(0) == "HEAD") {
+    answer.resize(answer.find("\r\n\r\n") + 4);
+  }
+  return answer;
 }
 
 Machine::Machine(std::string aName,
