--- a/review/stand-ins-3/case_13.cpp
+++ b/review/stand-ins-3/case_13.cpp
@@ -2,8 +2,8 @@
 
 #include <cstdio>
 
-/// A machine is stopped and started again; the answer of its last write before
-/// the stop is lost and the write is executed late.
+/// Two of three machines are stopped and started again; the answers of their
+/// last writes before the stop are lost and the writes are executed late.
 
 namespace {
 
@@ -32,12 +32,32 @@
   aWorld.Notes().Write("objects of the system in the store:" + names);
 }
 
+/// Stops two machines at a time and starts them again.
+bool
+RestartTwo(World& aWorld)
+{
+  aWorld.Notes().Write("SIGTERM for two machines");
+  std::vector<std::thread> stops;
+  for (const std::size_t index : { 1, 2 }) {
+    stops.emplace_back([&aWorld, index] { aWorld.MachineAt(index).Stop(); });
+  }
+  for (auto& stop : stops) {
+    stop.join();
+  }
+  aWorld.Notes().Write("two machines have ended");
+  std::this_thread::sleep_for(kRestartDelay);
+  aWorld.MachineAt(1).Start();
+  aWorld.MachineAt(2).Start();
+  return aWorld.MachineAt(1).AwaitReady(std::chrono::seconds(8)) &&
+         aWorld.MachineAt(2).AwaitReady(std::chrono::seconds(8));
+}
+
 int
 Play(const std::string& aFolder)
 {
-  World world(
-    aFolder,
-    { .mZones = { "sul-a", "sul-b" }, .mAllZones = { "sul-a", "sul-b" } });
+  World world(aFolder,
+              { .mZones = { "sul-a", "sul-b", "sul-c" },
+                .mAllZones = { "sul-a", "sul-b", "sul-c" } });
   auto& store = world.Platform();
   world.Operate("config",
                 "main",
@@ -66,18 +86,13 @@
   world.SleepUntil(kStopAt);
   const int writes = store.Writes();
   if (HasTrouble()) {
-    store.DelayNextRemoval(kLate);
+    store.DelayRemovals(2, kLate);
   }
-  world.Notes().Write("SIGTERM for the second machine");
-  world.MachineAt(1).Stop();
-  world.Notes().Write("the second machine has ended");
-  std::this_thread::sleep_for(kRestartDelay);
-  world.MachineAt(1).Start();
-  if (!world.MachineAt(1).AwaitReady(std::chrono::seconds(8))) {
+  if (!RestartTwo(world)) {
     return kExitNotRun;
   }
-  world.Notes().Write("the second machine is ready again; writes to the store "
-                      "since the SIGTERM: " +
+  world.Notes().Write("two machines are ready again; writes to the store since "
+                      "the SIGTERM: " +
                       std::to_string(store.Writes() - writes));
   NoteRegistrations(world);
   world.SleepUntil(kDownAt);
@@ -85,11 +100,12 @@
   before.Crash();
   world.SleepUntil(kBackAt);
   const double limit = kColdPerSecond * kColdOverage + kColdSlack;
-  auto& worker = world.AddWorker({ .mId = "w-2",
-                                   .mService = "desk",
-                                   .mZone = "sul-a",
-                                   .mCold = kColdTime,
-                                   .mCrashAbove = static_cast<int>(limit) });
+  auto& worker =
+    world.AddWorker({ .mId = "w-2",
+                      .mService = "desk",
+                      .mZone = "sul-a",
+                      .mCold = kColdTime,
+                      .mCrashAbove = static_cast<int>(1.5 * limit) });
   world.SleepUntil(kEndAt);
   clients.clear();
   const auto result =
--- a/review/stand-ins-3/case_14.cpp
+++ b/review/stand-ins-3/case_14.cpp
@@ -2,8 +2,8 @@
 
 #include <cstdio>
 
-/// A machine is stopped and started again; meanwhile the store goes down for
-/// half a minute.
+/// Two of three machines are stopped and started again; meanwhile the store
+/// goes down for half a minute.
 
 namespace {
 
@@ -36,9 +36,9 @@
 int
 Play(const std::string& aFolder)
 {
-  World world(
-    aFolder,
-    { .mZones = { "sul-a", "sul-b" }, .mAllZones = { "sul-a", "sul-b" } });
+  World world(aFolder,
+              { .mZones = { "sul-a", "sul-b", "sul-c" },
+                .mAllZones = { "sul-a", "sul-b", "sul-c" } });
   auto& store = world.Platform();
   world.Operate("config",
                 "main",
@@ -65,36 +65,44 @@
                                world.Notes()));
   }
   world.SleepUntil(kStopAt);
-  world.Notes().Write("SIGTERM for the second machine");
-  std::thread stop([&] { world.MachineAt(1).Stop(); });
+  world.Notes().Write("SIGTERM for two machines");
+  std::vector<std::thread> stops;
+  for (const std::size_t index : { 1, 2 }) {
+    stops.emplace_back([&world, index] { world.MachineAt(index).Stop(); });
+  }
   world.SleepUntil(kStoreDownAt);
   NoteRegistrations(world);
   if (HasTrouble()) {
     store.GoAway();
     world.Notes().Write("the store is down");
   }
-  stop.join();
-  world.Notes().Write("the second machine has ended");
+  for (auto& stop : stops) {
+    stop.join();
+  }
+  world.Notes().Write("two machines have ended");
   std::this_thread::sleep_for(kRestartDelay);
   world.MachineAt(1).Start();
+  world.MachineAt(2).Start();
   world.SleepUntil(kStoreBackAt);
   store.Return();
   world.Notes().Write("the store is up");
-  if (!world.MachineAt(1).AwaitReady(std::chrono::seconds(8))) {
+  if (!world.MachineAt(1).AwaitReady(std::chrono::seconds(8)) ||
+      !world.MachineAt(2).AwaitReady(std::chrono::seconds(8))) {
     return kExitNotRun;
   }
-  world.Notes().Write("the second machine is ready again");
+  world.Notes().Write("two machines are ready again");
   NoteRegistrations(world);
   world.SleepUntil(kDownAt);
   NoteRegistrations(world);
   before.Crash();
   world.SleepUntil(kBackAt);
   const double limit = kColdPerSecond * kColdOverage + kColdSlack;
-  auto& worker = world.AddWorker({ .mId = "w-2",
-                                   .mService = "desk",
-                                   .mZone = "sul-a",
-                                   .mCold = kColdTime,
-                                   .mCrashAbove = static_cast<int>(limit) });
+  auto& worker =
+    world.AddWorker({ .mId = "w-2",
+                      .mService = "desk",
+                      .mZone = "sul-a",
+                      .mCold = kColdTime,
+                      .mCrashAbove = static_cast<int>(1.5 * limit) });
   world.SleepUntil(kEndAt);
   clients.clear();
   const auto result =
--- a/review/stand-ins-3/store.cpp
+++ b/review/stand-ins-3/store.cpp
@@ -158,13 +158,11 @@
     name.resize(name.size() - std::string_view("/status").size());
   }
   mWrites += aRequest.Word(0) == "GET" ? 0 : 1;
-  if (aRequest.Word(0) == "DELETE") {
-    const auto delay = mRemovalDelay.exchange(milliseconds(0));
-    if (delay > milliseconds(0)) {
-      std::this_thread::sleep_for(delay);
-      Remove(kind, name);
-      return {}; // the caller has given up
-    }
+  if (aRequest.Word(0) == "DELETE" && mDelayedRemovals > 0) {
+    --mDelayedRemovals;
+    std::this_thread::sleep_for(mRemovalDelay.load());
+    Remove(kind, name);
+    return {}; // the caller has given up
   }
   std::unique_lock lock(mMutex);
   Answer answer;
--- a/review/stand-ins-3/store.hpp
+++ b/review/stand-ins-3/store.hpp
@@ -45,9 +45,13 @@
   [[nodiscard]] Copy TakeCopy();
   /// @brief Goes away: resets all connections, and new ones.
   void GoAway() { mServer->SetUp(false); }
-  /// @brief Loses the answer of the next removal by the system, and executes it
-  /// that much later.
-  void DelayNextRemoval(milliseconds aTime) { mRemovalDelay = aTime; }
+  /// @brief Loses the answers of the next removals by the system, and executes
+  /// them that much later.
+  void DelayRemovals(int aCount, milliseconds aTime)
+  {
+    mRemovalDelay = aTime;
+    mDelayedRemovals = aCount;
+  }
   /// @brief Counts the calls that changed something, or would have.
   [[nodiscard]] int Writes() const { return mWrites; }
   /// @brief Returns with all that it had.
@@ -88,6 +92,7 @@
   std::vector<Event> mEvents;
   int mEra = 1;
   std::atomic<milliseconds> mRemovalDelay{ milliseconds(0) };
+  std::atomic<int> mDelayedRemovals{ 0 };
   std::atomic<int> mWrites{ 0 };
   std::unique_ptr<Server> mServer;
 };
