--- a/review/stand-ins-3/case_11.cpp
+++ b/review/stand-ins-3/case_11.cpp
@@ -27,12 +27,12 @@
 
 /// Body of a long request, below `max_body_bytes` (4,194,304).
 constexpr std::size_t kBodyBytes = 4'000'000;
-constexpr int kClientsPerMachine = 8;
+constexpr int kClientsPerMachine = 9;
 constexpr int kDeadlineMs = 4'000;
 
 /// Time after which the worker answers, and then reads on.
 constexpr auto kAnswerAfter = milliseconds(1'200);
-constexpr auto kReadsOnAfter = std::chrono::seconds(30);
+constexpr auto kReadsOnAfter = std::chrono::seconds(12);
 
 /// Plays the worker.
 class EarlyWorker
