Compare revisions of the store within one era only

What callers saw. After the store was restored from an older copy, requests with a valid key got 503 until the store's counter had passed the old value.

A restored store gives out its revisions again for other changes, and states a new era in all answers. Nothing read the era, and revisions were plain numbers: a list of the new era counted as older than the local copy, a watch from a revision that had been given out again missed what was below it, and an instance that came from the store got from another one only the objects above its own revision. A configuration with the same revision as the one in force was taken for that one.

Fix. store::StoreRevision holds the era and the number. Revisions of different eras are neither equal nor ordered, so all that remembers one (the copies, the change log of the relay, what was last read or logged) meets an unknown one; store::IsBehind decides which copy may replace another. platform/ decodes the era once for all revisions of an answer. Between instances it goes with the revision of each kind. A store that states no era is followed as before. The configuration in force is still replaced by a higher version only, so a key that was taken away since the copy stays rejected.

Changed checks: revisions in unit-relay, unit-read_objects, unit-staged_rollout and unit-session_version are compared as the new type, or by number where the era is constant; each is as strict as before. unit-store_client watched from a revision that its store had never given out; the stand-in answers 410 to that now, so it watches from the first one.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -187,18 +187,20 @@
   relay::RelayFollower mRelayFollower;
   membership::UpstreamEntryCache mRegisteredUpstreams;
   /// logged revisions of unreadable objects, by kind and name
-  std::map<std::string, std::int64_t> mLoggedRevisions;
-  std::int64_t mNewestVersion = -1;    ///< of the configuration
-  std::int64_t mLastReadRevision = -1; ///< of the configuration
+  std::map<std::string, store::StoreRevision> mLoggedRevisions;
+  std::int64_t mNewestVersion = -1; ///< of the configuration
+  /// of the configuration
+  std::optional<store::StoreRevision> mLastReadRevision;
   quarantine::CrashRecords mCrashes;
   std::set<std::string> mOwnEvidence; ///< services with counts in the store
-  std::int64_t mLastEvidenceRevision = -1; ///< of own counts seen in lists
+  /// of own counts seen in lists
+  std::optional<store::StoreRevision> mLastEvidenceRevision;
   /// services with an undecided roll-out; unknown before the first list
   std::optional<std::set<std::string>> mOpenRollouts;
   std::set<std::string> mOwnSessions; ///< objects with own sessions
   store::LostKinds mLostKinds;
   /// revisions of the sessions of other instances, by object
-  std::map<std::string, std::int64_t> mSessionRevisions;
+  std::map<std::string, store::StoreRevision> mSessionRevisions;
   quarantine::RecordTracker mPartRecords{ {} };
   std::int64_t mLastPartRecord = 0; ///< number in its name
   quarantine::SuspectReports mSuspects;
--- a/include/figslip/relay/change_log.hpp
+++ b/include/figslip/relay/change_log.hpp
@@ -32,7 +32,7 @@
 /// behind than the removals that are remembered gets all objects. One that
 /// comes from another source, or from the store, gets the changes after the
 /// store's revision of its copy, so that a change of source costs no whole
-/// copy.
+/// copy; unless that revision is of another era of the store.
 class ChangeLog
 {
 public:
@@ -51,7 +51,7 @@
   /// @brief Takes the objects that there are now.
   /// @param[in] aRevision revision of the store that they are of
   /// @return whether anything has changed; always at the first call
-  bool Update(const Objects& aObjects, std::int64_t aRevision);
+  bool Update(const Objects& aObjects, const store::StoreRevision& aRevision);
 
   /// @brief Returns the changes after a sequence number.
   /// @param[in] aSequence 0: everything
@@ -63,7 +63,7 @@
   /// its kind was listed page by page has no known revision.
   /// @return empty: the removals since then may not all be known
   [[nodiscard]] std::optional<Delta> SinceRevision(
-    std::int64_t aRevision) const;
+    const store::StoreRevision& aRevision) const;
 
   [[nodiscard]] std::uint64_t Sequence() const { return mSequence; }
   [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
@@ -84,10 +84,11 @@
   Options mOptions;
   std::uint64_t mSequence = 0;
   std::uint64_t mFloor = 0; ///< removals up to this number are forgotten
-  std::optional<std::int64_t> mFirstRevision; ///< of the first copy
+  /// of the first copy of this era
+  std::optional<store::StoreRevision> mFirstRevision;
   /// removals up to this revision of the store may not be known. The pages of
   /// the first copy may be newer than its revision, so a later one is needed.
-  std::optional<std::int64_t> mRevisionFloor;
+  std::optional<store::StoreRevision> mRevisionFloor;
   std::map<std::string, Entry, std::less<>> mEntries;
   std::deque<Removal> mRemovals;
 };
--- a/include/figslip/relay/relay_messages.hpp
+++ b/include/figslip/relay/relay_messages.hpp
@@ -20,7 +20,7 @@
   std::uint64_t mEpoch = 0; ///< process whose numbers these are; 0: none
   std::map<store::ObjectKind, std::uint64_t> mSequences;
   /// revision of the follower's copy, from whatever source; empty: no copy
-  std::map<store::ObjectKind, std::int64_t> mRevisions;
+  std::map<store::ObjectKind, store::StoreRevision> mRevisions;
   Duration mWait{};        ///< longest time without news
   bool mIsForeign = false; ///< the follower is of another failure domain
 };
@@ -29,8 +29,8 @@
 struct KindNews
 {
   store::ObjectKind mKind = store::ObjectKind::Configuration;
-  Delta mDelta;
-  std::int64_t mStoreRevision = 0;
+  Delta mDelta; ///< its objects are of the era of `mStoreRevision`
+  store::StoreRevision mStoreRevision;
   /// when the copy was confirmed by the store, against the arrival of the poll.
   /// The follower counts from its sending, so a slow answer makes the copy seem
   /// older than it is, never newer.
--- a/include/figslip/rollout/staged_rollout.hpp
+++ b/include/figslip/rollout/staged_rollout.hpp
@@ -6,6 +6,7 @@
 #include <figslip/rollout/session_schedule.hpp>
 #include <figslip/rollout/session_table.hpp>
 #include <figslip/rollout/withdrawn_sessions.hpp>
+#include <figslip/store/store_revision.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <cstdint>
@@ -35,10 +36,10 @@
 struct RolloutOrder
 {
   std::string mService;
-  std::string mTarget;        ///< version to move to
-  Duration mDuration{};       ///< planned length of the roll-out
-  std::int64_t mCreated = 0;  ///< distinguishes orders of one service
-  std::int64_t mRevision = 0; ///< for a conditional write of the status
+  std::string mTarget;            ///< version to move to
+  Duration mDuration{};           ///< planned length of the roll-out
+  std::int64_t mCreated = 0;      ///< distinguishes orders of one service
+  store::StoreRevision mRevision; ///< for a conditional write of the status
   RolloutState mState = RolloutState::Ordered;
   Duration mElapsed{}; ///< time since the order in the last status
   /// fraction of the planned time at which all sessions move; empty: not
--- a/include/figslip/store/object_follower.hpp
+++ b/include/figslip/store/object_follower.hpp
@@ -22,8 +22,9 @@
 /// changes then, so that its answer tells at once that the store is back. Nor
 /// does the first watch of a copy of another instance: followers of that
 /// instance may have a later revision, and take no copy with an older one.
-/// While the follower is stopped, the copy can be changed to that of another
-/// instance, see @ref UpdateCopy.
+/// Lists again when the store has begun another era; answers of an earlier era
+/// are rejected. While the follower is stopped, the copy can be changed to that
+/// of another instance, see @ref UpdateCopy.
 class ObjectFollower
 {
 public:
@@ -100,7 +101,7 @@
 
   /// @brief Returns the store revision of the copy.
   /// @return nothing before the first successful list or replacement
-  [[nodiscard]] std::optional<std::int64_t> Revision() const
+  [[nodiscard]] std::optional<StoreRevision> Revision() const
   {
     return mRevision;
   }
@@ -114,19 +115,20 @@
 
   /// @brief Changes the copy to that of another instance.
   /// @param[in] aChange changes the objects; empty: they are the same
-  /// @param[in] aRevision not below the revision of this copy
+  /// @param[in] aRevision not behind the revision of this copy
   /// @param[in] aConfirmedAt time for which the other copy is confirmed current
   /// @note Call it only while the follower is stopped.
   void UpdateCopy(const std::function<void(Objects&)>& aChange,
-                  std::int64_t aRevision,
+                  const StoreRevision& aRevision,
                   TimePoint aConfirmedAt);
 
 private:
   /// Result of a list or watch.
   struct SyncResult
   {
-    std::string mReason;          ///< of the failure; empty on success
-    bool mHistoryExpired = false; ///< the revision is too old to watch from
+    std::string mReason; ///< of the failure; empty on success
+    /// the revision is too old to watch from, or of an earlier era
+    bool mHistoryExpired = false;
     /// time for which the store owed an answer when the call failed
     Duration mOverdue{};
   };
@@ -138,9 +140,11 @@
   [[nodiscard]] net::Awaitable<void> Run(Generation aGeneration);
   [[nodiscard]] net::Awaitable<SyncResult> List(Generation aGeneration);
   [[nodiscard]] net::Awaitable<SyncResult> Watch(Generation aGeneration,
-                                                 std::int64_t aRevision,
+                                                 StoreRevision aRevision,
                                                  bool aIsFirst);
   void Apply(const Changes& aChanges);
+  /// Sets the revision of the copy and logs a new era.
+  void SetRevision(const StoreRevision& aRevision);
   void Confirm(TimePoint aSentAt);
   [[nodiscard]] static SyncResult FailureOf(const CallResult& aResult,
                                             TimePoint aSentAt);
@@ -154,7 +158,7 @@
   StoreClient& mClient;
   Callbacks mCallbacks;
   Objects mObjects;
-  std::optional<std::int64_t> mRevision; ///< of the copy
+  std::optional<StoreRevision> mRevision; ///< of the copy
   bool mNeedsList = false; ///< the next call is a list, not a watch
   TimePoint mConfirmedAt;
   Generation mGeneration = 0;
--- a/include/figslip/store/store_client.hpp
+++ b/include/figslip/store/store_client.hpp
@@ -27,6 +27,7 @@
 {
   CallOutcome mOutcome = CallOutcome::Unavailable;
   unsigned mStatus = 0;
+  net::Headers mHeaders; ///< if `Answered`
   std::string mBody;
   std::string mReason;       ///< of the failure, unless `Answered`
   bool mIsOversized = false; ///< the answer was larger than accepted
--- a/include/figslip/store/store_dialect.hpp
+++ b/include/figslip/store/store_dialect.hpp
@@ -5,6 +5,7 @@
 #include <figslip/ingress/upstream_entry.hpp>
 #include <figslip/net/message.hpp>
 #include <figslip/rollout/staged_rollout.hpp>
+#include <figslip/store/store_revision.hpp>
 #include <figslip/time/time_point.hpp>
 
 #include <nlohmann/json.hpp>
@@ -37,9 +38,9 @@
 /// bounded in depth.
 struct Object
 {
-  std::string mName;          ///< empty if it cannot be read
-  std::int64_t mRevision = 0; ///< store revision of the last change
-  std::int64_t mCreated = 0;  ///< distinguishes objects of the same name
+  std::string mName;         ///< empty if it cannot be read
+  StoreRevision mRevision;   ///< of the last change
+  std::int64_t mCreated = 0; ///< distinguishes objects of the same name
   nlohmann::json mSpec;
   nlohmann::json mStatus;
   error::Findings mFindings; ///< why the object cannot be read
@@ -51,7 +52,7 @@
   std::vector<Object> mObjects;
   std::string mLastName; ///< from which the next page continues, as it is
   bool mHasMore = false;
-  std::int64_t mRevision = 0; ///< of the store at the time of the list
+  StoreRevision mRevision; ///< of the store at the time of the list
 };
 
 /// @brief Holds the update or deletion of one object.
@@ -65,7 +66,7 @@
 struct Changes
 {
   std::vector<Change> mChanges;
-  std::int64_t mRevision = 0; ///< from which the next watch continues
+  StoreRevision mRevision; ///< from which the next watch continues
 };
 
 /// @brief Formats requests to the store and parses its responses.
@@ -75,9 +76,11 @@
 {
   /// lists the page after the object named `aAfter`; empty: the first page
   std::function<net::RequestMessage(ObjectKind, std::string_view aAfter)> mList;
-  /// returns the changes after `aRevision`, waiting up to `aWait` for one
-  std::function<
-    net::RequestMessage(ObjectKind, std::int64_t aRevision, Duration aWait)>
+  /// returns the changes after `aRevision`, waiting up to `aWait` for one; the
+  /// request does not tell the era, so the answer may be of another one
+  std::function<net::RequestMessage(ObjectKind,
+                                    const StoreRevision& aRevision,
+                                    Duration aWait)>
     mWatch;
   std::function<net::RequestMessage(std::string_view aName,
                                     const nlohmann::json& aSpec)>
@@ -86,10 +89,13 @@
                                     const nlohmann::json& aSpec)>
     mReplaceShared;
   std::function<net::RequestMessage(std::string_view aName)> mRemoveShared;
-  /// writes the status only if the order's revision is unchanged
+  /// writes the status only if the order's revision is unchanged; the request
+  /// does not tell the era of that revision
   std::function<net::RequestMessage(const rollout::StatusChange&)> mPutStatus;
-  std::function<Result<Page>(std::string_view aBody)> mReadPage;
-  std::function<Result<Changes>(std::string_view aBody)> mReadChanges;
+  std::function<Result<Page>(const net::Headers&, std::string_view aBody)>
+    mReadPage;
+  std::function<Result<Changes>(const net::Headers&, std::string_view aBody)>
+    mReadChanges;
   std::function<Result<ingress::Configuration>(const Object&)>
     mReadConfiguration;
   std::function<Result<ingress::UpstreamEntry>(const Object&)> mReadUpstream;
--- a/src/core/relay/change_log.cpp
+++ b/src/core/relay/change_log.cpp
@@ -5,9 +5,13 @@
 namespace figslip::relay {
 
 bool
-ChangeLog::Update(const Objects& aObjects, std::int64_t aRevision)
+ChangeLog::Update(const Objects& aObjects,
+                  const store::StoreRevision& aRevision)
 {
-  mFirstRevision = mFirstRevision.value_or(aRevision);
+  if (!mFirstRevision || mFirstRevision->Era() != aRevision.Era()) {
+    mFirstRevision = aRevision;
+    mRevisionFloor.reset();
+  }
   if (!mRevisionFloor && aRevision > *mFirstRevision) {
     mRevisionFloor = aRevision;
   }
@@ -66,9 +70,10 @@
 }
 
 std::optional<Delta>
-ChangeLog::SinceRevision(std::int64_t aRevision) const
+ChangeLog::SinceRevision(const store::StoreRevision& aRevision) const
 {
-  if (!mRevisionFloor || aRevision < *mRevisionFloor) {
+  const bool isKnown = mRevisionFloor && aRevision >= *mRevisionFloor;
+  if (!isKnown) {
     return std::nullopt;
   }
   Delta delta{ .mSequence = mSequence };
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -404,7 +404,7 @@
     log::Write(log::Level::Info,
                "configuration_in_force",
                { { "configuration", std::to_string(mNewestVersion) },
-                 { "revision", std::to_string(object.mRevision) },
+                 { "revision", std::to_string(object.mRevision.Number()) },
                  { "routes", std::to_string(configuration.mRoutes.size()) } });
     const auto index = std::make_shared<const ingress::ConfigurationIndex>(
       std::move(configuration));
@@ -524,7 +524,7 @@
       { { "service", orders.back().mService },
         { "version", orders.back().mTarget },
         { "state", std::string(rollout::NameOf(orders.back().mState)) },
-        { "revision", std::to_string(object.mRevision) } });
+        { "revision", std::to_string(object.mRevision.Number()) } });
   }
   mOpenRollouts.emplace();
   for (const auto& order : orders) {
@@ -596,7 +596,10 @@
       const auto instance = json::TextOr(object.mSpec, kInstanceField, "");
       if (instance == mSettings.mInstance) {
         // lists may still contain a version that was removed since
-        if (object.mRevision > mLastEvidenceRevision) {
+        const bool isNews =
+          !mLastEvidenceRevision ||
+          store::IsBehind(*mLastEvidenceRevision, object.mRevision);
+        if (isNews) {
           mLastEvidenceRevision = object.mRevision;
           mOwnEvidence.insert(report.mService);
         }
@@ -674,13 +677,14 @@
 void
 ControlPlane::WriteStatus(const rollout::StatusChange& aChange)
 {
-  log::Write(log::Level::Info,
-             "rollout_status",
-             { { "service", aChange.mOrder.mService },
-               { "version", aChange.mOrder.mTarget },
-               { "state", std::string(rollout::NameOf(aChange.mState)) },
-               { "reason", aChange.mReason },
-               { "revision", std::to_string(aChange.mOrder.mRevision) } });
+  log::Write(
+    log::Level::Info,
+    "rollout_status",
+    { { "service", aChange.mOrder.mService },
+      { "version", aChange.mOrder.mTarget },
+      { "state", std::string(rollout::NameOf(aChange.mState)) },
+      { "reason", aChange.mReason },
+      { "revision", std::to_string(aChange.mOrder.mRevision.Number()) } });
   // one attempt: a change that is still due is reported again
   net::asio::co_spawn(
     mContext,
@@ -1298,7 +1302,7 @@
              "object_unreadable",
              { { "kind", std::string(aKind) },
                { "name", aObject.mName },
-               { "revision", std::to_string(aObject.mRevision) },
+               { "revision", std::to_string(aObject.mRevision.Number()) },
                { "findings", findings.substr(0, kMaxLoggedFindingsBytes) } });
 }
 
--- a/src/shell/relay/relay_codec.cpp
+++ b/src/shell/relay/relay_codec.cpp
@@ -59,12 +59,18 @@
   return found == kRelayedKinds.end() ? nullptr : found;
 }
 
+std::int64_t
+ToWire(store::StoreEra aEra)
+{
+  return static_cast<std::int64_t>(aEra);
+}
+
 wire::RelayedObject
 ToWire(const store::Object& aObject)
 {
   wire::RelayedObject object;
   object.name = aObject.mName;
-  object.revision = aObject.mRevision;
+  object.revision = aObject.mRevision.Number();
   object.created = aObject.mCreated;
   object.spec = aObject.mSpec.dump();
   object.status = aObject.mStatus.dump();
@@ -82,21 +88,22 @@
                          std::back_inserter(kind.objects),
                          [](const auto& aObject) { return ToWire(aObject); });
   kind.removed = aNews.mDelta.mRemoved;
-  kind.storeRevision = aNews.mStoreRevision;
+  kind.storeRevision = aNews.mStoreRevision.Number();
+  kind.__set_storeEra(ToWire(aNews.mStoreRevision.Era()));
   kind.confirmedUs = aNews.mConfirmed.count();
   return kind;
 }
 
 /// Reads an object; contents that are no JSON make it unreadable for all.
 store::Object
-FromWire(const wire::RelayedObject& aObject)
+FromWire(const wire::RelayedObject& aObject, store::StoreEra aEra)
 {
   const auto parse = [](const std::string& aText) {
     auto value = json::ParseValue(aText);
     return value ? std::move(value).assume_value() : nlohmann::json();
   };
   return { .mName = aObject.name,
-           .mRevision = aObject.revision,
+           .mRevision = { aEra, aObject.revision },
            .mCreated = aObject.created,
            .mSpec = parse(aObject.spec),
            .mStatus = parse(aObject.status),
@@ -106,17 +113,19 @@
 KindNews
 FromWire(store::ObjectKind aKind, const wire::RelayedKind& aNews)
 {
+  const store::StoreEra era{ aNews.__isset.storeEra ? aNews.storeEra : 0 };
   KindNews news{ .mKind = aKind,
                  .mDelta = { .mSequence =
                                static_cast<std::uint64_t>(aNews.sequence),
                              .mIsWhole = aNews.isWhole,
                              .mObjects = {},
                              .mRemoved = aNews.removed },
-                 .mStoreRevision = aNews.storeRevision,
+                 .mStoreRevision = { era, aNews.storeRevision },
                  .mConfirmed = Duration(aNews.confirmedUs) };
-  std::ranges::transform(aNews.objects,
-                         std::back_inserter(news.mDelta.mObjects),
-                         [](const auto& aObject) { return FromWire(aObject); });
+  std::ranges::transform(
+    aNews.objects,
+    std::back_inserter(news.mDelta.mObjects),
+    [era](const auto& aObject) { return FromWire(aObject, era); });
   return news;
 }
 
@@ -140,7 +149,8 @@
     cursor.sequence =
       hasSequence ? static_cast<std::int64_t>(sequence->second) : 0;
     if (hasRevision) {
-      cursor.__set_storeRevision(revision->second);
+      cursor.__set_storeRevision(revision->second.Number());
+      cursor.__set_storeEra(ToWire(revision->second.Era()));
     }
     poll.cursors.push_back(std::move(cursor));
   }
@@ -171,7 +181,9 @@
         poll.mSequences[*kind] = static_cast<std::uint64_t>(cursor.sequence);
       }
       if (cursor.__isset.storeRevision) {
-        poll.mRevisions[*kind] = cursor.storeRevision;
+        const store::StoreEra era{ cursor.__isset.storeEra ? cursor.storeEra
+                                                           : 0 };
+        poll.mRevisions[*kind] = { era, cursor.storeRevision };
       }
     }
   }
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -280,7 +280,8 @@
     if (news == aAnswer.mKinds.end()) {
       return "a kind is missing";
     }
-    if (news->mStoreRevision < follower->Revision().value_or(0)) {
+    const auto revision = follower->Revision();
+    if (revision && store::IsBehind(news->mStoreRevision, *revision)) {
       return "its copy is older";
     }
     const bool isLease = follower->Kind() == ObjectKind::Configuration;
--- a/src/shell/relay/relay_server.cpp
+++ b/src/shell/relay/relay_server.cpp
@@ -274,7 +274,7 @@
     answer.mKinds.push_back(
       { .mKind = follower->Kind(),
         .mDelta = std::move(*news),
-        .mStoreRevision = follower->Revision().value_or(0),
+        .mStoreRevision = follower->Revision().value_or(store::StoreRevision{}),
         .mConfirmed = follower->ConfirmedAt() - aArrivedAt });
   }
   return answer;
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -1,3 +1,4 @@
+#include <figslip/log/log.hpp>
 #include <figslip/net/sleep.hpp>
 #include <figslip/store/object_follower.hpp>
 #include <figslip/time/wall_clock.hpp>
@@ -32,6 +33,12 @@
            : aResult.mReason;
 }
 
+std::string
+TextOf(StoreEra aEra)
+{
+  return std::to_string(static_cast<std::int64_t>(aEra));
+}
+
 } // namespace
 
 ObjectFollower::ObjectFollower(Options aOptions,
@@ -63,12 +70,12 @@
 
 void
 ObjectFollower::UpdateCopy(const std::function<void(Objects&)>& aChange,
-                           std::int64_t aRevision,
+                           const StoreRevision& aRevision,
                            TimePoint aConfirmedAt)
 {
-  assert(aRevision >= mRevision.value_or(0));
+  assert(!mRevision || !IsBehind(aRevision, *mRevision));
   UpdateLostState({});
-  mRevision = aRevision;
+  SetRevision(aRevision);
   mNeedsList = false;
   if (aChange) {
     aChange(mObjects);
@@ -77,6 +84,21 @@
   Confirm(aConfirmedAt);
 }
 
+void
+ObjectFollower::SetRevision(const StoreRevision& aRevision)
+{
+  if (mRevision && mRevision->Era() != aRevision.Era()) {
+    log::Write(log::Level::Warning,
+               "store_era_changed",
+               { { "kind", std::string(NameOf(mOptions.mKind)) },
+                 { "era", TextOf(aRevision.Era()) },
+                 { "revision", std::to_string(aRevision.Number()) },
+                 { "era_before", TextOf(mRevision->Era()) },
+                 { "revision_before", std::to_string(mRevision->Number()) } });
+  }
+  mRevision = aRevision;
+}
+
 void
 ObjectFollower::Confirm(TimePoint aSentAt)
 {
@@ -173,7 +195,7 @@
   const auto sentAt = ReadBootClock();
   const std::string name = "list " + std::string(NameOf(mOptions.mKind));
   Objects objects;
-  std::int64_t revision = 0;
+  StoreRevision revision;
   std::string after;
   bool hasMore = true;
   while (hasMore) {
@@ -187,14 +209,19 @@
     if (answer.mOutcome != CallOutcome::Answered || answer.mStatus != kOk) {
       co_return FailureOf(answer, pageSentAt);
     }
-    auto page = mDialect.mReadPage(answer.mBody);
+    auto page = mDialect.mReadPage(answer.mHeaders, answer.mBody);
     if (!page) {
       co_return SyncResult{ .mReason =
                               error::JoinMessages(page.assume_error()) };
     }
     // later pages may be newer than the first; watching from the first page's
     // revision returns any change made in between
-    revision = revision == 0 ? page.assume_value().mRevision : revision;
+    const auto& ofPage = page.assume_value().mRevision;
+    if (after.empty()) {
+      revision = ofPage;
+    } else if (ofPage.Era() != revision.Era()) {
+      co_return SyncResult{ .mReason = "the store's era changed in a list" };
+    }
     hasMore =
       page.assume_value().mHasMore && !page.assume_value().mObjects.empty();
     const auto& last = page.assume_value().mLastName;
@@ -206,12 +233,12 @@
       objects.insert_or_assign(object.mName, std::move(object));
     }
   }
-  if (revision < mRevision.value_or(0)) {
+  if (mRevision && IsBehind(revision, *mRevision)) {
     co_return SyncResult{ .mReason =
                             "list has an older revision than the local copy" };
   }
   mObjects = std::move(objects);
-  mRevision = revision;
+  SetRevision(revision);
   mNeedsList = false;
   mCallbacks.mOnObjects(mObjects);
   Confirm(sentAt);
@@ -220,7 +247,7 @@
 
 net::Awaitable<ObjectFollower::SyncResult>
 ObjectFollower::Watch(Generation aGeneration,
-                      std::int64_t aRevision,
+                      StoreRevision aRevision,
                       bool aIsFirst)
 {
   const auto sentAt = ReadBootClock();
@@ -246,12 +273,20 @@
     mNeedsList = mNeedsList || answer.mIsOversized;
     co_return FailureOf(answer, sentAt);
   }
-  const auto changes = mDialect.mReadChanges(answer.mBody);
+  const auto changes = mDialect.mReadChanges(answer.mHeaders, answer.mBody);
   if (!changes) {
     mNeedsList = true;
     co_return SyncResult{ .mReason =
                             error::JoinMessages(changes.assume_error()) };
   }
+  const auto era = changes.assume_value().mRevision.Era();
+  if (era < aRevision.Era()) {
+    co_return SyncResult{ .mReason = "watch response is of an earlier era" };
+  }
+  if (era > aRevision.Era()) {
+    // the changes are those after another revision of the same number
+    co_return SyncResult{ .mHistoryExpired = true };
+  }
   Apply(changes.assume_value());
   Confirm(sentAt);
   co_return SyncResult{};
@@ -275,7 +310,8 @@
       mObjects.insert_or_assign(change.mObject.mName, change.mObject);
     }
   }
-  mRevision = std::max(mRevision.value_or(0), aChanges.mRevision);
+  mRevision =
+    std::max(mRevision.value_or(aChanges.mRevision), aChanges.mRevision);
   if (!aChanges.mChanges.empty()) {
     mCallbacks.mOnObjects(mObjects);
   }
--- a/src/shell/store/store_client.cpp
+++ b/src/shell/store/store_client.cpp
@@ -167,6 +167,7 @@
   }
   result.mOutcome = CallOutcome::Answered;
   result.mStatus = aConnection->Head().mStatus;
+  result.mHeaders = aConnection->Head().mHeaders;
   mPool.Give(aEndpoint, aConnection);
   co_return result;
 }
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -44,6 +44,14 @@
 
 } // namespace
 
+struct StoreStandIn::Copy
+{
+  std::int64_t mRevision = 0;
+  std::int64_t mForgotten = 0;
+  decltype(StoreStandIn::mObjects) mObjects;
+  std::vector<Event> mEvents;
+};
+
 StoreStandIn::StoreStandIn()
   : mAcceptor(mContext, { net::asio::ip::make_address("127.0.0.1"), 0 })
   , mPort(mAcceptor.local_endpoint().port())
@@ -153,6 +161,27 @@
   mEvents.clear();
 }
 
+std::shared_ptr<const StoreStandIn::Copy>
+StoreStandIn::TakeCopy()
+{
+  const std::scoped_lock lock(mMutex);
+  return std::make_shared<const Copy>(Copy{ .mRevision = mRevision,
+                                            .mForgotten = mForgotten,
+                                            .mObjects = mObjects,
+                                            .mEvents = mEvents });
+}
+
+void
+StoreStandIn::Restore(const Copy& aCopy)
+{
+  const std::scoped_lock lock(mMutex);
+  ++mEra;
+  mRevision = aCopy.mRevision;
+  mForgotten = aCopy.mForgotten;
+  mObjects = aCopy.mObjects;
+  mEvents = aCopy.mEvents;
+}
+
 json
 StoreStandIn::StatusOf(const std::string& aKind, const std::string& aName)
 {
@@ -245,7 +274,8 @@
     while (mMode == Mode::Silent) {
       co_await net::Sleep(kWatchPoll);
     }
-    const net::Headers headers;
+    const net::Headers headers = { { .mName = "Store-Era",
+                                     .mValue = std::to_string(answer.mEra) } };
     std::string body;
     {
       const std::scoped_lock lock(mMutex);
@@ -274,10 +304,17 @@
 StoreStandIn::Answer
 StoreStandIn::AnswerTo(const net::RequestMessage& aRequest)
 {
-  if (mMode == Mode::Busy) {
-    return { .mStatus = 503, .mBody = json::object() };
-  }
   const std::scoped_lock lock(mMutex);
+  auto answer = mMode == Mode::Busy
+                  ? Answer{ .mStatus = 503, .mBody = json::object() }
+                  : Handle(aRequest);
+  answer.mEra = mEra;
+  return answer;
+}
+
+StoreStandIn::Answer
+StoreStandIn::Handle(const net::RequestMessage& aRequest)
+{
   const auto [kind, name] = Split(aRequest.mTarget);
   if (aRequest.mMethod != "GET") {
     return Write(aRequest, kind, name);
@@ -319,7 +356,7 @@
 StoreStandIn::Read(const std::string& aKind, std::int64_t aWatch)
 {
   Answer answer;
-  if (aWatch < mForgotten) {
+  if (aWatch < mForgotten || aWatch > mRevision) {
     return { .mStatus = 410, .mBody = json::object() };
   }
   answer.mBody = { { "events", json::array() },
--- a/tests/harness/store_stand_in.hpp
+++ b/tests/harness/store_stand_in.hpp
@@ -27,6 +27,9 @@
     Trickle ///< begins answers that go on, slowly, until the caller closes
   };
 
+  /// Revision before the first write.
+  static constexpr std::int64_t kFirstRevision = 5;
+
   StoreStandIn();
   StoreStandIn(const StoreStandIn&) = delete;
   StoreStandIn& operator=(const StoreStandIn&) = delete;
@@ -59,6 +62,13 @@
   /// Forgets the history, so that watches answer 410.
   void Compact();
 
+  /// Holds all objects and the history at some moment.
+  struct Copy;
+  [[nodiscard]] std::shared_ptr<const Copy> TakeCopy();
+  /// Comes back from an older copy, in the next era: later changes are gone,
+  /// and their revisions are given out again.
+  void Restore(const Copy& aCopy);
+
   /// Returns the status of an object; null if there is none.
   [[nodiscard]] nlohmann::json StatusOf(const std::string& aKind,
                                         const std::string& aName);
@@ -74,6 +84,7 @@
     unsigned mStatus = 200;
     nlohmann::json mBody;
     bool mMustWait = false;
+    int mEra = 0;
   };
 
   struct Event
@@ -87,6 +98,7 @@
   [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
   [[nodiscard]] net::Awaitable<void> Trickle(Connection aConnection);
   [[nodiscard]] Answer AnswerTo(const net::RequestMessage& aRequest);
+  [[nodiscard]] Answer Handle(const net::RequestMessage& aRequest);
   [[nodiscard]] Answer Read(const std::string& aKind, std::int64_t aWatch);
   /// Returns the page of the objects after a name.
   [[nodiscard]] Answer List(const std::string& aKind,
@@ -108,7 +120,8 @@
   std::atomic<Mode> mMode{ Mode::Open };
   std::mutex mMutex;
   std::map<std::string, int> mCalls; ///< by kind
-  std::int64_t mRevision = 5;
+  int mEra = 1;
+  std::int64_t mRevision = kFirstRevision;
   std::int64_t mForgotten = 0; ///< revision up to which the history is gone
   std::map<std::string, std::map<std::string, nlohmann::json>> mObjects;
   std::vector<Event> mEvents;
--- a/tests/src/unit-read_objects.cpp
+++ b/tests/src/unit-read_objects.cpp
@@ -33,8 +33,9 @@
 PageOf(const std::string& aOdd)
 {
   const auto page = platform::ReadPage(
+    {},
     R"({"items":[)" + Item("e-1", kGoodSpec) + "," + aOdd + "," +
-    Item("e-3", kGoodSpec) + R"(],"has_more":true,"store_revision":9})");
+      Item("e-3", kGoodSpec) + R"(],"has_more":true,"store_revision":9})");
   REQUIRE(page);
   return page.assume_value();
 }
@@ -111,7 +112,7 @@
 
   const auto page = PageOf(odd);
   CHECK(page.mHasMore);
-  CHECK(page.mRevision == 9);
+  CHECK(page.mRevision == store::StoreRevision({}, 9));
   CHECK(page.mLastName == "e-3");
   REQUIRE(page.mObjects.size() == 3);
   CHECK(platform::ReadUpstream(page.mObjects[0]));
@@ -122,19 +123,55 @@
 TEST_CASE("changes with an odd object")
 {
   const auto changes = platform::ReadChanges(
+    {},
     R"({"events":[7,{"deleted":true},{"object":)" + Item("e-1", "1e999") +
-    R"(,"deleted":[]},{"object":)" + Item("e-2", kGoodSpec) +
-    R"(,"deleted":true}],"store_revision":9})");
+      R"(,"deleted":[]},{"object":)" + Item("e-2", kGoodSpec) +
+      R"(,"deleted":true}],"store_revision":9})");
   REQUIRE(changes);
   const auto& list = changes.assume_value().mChanges;
   REQUIRE(list.size() == 2);
   CHECK(list[0].mObject.mName == "e-1");
-  CHECK(list[0].mObject.mRevision == 7);
+  CHECK(list[0].mObject.mRevision == store::StoreRevision({}, 7));
   CHECK_FALSE(list[0].mDeleted);
   CHECK_FALSE(platform::ReadUpstream(list[0].mObject));
   CHECK(list[1].mDeleted);
 }
 
+TEST_CASE("an answer of the store")
+{
+  const auto page =
+    R"({"items":[)" + Item("e-1", kGoodSpec) + R"(],"store_revision":9})";
+  const auto events = R"({"events":[{"object":)" + Item("e-1", kGoodSpec) +
+                      R"(}],"store_revision":9})";
+
+  SUBCASE("gives its era to all revisions in it")
+  {
+    constexpr store::StoreEra kEra{ 3 };
+    const net::Headers headers = { { .mName = "store-era", .mValue = "3" } };
+    const auto listed = platform::ReadPage(headers, page).value();
+    CHECK(listed.mRevision == store::StoreRevision(kEra, 9));
+    CHECK(listed.mObjects.at(0).mRevision == store::StoreRevision(kEra, 7));
+    const auto changes = platform::ReadChanges(headers, events).value();
+    CHECK(changes.mRevision == store::StoreRevision(kEra, 9));
+    CHECK(changes.mChanges.at(0).mObject.mRevision ==
+          store::StoreRevision(kEra, 7));
+  }
+
+  SUBCASE("is rejected if its era cannot be read")
+  {
+    for (const auto* const era :
+         { "", "-1", "3x", "1e2", "99999999999999999999" }) {
+      CAPTURE(era);
+      const net::Headers headers = { { .mName = "Store-Era", .mValue = era } };
+      const auto read = platform::ReadPage(headers, page);
+      REQUIRE_FALSE(read);
+      CHECK(error::JoinMessages(read.assume_error()).find("/Store-Era") !=
+            std::string::npos);
+      CHECK_FALSE(platform::ReadChanges(headers, events));
+    }
+  }
+}
+
 TEST_CASE("an odd status of a roll-out counts as none")
 {
   for (const auto* const status :
--- a/tests/src/unit-relay.cpp
+++ b/tests/src/unit-relay.cpp
@@ -22,22 +22,34 @@
 
 constexpr TimePoint kStart{ std::chrono::hours(1) };
 
+constexpr store::StoreEra kEra{ 3 };
+constexpr store::StoreEra kNextEra{ 4 };
+
+constexpr store::StoreRevision
+At(std::int64_t aNumber, store::StoreEra aEra = kEra)
+{
+  return { aEra, aNumber };
+}
+
 store::Object
-MakeObject(const std::string& aName, std::int64_t aRevision)
+MakeObject(const std::string& aName,
+           std::int64_t aRevision,
+           store::StoreEra aEra = kEra)
 {
   return { .mName = aName,
-           .mRevision = aRevision,
+           .mRevision = At(aRevision, aEra),
            .mCreated = 1,
            .mSpec = { { "a", aRevision } },
            .mStatus = nullptr };
 }
 
 ChangeLog::Objects
-MakeObjects(const std::vector<std::pair<std::string, std::int64_t>>& aObjects)
+MakeObjects(const std::vector<std::pair<std::string, std::int64_t>>& aObjects,
+            store::StoreEra aEra = kEra)
 {
   ChangeLog::Objects objects;
   for (const auto& [name, revision] : aObjects) {
-    objects.emplace(name, MakeObject(name, revision));
+    objects.emplace(name, MakeObject(name, revision, aEra));
   }
   return objects;
 }
@@ -83,7 +95,7 @@
 {
   using Names = std::vector<std::string>;
   ChangeLog log({ .mMaxRemovals = 2 });
-  CHECK(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), 2));
+  CHECK(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), At(2)));
   const auto first = log.Sequence();
 
   SUBCASE("are everything for one who knows nothing")
@@ -96,13 +108,13 @@
 
   SUBCASE("are nothing for one who knows all")
   {
-    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), 2));
+    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), At(2)));
     CHECK_FALSE(log.Since(first).HasNews());
   }
 
   SUBCASE("name what changed, came and went")
   {
-    CHECK(log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } }), 4));
+    CHECK(log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } }), At(4)));
     const auto delta = log.Since(first);
     CHECK_FALSE(delta.mIsWhole);
     CHECK(NamesOf(delta) == Names{ "y", "z" });
@@ -111,8 +123,8 @@
 
   SUBCASE("do not remove what came back")
   {
-    log.Update(MakeObjects({ { "y", 2 } }), 3);
-    log.Update(MakeObjects({ { "x", 5 }, { "y", 2 } }), 5);
+    log.Update(MakeObjects({ { "y", 2 } }), At(3));
+    log.Update(MakeObjects({ { "x", 5 }, { "y", 2 } }), At(5));
     const auto delta = log.Since(first);
     CHECK(NamesOf(delta) == Names{ "x" });
     CHECK(delta.mRemoved.empty());
@@ -120,8 +132,8 @@
 
   SUBCASE("are everything once removals are forgotten")
   {
-    log.Update(MakeObjects({ { "a", 6 }, { "b", 6 }, { "c", 6 } }), 6);
-    log.Update({}, 7);
+    log.Update(MakeObjects({ { "a", 6 }, { "b", 6 }, { "c", 6 } }), At(6));
+    log.Update({}, At(7));
     CHECK(log.Since(first).mIsWhole);
     CHECK_FALSE(log.Since(log.Sequence()).HasNews());
   }
@@ -134,19 +146,19 @@
   SUBCASE("begin with an empty copy, too")
   {
     ChangeLog empty({});
-    CHECK(empty.Update({}, 1));
+    CHECK(empty.Update({}, At(1)));
     CHECK(empty.Since(0).mIsWhole);
     CHECK_FALSE(empty.Since(empty.Sequence()).HasNews());
   }
 
   SUBCASE("after the revision of a copy from another source")
   {
-    log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } }), 5);
-    log.Update(MakeObjects({ { "y", 6 }, { "z", 4 } }), 7);
+    log.Update(MakeObjects({ { "y", 3 }, { "z", 4 } }), At(5));
+    log.Update(MakeObjects({ { "y", 6 }, { "z", 4 } }), At(7));
 
     SUBCASE("are those that the other copy lacks")
     {
-      const auto delta = log.SinceRevision(5);
+      const auto delta = log.SinceRevision(At(5));
       REQUIRE(delta);
       CHECK_FALSE(delta->mIsWhole);
       CHECK(NamesOf(*delta) == Names{ "y" });
@@ -155,21 +167,21 @@
 
     SUBCASE("contain all removals, as some may have no known revision")
     {
-      CHECK(log.SinceRevision(7)->mRemoved == Names{ "x" });
-      CHECK(log.SinceRevision(7)->mObjects.empty());
+      CHECK(log.SinceRevision(At(7))->mRemoved == Names{ "x" });
+      CHECK(log.SinceRevision(At(7))->mObjects.empty());
     }
 
     SUBCASE("are not known from before the second copy here")
     {
-      CHECK(log.SinceRevision(5));
-      CHECK_FALSE(log.SinceRevision(4));
+      CHECK(log.SinceRevision(At(5)));
+      CHECK_FALSE(log.SinceRevision(At(4)));
     }
 
     SUBCASE("are not known once removals since then are forgotten")
     {
-      log.Update({}, 8);
-      CHECK(log.SinceRevision(8));
-      CHECK_FALSE(log.SinceRevision(7));
+      log.Update({}, At(8));
+      CHECK(log.SinceRevision(At(8)));
+      CHECK_FALSE(log.SinceRevision(At(7)));
     }
 
     SUBCASE("contain what cannot be read, whatever its revision")
@@ -177,23 +189,54 @@
       auto objects = MakeObjects({ { "y", 6 }, { "z", 4 }, { "odd", 0 } });
       objects.at("odd").mFindings.push_back(
         { error::ErrorKind::PlatformMalformed, "/spec", "no JSON" });
-      log.Update(objects, 8);
-      CHECK(NamesOf(*log.SinceRevision(8)) == Names{ "odd" });
+      log.Update(objects, At(8));
+      CHECK(NamesOf(*log.SinceRevision(At(8))) == Names{ "odd" });
     }
   }
 
   SUBCASE("are not known by revision while the first copy is the only one")
   {
-    CHECK_FALSE(log.SinceRevision(2));
-    CHECK_FALSE(log.SinceRevision(9));
-    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), 9));
-    CHECK(log.SinceRevision(9));
+    CHECK_FALSE(log.SinceRevision(At(2)));
+    CHECK_FALSE(log.SinceRevision(At(9)));
+    CHECK_FALSE(log.Update(MakeObjects({ { "x", 1 }, { "y", 2 } }), At(9)));
+    CHECK(log.SinceRevision(At(9)));
+  }
+
+  // guards against objects that a follower lacks for good, as the store has
+  // given out the revision of its copy again
+  SUBCASE("after the store has begun another era")
+  {
+    log.Update(MakeObjects({ { "x", 1 }, { "y", 6 } }), At(9));
+    log.Update(MakeObjects({ { "y", 6 }, { "z", 4 } }, kNextEra),
+               At(6, kNextEra));
+
+    SUBCASE("are all objects, also those with the same number")
+    {
+      const auto delta = log.Since(first);
+      CHECK(NamesOf(delta) == Names{ "y", "z" });
+      CHECK(delta.mRemoved == Names{ "x" });
+    }
+
+    SUBCASE("are not known by revision before the second copy of the era")
+    {
+      CHECK_FALSE(log.SinceRevision(At(9)));
+      CHECK_FALSE(log.SinceRevision(At(6, kNextEra)));
+    }
+
+    SUBCASE("are not known by a revision of the era before")
+    {
+      log.Update(MakeObjects({ { "y", 8 }, { "z", 4 } }, kNextEra),
+                 At(8, kNextEra));
+      CHECK_FALSE(log.SinceRevision(At(8)));
+      CHECK_FALSE(log.SinceRevision(At(9)));
+      CHECK(log.SinceRevision(At(8, kNextEra)));
+    }
   }
 
   SUBCASE("are not known by revision without a copy")
   {
     const ChangeLog empty({});
-    CHECK_FALSE(empty.SinceRevision(5));
+    CHECK_FALSE(empty.SinceRevision(At(5)));
   }
 }
 
@@ -286,8 +329,9 @@
 {
   const relay::Poll poll{ .mEpoch = 0xffff'ffff'ffff'fff1,
                           .mSequences = { { store::ObjectKind::Drains, 7 } },
-                          .mRevisions = { { store::ObjectKind::Drains, 40 },
-                                          { store::ObjectKind::Shared, 44 } },
+                          .mRevisions = { { store::ObjectKind::Drains, At(40) },
+                                          { store::ObjectKind::Shared,
+                                            At(44, kNextEra) } },
                           .mWait = 500ms,
                           .mIsForeign = true };
   relay::PollAnswer answer{
@@ -298,7 +342,7 @@
                                         .mIsWhole = true,
                                         .mObjects = { MakeObject("x", 3) },
                                         .mRemoved = { "y" } },
-                            .mStoreRevision = 44,
+                            .mStoreRevision = At(44),
                             .mConfirmed = -3ms });
 
   SUBCASE("are read as they were written")
@@ -318,11 +362,12 @@
     REQUIRE(told.assume_value().mKinds.size() == 1);
     const auto& news = told.assume_value().mKinds[0];
     CHECK(news.mKind == store::ObjectKind::Upstreams);
-    CHECK(news.mStoreRevision == 44);
+    CHECK(news.mStoreRevision == At(44));
     CHECK(news.mConfirmed == -3ms);
     CHECK(news.mDelta.mSequence == 9);
     CHECK(news.mDelta.mIsWhole);
     CHECK(news.mDelta.mObjects[0].mSpec == MakeObject("x", 3).mSpec);
+    CHECK(news.mDelta.mObjects[0].mRevision == At(3));
     CHECK(news.mDelta.mRemoved == std::vector<std::string>{ "y" });
   }
 
--- a/tests/src/unit-session_version.cpp
+++ b/tests/src/unit-session_version.cpp
@@ -157,7 +157,7 @@
                .mTarget = "v" + std::to_string(mVersions.size() + 1),
                .mDuration = kLength,
                .mCreated = static_cast<std::int64_t>(mVersions.size()),
-               .mRevision = mOrder.mRevision + 1 };
+               .mRevision = { {}, mOrder.mRevision.Number() + 1 } };
     mOrderedAt = aNow;
     mVersions.push_back(mOrder.mTarget);
     Publish(aNow);
@@ -233,7 +233,7 @@
     mOrder.mState = aChange.mState;
     mOrder.mElapsed = aChange.mElapsed;
     mOrder.mMoveProgress = aChange.mMoveProgress;
-    ++mOrder.mRevision;
+    mOrder.mRevision = { {}, mOrder.mRevision.Number() + 1 };
     Publish(aNow);
     const bool isDecided = mOrder.mState == RolloutState::Completed ||
                            mOrder.mState == RolloutState::RolledBack;
@@ -363,9 +363,9 @@
   std::optional<TimePoint> mOrderedAt; ///< time of the latest order
   RolloutState mFirstState = RolloutState::Ordered;
   std::vector<std::string> mVersions{ "v1" }; ///< in the order of their orders
-  std::map<std::size_t, std::int64_t> mSeenRevisions; ///< by instance
-  std::map<std::size_t, TimePoint> mStartedAt;        ///< by instance
-  std::map<std::uint64_t, Ended> mEnded;              ///< by session
+  std::map<std::size_t, store::StoreRevision> mSeenRevisions; ///< by instance
+  std::map<std::size_t, TimePoint> mStartedAt;                ///< by instance
+  std::map<std::uint64_t, Ended> mEnded;                      ///< by session
   /// when the upstreams of withdrawn versions are gone
   std::map<std::string, TimePoint> mUpstreamEnds;
   /// sessions that the instances share, by instance
--- a/tests/src/unit-staged_rollout.cpp
+++ b/tests/src/unit-staged_rollout.cpp
@@ -23,7 +23,7 @@
            .mTarget = "v2",
            .mDuration = 20s,
            .mCreated = 7,
-           .mRevision = 12,
+           .mRevision = { {}, 12 },
            .mState = aState };
 }
 
@@ -326,7 +326,7 @@
       const auto due = rollout.DueChanges(kStart + 100ms);
       REQUIRE(due.size() == 1);
       CHECK(due.front().mState == RolloutState::InProgress);
-      CHECK(due.front().mOrder.mRevision == 12);
+      CHECK(due.front().mOrder.mRevision.Number() == 12);
       CHECK(rollout.DueChanges(kStart + 200ms).empty());
       CHECK(rollout.DueChanges(kStart + 900ms).size() == 1);
     }
--- a/tests/src/unit-staged_rollout_load.cpp
+++ b/tests/src/unit-staged_rollout_load.cpp
@@ -70,7 +70,7 @@
                .mTarget = "v2",
                .mDuration = aLoad.mDuration,
                .mCreated = 7,
-               .mRevision = 12,
+               .mRevision = { {}, 12 },
                .mState = RolloutState::Ordered };
   }
 
@@ -193,7 +193,7 @@
         if (change.mOrder.mRevision == mOrder.mRevision) {
           mOrder.mState = change.mState;
           mOrder.mElapsed = change.mElapsed;
-          ++mOrder.mRevision;
+          mOrder.mRevision = { {}, mOrder.mRevision.Number() + 1 };
           At(aNow + 20ms, [this](TimePoint aLater) { Publish(aLater); });
         }
       }
@@ -494,7 +494,7 @@
                                      .mTarget = "v2",
                                      .mDuration = kDuration,
                                      .mCreated = 7,
-                                     .mRevision = 12,
+                                     .mRevision = { {}, 12 },
                                      .mState = RolloutState::Ordered };
   const rollout::EvidenceReport slow{
     .mService = "engines",
--- a/tests/src/unit-store_client.cpp
+++ b/tests/src/unit-store_client.cpp
@@ -67,7 +67,9 @@
   void StartWatch(Ended& aEnded)
   {
     const auto wait = 3s;
-    auto watch = mDialect.mWatch(ObjectKind::Drains, 1'000, wait);
+    // no drain is ever written, so that the watch waits
+    auto watch = mDialect.mWatch(
+      ObjectKind::Drains, { {}, test::StoreStandIn::kFirstRevision }, wait);
     Start(aEnded, std::move(watch), wait + kTimeout, std::nullopt);
   }
   void StartWrite(Ended& aEnded)
--- a/tests/src/unit-uneven_rollout.cpp
+++ b/tests/src/unit-uneven_rollout.cpp
@@ -95,7 +95,7 @@
           mOrder.mState = change.mState;
           mDecidedAt = aNow;
           mOrder.mElapsed = change.mElapsed;
-          ++mOrder.mRevision;
+          mOrder.mRevision = { {}, mOrder.mRevision.Number() + 1 };
         }
       }
       for (auto& report : mInstances[index]->DueReports(aNow)) {
@@ -180,7 +180,7 @@
                                 .mTarget = "v2",
                                 .mDuration = mLoad.mDuration,
                                 .mCreated = 7,
-                                .mRevision = 12 };
+                                .mRevision = { {}, 12 } };
   std::map<std::size_t, rollout::EvidenceReport> mReports; ///< by instance
   bool mHasNews = false;
   int mRequests = 0;
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -10,6 +10,8 @@
   /** Revision of the store of which the follower has a copy, from whatever
    *  source; absent: it has none. */
   3: optional i64 storeRevision
+  /** Era of that revision; absent: 0, of a store that states none. */
+  4: optional i64 storeEra
 }
 
 /** Asks for what is newer than the cursors. */
@@ -44,6 +46,8 @@
   /** When the copy was confirmed, against the arrival of the poll; below zero:
    *  before it. Microseconds. */
   7: required i64 confirmedUs
+  /** Era of all revisions here; absent: 0, of a store that states none. */
+  8: optional i64 storeEra
 }
 
 /** Answers a poll. */
