Tell more plainly what the remembered revisions are

Read as a newcomer would: two members said only whose revision they hold, not which one; the reset of the change log and the dropped watch response did not say why. No behaviour is changed.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -189,11 +189,11 @@
   /// logged revisions of unreadable objects, by kind and name
   std::map<std::string, store::StoreRevision> mLoggedRevisions;
   std::int64_t mNewestVersion = -1; ///< of the configuration
-  /// of the configuration
+  /// of the configuration that was read last; empty: none yet
   std::optional<store::StoreRevision> mLastReadRevision;
   quarantine::CrashRecords mCrashes;
   std::set<std::string> mOwnEvidence; ///< services with counts in the store
-  /// of own counts seen in lists
+  /// of own counts seen in lists; empty: none yet
   std::optional<store::StoreRevision> mLastEvidenceRevision;
   /// services with an undecided roll-out; unknown before the first list
   std::optional<std::set<std::string>> mOpenRollouts;
--- a/src/core/relay/change_log.cpp
+++ b/src/core/relay/change_log.cpp
@@ -8,6 +8,7 @@
 ChangeLog::Update(const Objects& aObjects,
                   const store::StoreRevision& aRevision)
 {
+  // removals of an earlier era have no place among the revisions of this one
   if (!mFirstRevision || mFirstRevision->Era() != aRevision.Era()) {
     mFirstRevision = aRevision;
     mRevisionFloor.reset();
--- a/src/shell/store/object_follower.cpp
+++ b/src/shell/store/object_follower.cpp
@@ -216,10 +216,10 @@
     }
     // later pages may be newer than the first; watching from the first page's
     // revision returns any change made in between
-    const auto& ofPage = page.assume_value().mRevision;
+    const auto& pageRevision = page.assume_value().mRevision;
     if (after.empty()) {
-      revision = ofPage;
-    } else if (ofPage.Era() != revision.Era()) {
+      revision = pageRevision;
+    } else if (pageRevision.Era() != revision.Era()) {
       co_return SyncResult{ .mReason = "the store's era changed in a list" };
     }
     hasMore =
@@ -284,7 +284,8 @@
     co_return SyncResult{ .mReason = "watch response is of an earlier era" };
   }
   if (era > aRevision.Era()) {
-    // the changes are those after another revision of the same number
+    // the store took the number for a revision of its own era, so the changes
+    // are not those after this copy
     co_return SyncResult{ .mHistoryExpired = true };
   }
   Apply(changes.assume_value());
