Log which configuration is taken, from whom and in which era

Callers saw requests run by the service of an older configuration, seconds after a newer one had been acknowledged. The logs of such a run told neither which instance or store a configuration came from, nor the era of the store, nor what confirmed the lease on keys after it had been over, so the era, an old copy that confirms the lease and an instance that relays an old configuration could not be told apart.

configuration_in_force now has the version before, the source, the era and the time since keys were confirmed; configuration_ignored tells of a lower version in the store; keys_confirmed tells what ended a time without a lease; figslip_configuration_version is the version in force. No decision changes.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -92,6 +92,22 @@
     store::ObjectKind aKind,
     std::function<void(const store::ObjectFollower::Objects&)> aOnObjects);
   void OnConfiguration(const store::ObjectFollower::Objects& aObjects);
+  /// Extends the lease on keys; logs it if the lease was over.
+  void ConfirmLease(TimePoint aSentAt);
+  /// Returns `store`, or the process whose copy is followed.
+  [[nodiscard]] std::string ConfigurationSource() const;
+  /// Holds where a configuration was read.
+  struct ConfigurationOrigin
+  {
+    std::string mSource; ///< `store`, or the process that relayed it
+    store::StoreRevision mRevision;
+  };
+  /// Puts a newer configuration in force.
+  void Adopt(ingress::Configuration aConfiguration,
+             const ConfigurationOrigin& aOrigin);
+  void LogConfiguration(std::string_view aEvent,
+                        const ingress::Configuration& aConfiguration,
+                        const ConfigurationOrigin& aOrigin) const;
   void OnUpstreams(const store::ObjectFollower::Objects& aObjects);
   void OnRollouts(const store::ObjectFollower::Objects& aObjects);
   void OnDrains(const store::ObjectFollower::Objects& aObjects);
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -271,7 +271,7 @@
   configuration.mOnConfirmed =
     [this, onConfirmed = configuration.mOnConfirmed](TimePoint aSentAt) {
       if (mNewestVersion >= 0) {
-        mLease.Confirm(aSentAt);
+        ConfirmLease(aSentAt);
       }
       onConfirmed(aSentAt);
       mRelayFollower.OnStoreAnswered();
@@ -397,21 +397,82 @@
     }
     mLastReadRevision = object.mRevision;
     auto configuration = std::move(read).assume_value();
-    if (configuration.mVersion <= mNewestVersion) {
-      continue;
+    const ConfigurationOrigin origin{ .mSource = ConfigurationSource(),
+                                      .mRevision = object.mRevision };
+    if (configuration.mVersion > mNewestVersion) {
+      Adopt(std::move(configuration), origin);
+    } else if (configuration.mVersion < mNewestVersion) {
+      LogConfiguration("configuration_ignored", configuration, origin);
     }
-    mNewestVersion = configuration.mVersion;
-    log::Write(log::Level::Info,
-               "configuration_in_force",
-               { { "configuration", std::to_string(mNewestVersion) },
-                 { "revision", std::to_string(object.mRevision.Number()) },
-                 { "routes", std::to_string(configuration.mRoutes.size()) } });
-    const auto index = std::make_shared<const ingress::ConfigurationIndex>(
-      std::move(configuration));
-    mPost([index](TrafficState& aState) { aState.OnConfiguration(index); });
   }
 }
 
+void
+ControlPlane::ConfirmLease(TimePoint aSentAt)
+{
+  const auto now = ReadBootClock();
+  const bool wasHeld = mLease.IsHeld(now);
+  mLease.Confirm(aSentAt);
+  if (wasHeld || !mLease.IsHeld(now)) {
+    return;
+  }
+  const auto revision =
+    relay::FollowerOf(mFollowers, ObjectKind::Configuration).Revision();
+  const auto era = revision ? revision->Era() : store::StoreEra{};
+  log::Write(
+    log::Level::Info,
+    "keys_confirmed",
+    { { "configuration", std::to_string(mNewestVersion) },
+      { "source", ConfigurationSource() },
+      { "era", std::to_string(static_cast<std::int64_t>(era)) },
+      { "revision", std::to_string(revision ? revision->Number() : 0) },
+      { "age_ms", std::to_string((now - aSentAt) / milliseconds(1)) } });
+}
+
+std::string
+ControlPlane::ConfigurationSource() const
+{
+  const auto source = mRelayFollower.FollowedSource();
+  return source ? source->mProcess : "store";
+}
+
+void
+ControlPlane::Adopt(ingress::Configuration aConfiguration,
+                    const ConfigurationOrigin& aOrigin)
+{
+  LogConfiguration("configuration_in_force", aConfiguration, aOrigin);
+  mNewestVersion = aConfiguration.mVersion;
+  mMetrics.GaugeOf("figslip_configuration_version", {})
+    .Set(static_cast<double>(mNewestVersion));
+  const auto index = std::make_shared<const ingress::ConfigurationIndex>(
+    std::move(aConfiguration));
+  mPost([index](TrafficState& aState) { aState.OnConfiguration(index); });
+}
+
+void
+ControlPlane::LogConfiguration(std::string_view aEvent,
+                               const ingress::Configuration& aConfiguration,
+                               const ConfigurationOrigin& aOrigin) const
+{
+  const auto era = static_cast<std::int64_t>(aOrigin.mRevision.Era());
+  log::Write(log::Level::Info,
+             std::string(aEvent),
+             { { "configuration", std::to_string(aConfiguration.mVersion) },
+               // empty: none yet
+               { "in_force_before",
+                 mNewestVersion < 0 ? "" : std::to_string(mNewestVersion) },
+               { "source", aOrigin.mSource },
+               { "era", std::to_string(era) },
+               { "revision", std::to_string(aOrigin.mRevision.Number()) },
+               { "routes", std::to_string(aConfiguration.mRoutes.size()) },
+               // empty: none was confirmed since the start
+               { "confirmed_before_ms",
+                 mLease.WasConfirmed()
+                   ? std::to_string((ReadBootClock() - mLease.ConfirmedAt()) /
+                                    milliseconds(1))
+                   : "" } });
+}
+
 void
 ControlPlane::OnUpstreams(const store::ObjectFollower::Objects& aObjects)
 {
