Recover a configuration that a restored store has lost

What callers saw: after the store had come back from an older copy, an instance that started before the operator had written the lost configuration again ran requests as the older one says, and accepted a key that had been taken away, while the others had the newer one in force.

Cause: the state in force lives in the store only. Instances that had seen the newer configuration kept it, and told nobody.

Class of fault: state that several have is kept as if one place had it.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <figslip/gateway/traffic_state.hpp>
+#include <figslip/ingress/configuration_recovery.hpp>
 #include <figslip/ingress/freshness_lease.hpp>
 #include <figslip/membership/upstream_entry_cache.hpp>
 #include <figslip/metrics/registry.hpp>
@@ -105,6 +106,13 @@
   /// Puts a newer configuration in force.
   void Adopt(ingress::Configuration aConfiguration,
              const ConfigurationOrigin& aOrigin);
+  /// Keeps a configuration that is put in force, as the store may lose it.
+  void KeepForRecovery(const store::Object& aObject);
+  /// Puts a configuration in force that another instance has published.
+  void RecoverConfiguration(const store::ObjectFollower::Objects& aShared);
+  /// Publishes the configuration in force if the store has lost it, and removes
+  /// records of those that it holds again.
+  void PublishConfiguration();
   void LogConfiguration(std::string_view aEvent,
                         const ingress::Configuration& aConfiguration,
                         const ConfigurationOrigin& aOrigin) const;
@@ -228,6 +236,8 @@
   TimePoint mStoreAnsweredAt;
   std::minstd_rand mRandom{ std::random_device{}() };
   quarantine::ServedReports mServedParts;
+  ingress::ConfigurationRecovery mRecovery;
+  std::string mConfigurationRecord; ///< JSON text of the one in force
   quarantine::RecordForwarder mForwarder;
   std::string mRecordTarget;          ///< process that `mRecordClient` calls
   bool mIsForwarding = false;         ///< `RunForwarding` runs
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -66,6 +66,10 @@
 constexpr const char* kDomainField = "failure_domain";
 constexpr const char* kPeersField = "peers";
 
+/// JSON fields of a record of a configuration that the store has lost.
+constexpr const char* kNameField = "name";
+constexpr const char* kConfigurationField = "configuration";
+
 /// JSON field of a crash record: number of requests on the upstream.
 constexpr const char* kInFlightField = "in_flight";
 
@@ -256,6 +260,7 @@
   , mRegisteredUpstreams({ .mMinOutage = MinOutage(aSettings) })
   , mCrashes({ .mSeed = SeedOf(aSettings.mInstance) })
   , mSuspects({ .mSeed = SeedOf(aSettings.mInstance) })
+  , mRecovery({ .mSeed = SeedOf(aSettings.mInstance) })
   , mForwarder({ .mMaxDirectPublishers = aSettings.mMaxDirectPublishers })
 {
 }
@@ -399,11 +404,76 @@
     auto configuration = std::move(read).assume_value();
     const ConfigurationOrigin origin{ .mSource = ConfigurationSource(),
                                       .mRevision = object.mRevision };
-    if (configuration.mVersion > mNewestVersion) {
+    const auto version = configuration.mVersion;
+    if (version > mNewestVersion) {
+      KeepForRecovery(object);
       Adopt(std::move(configuration), origin);
-    } else if (configuration.mVersion < mNewestVersion) {
+    } else if (version < mNewestVersion) {
       LogConfiguration("configuration_ignored", configuration, origin);
     }
+    mRecovery.OnStored(
+      version, !mRelayFollower.FollowedSource(), ReadBootClock());
+  }
+}
+
+void
+ControlPlane::KeepForRecovery(const store::Object& aObject)
+{
+  const nlohmann::json record = { { kNameField, aObject.mName },
+                                  { kConfigurationField, aObject.mSpec } };
+  mConfigurationRecord = record.dump();
+}
+
+void
+ControlPlane::RecoverConfiguration(
+  const store::ObjectFollower::Objects& aShared)
+{
+  std::set<std::int64_t> versions;
+  for (const auto& name : aShared | std::views::keys) {
+    if (const auto version = ingress::ConfigurationRecovery::VersionOf(name)) {
+      versions.insert(*version);
+    }
+  }
+  const auto newest = versions.empty() ? -1 : *versions.rbegin();
+  mRecovery.OnRecords(std::move(versions));
+  if (newest <= mNewestVersion) {
+    return;
+  }
+  const auto& record =
+    aShared.at(ingress::ConfigurationRecovery::RecordName(newest));
+  store::Object object{ .mName = json::TextOr(record.mSpec, kNameField, ""),
+                        .mRevision = record.mRevision };
+  const auto spec = record.mSpec.find(kConfigurationField);
+  if (spec != record.mSpec.end()) {
+    object.mSpec = *spec;
+  }
+  auto read = mDialect.mReadConfiguration(object);
+  if (!read) {
+    LogUnreadable(record, "configuration", read.assume_error());
+    return;
+  }
+  if (read.assume_value().mVersion > mNewestVersion) {
+    KeepForRecovery(object);
+    Adopt(std::move(read).assume_value(),
+          { .mSource = "record", .mRevision = record.mRevision });
+  }
+}
+
+void
+ControlPlane::PublishConfiguration()
+{
+  const auto now = ReadBootClock();
+  const bool followsStore = !mRelayFollower.FollowedSource();
+  if (mRecovery.TakeDue(now)) {
+    log::Write(log::Level::Warning,
+               "configuration_published",
+               { { "configuration", std::to_string(mNewestVersion) } });
+    StartCreation(ingress::ConfigurationRecovery::RecordName(mNewestVersion),
+                  nlohmann::json::parse(mConfigurationRecord),
+                  "create configuration record");
+  }
+  for (const auto& name : mRecovery.TakeObsolete(followsStore, now)) {
+    StartRemoval(name, "remove configuration record");
   }
 }
 
@@ -442,6 +512,7 @@
 {
   LogConfiguration("configuration_in_force", aConfiguration, aOrigin);
   mNewestVersion = aConfiguration.mVersion;
+  mRecovery.OnInForce(mNewestVersion);
   mMetrics.GaugeOf("figslip_configuration_version", {})
     .Set(static_cast<double>(mNewestVersion));
   const auto index = std::make_shared<const ingress::ConfigurationIndex>(
@@ -506,6 +577,7 @@
     RemoveDueRecords();
     PublishCrashes();
     PublishParts();
+    PublishConfiguration();
   }
 }
 
@@ -679,6 +751,7 @@
       partRecords.insert(name);
     }
   }
+  RecoverConfiguration(aObjects);
   mDomainPeers.clear();
   for (const auto& peer : peers) {
     if (peer.mFailureDomain == mSettings.mFailureDomain) {
--- a/tests/src/history-store_era.cpp
+++ b/tests/src/history-store_era.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <string>
@@ -135,5 +136,23 @@
     std::this_thread::sleep_for(kApplyTime);
     CHECK(StatusesOf(world, "key-2") == allRejected);
     CHECK(StatusesOf(world, "key-1") == allServed);
+
+    SUBCASE("and an instance starts before the operator has written it again")
+    {
+      world.Restart(2);
+      std::this_thread::sleep_for(kApplyTime);
+      CHECK(StatusesOf(world, "key-2") == allRejected);
+      CHECK(StatusesOf(world, "key-1") == allServed);
+
+      SUBCASE("and none is published any more once it is back")
+      {
+        world.PutConfiguration({ "key-1" });
+        std::this_thread::sleep_for(kApplyTime);
+        const auto names = world.Store().NamesOf("figslip");
+        CHECK(std::ranges::none_of(names, [](const auto& aName) {
+          return aName.starts_with("configuration.");
+        }));
+      }
+    }
   }
 }
