Play a moved route after a restoration that outlasts the lease on keys

What callers saw: requests run by the service of an older configuration, later than allowed, after a time in which all instances answered stale_keys.

The stand-in of the store is away for 6 s, one instance starts meanwhile, and the store comes back from a copy; 3 s later a route is moved, and 3 s after that look-ups at all instances must run at the new service.

--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -27,6 +27,10 @@
 using nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
+/// Names of services.
+constexpr const char* kEngines = "engines";
+constexpr const char* kLookups = "lookups";
+
 constexpr auto kReadyPatience = std::chrono::seconds(10);
 constexpr auto kPoll = std::chrono::milliseconds(1);
 
@@ -351,6 +355,13 @@
   std::filesystem::rename(next, path);
 }
 
+void
+IngressWorld::MoveLookups()
+{
+  mHasMovedLookups = true;
+  PutEngine(mEngines.size() - 1);
+}
+
 void
 IngressWorld::PutConfiguration(const std::vector<std::string>& aKeys,
                                StoreStandIn& aStore)
@@ -358,7 +369,8 @@
   const auto route = [](const char* aName,
                         const char* aPrefix,
                         const char* aType,
-                        int aAttempts) {
+                        int aAttempts,
+                        const char* aService = kEngines) {
     return json{ { "name", aName },
                  { "host", "a.example" },
                  { "path_prefix", aPrefix },
@@ -366,7 +378,7 @@
                  { "timeout_ms", 4000 },
                  { "target_latency_ms", 400 },
                  { "target_gap_ms", 500 },
-                 { "service", "engines" },
+                 { "service", aService },
                  { "max_attempts", aAttempts },
                  { "resumable", std::string(aType) == "streaming" } };
   };
@@ -377,20 +389,25 @@
       { { "name", "school" }, { "api_keys", { mOptions.mSchoolKey } } });
   }
   ++mVersion;
-  aStore.Put("config",
-             "main",
-             { { "version", mVersion },
-               { "routes",
-                 { route("chat", "/chat/", "streaming", 3),
-                   route("booking", "/book/", "non_idempotent", 1),
-                   route("lookup", "/look/", "idempotent", 3) } },
-               { "services", { { { "name", "engines" } } } },
-               { "limits",
-                 { { "max_header_bytes", mOptions.mMaxHeaderBytes },
-                   { "max_body_bytes", mOptions.mMaxBodyBytes },
-                   { "header_timeout_ms", 500 },
-                   { "idle_timeout_ms", mOptions.mIdleTimeoutMs } } },
-               { "tenants", accounts } });
+  aStore.Put(
+    "config",
+    "main",
+    { { "version", mVersion },
+      { "routes",
+        { route("chat", "/chat/", "streaming", 3),
+          route("booking", "/book/", "non_idempotent", 1),
+          route("lookup",
+                "/look/",
+                "idempotent",
+                3,
+                mHasMovedLookups ? kLookups : kEngines) } },
+      { "services", { { { "name", kEngines } }, { { "name", kLookups } } } },
+      { "limits",
+        { { "max_header_bytes", mOptions.mMaxHeaderBytes },
+          { "max_body_bytes", mOptions.mMaxBodyBytes },
+          { "header_timeout_ms", 500 },
+          { "idle_timeout_ms", mOptions.mIdleTimeoutMs } } },
+      { "tenants", accounts } });
 }
 
 void
@@ -400,11 +417,12 @@
                         StoreStandIn& aStore)
 {
   const auto& engine = *mEngines.at(aIndex);
+  const bool isMoved = mHasMovedLookups && aIndex + 1 == mEngines.size();
   const int port =
     mEngineRelays.empty() ? engine.Port() : mEngineRelays.at(aIndex)->Port();
   aStore.Put("servers",
              engine.Id(),
-             { { "service", "engines" },
+             { { "service", isMoved ? kLookups : kEngines },
                { "address", "127.0.0.1:" + std::to_string(port) },
                { "zone", mOptions.mEngineDomain },
                { "version", aVersion },
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -131,6 +131,9 @@
   /// Waits until an instance accepts connections of callers.
   [[nodiscard]] bool WaitForListener(std::size_t aIndex);
 
+  /// Lets the last engine serve look-ups, as a service of its own, in the
+  /// configurations that are written from now on.
+  void MoveLookups();
   /// Writes the configuration; each one has a higher version.
   void PutConfiguration(const std::vector<std::string>& aKeys)
   {
@@ -206,6 +209,7 @@
   int mExchangePort = 0;
   std::deque<std::atomic<int>> mEngineStarts; ///< by engine
   int mVersion = 0;
+  bool mHasMovedLookups = false;
 };
 
 } // namespace figslip::test
--- a/tests/src/history-store_era.cpp
+++ b/tests/src/history-store_era.cpp
@@ -156,3 +156,31 @@
     }
   }
 }
+
+// guards against instances that go on with the service of an older
+// configuration after an outage that outlasts their lease on keys
+TEST_CASE("a store comes back from an older copy after a long outage")
+{
+  IngressWorld world({ .mInstances = kInstances, .mIsRelayed = true });
+  std::this_thread::sleep_for(kApplyTime);
+  const auto copy = world.Store().TakeCopy();
+  RaiseRevision(world);
+  std::this_thread::sleep_for(kApplyTime);
+
+  world.Store().SetMode(StoreStandIn::Mode::Busy);
+  std::this_thread::sleep_for(kLeaseTime + 1s);
+  world.Start(2);
+  world.Store().Restore(*copy);
+  world.Store().SetMode(StoreStandIn::Mode::Open);
+  std::this_thread::sleep_for(kApplyTime);
+
+  SUBCASE("and a route that is moved then is moved at all instances")
+  {
+    world.MoveLookups();
+    world.PutConfiguration({ "key-1" });
+    std::this_thread::sleep_for(kApplyTime);
+    const int before = world.Engine(0).Arrivals();
+    CHECK(StatusesOf(world, "key-1") == std::vector<int>(kInstances, 200));
+    CHECK(world.Engine(0).Arrivals() == before);
+  }
+}
