Compare records of lost configurations within one era, and bound their writes

What callers would see: an instance that starts after a second restoration, or after one that others have not noticed yet, uses an older configuration, because a record of the former era keeps the others from publishing, or what the store held in the former era removes the record. Operators would see a write of the whole configuration by many instances at once when the operator has written it again, and writes again and again while the list of records is late.

Cause: the versions of the store and of the records were compared across eras, and each instance judged a vanished record by its own, older, reading of the store.

Why this works: both carry their era; a version is published once in an era, by delays that grow with the number of instances; a record that vanishes is published again only after all have had time to read the store. A record under an odd name, or of another version than its name says, is ignored. The source in the log, and the question whether an instance follows the store, no longer depend on a successor being awaited.

--- a/include/figslip/gateway/control_plane.hpp
+++ b/include/figslip/gateway/control_plane.hpp
@@ -100,7 +100,9 @@
   /// Holds where a configuration was read.
   struct ConfigurationOrigin
   {
-    std::string mSource; ///< `store`, or the process that relayed it
+    /// `store`, the process that relayed it, or `record`; see
+    /// `ConfigurationRecovery`
+    std::string mSource;
     store::StoreRevision mRevision;
   };
   /// Puts a newer configuration in force.
@@ -108,6 +110,17 @@
              const ConfigurationOrigin& aOrigin);
   /// Keeps a configuration that is put in force, as the store may lose it.
   void KeepForRecovery(const store::Object& aObject);
+  /// Holds a configuration and the object that it was read from.
+  struct ConfigurationCopy
+  {
+    store::Object mObject;
+    ingress::Configuration mContent;
+  };
+  /// Reads a configuration that another instance has published.
+  /// @return nothing if it is unreadable or of another version
+  [[nodiscard]] std::optional<ConfigurationCopy> ReadRecord(
+    const store::Object& aRecord,
+    std::int64_t aVersion);
   /// Puts a configuration in force that another instance has published.
   void RecoverConfiguration(const store::ObjectFollower::Objects& aShared);
   /// Publishes the configuration in force if the store has lost it, and removes
--- a/include/figslip/relay/relay_follower.hpp
+++ b/include/figslip/relay/relay_follower.hpp
@@ -41,6 +41,9 @@
   /// @brief Returns the instance that is followed; none: the store, or the
   /// instance was lost.
   [[nodiscard]] std::optional<Source> FollowedSource() const;
+  /// @brief Returns the process whose copy was taken last, also while its
+  /// successor is awaited; empty: the store is followed.
+  [[nodiscard]] std::string LastSource() const;
 
   /// @brief Starts to follow.
   void Start();
--- a/src/core/ingress/configuration_recovery.cpp
+++ b/src/core/ingress/configuration_recovery.cpp
@@ -1,6 +1,8 @@
 #include <figslip/ingress/configuration_recovery.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace figslip::ingress {
@@ -9,9 +11,6 @@
 
 constexpr std::string_view kPrefix = "configuration.";
 
-/// Time after which a record that no list contains is published again.
-constexpr auto kRepeatInterval = std::chrono::seconds(3);
-
 } // namespace
 
 std::string
@@ -30,46 +29,67 @@
   const auto* const end = digits.data() + digits.size();
   std::int64_t version = 0;
   const auto read = std::from_chars(digits.data(), end, version);
-  const bool isVersion =
-    read.ec == std::errc{} && read.ptr == end && version >= 0;
+  // another spelling of the number is another name
+  const bool isVersion = read.ec == std::errc{} && read.ptr == end &&
+                         version >= 0 && RecordName(version) == aName;
   return isVersion ? std::optional(version) : std::nullopt;
 }
 
+void
+ConfigurationRecovery::OnInForce(std::int64_t aVersion)
+{
+  mInForce = aVersion;
+  mIsPublished = false;
+}
+
 Duration
 ConfigurationRecovery::DelayOf(bool aFollowsStore) const
 {
-  const auto spread = static_cast<Duration::rep>(
-    mOptions.mSeed % static_cast<std::uint64_t>(mOptions.mSpread.count() + 1));
-  return Duration(spread) +
+  const auto spread =
+    std::max(mOptions.mMinSpread, mOptions.mSpreadPerInstance * mInstanceCount);
+  const auto part = static_cast<Duration::rep>(
+    mOptions.mSeed % static_cast<std::uint64_t>(spread.count()));
+  return Duration(part) +
          (aFollowsStore ? Duration::zero() : mOptions.mFollowerDelay);
 }
 
 void
 ConfigurationRecovery::OnStored(std::int64_t aVersion,
+                                store::StoreEra aEra,
                                 bool aFollowsStore,
                                 TimePoint aNow)
 {
-  mStored = aVersion;
-  if (mStored < mInForce) {
-    mDueAt = aNow + DelayOf(aFollowsStore);
+  if (aEra != mStoredEra) {
+    mIsPublished = false;
   }
-  mRemovalAt = aNow + DelayOf(aFollowsStore);
+  mStored = aVersion;
+  mStoredEra = aEra;
+  mDueAt = aNow + DelayOf(aFollowsStore);
+  mRemovalAt = mDueAt;
 }
 
 void
-ConfigurationRecovery::OnRecords(std::set<std::int64_t> aVersions)
+ConfigurationRecovery::OnRecords(std::set<std::int64_t> aVersions,
+                                 store::StoreEra aEra,
+                                 TimePoint aNow)
 {
+  const bool hasVanished = aEra == mRecordEra && mRecords.contains(mInForce) &&
+                           !aVersions.contains(mInForce);
+  if (hasVanished) {
+    mIsPublished = false;
+    mDueAt = std::max(mDueAt, aNow + mOptions.mVanishedDelay + DelayOf(true));
+  }
   mRecords = std::move(aVersions);
+  mRecordEra = aEra;
 }
 
 bool
 ConfigurationRecovery::TakeDue(TimePoint aNow)
 {
-  const bool isDue = mStored >= 0 && mStored < mInForce &&
-                     !mRecords.contains(mInForce) && aNow >= mDueAt;
-  if (isDue) {
-    mDueAt = aNow + kRepeatInterval;
-  }
+  const bool hasRecord = KnowsRecords() && mRecords.contains(mInForce);
+  const bool isDue = mStored >= 0 && mStored < mInForce && !hasRecord &&
+                     !mIsPublished && aNow >= mDueAt;
+  mIsPublished = mIsPublished || isDue;
   return isDue;
 }
 
@@ -77,14 +97,12 @@
 ConfigurationRecovery::TakeObsolete(bool aFollowsStore, TimePoint aNow)
 {
   std::vector<std::string> names;
-  if (!aFollowsStore || aNow < mRemovalAt) {
+  if (!aFollowsStore || !KnowsRecords() || aNow < mRemovalAt) {
     return names;
   }
   const auto end = mRecords.upper_bound(mStored);
-  for (auto record = mRecords.begin(); record != end;) {
-    names.push_back(RecordName(*record));
-    record = mRecords.erase(record);
-  }
+  std::transform(mRecords.begin(), end, std::back_inserter(names), RecordName);
+  mRecords.erase(mRecords.begin(), end);
   return names;
 }
 
--- a/src/shell/gateway/control_plane.cpp
+++ b/src/shell/gateway/control_plane.cpp
@@ -411,8 +411,10 @@
     } else if (version < mNewestVersion) {
       LogConfiguration("configuration_ignored", configuration, origin);
     }
-    mRecovery.OnStored(
-      version, !mRelayFollower.FollowedSource(), ReadBootClock());
+    mRecovery.OnStored(version,
+                       object.mRevision.Era(),
+                       mRelayFollower.LastSource().empty(),
+                       ReadBootClock());
   }
 }
 
@@ -424,38 +426,58 @@
   mConfigurationRecord = record.dump();
 }
 
+std::optional<ControlPlane::ConfigurationCopy>
+ControlPlane::ReadRecord(const store::Object& aRecord, std::int64_t aVersion)
+{
+  ConfigurationCopy copy;
+  copy.mObject.mName = json::TextOr(aRecord.mSpec, kNameField, "");
+  copy.mObject.mRevision = aRecord.mRevision;
+  const auto spec = aRecord.mSpec.find(kConfigurationField);
+  if (spec != aRecord.mSpec.end()) {
+    copy.mObject.mSpec = *spec;
+  }
+  auto read = mDialect.mReadConfiguration(copy.mObject);
+  if (!read) {
+    LogUnreadable(aRecord, "configuration", read.assume_error());
+    return std::nullopt;
+  }
+  copy.mContent = std::move(read).assume_value();
+  return copy.mContent.mVersion == aVersion ? std::optional(std::move(copy))
+                                            : std::nullopt;
+}
+
 void
 ControlPlane::RecoverConfiguration(
   const store::ObjectFollower::Objects& aShared)
 {
   std::set<std::int64_t> versions;
-  for (const auto& name : aShared | std::views::keys) {
-    if (const auto version = ingress::ConfigurationRecovery::VersionOf(name)) {
+  std::optional<ConfigurationCopy> newest;
+  for (const auto& [name, record] : aShared) {
+    const auto version = ingress::ConfigurationRecovery::VersionOf(name);
+    if (!version) {
+      continue;
+    }
+    if (*version <= mNewestVersion) {
       versions.insert(*version);
+      continue;
+    }
+    auto copy = ReadRecord(record, *version);
+    if (copy) {
+      versions.insert(*version);
+      if (!newest || newest->mContent.mVersion < *version) {
+        newest = std::move(copy);
+      }
     }
   }
-  const auto newest = versions.empty() ? -1 : *versions.rbegin();
-  mRecovery.OnRecords(std::move(versions));
-  if (newest <= mNewestVersion) {
-    return;
-  }
-  const auto& record =
-    aShared.at(ingress::ConfigurationRecovery::RecordName(newest));
-  store::Object object{ .mName = json::TextOr(record.mSpec, kNameField, ""),
-                        .mRevision = record.mRevision };
-  const auto spec = record.mSpec.find(kConfigurationField);
-  if (spec != record.mSpec.end()) {
-    object.mSpec = *spec;
-  }
-  auto read = mDialect.mReadConfiguration(object);
-  if (!read) {
-    LogUnreadable(record, "configuration", read.assume_error());
-    return;
-  }
-  if (read.assume_value().mVersion > mNewestVersion) {
-    KeepForRecovery(object);
-    Adopt(std::move(read).assume_value(),
-          { .mSource = "record", .mRevision = record.mRevision });
+  const auto revision =
+    relay::FollowerOf(mFollowers, ObjectKind::Shared).Revision();
+  mRecovery.OnRecords(std::move(versions),
+                      revision ? revision->Era() : store::StoreEra{},
+                      ReadBootClock());
+  if (newest) {
+    KeepForRecovery(newest->mObject);
+    Adopt(std::move(newest->mContent),
+          { .mSource = "record", .mRevision = newest->mObject.mRevision });
   }
 }
 
@@ -463,7 +485,7 @@
 ControlPlane::PublishConfiguration()
 {
   const auto now = ReadBootClock();
-  const bool followsStore = !mRelayFollower.FollowedSource();
+  const bool followsStore = mRelayFollower.LastSource().empty();
   if (mRecovery.TakeDue(now)) {
     log::Write(log::Level::Warning,
                "configuration_published",
@@ -502,8 +524,8 @@
 std::string
 ControlPlane::ConfigurationSource() const
 {
-  const auto source = mRelayFollower.FollowedSource();
-  return source ? source->mProcess : "store";
+  const auto source = mRelayFollower.LastSource();
+  return source.empty() ? "store" : source;
 }
 
 void
@@ -765,6 +787,7 @@
                            kMinRetryBackoffLimit,
                            kMaxRetryBackoffLimit));
   mInstanceCount = static_cast<int>(places.size());
+  mRecovery.SetInstanceCount(mInstanceCount);
   mCrashes.SetInstanceCount(mInstanceCount);
   mSuspects.SetInstanceCount(mInstanceCount);
   mForwarder.SetInstanceCount(mInstanceCount);
--- a/src/shell/relay/relay_follower.cpp
+++ b/src/shell/relay/relay_follower.cpp
@@ -102,6 +102,13 @@
                  .mFailureDomain = mSourceDomain };
 }
 
+std::string
+RelayFollower::LastSource() const
+{
+  return mSource ? *mSource + "." + std::to_string(mSourceEpoch)
+                 : std::string();
+}
+
 void
 RelayFollower::OnPeers(const std::vector<Peer>& aPeers)
 {
