--- a/include/figslip/gateway/frontend.hpp
+++ b/include/figslip/gateway/frontend.hpp
@@ -35,11 +35,23 @@
   using Handler = net::Awaitable<void> (Frontend::*)(Connection);
 
   [[nodiscard]] net::Awaitable<void> ServeCaller(Connection aConnection);
+  /// Serves an instance that hands requests over.
+  [[nodiscard]] net::Awaitable<void> ServeInstance(Connection aConnection);
+  /// Lists whom a connection with requests belongs to.
+  enum class Origin
+  {
+    Caller,
+    Instance
+  };
+  [[nodiscard]] net::Awaitable<void> ServeRequests(Connection aConnection,
+                                                   Origin aOrigin);
   [[nodiscard]] net::Awaitable<void> ServeReadiness(Connection aConnection);
   [[nodiscard]] net::Awaitable<void> ServeMetrics(Connection aConnection);
   /// Responds with the status for a request that was not read completely.
-  [[nodiscard]] net::Awaitable<void> RespondToReadError(Connection aConnection,
-                                                        net::ReadEnd aEnd);
+  [[nodiscard]] net::Awaitable<void> RespondToReadError(
+    Connection aConnection,
+    net::ReadEnd aEnd,
+    Origin aOrigin = Origin::Caller);
 
   /// Waits until no request is open, and interrupts those that remain at the
   /// end of the drain.
--- a/include/figslip/gateway/request_end.hpp
+++ b/include/figslip/gateway/request_end.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 namespace figslip::gateway {
@@ -22,10 +23,14 @@
   NoUpstream,       ///< no eligible upstream is registered
   NoCapacity,       ///< no slot was free, and none expected in time
   Rejected,         ///< upstreams refused it without running it
-  RouteTimeout,     ///< the timeout of the route expired
-  UpstreamFailed,   ///< it may have run, without an answer
-  BrokenMidway,     ///< the stream broke and could not be resumed
-  CallerLeft        ///< the caller closed the connection
+  NoContact,        ///< handed over to an instance that reaches no upstream
+  Busy,             ///< handed over to an instance that is too busy to take it
+  OlderConfiguration, ///< handed over to an instance with an older
+                      ///< configuration than the first one's
+  RouteTimeout,       ///< the timeout of the route expired
+  UpstreamFailed,     ///< it may have run, without an answer
+  BrokenMidway,       ///< the stream broke and could not be resumed
+  CallerLeft          ///< the caller closed the connection
 };
 
 /// @brief Describes the response to, and the name of, an outcome.
@@ -46,4 +51,8 @@
 [[nodiscard]] const EndDescription&
 Describe(RequestEnd aEnd);
 
+/// @brief Returns the outcome of a name; nothing if no outcome has it.
+[[nodiscard]] std::optional<RequestEnd>
+EndNamed(std::string_view aName);
+
 } // namespace figslip::gateway
--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include <figslip/gateway/send_refusal.hpp>
 #include <figslip/gateway/traffic_state.hpp>
+#include <figslip/handover/ticket.hpp>
 #include <figslip/net/caller_connection.hpp>
 #include <figslip/net/client_connection.hpp>
 #include <figslip/net/watchdog.hpp>
@@ -24,8 +25,10 @@
 class RequestFlow : public std::enable_shared_from_this<RequestFlow>
 {
 public:
+  /// @param[in] aTicket of a request that another instance hands over
   RequestFlow(TrafficState& aState,
-              std::shared_ptr<net::CallerConnection> aCaller);
+              std::shared_ptr<net::CallerConnection> aCaller,
+              std::optional<handover::Ticket> aTicket = std::nullopt);
 
   /// @brief Serves the request that was read last from the connection.
   /// @return whether the connection can be used for another request
@@ -59,6 +62,7 @@
     Ended,    ///< the answer was sent, or the caller has left
     Retry,    ///< another attempt, if one is allowed
     Replaced, ///< another attempt was sent in its place
+    Declined, ///< no instance has taken it
     Failed    ///< no further attempt is possible
   };
 
@@ -78,6 +82,10 @@
     bool mWasSilent = false; ///< counted against its upstream
     bool mIsReadingHead = false;
     std::optional<net::StepEnd> mHeadEnd; ///< set once the head was read
+    /// instance that the request is handed over to, which chooses the upstream
+    std::optional<membership::InstanceLocation> mPeer;
+
+    [[nodiscard]] bool IsHandOver() const { return mPeer.has_value(); }
   };
 
   /// Holds an attempt that may take the place of the running one.
@@ -106,6 +114,10 @@
   /// @return why the request is refused; nothing if it is admitted
   [[nodiscard]] std::optional<RequestEnd> Admit();
   [[nodiscard]] std::optional<RequestEnd> AdmitAccount();
+  /// Checks whether this instance takes a request that is handed over.
+  [[nodiscard]] std::optional<RequestEnd> AdmitHandOver() const;
+  /// Counts the request as demand of its account, once in all instances.
+  void CountDemand();
   [[nodiscard]] net::Awaitable<void> Serve();
   [[nodiscard]] net::Awaitable<NextStep> RunAttempt(Attempt& aAttempt);
   [[nodiscard]] net::Awaitable<NextStep> Exchange(Attempt& aAttempt);
@@ -183,6 +195,32 @@
   /// Returns the priority of the account, or else that of the route.
   [[nodiscard]] int Priority() const;
 
+  /// @name Hand-over to another instance
+  /// @{
+  /// Returns whether another instance can be asked to take the request.
+  [[nodiscard]] bool MayHandOver(TimePoint aNow) const;
+  [[nodiscard]] handover::PeerQuery MakePeerQuery() const;
+  /// Asks instances, one after the other, until one has taken the request.
+  [[nodiscard]] net::Awaitable<NextStep> HandOver();
+  [[nodiscard]] net::Awaitable<NextStep> HandOverTo(Attempt& aHandOver);
+  [[nodiscard]] net::Awaitable<bool> ConnectToPeer(Attempt& aHandOver);
+  /// Continues after the instance itself has decided on the request.
+  /// @param[in] aOutcome its name
+  [[nodiscard]] NextStep OnPeerOutcome(Attempt& aHandOver,
+                                       std::string_view aOutcome);
+  [[nodiscard]] net::Awaitable<NextStep> RelayHandOver(Attempt& aHandOver);
+  [[nodiscard]] NextStep OnHandOverBroken(Attempt& aHandOver,
+                                          net::StepEnd aEnd,
+                                          TimePoint aNow);
+  [[nodiscard]] std::string FormatHandOver(TimePoint aNow);
+  /// Logs and counts what became of a hand-over.
+  void LogHandOver(const Attempt& aHandOver, std::string_view aOutcome) const;
+  /// @}
+  /// Returns the headers of a response as they are relayed.
+  [[nodiscard]] net::Headers RelayedHeaders(const Attempt& aAttempt) const;
+  /// Keeps the connection of an attempt for later requests.
+  void KeepConnection(Attempt& aAttempt);
+
   /// @name Replacement of the running attempt
   /// @{
   /// Calls `OnSilence` when this time passes without `mSilence.Clear`.
@@ -228,7 +266,8 @@
   /// Returns whether the running attempt may be replaced when it is silent.
   [[nodiscard]] bool MayReplace() const
   {
-    return mRoute->IsRetryable() && mAttempts < mRoute->mMaxAttempts;
+    return mRoute->IsRetryable() && mAttempts < mRoute->mMaxAttempts &&
+           !mRunning->IsHandOver();
   }
   /// Returns the time without a response head after which an attempt is
   /// replaced.
@@ -324,6 +363,8 @@
   TrafficState& mState;
   std::shared_ptr<net::CallerConnection> mCallerConnection;
   net::CallerConnection& mCaller;
+  /// of a request that another instance hands over; empty: of a caller
+  std::optional<handover::Ticket> mTicket;
   ingress::ConfigurationPtr mConfiguration; ///< in force at the arrival
   const ingress::Route* mRoute = nullptr;
   const ingress::ClientAccount* mAccount = nullptr;
@@ -340,9 +381,9 @@
   /// while it polls for a slot that pipelined requests must leave to it
   std::optional<admission::SlotWaiters::Wait> mSlotWait;
   std::set<std::string> mAvoidedUpstreams;
-  Attempt* mRunning = nullptr;     ///< null between attempts
-  std::optional<Attempt> mPlanned; ///< with a slot that the queue reserved
-  routing::TicketId mTicket = 0;   ///< of the wait in the queue; 0: none
+  Attempt* mRunning = nullptr;        ///< null between attempts
+  std::optional<Attempt> mPlanned;    ///< with a slot that the queue reserved
+  routing::TicketId mQueueTicket = 0; ///< of the wait in the queue; 0: none
   /// rank in the queue; empty: neither waited nor planned yet
   std::optional<std::uint64_t> mQueueArrival;
   /// its work counts as served; not while it returns after a rejection
@@ -366,7 +407,13 @@
   /// attempts without a run since the last event
   int mRejections = 0;
   int mSuspectedCrashes = 0; ///< connections that broke during an attempt
-  bool mHasRetry = false;    ///< a retry was consumed from the budget
+  int mUnconnected = 0;      ///< attempts without a connection to the upstream
+  std::set<std::string, std::less<>> mAskedPeers; ///< to take the request
+  bool mWasPeerBusy = false; ///< one that could take requests did not
+  bool mIsDemandCounted = false;
+  /// Retry-After of the instance that took the request; empty: none
+  std::string mPeerRetryAfter;
+  bool mHasRetry = false; ///< a retry was consumed from the budget
   /// why no upstream may receive another attempt
   std::optional<SendRefusal> mFinalRefusal;
   bool mMayHaveRun = false;
--- a/include/figslip/gateway/traffic_state.hpp
+++ b/include/figslip/gateway/traffic_state.hpp
@@ -7,6 +7,8 @@
 #include <figslip/fairshare/fair_shares.hpp>
 #include <figslip/gateway/request_end.hpp>
 #include <figslip/gateway/slot_queue.hpp>
+#include <figslip/handover/peer_choice.hpp>
+#include <figslip/handover/upstream_contact.hpp>
 #include <figslip/ingress/configuration.hpp>
 #include <figslip/ingress/dialect.hpp>
 #include <figslip/ingress/freshness_lease.hpp>
@@ -75,7 +77,8 @@
                      const std::vector<quarantine::PartId>& aServed);
   /// @brief Reports due status changes to the control thread and removes
   /// expired entries; called every 100 ms.
-  void OnTick();
+  /// @param[in] aLateness by how much the call came too late
+  void OnTick(Duration aLateness);
   /// @}
 
   /// @brief Records what an upstream says of itself in the head of a response.
@@ -94,6 +97,18 @@
                   const placement::Reservation& aReservation,
                   TimePoint aSentAt);
 
+  /// @name Contact with upstreams
+  /// @{
+  /// @brief Records that a connection to an upstream was opened.
+  void OnConnected();
+  /// @brief Records that a connection was refused or not opened in time.
+  /// @param[in] aStartedAt begin of the try
+  void OnConnectFailed(std::string_view aUpstream, TimePoint aStartedAt);
+  /// @}
+
+  /// @brief Checks whether requests of other instances can be taken.
+  [[nodiscard]] bool IsBusy() const;
+
   /// @brief Checks whether callers can be served.
   ///
   /// Requires a configuration, a list of upstreams and a held lease, and that
@@ -118,7 +133,10 @@
   /// scale of the delays of the largest models beyond the expected ones, by
   /// service
   std::map<std::string, cascade::LatencyScale> mLargestModelDelay;
-  net::ConnectionPool mPool;
+  net::ConnectionPool mPool;     ///< connections to upstreams
+  net::ConnectionPool mPeerPool; ///< to instances that requests are handed to
+  handover::UpstreamContact mContact{ {} };
+  handover::PeerChoice mPeerChoice;
   stream::BufferBudget mAnswerMemory; ///< of answers that are received
   quarantine::Quarantine mQuarantine;
   quarantine::PartQuarantine mParts;
@@ -165,6 +183,12 @@
   /// the registered instances.
   void DivideAllowances();
 
+  /// Logs a change of the contact, and acts on a loss.
+  void ReportContact();
+
+  handover::ContactState mReportedContact = handover::ContactState::Held;
+  Duration mLateness{}; ///< of the last tick
+  TimePoint mTickedAt;
   TimePoint mSpeedsReportedAt;
   std::set<std::string> mPacedServices; ///< as of the last tick
 };
--- a/include/figslip/net/connection_pool.hpp
+++ b/include/figslip/net/connection_pool.hpp
@@ -47,6 +47,9 @@
   /// @brief Closes all idle connections to an endpoint.
   void Drop(const Endpoint& aEndpoint);
 
+  /// @brief Closes all idle connections.
+  void Clear();
+
   /// @brief Returns the number of idle connections.
   [[nodiscard]] std::size_t Size() const { return mSize; }
 
--- a/include/figslip/settings/ingress_settings.hpp
+++ b/include/figslip/settings/ingress_settings.hpp
@@ -41,6 +41,9 @@
   bool mOverloadControl = false;
   /// where other instances exchange the demand of accounts; empty: no exchange
   std::optional<net::Endpoint> mDemandExchange;
+  /// where instances that are cut off from all upstreams hand requests over;
+  /// all instances use the same port. Empty: requests are not handed over
+  std::optional<net::Endpoint> mHandOver;
   /// registered instances up to which each publishes its records about crashes
   /// itself; with more, those that follow another instance send them to it
   int mMaxDirectPublishers = 10;
--- a/src/shell/gateway/crash_check.cpp
+++ b/src/shell/gateway/crash_check.cpp
@@ -39,9 +39,17 @@
 {
   const auto executor = co_await net::asio::this_coro::executor;
   net::ClientConnection connection(executor);
+  const auto startedAt = ReadBootClock();
   const auto end = co_await connection.Connect(aUpstream, kConnectTimeout);
   connection.Abort();
-  const bool hasCrashed = end != net::StepEnd::Done;
+  if (end == net::StepEnd::Done) {
+    aState.OnConnected();
+  } else {
+    aState.OnConnectFailed(aReport.mUpstream, startedAt);
+  }
+  // an instance that reaches no upstream cannot tell a crash from the cut
+  const bool hasCrashed =
+    end != net::StepEnd::Done && !aState.mContact.IsLost();
   const auto now = ReadBootClock();
   const quarantine::CrashSuspects suspects{
     .mEndpoint = aUpstream.mAddress + ":" + std::to_string(aUpstream.mPort),
--- a/src/shell/gateway/frontend.cpp
+++ b/src/shell/gateway/frontend.cpp
@@ -1,4 +1,5 @@
 #include <figslip/gateway/frontend.hpp>
+#include <figslip/handover/ticket.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/net/listener.hpp>
 #include <figslip/net/sleep.hpp>
@@ -51,6 +52,30 @@
   return kBadRequest;
 }
 
+/// Room for the header with the ticket of a request that is handed over, beyond
+/// the limits on callers' requests: its fields, and the id of an event.
+constexpr std::size_t kMaxTicketBytes = 1'024;
+
+/// Removes the ticket from a request.
+/// @return nothing if it has none, or one that cannot be read
+std::optional<handover::Ticket>
+TakeTicket(net::RequestMessage& aRequest)
+{
+  const auto text = net::FindHeader(aRequest.mHeaders, handover::kTicketHeader);
+  auto ticket = handover::ParseTicket(text.value_or(""));
+  if (!ticket) {
+    log::Write(
+      log::Level::Warning,
+      "hand_over_unreadable",
+      { { "findings", error::JoinMessages(ticket.assume_error(), "; ") } });
+    return std::nullopt;
+  }
+  std::erase_if(aRequest.mHeaders, [](const net::Header& aHeader) {
+    return net::EqualNames(aHeader.mName, handover::kTicketHeader);
+  });
+  return std::move(ticket).assume_value();
+}
+
 ingress::CallerLimits
 CurrentLimits(const TrafficState& aState)
 {
@@ -104,13 +129,22 @@
   const auto& settings = mState.mSettings;
   const auto limits = admission::DivideConnectionLimits(
     settings.mMemoryMb, settings.mMaxDescriptors, settings.mCallerMemoryShare);
-  const auto callers = MakeBudget(
-    "callers",
-    { .mMaxBytes = limits.mCallerBytes,
-      .mMaxDescriptors = limits.mCallerDescriptors,
-      .mMaxConnections = limits.mCallerConnections,
-      .mCountPooled = [this] { return static_cast<int>(mState.mPool.Size()); },
-      .mClosePooled = [this] { mState.mPool.DropOldest(); } });
+  const auto callers =
+    MakeBudget("callers",
+               { .mMaxBytes = limits.mCallerBytes,
+                 .mMaxDescriptors = limits.mCallerDescriptors,
+                 .mMaxConnections = limits.mCallerConnections,
+                 .mCountPooled =
+                   [this] {
+                     return static_cast<int>(mState.mPool.Size() +
+                                             mState.mPeerPool.Size());
+                   },
+                 .mClosePooled =
+                   [this] {
+                     auto& pool = mState.mPool.Size() > 0 ? mState.mPool
+                                                          : mState.mPeerPool;
+                     pool.DropOldest();
+                   } });
   const admission::ConnectionBudget::Options probes{
     .mMaxBytes = limits.mProbeBytes, .mMaxDescriptors = limits.mProbeDescriptors
   };
@@ -131,6 +165,10 @@
     }
   };
   listen(settings.mCallers, limits.mBacklog, callers, &Frontend::ServeCaller);
+  if (settings.mHandOver) {
+    listen(
+      *settings.mHandOver, limits.mBacklog, callers, &Frontend::ServeInstance);
+  }
   listen(settings.mReadiness,
          limits.mBacklog,
          MakeBudget("readiness", probes),
@@ -147,19 +185,40 @@
 
 net::Awaitable<void>
 Frontend::ServeCaller(Connection aConnection)
+{
+  return ServeRequests(std::move(aConnection), Origin::Caller);
+}
+
+net::Awaitable<void>
+Frontend::ServeInstance(Connection aConnection)
+{
+  return ServeRequests(std::move(aConnection), Origin::Instance);
+}
+
+net::Awaitable<void>
+Frontend::ServeRequests(Connection aConnection, Origin aOrigin)
 {
   mCallers.insert(aConnection);
   aConnection->SetStreamTimeout(mState.mSettings.mUnreadStreamTimeout);
   bool goesOn = true;
   bool hasLeft = false;
   while (goesOn) {
-    const auto limits = CurrentLimits(mState);
+    auto limits = CurrentLimits(mState);
+    if (aOrigin == Origin::Instance) {
+      limits.mMaxHeaderBytes += kMaxTicketBytes;
+    }
     auto end = co_await aConnection->Read(limits);
     if (end == net::ReadEnd::Whole && !aConnection->BeginRun()) {
       end = net::ReadEnd::Yielded; // it has not run
     }
+    std::optional<handover::Ticket> ticket;
+    if (end == net::ReadEnd::Whole && aOrigin == Origin::Instance) {
+      ticket = TakeTicket(aConnection->Request());
+      end = ticket ? end : net::ReadEnd::BadRequest;
+    }
     if (end == net::ReadEnd::Whole) {
-      const auto flow = std::make_shared<RequestFlow>(mState, aConnection);
+      const auto flow =
+        std::make_shared<RequestFlow>(mState, aConnection, ticket);
       mFlows.insert(flow);
       goesOn = co_await flow->Run();
       mFlows.erase(flow);
@@ -169,7 +228,7 @@
     goesOn = false;
     hasLeft = end == net::ReadEnd::Closed;
     if (!hasLeft) {
-      co_await RespondToReadError(aConnection, end);
+      co_await RespondToReadError(aConnection, end, aOrigin);
     }
   }
   mCallers.erase(aConnection);
@@ -185,7 +244,9 @@
 }
 
 net::Awaitable<void>
-Frontend::RespondToReadError(Connection aConnection, net::ReadEnd aEnd)
+Frontend::RespondToReadError(Connection aConnection,
+                             net::ReadEnd aEnd,
+                             Origin aOrigin)
 {
   const auto status = StatusOf(aEnd);
   mState.mMetrics
@@ -199,6 +260,11 @@
   if (aEnd == net::ReadEnd::Yielded) {
     headers.push_back(
       { .mName = "Retry-After", .mValue = std::string(kMemoryRetryAfter) });
+    if (aOrigin == Origin::Instance) {
+      headers.push_back(
+        { .mName = std::string(handover::kOutcomeHeader),
+          .mValue = std::string(Describe(RequestEnd::Busy).mName) });
+    }
   }
   co_await aConnection->Respond(status, headers, "", true);
 }
--- a/src/shell/gateway/ingress_daemon.cpp
+++ b/src/shell/gateway/ingress_daemon.cpp
@@ -1,3 +1,4 @@
+#include <figslip/gateway/contact_probe.hpp>
 #include <figslip/gateway/ingress_daemon.hpp>
 #include <figslip/log/log.hpp>
 #include <figslip/net/sleep.hpp>
@@ -171,8 +172,10 @@
 {
   int ticks = 0;
   while (true) {
+    const auto dueAt = ReadBootClock() + kHousekeepingInterval;
     co_await net::Sleep(kHousekeepingInterval);
-    mTraffic->OnTick();
+    mTraffic->OnTick(ReadBootClock() - dueAt);
+    StartContactProbes(mTrafficContext.get_executor(), *mTraffic);
     log::Flush();
     if (++ticks % kTicksPerReload == 0) {
       Reload(false);
--- a/src/shell/gateway/request_attempt.cpp
+++ b/src/shell/gateway/request_attempt.cpp
@@ -139,8 +139,12 @@
   const auto connection =
     std::make_shared<net::ClientConnection>(mCaller.Executor());
   aAttempt.mConnection = connection;
+  const auto startedAt = ReadBootClock();
   const auto opened = co_await connection->Connect(endpoint, ConnectTimeout());
   const bool isOpen = opened == net::StepEnd::Done;
+  if (isOpen) {
+    mState.OnConnected();
+  }
   if (!isOpen && opened != net::StepEnd::Aborted) {
     const bool hasTimedOut = opened == net::StepEnd::TimedOut;
     LogFailure(aAttempt,
@@ -148,6 +152,8 @@
     RecordHealth(aAttempt,
                  hasTimedOut ? AttemptHealth::Unreachable
                              : AttemptHealth::Refused);
+    mState.OnConnectFailed(aAttempt.mUpstream.mId, startedAt);
+    ++mUnconnected;
     mLastFailure =
       mMayHaveRun ? RequestEnd::UpstreamFailed : RequestEnd::Rejected;
     mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
@@ -216,7 +222,9 @@
   if (IsReplaced()) {
     co_return OnReplaced(aAttempt);
   }
-  if (*aAttempt.mHeadEnd != net::StepEnd::Done) {
+  if (*aAttempt.mHeadEnd == net::StepEnd::Done) {
+    mState.mContact.OnReceived(ReadBootClock());
+  } else {
     co_return OnAttemptBroken(aAttempt, *aAttempt.mHeadEnd, ReadBootClock());
   }
   CancelReplacement();
@@ -244,6 +252,15 @@
                         .mPort = mRunning->mUpstream.mPort });
   }
   ForgetStaleKeys();
+  if (MayHandOver(ReadBootClock())) {
+    // without a retry the attempt goes on: its connection may live on
+    if (!TryAcquireRetry(ReadBootClock())) {
+      return;
+    }
+    CancelReplacement();
+    mRunning->mConnection->Abort();
+    return;
+  }
   if (mReplacement || !TryAcquireRetry(ReadBootClock())) {
     return;
   }
@@ -796,11 +813,8 @@
   if (mHeadSent) {
     co_return NextStep::Failed; // an error response cannot continue a stream
   }
-  auto headers = connection->Head().mHeaders;
-  net::RemoveConnectionHeaders(headers);
-  mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
-                      .mPort = aAttempt.mUpstream.mPort },
-                    std::exchange(aAttempt.mConnection, nullptr));
+  const auto headers = RelayedHeaders(aAttempt);
+  KeepConnection(aAttempt);
   mCaller.StopWatching();
   RecordEnd(RequestEnd::Served);
   // from now on the budget of connections counts what the caller does not take
@@ -840,7 +854,10 @@
       isWatched = false;
       mRejections = 0;
       mPace.OnEvents(now);
-      mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, now);
+      if (!aAttempt.IsHandOver()) {
+        mState.mContact.OnReceived(now);
+        mState.mRollouts.OnEvent(mService, aAttempt.mUpstream.mId, now);
+      }
       ClearParts(aAttempt, now);
       RecordFirstEvent(aAttempt, now);
     }
@@ -872,9 +889,7 @@
   }
   RecordHealth(aAttempt, AttemptHealth::Good);
   mState.mQuarantine.OnServed(mFingerprint, now);
-  mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
-                      .mPort = aAttempt.mUpstream.mPort },
-                    std::exchange(aAttempt.mConnection, nullptr));
+  KeepConnection(aAttempt);
   RecordEnd(RequestEnd::Served);
   co_await mCaller.EndStream();
   co_return NextStep::Ended;
@@ -887,8 +902,7 @@
     co_return co_await mCaller.SendPiece(aEvents);
   }
   mHeadSent = true;
-  auto headers = aAttempt.mConnection->Head().mHeaders;
-  net::RemoveConnectionHeaders(headers);
+  const auto headers = RelayedHeaders(aAttempt);
   const auto status = aAttempt.mConnection->Head().mStatus;
   co_return co_await mCaller.BeginStream(
     status, headers, aEvents, ClosesConnection());
@@ -899,6 +913,9 @@
                              net::StepEnd aEnd,
                              TimePoint aNow)
 {
+  if (aAttempt.IsHandOver()) {
+    return OnHandOverBroken(aAttempt, aEnd, aNow);
+  }
   aAttempt.mConnection->Abort();
   mEvents.DiscardPartial();
   ForgetStaleKeys();
@@ -915,7 +932,9 @@
   RecordHealth(aAttempt,
                aEnd == net::StepEnd::TimedOut ? AttemptHealth::TimedOut
                                               : AttemptHealth::Broken);
-  RecordFailure(aAttempt, true);
+  if (!aAttempt.mWasSilent) {
+    RecordFailure(aAttempt, true);
+  }
   mAvoidedUpstreams.insert(aAttempt.mUpstream.mId);
   mState.mPool.Drop({ .mAddress = aAttempt.mUpstream.mAddress,
                       .mPort = aAttempt.mUpstream.mPort });
@@ -928,7 +947,9 @@
     mLastFailure = RequestEnd::RouteTimeout;
     return NextStep::Failed;
   }
-  if (aEnd == net::StepEnd::Closed && !aAttempt.mHadEvent) {
+  const bool mayHaveCrashed =
+    aEnd == net::StepEnd::Closed && !mState.mContact.IsLost();
+  if (mayHaveCrashed && !aAttempt.mHadEvent) {
     StartCrashCheck(aAttempt, aNow);
   }
   mLastFailure = RequestEnd::UpstreamFailed;
@@ -997,6 +1018,9 @@
 void
 RequestFlow::RecordHealth(Attempt& aAttempt, AttemptHealth aHealth)
 {
+  if (aAttempt.IsHandOver()) {
+    return;
+  }
   mState.mBoard.OnOutcome(aAttempt.mUpstream.mId, aHealth, ReadBootClock());
 }
 
@@ -1007,12 +1031,15 @@
     return;
   }
   aAttempt.mHadEvent = true;
-  mState.mBoard.OnFirstEvent(aAttempt.mLoad, aNow);
   constexpr double kMicrosPerMillisecond = 1'000.0;
   mState.mMetrics
     .HistogramOf("figslip_first_event_ms", { { "route", mRoute->mName } })
     .Observe(static_cast<double>((aNow - mArrivedAt).count()) /
              kMicrosPerMillisecond);
+  if (aAttempt.IsHandOver()) {
+    return;
+  }
+  mState.mBoard.OnFirstEvent(aAttempt.mLoad, aNow);
   if (aAttempt.mModelIndex + 1 == mRoute->mModels.size()) {
     mState.mLargestModelDelay[mService].OnSample(
       aNow - aAttempt.mSentAt, aAttempt.mChoice.mTimeToFirstEvent, aNow);
--- a/src/shell/gateway/request_end.cpp
+++ b/src/shell/gateway/request_end.cpp
@@ -33,6 +33,12 @@
   { RequestEnd::NoUpstream, "no_upstream", 503, kSoonRetrySeconds },
   { RequestEnd::NoCapacity, "no_capacity", 503, kSoonRetrySeconds },
   { RequestEnd::Rejected, "rejected", 503, kSoonRetrySeconds },
+  { RequestEnd::NoContact, "no_contact", 503, kElsewhereRetrySeconds },
+  { RequestEnd::Busy, "busy", 503, kSoonRetrySeconds },
+  { RequestEnd::OlderConfiguration,
+    "older_configuration",
+    503,
+    kElsewhereRetrySeconds },
   { RequestEnd::RouteTimeout, "route_timeout", 504, "" },
   { RequestEnd::UpstreamFailed, "upstream_failed", 502, "" },
   { RequestEnd::BrokenMidway, "broken_midway", 0, "" },
@@ -50,4 +56,13 @@
   return *found;
 }
 
+std::optional<RequestEnd>
+EndNamed(std::string_view aName)
+{
+  const auto* const found =
+    std::ranges::find(kDescriptions, aName, &EndDescription::mName);
+  return found == kDescriptions.end() ? std::nullopt
+                                      : std::optional(found->mEnd);
+}
+
 } // namespace figslip::gateway
--- a/src/shell/gateway/request_flow.cpp
+++ b/src/shell/gateway/request_flow.cpp
@@ -90,15 +90,23 @@
 } // namespace
 
 RequestFlow::RequestFlow(TrafficState& aState,
-                         std::shared_ptr<net::CallerConnection> aCaller)
+                         std::shared_ptr<net::CallerConnection> aCaller,
+                         std::optional<handover::Ticket> aTicket)
   : mState(aState)
   , mCallerConnection(std::move(aCaller))
   , mCaller(*mCallerConnection)
+  , mTicket(std::move(aTicket))
   , mConfiguration(aState.mConfiguration)
   , mArrivedAt(ReadBootClock())
   , mSilence(mCaller.Executor(), [this] { OnSilence(); })
   , mEvents(kMaxEventBytes)
 {
+  if (mTicket) {
+    mArrivedAt -= mTicket->mAge;
+    mAttempts = mTicket->mAttempts;
+    mTransmissions = mTicket->mAttempts;
+    mIsDemandCounted = mTicket->mIsCounted;
+  }
 }
 
 net::Awaitable<bool>
@@ -111,6 +119,9 @@
   } else {
     mFacts = std::move(facts).assume_value();
     mParts = SharedPartsOf(mFacts);
+    if (mTicket && !mTicket->mLastEventId.empty()) {
+      mFacts.mLastEventId = mTicket->mLastEventId;
+    }
     mCaller.WatchLeaving([this] {
       if (mRunning != nullptr && mRunning->mConnection) {
         mRunning->mConnection->Abort();
@@ -118,7 +129,9 @@
       CancelReplacement();
       LeaveQueue();
     });
-    co_await AwaitReadiness();
+    if (!mTicket) {
+      co_await AwaitReadiness();
+    }
     const auto refusal = Admit();
     if (refusal) {
       mCaller.StopWatching();
@@ -155,6 +168,9 @@
   if (!mConfiguration || !mState.mHasUpstreams) {
     return RequestEnd::NotReady;
   }
+  if (const auto refusal = AdmitHandOver()) {
+    return refusal;
+  }
   const auto now = ReadBootClock();
   const bool isFresh = mState.mLease.IsHeld(now);
   const auto host = net::FindHeader(mCaller.Request().mHeaders, "host");
@@ -192,11 +208,37 @@
   if (mState.mSettings.mOverloadControl) {
     mWork =
       admission::ExpectedWork(mFacts.mPromptTokens, mFacts.mMaxOutputTokens);
-    mState.mShares.OnOffered(mService, AccountName(), mWork, now);
   }
   return std::nullopt;
 }
 
+std::optional<RequestEnd>
+RequestFlow::AdmitHandOver() const
+{
+  if (!mTicket) {
+    return std::nullopt;
+  }
+  if (!mState.mContact.IsHeld()) {
+    return RequestEnd::NoContact;
+  }
+  if (mState.IsBusy()) {
+    return RequestEnd::Busy;
+  }
+  if (mConfiguration->Version() < mTicket->mConfiguration) {
+    return RequestEnd::OlderConfiguration;
+  }
+  return std::nullopt;
+}
+
+void
+RequestFlow::CountDemand()
+{
+  if (mState.mSettings.mOverloadControl && !mIsDemandCounted) {
+    mIsDemandCounted = true;
+    mState.mShares.OnOffered(mService, AccountName(), mWork, ReadBootClock());
+  }
+}
+
 std::optional<RequestEnd>
 RequestFlow::AdmitAccount()
 {
@@ -247,6 +289,20 @@
       mLastFailure = RequestEnd::VersionWithdrawn;
       break;
     }
+    if (MayHandOver(now)) {
+      const auto next = co_await HandOver();
+      if (next == NextStep::Ended) {
+        co_return;
+      }
+      const bool mayGoOn =
+        next == NextStep::Declined ||
+        (next == NextStep::Retry && MayRetry(ReadBootClock()));
+      if (!mayGoOn) {
+        break;
+      }
+      continue;
+    }
+    CountDemand();
     // a search for a replacement may still hold the one that was accepted
     const auto replacement =
       IsReplaced() ? std::exchange(mReplacement, nullptr) : nullptr;
@@ -294,7 +350,9 @@
       co_return;
     }
     co_await AwaitCrashCheck();
-    const bool mayGoOn = next == NextStep::Replaced ||
+    const bool mayHandOver = next == NextStep::Retry && mTransmissions == 0 &&
+                             MayHandOver(ReadBootClock());
+    const bool mayGoOn = next == NextStep::Replaced || mayHandOver ||
                          (next == NextStep::Retry && MayRetry(ReadBootClock()));
     if (!mayGoOn) {
       break;
@@ -436,9 +494,9 @@
   request.mAttemptId = mFacts.mAttemptId;
   request.mExecutor = mCaller.Executor();
   request.mTry = [this] { return TryPlan(mPlanned); };
-  mTicket = request.mOffered.mQueued.mTicket;
+  mQueueTicket = request.mOffered.mQueued.mTicket;
   const auto outcome = co_await mState.mQueue.Wait(std::move(request));
-  mTicket = 0;
+  mQueueTicket = 0;
   mRetryAfter = outcome.mRetryAfter;
   if (outcome.mArrival) {
     mQueueArrival = outcome.mArrival;
@@ -456,7 +514,7 @@
 void
 RequestFlow::LeaveQueue()
 {
-  mState.mQueue.Cancel(mTicket);
+  mState.mQueue.Cancel(mQueueTicket);
   if (mPlanned) {
     mState.ReleaseSlot(mPlanned->mLoad);
     mPlanned.reset();
@@ -552,7 +610,8 @@
   const auto now = ReadBootClock();
   const bool isBlocked =
     mIsInterrupted || mCaller.HasLeft() || now + kMinAttemptTime >= mDeadline ||
-    HoldOfSession(now) || mState.mParts.IsQuarantined(mParts, now);
+    HoldOfSession(now) || mState.mParts.IsQuarantined(mParts, now) ||
+    MayHandOver(now);
   if (isBlocked) {
     return AdmissionResult::Unschedulable;
   }
@@ -796,6 +855,9 @@
   const bool lacksCapacity =
     aEnd.mEnd == RequestEnd::NoCapacity || aEnd.mEnd == RequestEnd::Rejected;
   const auto queue = lacksCapacity ? mRetryAfter : std::nullopt;
+  if (!mPeerRetryAfter.empty()) {
+    return mPeerRetryAfter;
+  }
   const auto upstreams = EarliestReturn(aEnd.mEnd);
   if (!queue && !upstreams) {
     return std::string(aEnd.mRetryAfter);
@@ -840,6 +902,12 @@
   } else if (!mMayHaveRun && mSends == 0 && end == RequestEnd::RouteTimeout) {
     end = RequestEnd::NoCapacity;
   }
+  const bool lostContact = mTicket && !mMayHaveRun &&
+                           Describe(end).PromisesNotRun() &&
+                           !mState.mContact.IsHeld();
+  if (lostContact) {
+    end = RequestEnd::NoContact;
+  }
   RecordEnd(end);
   const auto& description = Describe(end);
   net::Headers headers;
@@ -847,6 +915,10 @@
     headers.push_back(
       { .mName = "Retry-After", .mValue = RetryAfterOf(description) });
   }
+  if (mTicket) {
+    headers.push_back({ .mName = std::string(handover::kOutcomeHeader),
+                        .mValue = std::string(description.mName) });
+  }
   const std::string body = std::string(description.mName) + "\n";
   co_await mCaller.Respond(
     description.mStatus, headers, body, ClosesConnection());
@@ -920,6 +992,8 @@
       { "upstreams", mTriedUpstreams },
       { "version", mLastVersion },
       { "session", mFacts.mSession },
+      // handed over by another instance
+      { "taken", mTicket ? "yes" : "" },
       { "configuration",
         mConfiguration ? std::to_string(mConfiguration->Version()) : "" },
       // empty: no configuration was confirmed since the start
--- a/src/shell/gateway/traffic_state.cpp
+++ b/src/shell/gateway/traffic_state.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <random>
 #include <ranges>
+#include <utility>
 
 namespace figslip::gateway {
 
@@ -57,6 +58,14 @@
   return text;
 }
 
+/// Lateness of a tick above which no requests of other instances are taken. An
+/// instance whose processor time is divided into slots of 100 ms is late by
+/// less in ordinary operation.
+constexpr auto kMaxLateness = std::chrono::milliseconds(150);
+
+/// Interval of the ticks; see `OnTick`.
+constexpr auto kTickInterval = std::chrono::milliseconds(100);
+
 /// Interval of the metrics on the speed of upstreams; they are read less often.
 constexpr auto kSpeedReportInterval = std::chrono::seconds(1);
 
@@ -99,6 +108,11 @@
           kMaxWriteDelayMs) })
   , mSizePolicy({})
   , mPool({})
+  , mPeerPool({})
+  , mPeerChoice({ .mInstance = aSettings.mInstance,
+                  .mDomain = aSettings.mFailureDomain,
+                  .mRegions = aSettings.mRegions,
+                  .mSeed = std::random_device{}() })
   , mAnswerMemory(static_cast<std::size_t>(
       aSettings.mMemoryMb * kBytesPerMegabyte * kAnswerMemoryFraction))
   , mQuarantine({ .mRetention = kCrashRetention })
@@ -123,6 +137,11 @@
 {
   mHasUpstreams = true;
   mBoard.OnUpstreams(aEntries, ReadBootClock());
+  std::map<std::string, std::string, std::less<>> domains;
+  for (const auto& entry : aEntries) {
+    domains.emplace(entry.mId, entry.mDomain);
+  }
+  mContact.OnUpstreams(std::move(domains));
   mQueue.OnCapacityChange();
 }
 
@@ -140,6 +159,7 @@
   const auto now = ReadBootClock();
   mBoard.SetInstances(aInstances);
   mShares.OnInstances(aInstances);
+  mPeerChoice.OnInstances(aInstances);
   mInstances.OnRegistered(static_cast<int>(aInstances.size()), now);
   UpdateInstanceCount(now);
 }
@@ -221,9 +241,13 @@
 }
 
 void
-TrafficState::OnTick()
+TrafficState::OnTick(Duration aLateness)
 {
   const auto now = ReadBootClock();
+  mLateness = aLateness;
+  mTickedAt = now;
+  mContact.OnTick(mOpenRequests > 0, now);
+  ReportContact();
   for (const auto& change : mRollouts.DueChanges(now)) {
     mReports.mOnStatusChange(change);
   }
@@ -235,6 +259,7 @@
   }
   UpdateInstanceCount(now);
   mPool.Expire();
+  mPeerPool.Expire();
   mQuarantine.Expire(now);
   const auto exonerated = mQuarantine.TakeExonerated();
   if (!exonerated.empty()) {
@@ -463,6 +488,50 @@
   }
 }
 
+void
+TrafficState::OnConnected()
+{
+  mContact.OnConnected(ReadBootClock());
+  ReportContact();
+}
+
+void
+TrafficState::OnConnectFailed(std::string_view aUpstream, TimePoint aStartedAt)
+{
+  mContact.OnConnectFailed(aUpstream, aStartedAt, ReadBootClock());
+  ReportContact();
+}
+
+void
+TrafficState::ReportContact()
+{
+  const auto state = mContact.State();
+  const auto before = std::exchange(mReportedContact, state);
+  if (state == before) {
+    return;
+  }
+  mMetrics.GaugeOf("figslip_upstream_contact_lost", {})
+    .Set(mContact.IsLost() ? 1.0 : 0.0);
+  log::Write(mContact.IsLost() ? log::Level::Warning : log::Level::Info,
+             "upstream_contact",
+             { { "state", std::string(handover::NameOf(state)) },
+               { "before", std::string(handover::NameOf(before)) },
+               { "failed", std::to_string(mContact.FailedCount()) },
+               { "open_requests", std::to_string(mOpenRequests) } });
+  if (mContact.IsLost()) {
+    mPool.Clear(); // idle connections may hang too
+    mQueue.ReplanAll();
+  }
+}
+
+bool
+TrafficState::IsBusy() const
+{
+  // after a suspension the next tick is still to come
+  return mLateness > kMaxLateness ||
+         ReadBootClock() - mTickedAt > kTickInterval + kMaxLateness;
+}
+
 bool
 TrafficState::IsReady() const
 {
--- a/src/shell/net/connection_pool.cpp
+++ b/src/shell/net/connection_pool.cpp
@@ -79,6 +79,13 @@
   }
 }
 
+void
+ConnectionPool::Clear()
+{
+  mIdle.clear();
+  mSize = 0;
+}
+
 void
 ConnectionPool::DropOldest()
 {
--- a/src/shell/net/parse_ingress_settings.cpp
+++ b/src/shell/net/parse_ingress_settings.cpp
@@ -105,6 +105,7 @@
   settings.mExposureSlack = aReader.Real("exposure_slack", kCount);
   settings.mOverloadControl = aReader.Flag("overload_control", false);
   settings.mDemandExchange = ReadOptionalEndpoint(aReader, "demand_exchange");
+  settings.mHandOver = ReadOptionalEndpoint(aReader, "hand_over");
   constexpr int kDefaultDirectPublishers = 10;
   settings.mMaxDirectPublishers = static_cast<int>(aReader.Whole(
     "max_direct_publishers", kInstances, kDefaultDirectPublishers));
--- a/tests/harness/ingress_world.cpp
+++ b/tests/harness/ingress_world.cpp
@@ -215,6 +215,7 @@
   }
   PutConfiguration({ "key-1" });
   mExchangePort = FreePort(mExchangeClaim);
+  mHandOverPort = FreePort(mExchangeClaim);
   std::set<std::string> names(mOptions.mDomains.begin(),
                               mOptions.mDomains.end());
   names.insert(mOptions.mEngineDomain);
@@ -224,11 +225,7 @@
       return json{ { "name", aName }, { "region", "r" } };
     });
   for (int number = 0; number < mOptions.mInstances; ++number) {
-    if (mOptions.mIsRelayed) {
-      mStoreRelays.push_back(std::make_unique<Relay>(mStore.Port()));
-    }
-    const int storePort =
-      mOptions.mIsRelayed ? mStoreRelays.back()->Port() : mStore.Port();
+    const int storePort = MakeStorePort();
     Running running;
     running.mCallerPort = FreePort(running.mPortClaims);
     running.mReadinessPort = FreePort(running.mPortClaims);
@@ -261,18 +258,62 @@
                             { "max_direct_publishers",
                               mOptions.mMaxDirectPublishers } };
     auto written = settings;
+    const auto own = "127.0.0." + std::to_string(number + 1) + ":";
+    if (mOptions.mOverloadControl || mOptions.mHandsOver) {
+      written["peers"] = own + std::to_string(running.mPeersPort);
+    }
     if (mOptions.mOverloadControl) {
-      const auto own = "127.0.0." + std::to_string(number + 1) + ":";
       written["overload_control"] = true;
-      written["peers"] = own + std::to_string(running.mPeersPort);
       written["demand_exchange"] = own + std::to_string(mExchangePort);
     }
+    if (mOptions.mHandsOver) {
+      written["hand_over"] = own + std::to_string(mHandOverPort);
+    }
     running.mSettings = WriteTemporaryFile(name + ".json", written.dump());
     mInstances.push_back(std::move(running));
     Restart(static_cast<std::size_t>(number));
   }
 }
 
+int
+IngressWorld::PortOfEngine(std::size_t aIndex) const
+{
+  return mEngineRelays.empty() ? mEngines.at(aIndex)->Port()
+                               : mEngineRelays.at(aIndex)->Port();
+}
+
+int
+IngressWorld::MakeStorePort()
+{
+  int port = mStore.Port();
+  if (mOptions.mHasOwnRelays) {
+    auto& relays = mOwnRelays.emplace_back();
+    std::map<std::string, std::string> replacements;
+    const auto quoted = [](int aPort) {
+      return "\"127.0.0.1:" + std::to_string(aPort) + "\"";
+    };
+    for (std::size_t index = 0; index < mEngines.size(); ++index) {
+      const int enginePort = PortOfEngine(index);
+      relays.push_back(std::make_unique<Relay>(enginePort));
+      replacements[quoted(enginePort)] = quoted(relays.back()->Port());
+    }
+    port = mStore.AddPort(std::move(replacements));
+  }
+  if (mOptions.mIsRelayed) {
+    mStoreRelays.push_back(std::make_unique<Relay>(port));
+    port = mStoreRelays.back()->Port();
+  }
+  return port;
+}
+
+void
+IngressWorld::SetWayToEngines(std::size_t aInstance, Relay::Mode aMode)
+{
+  for (const auto& relay : mOwnRelays.at(aInstance)) {
+    relay->SetMode(aMode);
+  }
+}
+
 double
 IngressWorld::PeakMemoryMb(std::size_t aIndex)
 {
@@ -418,8 +459,7 @@
 {
   const auto& engine = *mEngines.at(aIndex);
   const bool isMoved = mHasMovedLookups && aIndex + 1 == mEngines.size();
-  const int port =
-    mEngineRelays.empty() ? engine.Port() : mEngineRelays.at(aIndex)->Port();
+  const int port = PortOfEngine(aIndex);
   aStore.Put("servers",
              engine.Id(),
              { { "service", isMoved ? kLookups : kEngines },
--- a/tests/harness/ingress_world.hpp
+++ b/tests/harness/ingress_world.hpp
@@ -65,6 +65,12 @@
     /// failure domains of the instances, in turn
     std::vector<std::string> mDomains = { "a" };
     std::string mEngineDomain = "a";
+    /// lets instances hand requests over, each at a loopback address of its own
+    bool mHandsOver = false;
+    /// puts relays of its own before the engines for each instance; see
+    /// `OwnRelay`. Instances must be in different failure domains, as they copy
+    /// the addresses from each other otherwise.
+    bool mHasOwnRelays = false;
     /// API key of a second account, "school"; empty: there is none
     std::string mSchoolKey;
     int mMaxDescriptors = 1024;
@@ -98,6 +104,13 @@
   {
     return *mEngineRelays.at(aIndex);
   }
+  /// Returns the relay between an instance and an engine.
+  [[nodiscard]] Relay& OwnRelay(std::size_t aInstance, std::size_t aEngine)
+  {
+    return *mOwnRelays.at(aInstance).at(aEngine);
+  }
+  /// Sets the mode of all relays between an instance and the engines.
+  void SetWayToEngines(std::size_t aInstance, Relay::Mode aMode);
   /// Returns the relay between an instance and the store.
   [[nodiscard]] Relay& StoreRelay(std::size_t aIndex)
   {
@@ -188,6 +201,12 @@
   [[nodiscard]] int RunsOf(const std::string& aAttempt);
 
 private:
+  /// Returns the port of the store for an instance, behind the relays that it
+  /// has.
+  [[nodiscard]] int MakeStorePort();
+  /// Returns the port at which an engine is registered.
+  [[nodiscard]] int PortOfEngine(std::size_t aIndex) const;
+
   struct Running
   {
     int mCallerPort = 0;
@@ -204,9 +223,12 @@
   std::vector<std::unique_ptr<EngineStandIn>> mEngines;
   std::vector<std::unique_ptr<Relay>> mEngineRelays; ///< empty: none
   std::vector<std::unique_ptr<Relay>> mStoreRelays;  ///< empty: none
+  /// by instance and engine; empty: none
+  std::vector<std::vector<std::unique_ptr<Relay>>> mOwnRelays;
   std::vector<Running> mInstances;
   std::vector<PortClaim> mExchangeClaim;
   int mExchangePort = 0;
+  int mHandOverPort = 0;
   std::deque<std::atomic<int>> mEngineStarts; ///< by engine
   int mVersion = 0;
   bool mHasMovedLookups = false;
--- a/tests/harness/relay.cpp
+++ b/tests/harness/relay.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,6 +14,9 @@
 
 namespace {
 
+/// Interval at which the acceptor looks for another mode.
+constexpr std::chrono::milliseconds kPoll{ 2 };
+
 sockaddr_in
 LoopbackAddress(int aPort)
 {
@@ -77,8 +82,11 @@
 
 Relay::Relay(int aTargetPort)
   : mTargetPort(aTargetPort)
-  , mListener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  , mListener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
 {
+  // connections that live on keep the port when it is bound again
+  const int on = 1;
+  setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   auto address = LoopbackAddress(0);
   socklen_t size = sizeof(address);
   auto* const raw = reinterpret_cast<sockaddr*>(&address);
@@ -99,8 +107,10 @@
       link->Shutdown();
     }
   }
-  shutdown(mListener, SHUT_RDWR);
   mAcceptor.join();
+  for (const int filler : mFillers) {
+    close(filler);
+  }
   close(mListener);
   std::unique_lock lock(mMutex);
   mAllEnded.wait(lock, [this] { return mLinks.empty(); });
@@ -116,9 +126,15 @@
 void
 Relay::SetMode(Mode aMode)
 {
-  const std::lock_guard lock(mMutex);
+  std::unique_lock lock(mMutex);
   mMode = aMode;
-  if (aMode == Mode::Cut) {
+  mListenerSet.wait(lock, [&] { return mListenerMode == aMode; });
+  if (aMode == Mode::Hang) {
+    for (const auto& link : mLinks) {
+      link->mSilent = true;
+    }
+  }
+  if (aMode == Mode::Cut || aMode == Mode::Sever) {
     for (const auto& link : mLinks) {
       ResetOnClose(link->mClient);
       link->Shutdown();
@@ -135,13 +151,72 @@
   }
 }
 
+void
+Relay::SetListener(Mode aMode)
+{
+  for (const int filler : mFillers) {
+    close(filler);
+  }
+  mFillers.clear();
+  const auto refuses = [](Mode aOther) {
+    return aOther == Mode::Refuse || aOther == Mode::Sever;
+  };
+  if (refuses(aMode)) {
+    shutdown(mListener, SHUT_RD); // gives up the port too
+    return;
+  }
+  if (refuses(mListenerMode)) {
+    const auto address = LoopbackAddress(mPort);
+    const auto* const raw = reinterpret_cast<const sockaddr*>(&address);
+    // a port that was bound by its number is kept
+    const bool isBound =
+      bind(mListener, raw, sizeof(address)) == 0 || errno == EINVAL;
+    if (!isBound) {
+      throw std::runtime_error("the relay cannot listen again");
+    }
+  }
+  // the kernel ignores connections that find the queue full
+  listen(mListener, aMode == Mode::Hang ? 0 : SOMAXCONN);
+  if (aMode == Mode::Hang) {
+    constexpr int kFillers = 3; // more than the queue holds
+    for (int count = 0; count < kFillers; ++count) {
+      mFillers.push_back(
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+      const auto address = LoopbackAddress(mPort);
+      connect(mFillers.back(),
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address));
+    }
+  }
+}
+
 void
 Relay::Accept()
 {
   while (true) {
+    {
+      const std::lock_guard lock(mMutex);
+      if (mStopping) {
+        return;
+      }
+      if (mListenerMode != mMode) {
+        SetListener(mMode);
+        mListenerMode = mMode;
+        mListenerSet.notify_all();
+      }
+    }
+    const auto mode = CurrentMode();
+    pollfd listener{ .fd = mListener, .events = POLLIN, .revents = 0 };
+    if (mode == Mode::Refuse || mode == Mode::Sever || mode == Mode::Hang) {
+      std::this_thread::sleep_for(kPoll);
+      continue;
+    }
+    if (poll(&listener, 1, static_cast<int>(kPoll.count())) <= 0) {
+      continue;
+    }
     const int client = accept4(mListener, nullptr, nullptr, SOCK_CLOEXEC);
     if (client < 0) {
-      return;
+      continue;
     }
     const int server = CurrentMode() == Mode::Cut ? -1 : ConnectTo(mTargetPort);
     const std::lock_guard lock(mMutex);
--- a/tests/harness/relay.hpp
+++ b/tests/harness/relay.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace figslip::test {
 
@@ -17,6 +18,9 @@
   {
     Open,
     Cut,    ///< open connections are reset, new ones closed at once
+    Refuse, ///< open connections live on, new ones are refused
+    Sever,  ///< open connections are reset, new ones are refused
+    Hang,   ///< open connections fall silent for good, new ones never open
     OneWay, ///< bytes towards the server pass, bytes from it are swallowed
     Slow    ///< bytes pass late, in both directions
   };
@@ -31,6 +35,7 @@
 
   [[nodiscard]] int Port() const { return mPort; }
 
+  /// Returns when the mode is in force, also for connections that come.
   void SetMode(Mode aMode);
 
   /// Makes all open connections silent for good; new ones work.
@@ -40,6 +45,8 @@
   struct Link;
 
   void Accept();
+  /// Lets the listener accept, refuse or ignore connections.
+  void SetListener(Mode aMode);
   void Pump(Link& aLink, bool aToServer);
   [[nodiscard]] Mode CurrentMode();
 
@@ -48,6 +55,9 @@
   int mListener = -1;
   std::mutex mMutex;
   Mode mMode = Mode::Open;
+  Mode mListenerMode = Mode::Open;
+  std::condition_variable mListenerSet;
+  std::vector<int> mFillers; ///< that occupy the queue of the listener
   bool mStopping = false;
   std::list<std::unique_ptr<Link>> mLinks;
   std::condition_variable mAllEnded;
--- a/tests/harness/store_stand_in.cpp
+++ b/tests/harness/store_stand_in.cpp
@@ -42,6 +42,16 @@
            slash == std::string::npos ? "" : path.substr(slash + 1) };
 }
 
+/// Replaces a part of a text wherever it stands.
+void
+Replace(std::string& aText, const std::string& aPart, const std::string& aOther)
+{
+  for (auto at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + aOther.size())) {
+    aText.replace(at, aPart.size(), aOther);
+  }
+}
+
 } // namespace
 
 struct StoreStandIn::Copy
@@ -53,10 +63,8 @@
 };
 
 StoreStandIn::StoreStandIn()
-  : mAcceptor(mContext, { net::asio::ip::make_address("127.0.0.1"), 0 })
-  , mPort(mAcceptor.local_endpoint().port())
+  : mPort(AddPort({}))
 {
-  net::asio::co_spawn(mContext, Accept(), net::asio::detached);
   mThread = std::thread([this] { mContext.run(); });
 }
 
@@ -66,6 +74,19 @@
   mThread.join();
 }
 
+int
+StoreStandIn::AddPort(Replacements aReplacements)
+{
+  const net::tcp::endpoint any(net::asio::ip::make_address("127.0.0.1"), 0);
+  auto listener = std::make_shared<Listener>(
+    Listener{ .mAcceptor = net::tcp::acceptor(mContext, any),
+              .mReplacements = std::move(aReplacements) });
+  const int port = listener->mAcceptor.local_endpoint().port();
+  net::asio::co_spawn(
+    mContext, Accept(std::move(listener)), net::asio::detached);
+  return port;
+}
+
 void
 StoreStandIn::Put(const std::string& aKind,
                   const std::string& aName,
@@ -129,11 +150,7 @@
 {
   auto text = aBody.dump();
   for (const auto& [mark, raw] : mRaw) {
-    const auto quoted = '"' + mark + '"';
-    for (auto at = text.find(quoted); at != std::string::npos;
-         at = text.find(quoted, at + raw.size())) {
-      text.replace(at, quoted.size(), raw);
-    }
+    Replace(text, '"' + mark + '"', raw);
   }
   return text;
 }
@@ -229,24 +246,26 @@
 }
 
 net::Awaitable<void>
-StoreStandIn::Accept()
+StoreStandIn::Accept(std::shared_ptr<Listener> aListener)
 {
   while (true) {
     net::error_code error;
     net::tcp::socket socket(mContext);
-    co_await mAcceptor.async_accept(
+    co_await aListener->mAcceptor.async_accept(
       socket, net::asio::redirect_error(net::asio::use_awaitable, error));
     if (!error) {
       auto connection =
         std::make_shared<net::CallerConnection>(std::move(socket));
       net::asio::co_spawn(
-        mContext, Serve(std::move(connection)), net::asio::detached);
+        mContext,
+        Serve(std::move(connection), aListener->mReplacements),
+        net::asio::detached);
     }
   }
 }
 
 net::Awaitable<void>
-StoreStandIn::Serve(Connection aConnection)
+StoreStandIn::Serve(Connection aConnection, const Replacements& aReplacements)
 {
   ingress::CallerLimits limits;
   limits.mIdleTimeout = std::chrono::seconds(60);
@@ -281,6 +300,9 @@
       const std::scoped_lock lock(mMutex);
       body = Print(answer.mBody);
     }
+    for (const auto& [text, other] : aReplacements) {
+      Replace(body, text, other);
+    }
     const bool isSent =
       co_await aConnection->Respond(answer.mStatus, headers, body, false);
     if (!isSent) {
--- a/tests/harness/store_stand_in.hpp
+++ b/tests/harness/store_stand_in.hpp
@@ -37,6 +37,10 @@
 
   [[nodiscard]] int Port() const { return mPort; }
 
+  /// Opens another port, at which texts in answers are replaced: an instance
+  /// that calls there sees upstreams at other addresses.
+  [[nodiscard]] int AddPort(std::map<std::string, std::string> aReplacements);
+
   void SetMode(Mode aMode) { mMode = aMode; }
   /// Counts the calls so far.
   [[nodiscard]] int Calls();
@@ -94,8 +98,19 @@
     nlohmann::json mBody;
   };
 
-  [[nodiscard]] net::Awaitable<void> Accept();
-  [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection);
+  using Replacements = std::map<std::string, std::string>;
+
+  /// A port, and the texts that are replaced in its answers.
+  struct Listener
+  {
+    net::tcp::acceptor mAcceptor;
+    Replacements mReplacements;
+  };
+
+  [[nodiscard]] net::Awaitable<void> Accept(
+    std::shared_ptr<Listener> aListener);
+  [[nodiscard]] net::Awaitable<void> Serve(Connection aConnection,
+                                           const Replacements& aReplacements);
   [[nodiscard]] net::Awaitable<void> Trickle(Connection aConnection);
   [[nodiscard]] Answer AnswerTo(const net::RequestMessage& aRequest);
   [[nodiscard]] Answer Handle(const net::RequestMessage& aRequest);
@@ -115,7 +130,6 @@
             bool aDeleted);
 
   net::asio::io_context mContext{ 1 };
-  net::tcp::acceptor mAcceptor;
   int mPort = 0;
   std::atomic<Mode> mMode{ Mode::Open };
   std::mutex mMutex;
--- a/tests/src/history-ingress_soak.cpp
+++ b/tests/src/history-ingress_soak.cpp
@@ -75,17 +75,39 @@
   return aRange.at(aRandom() % std::size(aRange));
 }
 
+/// Lists what the instances of a soak are set up for.
+enum class Setup
+{
+  Plain,
+  OverloadControl,
+  HandOver ///< in failure domains of their own, each with its way to engines
+};
+
+IngressWorld::Options
+OptionsOf(Setup aSetup)
+{
+  IngressWorld::Options options{ .mInstances = kInstances,
+                                 .mIsRelayed = true,
+                                 .mEngineSlots = kUsualSlots };
+  if (aSetup == Setup::OverloadControl) {
+    options.mOverloadControl = true;
+    options.mEngineSlots = 1; // so that requests have to wait
+  } else if (aSetup == Setup::HandOver) {
+    options.mHandsOver = true;
+    options.mHasOwnRelays = true;
+    options.mDomains = { "a", "b", "c" };
+  }
+  return options;
+}
+
 /// Plays callers, operators and faults around the instances of one world.
 class Soak
 {
 public:
-  Soak(std::uint64_t aSeed, bool aHasOverloadControl)
+  Soak(std::uint64_t aSeed, Setup aSetup)
     : mSeed(aSeed)
-    , mWorld({ .mInstances = kInstances,
-               .mIsRelayed = true,
-               .mOverloadControl = aHasOverloadControl,
-               // so that requests have to wait
-               .mEngineSlots = aHasOverloadControl ? 1 : kUsualSlots })
+    , mSetup(aSetup)
+    , mWorld(OptionsOf(aSetup))
   {
     PutConfiguration();
   }
@@ -129,6 +151,9 @@
     }
     for (std::size_t instance = 0; instance < kInstances; ++instance) {
       mWorld.StoreRelay(instance).SetMode(Relay::Mode::Open);
+      if (mSetup == Setup::HandOver) {
+        mWorld.SetWayToEngines(instance, Relay::Mode::Open);
+      }
       const bool isReady = mWorld.WaitForReady(instance);
       const auto log = mWorld.Instance(instance).Log();
       INFO("end of the log of instance ",
@@ -186,7 +211,7 @@
     const auto span = std::chrono::milliseconds(100 + aRandom() % 700);
     const auto instance = aRandom() % kInstances;
     const auto engine = aRandom() % kEngines;
-    switch (aRandom() % 10) {
+    switch (aRandom() % (mSetup == Setup::HandOver ? 12 : 10)) {
       case 0: {
         constexpr std::array<Behaviour, 10> kBehaviours = {
           Behaviour::BreakMidway,    Behaviour::SilentMidway,
@@ -234,6 +259,10 @@
         mWorld.Engine(engine).SetLeaving(false);
         mWorld.RestartEngine(engine);
         break;
+      case 10:
+      case 11:
+        CutOff(instance, aRandom, span);
+        break;
       default:
         mWorld.PutEngine(engine, aRandom() % 3 == 0 ? "draining" : "ready");
         std::this_thread::sleep_for(span);
@@ -257,6 +286,19 @@
     aRelay.SetMode(Relay::Mode::Open);
   }
 
+  /// Cuts an instance off from all engines, for long enough to be noticed.
+  void CutOff(std::size_t aInstance,
+              std::mt19937_64& aRandom,
+              std::chrono::milliseconds aSpan)
+  {
+    constexpr std::array<Relay::Mode, 3> kModes = { Relay::Mode::Hang,
+                                                    Relay::Mode::Refuse,
+                                                    Relay::Mode::Sever };
+    mWorld.SetWayToEngines(aInstance, AnyOf(kModes, aRandom));
+    std::this_thread::sleep_for(4 * aSpan);
+    mWorld.SetWayToEngines(aInstance, Relay::Mode::Open);
+  }
+
   void SignalTo(std::size_t aInstance, int aSignal)
   {
     const std::scoped_lock lock(mProcesses);
@@ -296,6 +338,7 @@
   }
 
   std::uint64_t mSeed;
+  Setup mSetup;
   IngressWorld mWorld;
   std::mutex mProcesses;
   std::mutex mOperator;
@@ -337,13 +380,13 @@
 
 /// Runs instances under random faults and checks what callers got.
 void
-PlaySoak(bool aHasOverloadControl)
+PlaySoak(Setup aSetup)
 {
   const auto seed = FromEnvironment("FIGSLIP_SEED", 20261204);
   const auto length =
     std::chrono::seconds(FromEnvironment("FIGSLIP_SOAK_S", 10));
   INFO("FIGSLIP_SEED=", seed);
-  Soak soak(static_cast<std::uint64_t>(seed), aHasOverloadControl);
+  Soak soak(static_cast<std::uint64_t>(seed), aSetup);
   soak.Run(length);
 
   auto runsOf = soak.World().CountRuns();
@@ -375,10 +418,15 @@
 
 TEST_CASE("instances under random faults")
 {
-  PlaySoak(false);
+  PlaySoak(Setup::Plain);
 }
 
 TEST_CASE("instances with overload control under random faults")
 {
-  PlaySoak(true);
+  PlaySoak(Setup::OverloadControl);
+}
+
+TEST_CASE("instances that are cut off from engines under random faults")
+{
+  PlaySoak(Setup::HandOver);
 }
--- a/tests/src/unit-settings_dialect.cpp
+++ b/tests/src/unit-settings_dialect.cpp
@@ -55,3 +55,25 @@
     }
   }
 }
+
+TEST_CASE("the ports for instances in the platform's settings")
+{
+  SUBCASE("have one for requests that are handed over")
+  {
+    CHECK(Translate({ { "peers", "10.1.0.4:70" },
+                      { "platform_internal_ports", { 70, 72 } } }) ==
+          nlohmann::json{ { "peers", "10.1.0.4:70" },
+                          { "hand_over", "10.1.0.4:71" } });
+  }
+  SUBCASE("have none if they are too few")
+  {
+    CHECK(Translate({ { "peers", "10.1.0.4:70" },
+                      { "platform_internal_ports", { 70, 71 } } }) ==
+          nlohmann::json{ { "peers", "10.1.0.4:70" } });
+  }
+  SUBCASE("stay for the findings where they cannot be read")
+  {
+    const std::string text = R"({"platform_internal_ports": [70]})";
+    CHECK(platform::TranslateSettings(text) == text);
+  }
+}
