Ask instances of other failure domains first where the own one is cut off

Cause: an instance of the own failure domain is preferred by weight, a request asks three instances, and each of the many that were cut off too was asked again after 0.5 s.

Why this works: after two instances of a failure domain without contact in a row, those of other domains are asked first; the pause of an instance without contact doubles; a request asks up to five.

--- a/include/figslip/handover/peer_choice.hpp
+++ b/include/figslip/handover/peer_choice.hpp
@@ -46,11 +46,17 @@
     /// requests of an instance of the own domain for one of another domain, as
     /// bytes between domains are priced
     int mOwnDomainWeight = 3;
-    Duration mNoContactPause = std::chrono::milliseconds(500);
+    /// after an instance had no contact; doubled with each further time
+    Duration mMinNoContactPause = std::chrono::milliseconds(500);
+    Duration mMaxNoContactPause = std::chrono::seconds(2);
     Duration mBusyPause = std::chrono::milliseconds(200);
     /// after an instance did not answer; doubled with each further time
     Duration mMinUnreachablePause = std::chrono::seconds(1);
     Duration mMaxUnreachablePause = std::chrono::seconds(8);
+    /// instances without contact in a row after which a failure domain is
+    /// suspected to be cut off; others are then asked first
+    int mMinSuspicious = 2;
+    Duration mMaxSuspicion = std::chrono::seconds(2); ///< after the last one
     std::uint64_t mSeed = 1; ///< of the choice among equal ones
   };
 
@@ -81,7 +87,7 @@
   {
     membership::InstanceLocation mLocation;
     int mOpen = 0;     ///< requests under way there
-    int mFailures = 0; ///< times in a row that it did not answer
+    int mFailures = 0; ///< times in a row that it declined or did not answer
     TimePoint mNotBefore;
   };
 
@@ -94,9 +100,19 @@
     const State& aState,
     const std::vector<std::string>* aRegions) const;
   [[nodiscard]] Duration PauseAfter(State& aState, Decline aReason) const;
+  [[nodiscard]] bool IsSuspected(const std::string& aDomain,
+                                 TimePoint aNow) const;
 
   Options mOptions;
+  /// Instances of a failure domain without contact since one took a request.
+  struct Suspicion
+  {
+    int mCount = 0;
+    TimePoint mLastAt;
+  };
+
   std::map<std::string, State, std::less<>> mStates; ///< by name
+  std::map<std::string, Suspicion> mSuspicions;      ///< by failure domain
   std::mt19937_64 mRandom;
 };
 
--- a/src/core/handover/peer_choice.cpp
+++ b/src/core/handover/peer_choice.cpp
@@ -74,10 +74,12 @@
 {
   // both sides of a comparison are multiplied by the larger weight
   const auto loadOf = [&](const State& aState) {
-    const bool isOwn = aState.mLocation.mFailureDomain == mOptions.mDomain;
-    return (aState.mOpen + 1) * (isOwn ? 1 : mOptions.mOwnDomainWeight);
+    const auto& domain = aState.mLocation.mFailureDomain;
+    const int weight =
+      domain == mOptions.mDomain ? 1 : mOptions.mOwnDomainWeight;
+    return std::pair(IsSuspected(domain, aNow), (aState.mOpen + 1) * weight);
   };
-  std::optional<int> least;
+  std::optional<std::pair<bool, int>> least;
   std::vector<const State*> best;
   for (const auto& state : mStates | std::views::values) {
     if (!MayAsk(state, aQuery, aNow)) {
@@ -124,6 +126,7 @@
   const auto found = mStates.find(aInstance);
   if (found != mStates.end()) {
     found->second.mFailures = 0;
+    mSuspicions.erase(found->second.mLocation.mFailureDomain);
   }
 }
 
@@ -135,25 +138,40 @@
   const auto found = mStates.find(aInstance);
   if (found != mStates.end()) {
     auto& state = found->second;
+    if (aReason == Decline::NoContact) {
+      auto& suspicion = mSuspicions[state.mLocation.mFailureDomain];
+      ++suspicion.mCount;
+      suspicion.mLastAt = aNow;
+    }
     state.mNotBefore =
       std::max(state.mNotBefore, aNow + PauseAfter(state, aReason));
   }
 }
 
+bool
+PeerChoice::IsSuspected(const std::string& aDomain, TimePoint aNow) const
+{
+  const auto found = mSuspicions.find(aDomain);
+  return found != mSuspicions.end() &&
+         found->second.mCount >= mOptions.mMinSuspicious &&
+         aNow - found->second.mLastAt < mOptions.mMaxSuspicion;
+}
+
 Duration
 PeerChoice::PauseAfter(State& aState, Decline aReason) const
 {
-  constexpr int kMaxDoublings = 8;
+  const auto grow = [&](Duration aMin, Duration aMax) {
+    constexpr int kMaxDoublings = 8;
+    const auto doublings = std::min(aState.mFailures++, kMaxDoublings);
+    return std::min(aMax, aMin * (1 << doublings));
+  };
   switch (aReason) {
     case Decline::NoContact:
-      return mOptions.mNoContactPause;
+      return grow(mOptions.mMinNoContactPause, mOptions.mMaxNoContactPause);
     case Decline::Busy:
       return mOptions.mBusyPause;
-    case Decline::Unreachable: {
-      const auto doublings = std::min(aState.mFailures++, kMaxDoublings);
-      return std::min(mOptions.mMaxUnreachablePause,
-                      mOptions.mMinUnreachablePause * (1 << doublings));
-    }
+    case Decline::Unreachable:
+      return grow(mOptions.mMinUnreachablePause, mOptions.mMaxUnreachablePause);
     case Decline::NotSuited:
       break;
   }
--- a/src/shell/gateway/request_hand_over.cpp
+++ b/src/shell/gateway/request_hand_over.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 /// Instances that are asked to take a request.
-constexpr std::size_t kMaxAskedPeers = 3;
+constexpr std::size_t kMaxAskedPeers = 5;
 
 /// Own attempts without a connection after which a request is handed over while
 /// a loss of contact is only suspected.
--- a/tests/src/unit-hand_over.cpp
+++ b/tests/src/unit-hand_over.cpp
@@ -169,6 +169,26 @@
       { .mRegions = &west, .mAccountRegions = &east }, kStart));
   }
 
+  SUBCASE("leaves a failure domain in which instances have no contact")
+  {
+    choice.OnInstances({ { "me", "a", "10.0.0.1:1" },
+                         { "n1", "a", "10.0.0.2:1" },
+                         { "n2", "a", "10.0.0.4:1" },
+                         { "n3", "a", "10.0.0.5:1" },
+                         { "far", "b", "10.0.0.3:1" } });
+    choice.OnDeclined("n1", Decline::NoContact, kStart);
+    CHECK(choice.Choose(any, kStart)->mFailureDomain == "a");
+    choice.OnDeclined("n2", Decline::NoContact, kStart);
+    CHECK(choice.Choose(any, kStart)->mName == "far");
+
+    SUBCASE("until one of them takes a request, or for two seconds")
+    {
+      CHECK(choice.Choose(any, kStart + 2s)->mFailureDomain == "a");
+      choice.OnTaken("n3");
+      CHECK(choice.Choose(any, kStart)->mName == "n3");
+    }
+  }
+
   SUBCASE("does not ask an instance without contact for a while")
   {
     choice.OnDeclined("near", Decline::NoContact, kStart);
