--- a/include/figslip/gateway/request_flow.hpp
+++ b/include/figslip/gateway/request_flow.hpp
@@ -82,10 +82,11 @@
     bool mWasSilent = false; ///< counted against its upstream
     bool mIsReadingHead = false;
     std::optional<net::StepEnd> mHeadEnd; ///< set once the head was read
-    /// instance that the request is handed over to, which chooses the upstream
-    std::optional<membership::InstanceLocation> mPeer;
+    /// instance that the request is handed over to, which chooses the upstream;
+    /// without a name: an attempt at an upstream
+    membership::InstanceLocation mPeer;
 
-    [[nodiscard]] bool IsHandOver() const { return mPeer.has_value(); }
+    [[nodiscard]] bool IsHandOver() const { return !mPeer.mName.empty(); }
   };
 
   /// Holds an attempt that may take the place of the running one.
@@ -204,6 +205,8 @@
   [[nodiscard]] net::Awaitable<NextStep> HandOver();
   [[nodiscard]] net::Awaitable<NextStep> HandOverTo(Attempt& aHandOver);
   [[nodiscard]] net::Awaitable<bool> ConnectToPeer(Attempt& aHandOver);
+  /// Returns where the instance takes requests.
+  [[nodiscard]] net::Endpoint HandOverEndpoint(const Attempt& aHandOver) const;
   /// Continues after the instance itself has decided on the request.
   /// @param[in] aOutcome its name
   [[nodiscard]] NextStep OnPeerOutcome(Attempt& aHandOver,
--- a/src/core/handover/upstream_contact.cpp
+++ b/src/core/handover/upstream_contact.cpp
@@ -1,6 +1,7 @@
 #include <figslip/handover/upstream_contact.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 
 namespace figslip::handover {
@@ -137,26 +138,27 @@
     return { order.begin(), order.end() };
   }
   auto covered = FailedDomains();
-  std::vector<std::string> probes;
+  std::vector<std::string_view> probes;
   std::vector<std::string_view> others;
   for (const auto& upstream : order) {
     const bool isFirst = covered.insert(mDomains.find(upstream)->second).second;
     if (isFirst) {
-      probes.emplace_back(upstream);
+      probes.push_back(upstream);
     } else {
       others.push_back(upstream);
     }
   }
   // a further probe of an upstream that failed tells nothing new
-  std::ranges::stable_partition(others, [&](const auto& aUpstream) {
-    return !mFailed.contains(aUpstream);
-  });
-  probes.insert(probes.end(), others.begin(), others.end());
+  const auto hasFailed = [&](const auto& aUpstream) {
+    return mFailed.contains(aUpstream);
+  };
+  std::ranges::remove_copy_if(others, std::back_inserter(probes), hasFailed);
+  std::ranges::copy_if(others, std::back_inserter(probes), hasFailed);
   probes.resize(std::min(aCount, probes.size()));
   if (!probes.empty()) {
     mLastProbed = probes.back();
   }
-  return probes;
+  return { probes.begin(), probes.end() };
 }
 
 } // namespace figslip::handover
--- a/src/core/ingress/configuration_recovery.cpp
+++ b/src/core/ingress/configuration_recovery.cpp
@@ -25,7 +25,7 @@
   if (!aName.starts_with(kPrefix)) {
     return std::nullopt;
   }
-  const auto digits = aName.substr(kPrefix.size());
+  const std::string digits(aName.substr(kPrefix.size()));
   const auto* const end = digits.data() + digits.size();
   std::int64_t version = 0;
   const auto read = std::from_chars(digits.data(), end, version);
--- a/src/shell/gateway/request_hand_over.cpp
+++ b/src/shell/gateway/request_hand_over.cpp
@@ -35,13 +35,6 @@
 /// short and comes with its head.
 constexpr auto kOutcomeTimeout = milliseconds(100);
 
-net::Endpoint
-EndpointOf(const membership::InstanceLocation& aPeer, std::uint16_t aPort)
-{
-  return { .mAddress = aPeer.mAddress.substr(0, aPeer.mAddress.rfind(':')),
-           .mPort = aPort };
-}
-
 /// Returns how an instance has declined a request; nothing if its decision is
 /// final.
 std::optional<Decline>
@@ -114,10 +107,13 @@
   auto next = NextStep::Declined;
   while (next == NextStep::Declined && !mCaller.HasLeft() &&
          MayHandOver(ReadBootClock())) {
+    auto chosen = mState.mPeerChoice.Choose(MakePeerQuery(), ReadBootClock());
+    if (!chosen) {
+      break;
+    }
     Attempt handOver;
-    handOver.mPeer =
-      mState.mPeerChoice.Choose(MakePeerQuery(), ReadBootClock());
-    const auto peer = handOver.mPeer->mName;
+    handOver.mPeer = std::move(*chosen);
+    const auto peer = handOver.mPeer.mName;
     mAskedPeers.insert(peer);
     mRunning = &handOver;
     mState.mPeerChoice.OnSent(peer);
@@ -132,11 +128,19 @@
   co_return next;
 }
 
+net::Endpoint
+RequestFlow::HandOverEndpoint(const Attempt& aHandOver) const
+{
+  const auto& address = aHandOver.mPeer.mAddress;
+  const auto& own = mState.mSettings.mHandOver;
+  return { .mAddress = address.substr(0, address.rfind(':')),
+           .mPort = own ? own->mPort : std::uint16_t{} };
+}
+
 net::Awaitable<bool>
 RequestFlow::ConnectToPeer(Attempt& aHandOver)
 {
-  const auto endpoint =
-    EndpointOf(*aHandOver.mPeer, mState.mSettings.mHandOver->mPort);
+  const auto endpoint = HandOverEndpoint(aHandOver);
   if (mRoute->IsRetryable()) {
     aHandOver.mConnection = mState.mPeerPool.Take(endpoint, kPeerMaxIdle);
   }
@@ -152,7 +156,7 @@
   const bool isOpen = opened == net::StepEnd::Done;
   if (!isOpen && opened != net::StepEnd::Aborted) {
     mState.mPeerChoice.OnDeclined(
-      aHandOver.mPeer->mName, Decline::Unreachable, ReadBootClock());
+      aHandOver.mPeer.mName, Decline::Unreachable, ReadBootClock());
     LogHandOver(aHandOver, "unreachable");
   }
   co_return isOpen;
@@ -196,7 +200,7 @@
 RequestFlow::OnPeerOutcome(Attempt& aHandOver, std::string_view aOutcome)
 {
   const auto now = ReadBootClock();
-  const auto& peer = aHandOver.mPeer->mName;
+  const auto& peer = aHandOver.mPeer.mName;
   const auto end = EndNamed(aOutcome);
   if (!end) {
     return OnHandOverBroken(aHandOver, net::StepEnd::Malformed, now);
@@ -233,7 +237,7 @@
   aHandOver.mHeadEnd = net::StepEnd::Done;
   mMayHaveRun = true;
   ++mSends;
-  mState.mPeerChoice.OnTaken(aHandOver.mPeer->mName);
+  mState.mPeerChoice.OnTaken(aHandOver.mPeer.mName);
   LogHandOver(aHandOver, "answered");
   mTriedUpstreams += (mTriedUpstreams.empty() ? "" : ",");
   mTriedUpstreams += *upstream;
@@ -271,7 +275,7 @@
   const bool wasSilent = aNow - aHandOver.mSentAt >= kMaxPeerSilence;
   if (!mCaller.HasLeft() || wasSilent) {
     mState.mPeerChoice.OnDeclined(
-      aHandOver.mPeer->mName, Decline::Unreachable, aNow);
+      aHandOver.mPeer.mName, Decline::Unreachable, aNow);
   }
   if (mCaller.HasLeft()) {
     return NextStep::Failed;
@@ -318,7 +322,7 @@
   log::Write(log::Level::Info,
              "handed_over",
              { { "request", mFacts.mAttemptId },
-               { "to", aHandOver.mPeer->mName },
+               { "to", aHandOver.mPeer.mName },
                { "outcome", std::string(aOutcome) },
                // empty: it was not sent
                { "took_ms",
@@ -346,9 +350,7 @@
 {
   auto connection = std::exchange(aAttempt.mConnection, nullptr);
   if (aAttempt.IsHandOver()) {
-    mState.mPeerPool.Give(
-      EndpointOf(*aAttempt.mPeer, mState.mSettings.mHandOver->mPort),
-      std::move(connection));
+    mState.mPeerPool.Give(HandOverEndpoint(aAttempt), std::move(connection));
     return;
   }
   mState.mPool.Give({ .mAddress = aAttempt.mUpstream.mAddress,
--- a/tests/harness/relay.cpp
+++ b/tests/harness/relay.cpp
@@ -183,9 +183,14 @@
       mFillers.push_back(
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
       const auto address = LoopbackAddress(mPort);
-      connect(mFillers.back(),
-              reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address));
+      const bool isRefused =
+        connect(mFillers.back(),
+                reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) != 0 &&
+        errno != EINPROGRESS;
+      if (isRefused) {
+        throw std::runtime_error("the relay cannot fill its queue");
+      }
     }
   }
 }
--- a/tests/src/history-hand_over.cpp
+++ b/tests/src/history-hand_over.cpp
@@ -62,7 +62,9 @@
   std::map<std::string, int> served;
   for (int number = 0; number < kRequests; ++number) {
     for (const auto& path : kPaths) {
-      const auto attempt = "r" + round + path + std::to_string(number);
+      auto attempt = "r" + round;
+      attempt += path;
+      attempt += std::to_string(number);
       const auto answer = SendOne(aWorld, aInstance, path, attempt);
       served[path] += answer.mStatus == 200 && answer.mIsWhole ? 1 : 0;
       CHECK(aWorld.RunsOf(attempt) <= 1);
